--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# make demo: builds the binary and runs the demonstration on loopback.
+# make test: checks and tests everything that needs no other machine.
+
+.PHONY: all build demo test lint spec bench generate
+
+all: build
+
+build:
+	go build -o bin/waxwingcart ./cmd/waxwingcart
+
+demo: build
+	./scripts/demo.sh
+
+test: lint build
+	./scripts/test.sh
+
+lint:
+	./scripts/lint.sh
+
+spec:
+	./spec/check.sh
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+generate:
+	./scripts/generate.sh
--- /dev/null
+++ b/cmd/waxwingcart/main.go
@@ -0,0 +1,4 @@
+// Command waxwingcart is the one binary of the system.
+package main
+
+func main() {}
