--- /dev/null
+++ b/internal/core/state/config.go
@@ -0,0 +1,271 @@
+package state
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"waxwingcart/internal/core/fleet"
+)
+
+// MaxChangeIDBytes bounds a change ID.
+const MaxChangeIDBytes = 128
+
+// ChangeRequest is a configuration change as an operator sends it.
+type ChangeRequest struct {
+	ChangeID     string
+	BaseRevision uint64
+	Author       string
+	// JSON is the complete new configuration.
+	JSON []byte
+}
+
+// Delta is one accepted change of the configuration.
+type Delta struct {
+	Revision uint64
+	ChangeID string
+	Author   string
+	// TimeMS is the state's time of the change, in milliseconds since 1970.
+	TimeMS int64
+	// Complete is true if Items are the whole configuration.
+	Complete bool
+	Items    []fleet.Item
+}
+
+// ChangeAnswer is the first result given for a change ID.
+type ChangeAnswer struct {
+	ChangeID string
+	Digest   uint64
+	Result   ChangeResult
+}
+
+// config is the configuration part of the machine.
+type config struct {
+	options  Options
+	revision uint64
+	items    map[string][]byte
+	// last is the newest change without its items.
+	last Delta
+	// history holds deltas without a gap, up to revision.
+	history      []Delta
+	historyBytes int
+	answers      map[string]ChangeAnswer
+	// answerOrder lists change IDs from the oldest answer on.
+	answerOrder []string
+}
+
+func newConfig(options Options) config {
+	return config{
+		options: options,
+		items:   make(map[string][]byte),
+		answers: make(map[string]ChangeAnswer),
+	}
+}
+
+func (c *config) prepare(request ChangeRequest) ChangeConfig {
+	change := ChangeConfig{
+		ChangeID:     request.ChangeID,
+		BaseRevision: request.BaseRevision,
+		Author:       request.Author,
+		Digest:       request.digest(),
+	}
+	items, err := flattenValid(request.JSON)
+	switch {
+	case err != nil:
+		change.Invalid = err.Error()
+	case request.BaseRevision == c.revision:
+		change.Items = fleet.Diff(c.items, items)
+	default:
+		change.Items = fleet.Diff(nil, items)
+		change.Complete = true
+	}
+	return change
+}
+
+func (r ChangeRequest) digest() uint64 {
+	hash := sha256.New()
+	writeLengthPrefixed(hash, r.Author)
+	var base [8]byte
+	binary.BigEndian.PutUint64(base[:], r.BaseRevision)
+	hash.Write(base[:])
+	hash.Write(r.JSON)
+	return binary.BigEndian.Uint64(hash.Sum(nil))
+}
+
+func flattenValid(json []byte) (map[string][]byte, error) {
+	parsed, err := fleet.ParseJSON(json)
+	if err != nil {
+		return nil, err
+	}
+	if problems := parsed.Validate(); len(problems) > 0 {
+		return nil, invalidError(problems)
+	}
+	return fleet.Flatten(parsed)
+}
+
+// invalidError lists the faults of a configuration, one a line.
+type invalidError []fleet.Problem
+
+func (e invalidError) Error() string {
+	lines := make([]string, len(e))
+	for i, problem := range e {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (c *config) change(timeMS int64, change ChangeConfig) ChangeResult {
+	if reason := checkChangeID(change.ChangeID); reason != "" {
+		return ChangeResult{Revision: c.revision, Invalid: reason}
+	}
+	if first, ok := c.answers[change.ChangeID]; ok {
+		return c.again(first, change)
+	}
+	result := c.decide(timeMS, change)
+	c.keepAnswer(ChangeAnswer{ChangeID: change.ChangeID, Digest: change.Digest, Result: result})
+	return result
+}
+
+func checkChangeID(id string) string {
+	switch {
+	case id == "":
+		return "change_id: got nothing, expected an ID that is unique to the change"
+	case len(id) > MaxChangeIDBytes:
+		return fmt.Sprintf("change_id: got %d bytes, expected at most %d", len(id), MaxChangeIDBytes)
+	}
+	return ""
+}
+
+// again answers a change ID that was seen before.
+func (c *config) again(first ChangeAnswer, change ChangeConfig) ChangeResult {
+	if first.Digest != change.Digest {
+		return ChangeResult{
+			Revision: c.revision,
+			Invalid:  fmt.Sprintf("change_id: got %q, which another change has used, expected a new one", change.ChangeID),
+		}
+	}
+	return first.Result
+}
+
+func (c *config) decide(timeMS int64, change ChangeConfig) ChangeResult {
+	if change.Invalid != "" {
+		return ChangeResult{Revision: c.revision, Invalid: change.Invalid}
+	}
+	if change.BaseRevision != c.revision {
+		return c.conflict(change.BaseRevision)
+	}
+	items := change.Items
+	if change.Complete {
+		items = fleet.Diff(c.items, itemMap(items))
+	}
+	c.accept(Delta{
+		Revision: c.revision + 1,
+		ChangeID: change.ChangeID,
+		Author:   change.Author,
+		TimeMS:   timeMS,
+		Items:    items,
+	})
+	return ChangeResult{Accepted: true, Revision: c.revision}
+}
+
+// conflict names the change that took the base revision's successor, or the
+// newest one if that is not known any more.
+func (c *config) conflict(base uint64) ChangeResult {
+	winner := c.last
+	if i := c.historyIndex(base + 1); i >= 0 {
+		winner = c.history[i]
+	}
+	return ChangeResult{
+		Revision:       winner.Revision,
+		Conflict:       true,
+		WinnerChangeID: winner.ChangeID,
+		WinnerAuthor:   winner.Author,
+	}
+}
+
+func (c *config) accept(delta Delta) {
+	for _, item := range delta.Items {
+		if len(item.JSON) == 0 {
+			delete(c.items, item.Path)
+			continue
+		}
+		c.items[item.Path] = item.JSON
+	}
+	c.revision = delta.Revision
+	c.last = delta
+	c.last.Items = nil
+	c.history = append(c.history, delta)
+	c.historyBytes += deltaBytes(delta)
+	c.trimHistory()
+}
+
+func (c *config) trimHistory() {
+	for len(c.history) > 0 && (len(c.history) > c.options.HistoryLimit || c.historyBytes > c.options.HistoryBytes) {
+		c.historyBytes -= deltaBytes(c.history[0])
+		c.history[0] = Delta{}
+		c.history = c.history[1:]
+	}
+}
+
+func deltaBytes(delta Delta) int {
+	n := 0
+	for _, item := range delta.Items {
+		n += len(item.Path) + len(item.JSON)
+	}
+	return n
+}
+
+func (c *config) keepAnswer(answer ChangeAnswer) {
+	c.answers[answer.ChangeID] = answer
+	c.answerOrder = append(c.answerOrder, answer.ChangeID)
+	for len(c.answerOrder) > c.options.ChangeAnswerLimit {
+		delete(c.answers, c.answerOrder[0])
+		c.answerOrder = c.answerOrder[1:]
+	}
+}
+
+// historyIndex returns the place of a revision's delta, or -1.
+func (c *config) historyIndex(revision uint64) int {
+	if len(c.history) == 0 || revision < c.history[0].Revision || revision > c.revision {
+		return -1
+	}
+	return int(revision - c.history[0].Revision)
+}
+
+func (c *config) deltasSince(revision uint64) ([]Delta, bool) {
+	if revision >= c.revision {
+		return nil, false
+	}
+	if i := c.historyIndex(revision + 1); i >= 0 {
+		return slices.Clone(c.history[i:]), false
+	}
+	return []Delta{c.complete()}, true
+}
+
+// complete returns the whole configuration as one delta.
+func (c *config) complete() Delta {
+	delta := c.last
+	delta.Complete = true
+	delta.Items = fleet.Diff(nil, c.items)
+	return delta
+}
+
+func (c *config) newest(n int) []Delta {
+	n = max(0, min(n, len(c.history)))
+	deltas := slices.Clone(c.history[len(c.history)-n:])
+	slices.Reverse(deltas)
+	return deltas
+}
+
+func (c *config) copyItems() map[string][]byte { return maps.Clone(c.items) }
+
+func itemMap(items []fleet.Item) map[string][]byte {
+	m := make(map[string][]byte, len(items))
+	for _, item := range items {
+		m[item.Path] = item.JSON
+	}
+	return m
+}
--- /dev/null
+++ b/internal/core/state/main_test.go
@@ -0,0 +1,22 @@
+package state
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if !flagSet("rapid.seed") {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// flagSet reports whether the command line sets a flag.
+func flagSet(name string) bool {
+	set := false
+	flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
+	return set
+}
--- /dev/null
+++ b/internal/core/state/snapshot.go
@@ -0,0 +1,138 @@
+package state
+
+import (
+	"iter"
+	"maps"
+	"slices"
+)
+
+// Snapshot is a copy of a machine's state. It does not change when the machine
+// goes on, and may be read by another goroutine.
+type Snapshot struct {
+	Applied  uint64
+	TimeMS   int64
+	Revision uint64
+	// Last is the newest change without its items.
+	Last  Delta
+	Items map[string][]byte
+	// History holds the kept deltas in ascending order.
+	History []Delta
+	// ChangeAnswers and Tombstones are in order of age, oldest first.
+	ChangeAnswers []ChangeAnswer
+	Tombstones    []Tombstone
+	// Records are in order of key.
+	Records []StoredRecord
+}
+
+// StoredRecord is an idempotency record as a snapshot holds it.
+type StoredRecord struct {
+	// KeyHash and Digest are the first 16 bytes of SHA-256 hashes.
+	KeyHash      [16]byte
+	Digest       [16]byte
+	RequestID    string
+	Owner        Owner
+	OwnerAddress string
+	State        RecordState
+	Answer       *Answer
+	// Expiry is when it may be dropped, in units of 10 s since 1970.
+	Expiry uint32
+}
+
+// Snapshot returns a copy of the state.
+func (m *Machine) Snapshot() *Snapshot {
+	s := &Snapshot{
+		Applied:    m.applied,
+		TimeMS:     m.timeMS,
+		Revision:   m.config.revision,
+		Last:       m.config.last,
+		Items:      m.config.copyItems(),
+		History:    slices.Clone(m.config.history),
+		Tombstones: slices.Clone(m.records.tombstones.order),
+		Records:    make([]StoredRecord, 0, m.records.count()),
+	}
+	for _, id := range m.config.answerOrder {
+		s.ChangeAnswers = append(s.ChangeAnswers, m.config.answers[id])
+	}
+	for rec := range m.records.all() {
+		s.Records = append(s.Records, rec.stored())
+	}
+	slices.SortFunc(s.Records, func(a, b StoredRecord) int {
+		return slices.Compare(a.KeyHash[:], b.KeyHash[:])
+	})
+	return s
+}
+
+func (r *records) all() iter.Seq[*record] {
+	return func(yield func(*record) bool) {
+		for _, slot := range r.slots {
+			if !yield(r.at(slot)) {
+				return
+			}
+		}
+	}
+}
+
+func (rec *record) stored() StoredRecord {
+	return StoredRecord{
+		KeyHash:      rec.key,
+		Digest:       rec.digest,
+		RequestID:    rec.requestID,
+		Owner:        rec.owner.id,
+		OwnerAddress: rec.owner.address,
+		State:        rec.state,
+		Answer:       rec.answer,
+		Expiry:       rec.expiry,
+	}
+}
+
+// Restore replaces the machine's state by a snapshot's.
+func (m *Machine) Restore(s *Snapshot) {
+	*m = *New(m.options)
+	m.applied = s.Applied
+	m.timeMS = s.TimeMS
+	m.config.restore(s)
+	m.records.restore(s)
+}
+
+func (c *config) restore(s *Snapshot) {
+	c.revision = s.Revision
+	c.last = s.Last
+	c.items = maps.Clone(s.Items)
+	if c.items == nil {
+		c.items = make(map[string][]byte)
+	}
+	c.history = slices.Clone(s.History)
+	for _, delta := range c.history {
+		c.historyBytes += deltaBytes(delta)
+	}
+	for _, answer := range s.ChangeAnswers {
+		c.keepAnswer(answer)
+	}
+}
+
+func (r *records) restore(s *Snapshot) {
+	for _, tombstone := range s.Tombstones {
+		r.tombstones.insert(tombstone)
+	}
+	for i := range s.Records {
+		r.restoreRecord(&s.Records[i])
+	}
+}
+
+func (r *records) restoreRecord(s *StoredRecord) {
+	slot := r.allocate()
+	*r.at(slot) = record{
+		key:       s.KeyHash,
+		digest:    s.Digest,
+		requestID: s.RequestID,
+		owner:     r.intern(s.Owner, s.OwnerAddress),
+		answer:    s.Answer,
+		expiry:    s.Expiry,
+		state:     s.State,
+	}
+	r.slots[s.KeyHash] = slot
+	r.queue.push(r, slot, s.Expiry)
+	if s.Answer != nil {
+		r.answerBytes += int64(len(s.Answer.Body))
+	}
+}
