--- /dev/null
+++ b/internal/core/eventid/eventid.go
@@ -0,0 +1,139 @@
+// Package eventid encodes the IDs of server-sent events. An ID holds what any
+// entry needs to resume the stream, authenticated with the deployment's key
+// and bound to the customer and to the request's digest.
+package eventid
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"hash"
+	"strings"
+)
+
+// Limits on the encoded form.
+const (
+	macBytes       = 16
+	maxFieldBytes  = 255
+	maxEncodedSize = 1024
+	fixedBytes     = 8 + 8
+)
+
+// The errors of Decode.
+var (
+	ErrMalformed = errors.New("event ID is malformed")
+	ErrForged    = errors.New("event ID does not belong to this customer and request")
+)
+
+// ID is a position in an answer's stream.
+type ID struct {
+	Service string
+	// Server is the backend server and Incarnation its run.
+	Server      string
+	Incarnation string
+	// Stream is the engine's name of the stream.
+	Stream string
+	// Offset is the offset of the event's token.
+	Offset uint64
+	// Sum is the running checksum up to and including the token.
+	Sum uint64
+}
+
+// Binding is what an ID is valid for.
+type Binding struct {
+	Customer string
+	// Digest is the SHA-256 of the request.
+	Digest [sha256.Size]byte
+}
+
+// Codec encodes and decodes IDs for one binding. It is not safe for concurrent
+// use.
+type Codec struct {
+	mac     hash.Hash
+	binding []byte
+	buffer  []byte
+}
+
+// NewCodec returns a codec that authenticates with the key.
+func NewCodec(key []byte, binding Binding) *Codec {
+	bound := appendField(nil, binding.Customer)
+	bound = append(bound, binding.Digest[:]...)
+	return &Codec{mac: hmac.New(sha256.New, key), binding: bound}
+}
+
+// Encode returns the ID's text, which is safe in an HTTP header.
+func (c *Codec) Encode(id ID) string {
+	b := c.buffer[:0]
+	b = binary.BigEndian.AppendUint64(b, id.Offset)
+	b = binary.BigEndian.AppendUint64(b, id.Sum)
+	b = appendField(b, id.Service)
+	b = appendField(b, id.Server)
+	b = appendField(b, id.Incarnation)
+	b = appendField(b, id.Stream)
+	b = append(b, c.sum(b)...)
+	c.buffer = b
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Decode checks and decodes the text of an ID.
+func (c *Codec) Decode(text string) (ID, error) {
+	if len(text) > maxEncodedSize {
+		return ID{}, ErrMalformed
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(raw) < fixedBytes+macBytes {
+		return ID{}, ErrMalformed
+	}
+	payload, mac := raw[:len(raw)-macBytes], raw[len(raw)-macBytes:]
+	if !hmac.Equal(mac, c.sum(payload)) {
+		return ID{}, ErrForged
+	}
+	return decodePayload(payload)
+}
+
+func decodePayload(payload []byte) (ID, error) {
+	id := ID{
+		Offset: binary.BigEndian.Uint64(payload),
+		Sum:    binary.BigEndian.Uint64(payload[8:]),
+	}
+	rest := payload[fixedBytes:]
+	for _, field := range []*string{&id.Service, &id.Server, &id.Incarnation, &id.Stream} {
+		value, after, ok := cutField(rest)
+		if !ok {
+			return ID{}, ErrMalformed
+		}
+		*field = value
+		rest = after
+	}
+	if len(rest) != 0 {
+		return ID{}, ErrMalformed
+	}
+	return id, nil
+}
+
+func (c *Codec) sum(payload []byte) []byte {
+	c.mac.Reset()
+	c.mac.Write(c.binding)
+	c.mac.Write(payload)
+	return c.mac.Sum(nil)[:macBytes]
+}
+
+// appendField appends a length byte and the value, cut to maxFieldBytes.
+func appendField(b []byte, value string) []byte {
+	value = strings.ToValidUTF8(value, "")
+	if len(value) > maxFieldBytes {
+		value = value[:maxFieldBytes]
+	}
+	b = append(b, byte(len(value)))
+	return append(b, value...)
+}
+
+func cutField(b []byte) (value string, rest []byte, ok bool) {
+	if len(b) == 0 || len(b) < 1+int(b[0]) {
+		return "", nil, false
+	}
+	end := 1 + int(b[0])
+	return string(b[1:end]), b[end:], true
+}
--- /dev/null
+++ b/internal/observe/observe.go
@@ -0,0 +1,85 @@
+// Package observe provides the logger, the metrics registry and the state dump
+// that every process of waxwingcart shares.
+package observe
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/gorilla/mux"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs an event,
+// each with the name and zone of the process.
+func NewLogger(w io.Writer, level, process, zone string) *log.Logger {
+	return &log.Logger{
+		Level:      log.ParseLevel(level),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Context:    log.NewContext(nil).Str("process", process).Str("zone", zone).Value(),
+		Writer: &log.ConsoleWriter{
+			Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter,
+			Writer:    w,
+		},
+	}
+}
+
+// NewRegistry returns a registry with the metrics of the Go runtime and of the
+// process.
+func NewRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return registry
+}
+
+// Dumper gives a part of a process's state, ready to be encoded as JSON.
+type Dumper func() any
+
+// Dump collects the state of a process's parts.
+type Dump struct {
+	mu    sync.Mutex
+	parts map[string]Dumper
+}
+
+// NewDump returns an empty dump.
+func NewDump() *Dump {
+	return &Dump{parts: make(map[string]Dumper)}
+}
+
+// Add registers a part under a name.
+func (d *Dump) Add(name string, dumper Dumper) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.parts[name] = dumper
+}
+
+// State returns the state of every part.
+func (d *Dump) State() map[string]any {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	state := make(map[string]any, len(d.parts))
+	for name, dumper := range d.parts {
+		state[name] = dumper()
+	}
+	return state
+}
+
+// ServeHTTP writes the state as JSON.
+func (d *Dump) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(d.State())
+}
+
+// Routes adds the metrics and dump endpoints to a router.
+func Routes(router *mux.Router, registry *prometheus.Registry, dump *Dump) {
+	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	router.Handle("/dump", dump).Methods(http.MethodGet)
+}
--- /dev/null
+++ b/internal/replica/loop.go
@@ -0,0 +1,191 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/replication"
+)
+
+// Sizes and intervals of the loop.
+const (
+	tickInterval     = 10 * time.Millisecond
+	inboxLength      = 8192
+	maxInboxBatch    = 1024
+	writeQueueLength = 64
+	// compactEvery is the number of applied entries between two snapshots.
+	compactEvery = 20000
+)
+
+// work is one thing for the loop to do.
+type work struct {
+	event replication.Event
+	// done, if set, receives the result of a proposal or read.
+	done chan result
+}
+
+// result ends a proposal or a read.
+type result struct {
+	// applied is the state machine's result of a proposal.
+	applied any
+	err     error
+}
+
+// write is one job of the writer: a log write or a snapshot.
+type write struct {
+	persist  *replication.Persist
+	snapshot *replication.Snapshot
+}
+
+// run feeds events to the node and carries out its effects until the context
+// ends or the storage fails.
+func (r *Replica) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-r.writeFailed:
+			return fmt.Errorf("replica %s stops: %w", r.opts.Self.VM, err)
+		case <-ticker.C:
+			r.step(replication.Tick{})
+		case sequence := <-r.written:
+			r.step(replication.Persisted{Sequence: sequence})
+		case snapshot := <-r.saved:
+			r.compacting = false
+			r.step(replication.Compacted{Snapshot: snapshot})
+		case w := <-r.inbox:
+			r.handle(w)
+			r.handleWaiting()
+		}
+		r.publish()
+	}
+}
+
+// handleWaiting takes the work that is queued already, so that one write
+// carries all of it.
+func (r *Replica) handleWaiting() {
+	for range maxInboxBatch {
+		select {
+		case w := <-r.inbox:
+			r.handle(w)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) handle(w work) {
+	if w.done == nil {
+		r.step(w.event)
+		return
+	}
+	r.token++
+	r.waiting[r.token] = w.done
+	switch ev := w.event.(type) {
+	case replication.Propose:
+		ev.Token = r.token
+		r.step(ev)
+	case replication.Read:
+		ev.Token = r.token
+		r.step(ev)
+	}
+}
+
+func (r *Replica) step(ev replication.Event) {
+	r.carryOut(r.node.Step(r.now(), ev))
+}
+
+func (r *Replica) carryOut(effects replication.Effects) {
+	if effects.Persist != nil {
+		r.writes <- write{persist: effects.Persist}
+	}
+	for _, message := range effects.Send {
+		r.send(message)
+	}
+	if effects.Install != nil {
+		r.install(effects.Install)
+	}
+	for _, rejection := range effects.Rejected {
+		r.reject(rejection)
+	}
+	for _, appended := range effects.Appended {
+		r.appended[appended.Index] = pending{term: appended.Term, token: appended.Token}
+	}
+	for _, entry := range effects.Committed {
+		r.apply(entry)
+	}
+	for _, read := range effects.Reads {
+		r.finishRead(read)
+	}
+	if effects.Role != nil {
+		r.roleChanged(*effects.Role)
+	}
+	r.compact()
+}
+
+func (r *Replica) send(message replication.Message) {
+	address, ok := r.addressOf(message.To)
+	if !ok {
+		return
+	}
+	data, err := codec.EncodeMessage(message)
+	if err != nil {
+		r.logger.Error().Str("step", "encode message").Err(err).Msg("message dropped")
+		return
+	}
+	r.senderTo(address).send(data)
+}
+
+// addressOf finds where a node listens.
+func (r *Replica) addressOf(id replication.NodeID) (string, bool) {
+	membership := r.node.Status().Membership
+	for _, members := range [][]replication.Member{membership.Voters, membership.Learners} {
+		for _, member := range members {
+			if member.ID == id {
+				return member.Address, true
+			}
+		}
+	}
+	for _, peer := range r.opts.Peers {
+		if peer.VM == id.VM {
+			return peer.Address, true
+		}
+	}
+	return "", false
+}
+
+// runWriter writes and syncs in order. The first failure ends it for good:
+// after a failed sync nothing is known about what the disk holds.
+func (r *Replica) runWriter(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-r.writes:
+			if err := r.write(w); err != nil {
+				r.logger.Error().Str("step", "write").Str("peer", r.opts.DataDir).Err(err).Msg("storage failed")
+				r.writeFailed <- err
+				return
+			}
+		}
+	}
+}
+
+func (r *Replica) write(w write) error {
+	if w.snapshot != nil {
+		if err := r.log.SaveSnapshot(*w.snapshot); err != nil {
+			return err
+		}
+		r.saved <- *w.snapshot
+		return nil
+	}
+	if err := r.log.Write(w.persist); err != nil {
+		return err
+	}
+	r.written <- w.persist.Sequence
+	return nil
+}
--- /dev/null
+++ b/internal/rpc/leader.go
@@ -0,0 +1,128 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"waxwingcart/internal/wire"
+)
+
+// callTimeout bounds one call to one replica.
+const callTimeout = 1500 * time.Millisecond
+
+// leaderRetryDelay separates two rounds over all replicas.
+const leaderRetryDelay = 50 * time.Millisecond
+
+// ErrNoLeader means that no reachable replica leads.
+var ErrNoLeader = errors.New("no reachable replica leads")
+
+// Replicas calls whichever replica leads.
+type Replicas struct {
+	client    *Client
+	mu        sync.Mutex
+	addresses []string
+	stubs     map[string]wire.Replica
+	leader    string
+}
+
+// NewReplicas returns a caller of the replicas at the given addresses.
+func NewReplicas(client *Client, addresses []string) *Replicas {
+	return &Replicas{
+		client:    client,
+		addresses: slices.Clone(addresses),
+		stubs:     make(map[string]wire.Replica),
+	}
+}
+
+// Addresses returns the configured addresses.
+func (r *Replicas) Addresses() []string { return slices.Clone(r.addresses) }
+
+// At returns a stub for the replica at an address.
+func (r *Replicas) At(address string) wire.Replica {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stub, ok := r.stubs[address]
+	if !ok {
+		stub = wire.NewReplicaProtobufClient("http://"+address, r.client)
+		r.stubs[address] = stub
+	}
+	return stub
+}
+
+// Leader returns the address that is tried first.
+func (r *Replicas) Leader() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader
+}
+
+func (r *Replicas) setLeader(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leader = address
+}
+
+// candidates lists the addresses in the order in which they are tried.
+func (r *Replicas) candidates() []string {
+	leader := r.Leader()
+	var list []string
+	if leader != "" {
+		list = append(list, leader)
+	}
+	for _, address := range r.addresses {
+		if address != leader {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// Call makes a call at the leader, looking for it until the context ends. A
+// call in doubt is repeated, so the call must be idempotent.
+func Call[Response any](ctx context.Context, r *Replicas, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
+	var last error = ErrNoLeader
+	for {
+		for _, address := range r.candidates() {
+			response, next, err := try(ctx, r, address, call)
+			if err == nil {
+				r.setLeader(address)
+				return response, nil
+			}
+			last = Wrap(step, address, err)
+			if next != "" && next != address {
+				r.setLeader(next)
+				break
+			}
+		}
+		if err := pause(ctx, leaderRetryDelay); err != nil {
+			var none Response
+			return none, last
+		}
+	}
+}
+
+// try makes the call at one address and returns the leader it was told of.
+func try[Response any](ctx context.Context, r *Replicas, address string, call func(context.Context, wire.Replica) (Response, error)) (Response, string, error) {
+	attempt, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := call(attempt, r.At(address))
+	if err == nil {
+		return response, "", nil
+	}
+	leader, _ := LeaderOf(err)
+	return response, leader, err
+}
+
+func pause(ctx context.Context, delay time.Duration) error {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/wire/replica.twirp.go
+++ b/internal/wire/replica.twirp.go
@@ -2981,6 +2981,1622 @@
 	return baseServicePath(s.pathPrefix, "waxwingcart", "Peer")
 }
 
+// ==================
+// Operator Interface
+// ==================
+
+// Operator is served by every process on its admin address.
+type Operator interface {
+	// ApplyConfig commits a configuration change.
+	ApplyConfig(context.Context, *ChangeConfigRequest) (*ChangeConfigResponse, error)
+
+	// GetConfig returns the committed configuration.
+	GetConfig(context.Context, *GetConfigRequest) (*GetConfigResponse, error)
+
+	// History lists the latest changes, newest first.
+	History(context.Context, *HistoryRequest) (*HistoryResponse, error)
+
+	// Drain ends an entry gracefully.
+	Drain(context.Context, *DrainRequest) (*DrainResponse, error)
+
+	// Explain tells what happened to a request.
+	Explain(context.Context, *ExplainRequest) (*ExplainResponse, error)
+}
+
+// ========================
+// Operator Protobuf Client
+// ========================
+
+type operatorProtobufClient struct {
+	client      HTTPClient
+	urls        [5]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewOperatorProtobufClient creates a Protobuf client that implements the Operator interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewOperatorProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Operator {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "waxwingcart", "Operator")
+	urls := [5]string{
+		serviceURL + "ApplyConfig",
+		serviceURL + "GetConfig",
+		serviceURL + "History",
+		serviceURL + "Drain",
+		serviceURL + "Explain",
+	}
+
+	return &operatorProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *operatorProtobufClient) ApplyConfig(ctx context.Context, in *ChangeConfigRequest) (*ChangeConfigResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "ApplyConfig")
+	caller := c.callApplyConfig
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ChangeConfigRequest) (*ChangeConfigResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ChangeConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ChangeConfigRequest) when calling interceptor")
+					}
+					return c.callApplyConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callApplyConfig(ctx context.Context, in *ChangeConfigRequest) (*ChangeConfigResponse, error) {
+	out := new(ChangeConfigResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) GetConfig(ctx context.Context, in *GetConfigRequest) (*GetConfigResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfig")
+	caller := c.callGetConfig
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetConfigRequest) (*GetConfigResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigRequest) when calling interceptor")
+					}
+					return c.callGetConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callGetConfig(ctx context.Context, in *GetConfigRequest) (*GetConfigResponse, error) {
+	out := new(GetConfigResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) History(ctx context.Context, in *HistoryRequest) (*HistoryResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "History")
+	caller := c.callHistory
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *HistoryRequest) (*HistoryResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HistoryRequest) when calling interceptor")
+					}
+					return c.callHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callHistory(ctx context.Context, in *HistoryRequest) (*HistoryResponse, error) {
+	out := new(HistoryResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) Drain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Drain")
+	caller := c.callDrain
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DrainRequest) (*DrainResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainRequest) when calling interceptor")
+					}
+					return c.callDrain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrainResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrainResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
+	out := new(DrainResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) Explain(ctx context.Context, in *ExplainRequest) (*ExplainResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Explain")
+	caller := c.callExplain
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ExplainRequest) (*ExplainResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ExplainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ExplainRequest) when calling interceptor")
+					}
+					return c.callExplain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ExplainResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ExplainResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callExplain(ctx context.Context, in *ExplainRequest) (*ExplainResponse, error) {
+	out := new(ExplainResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Operator JSON Client
+// ====================
+
+type operatorJSONClient struct {
+	client      HTTPClient
+	urls        [5]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewOperatorJSONClient creates a JSON client that implements the Operator interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewOperatorJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Operator {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "waxwingcart", "Operator")
+	urls := [5]string{
+		serviceURL + "ApplyConfig",
+		serviceURL + "GetConfig",
+		serviceURL + "History",
+		serviceURL + "Drain",
+		serviceURL + "Explain",
+	}
+
+	return &operatorJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *operatorJSONClient) ApplyConfig(ctx context.Context, in *ChangeConfigRequest) (*ChangeConfigResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "ApplyConfig")
+	caller := c.callApplyConfig
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ChangeConfigRequest) (*ChangeConfigResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ChangeConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ChangeConfigRequest) when calling interceptor")
+					}
+					return c.callApplyConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callApplyConfig(ctx context.Context, in *ChangeConfigRequest) (*ChangeConfigResponse, error) {
+	out := new(ChangeConfigResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) GetConfig(ctx context.Context, in *GetConfigRequest) (*GetConfigResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfig")
+	caller := c.callGetConfig
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetConfigRequest) (*GetConfigResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigRequest) when calling interceptor")
+					}
+					return c.callGetConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callGetConfig(ctx context.Context, in *GetConfigRequest) (*GetConfigResponse, error) {
+	out := new(GetConfigResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) History(ctx context.Context, in *HistoryRequest) (*HistoryResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "History")
+	caller := c.callHistory
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *HistoryRequest) (*HistoryResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HistoryRequest) when calling interceptor")
+					}
+					return c.callHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callHistory(ctx context.Context, in *HistoryRequest) (*HistoryResponse, error) {
+	out := new(HistoryResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) Drain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Drain")
+	caller := c.callDrain
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DrainRequest) (*DrainResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainRequest) when calling interceptor")
+					}
+					return c.callDrain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrainResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrainResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
+	out := new(DrainResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) Explain(ctx context.Context, in *ExplainRequest) (*ExplainResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Explain")
+	caller := c.callExplain
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ExplainRequest) (*ExplainResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ExplainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ExplainRequest) when calling interceptor")
+					}
+					return c.callExplain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ExplainResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ExplainResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callExplain(ctx context.Context, in *ExplainRequest) (*ExplainResponse, error) {
+	out := new(ExplainResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =======================
+// Operator Server Handler
+// =======================
+
+type operatorServer struct {
+	Operator
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewOperatorServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewOperatorServer(svc Operator, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &operatorServer{
+		Operator:         svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *operatorServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *operatorServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// OperatorPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const OperatorPathPrefix = "/twirp/waxwingcart.Operator/"
+
+func (s *operatorServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "waxwingcart")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "waxwingcart.Operator" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "ApplyConfig":
+		s.serveApplyConfig(ctx, resp, req)
+		return
+	case "GetConfig":
+		s.serveGetConfig(ctx, resp, req)
+		return
+	case "History":
+		s.serveHistory(ctx, resp, req)
+		return
+	case "Drain":
+		s.serveDrain(ctx, resp, req)
+		return
+	case "Explain":
+		s.serveExplain(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *operatorServer) serveApplyConfig(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveApplyConfigJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveApplyConfigProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveApplyConfigJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ApplyConfig")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ChangeConfigRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.ApplyConfig
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ChangeConfigRequest) (*ChangeConfigResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ChangeConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ChangeConfigRequest) when calling interceptor")
+					}
+					return s.Operator.ApplyConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeConfigResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeConfigResponse and nil error while calling ApplyConfig. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveApplyConfigProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ApplyConfig")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ChangeConfigRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.ApplyConfig
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ChangeConfigRequest) (*ChangeConfigResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ChangeConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ChangeConfigRequest) when calling interceptor")
+					}
+					return s.Operator.ApplyConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeConfigResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeConfigResponse and nil error while calling ApplyConfig. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveGetConfig(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGetConfigJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGetConfigProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveGetConfigJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfig")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(GetConfigRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.GetConfig
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetConfigRequest) (*GetConfigResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigRequest) when calling interceptor")
+					}
+					return s.Operator.GetConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetConfigResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetConfigResponse and nil error while calling GetConfig. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveGetConfigProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfig")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(GetConfigRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.GetConfig
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetConfigRequest) (*GetConfigResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigRequest) when calling interceptor")
+					}
+					return s.Operator.GetConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetConfigResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetConfigResponse and nil error while calling GetConfig. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveHistory(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveHistoryJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveHistoryProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveHistoryJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "History")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(HistoryRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.History
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HistoryRequest) (*HistoryResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HistoryRequest) when calling interceptor")
+					}
+					return s.Operator.History(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HistoryResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HistoryResponse and nil error while calling History. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveHistoryProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "History")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(HistoryRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.History
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HistoryRequest) (*HistoryResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HistoryRequest) when calling interceptor")
+					}
+					return s.Operator.History(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HistoryResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HistoryResponse and nil error while calling History. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveDrain(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDrainJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDrainProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveDrainJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Drain")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DrainRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.Drain
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DrainRequest) (*DrainResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainRequest) when calling interceptor")
+					}
+					return s.Operator.Drain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrainResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrainResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DrainResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrainResponse and nil error while calling Drain. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveDrainProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Drain")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(DrainRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.Drain
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DrainRequest) (*DrainResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainRequest) when calling interceptor")
+					}
+					return s.Operator.Drain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrainResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrainResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DrainResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrainResponse and nil error while calling Drain. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveExplain(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveExplainJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveExplainProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveExplainJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Explain")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ExplainRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.Explain
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ExplainRequest) (*ExplainResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ExplainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ExplainRequest) when calling interceptor")
+					}
+					return s.Operator.Explain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ExplainResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ExplainResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ExplainResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ExplainResponse and nil error while calling Explain. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveExplainProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Explain")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ExplainRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.Explain
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ExplainRequest) (*ExplainResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ExplainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ExplainRequest) when calling interceptor")
+					}
+					return s.Operator.Explain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ExplainResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ExplainResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ExplainResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ExplainResponse and nil error while calling Explain. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 2
+}
+
+func (s *operatorServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *operatorServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "waxwingcart", "Operator")
+}
+
 // =====
 // Utils
 // =====
@@ -3547,99 +5163,116 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 1501 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x57, 0xcd, 0x6e, 0xdb, 0xc6,
-	0x16, 0x0e, 0x29, 0x8a, 0xb2, 0x8e, 0x64, 0x59, 0x77, 0xe2, 0x1b, 0xd3, 0x72, 0x82, 0x28, 0xcc,
-	0xc5, 0x85, 0x9b, 0x36, 0x4e, 0xe1, 0x06, 0x28, 0xd0, 0x6e, 0x2a, 0x5b, 0x74, 0xac, 0x18, 0x96,
-	0x8d, 0x91, 0xd2, 0x14, 0xdd, 0xa8, 0x34, 0x39, 0x96, 0xd8, 0x8a, 0xa4, 0x3a, 0xa4, 0xa5, 0xb8,
-	0xab, 0xb6, 0x0f, 0x50, 0xf4, 0x2d, 0xba, 0xec, 0xba, 0x40, 0x57, 0x7d, 0x92, 0xa2, 0xe8, 0x83,
-	0x14, 0xf3, 0x43, 0x8a, 0x94, 0x65, 0x3b, 0x01, 0xba, 0x9b, 0xf3, 0x33, 0x73, 0xce, 0xf9, 0xce,
-	0x99, 0x8f, 0x1c, 0x58, 0xa5, 0x64, 0x32, 0xf6, 0x1c, 0x7b, 0x67, 0x42, 0xc3, 0x38, 0x44, 0x95,
-	0x99, 0xfd, 0x66, 0xe6, 0x05, 0x43, 0xc7, 0xa6, 0xb1, 0xf9, 0x09, 0xe8, 0xdd, 0xd0, 0x25, 0x9d,
-	0x36, 0xaa, 0x81, 0x3a, 0xf5, 0x0d, 0xa5, 0xa9, 0x6c, 0x97, 0xb1, 0x3a, 0xf5, 0x51, 0x13, 0x2a,
-	0x5e, 0xe0, 0xd8, 0x34, 0xb0, 0x63, 0x2f, 0x0c, 0x0c, 0xb5, 0xa9, 0x6c, 0x6b, 0x38, 0xab, 0x32,
-	0x3f, 0x80, 0x5a, 0x9b, 0x8c, 0xbd, 0x29, 0xa1, 0x98, 0x7c, 0x7b, 0x41, 0xa2, 0x18, 0x35, 0x60,
-	0xc5, 0x27, 0x51, 0x64, 0x0f, 0x49, 0x64, 0x28, 0xcd, 0xc2, 0x76, 0x15, 0xa7, 0xb2, 0xf9, 0x1f,
-	0x58, 0x4b, 0xbd, 0xa3, 0x49, 0x18, 0x44, 0xc4, 0xfc, 0x49, 0x85, 0xd2, 0x7e, 0xe8, 0xfb, 0x76,
-	0xe0, 0xa2, 0x0d, 0x28, 0xc5, 0x9e, 0x4f, 0x06, 0x7e, 0xc4, 0x73, 0x28, 0x60, 0x9d, 0x89, 0xc7,
-	0x11, 0xfa, 0x18, 0x4a, 0x94, 0x44, 0x84, 0x4e, 0x09, 0xcf, 0xa1, 0xb2, 0xbb, 0xb5, 0x93, 0x29,
-	0x60, 0x07, 0x0b, 0x9b, 0xcc, 0xe0, 0xf0, 0x0e, 0x4e, 0xbc, 0xd1, 0x73, 0xd0, 0x29, 0x71, 0x42,
-	0xea, 0x1a, 0x05, 0xbe, 0xaf, 0xb1, 0xb0, 0x8f, 0x99, 0xe6, 0xdb, 0xa4, 0x2f, 0x7a, 0x01, 0xab,
-	0xce, 0xc8, 0x0e, 0x86, 0x64, 0xe0, 0x84, 0xc1, 0xb9, 0x37, 0x34, 0x34, 0xbe, 0xb9, 0x99, 0xdb,
-	0xbc, 0xcf, 0x3d, 0xf6, 0xb9, 0xc3, 0xfc, 0x88, 0xaa, 0x93, 0x51, 0xa3, 0x27, 0x50, 0x27, 0x6f,
-	0x26, 0x1e, 0x25, 0x83, 0x33, 0x72, 0x1e, 0x52, 0x5e, 0x59, 0x91, 0x55, 0x76, 0x78, 0x07, 0xd7,
-	0x84, 0x65, 0x8f, 0x1b, 0x8e, 0xa3, 0x3d, 0x1d, 0xb4, 0xb3, 0xd0, 0xbd, 0x34, 0x7b, 0x50, 0x16,
-	0x79, 0x1d, 0x91, 0x4b, 0x06, 0xa6, 0x73, 0x11, 0xc5, 0xa1, 0x4f, 0xa8, 0x6c, 0x4b, 0x2a, 0x23,
-	0x03, 0x4a, 0xac, 0x48, 0xcf, 0x11, 0xa0, 0x94, 0x71, 0x22, 0xa2, 0x3a, 0x14, 0xbe, 0x21, 0x97,
-	0xbc, 0xe4, 0x32, 0x66, 0x4b, 0xf3, 0x6f, 0x05, 0x6a, 0x79, 0x94, 0xd0, 0xb6, 0x70, 0x52, 0x78,
-	0x69, 0xf7, 0x96, 0xe0, 0x72, 0x44, 0x2e, 0xf9, 0x66, 0x74, 0x0f, 0x74, 0xd7, 0x1b, 0x92, 0x28,
-	0xe6, 0x71, 0xaa, 0x58, 0x4a, 0xe8, 0x3d, 0x28, 0x86, 0xb3, 0x80, 0x50, 0x89, 0xed, 0xdd, 0xdc,
-	0x19, 0x62, 0xa2, 0xb0, 0xf0, 0x40, 0x8f, 0x61, 0x95, 0x2f, 0x06, 0xb6, 0xeb, 0x52, 0x12, 0x45,
-	0x1c, 0xd1, 0x32, 0xae, 0x72, 0x65, 0x4b, 0xe8, 0xd0, 0x03, 0x00, 0x2a, 0x92, 0x1b, 0x78, 0x2e,
-	0xc7, 0xa9, 0x8c, 0xcb, 0x52, 0xd3, 0x71, 0xd1, 0x23, 0xa8, 0x52, 0x12, 0x93, 0x80, 0xcd, 0x1d,
-	0x03, 0x52, 0xe7, 0x23, 0x52, 0x49, 0x75, 0xc7, 0x91, 0xf9, 0x8b, 0x0a, 0x6b, 0x69, 0x99, 0x62,
-	0xc0, 0x18, 0x4c, 0x43, 0x6a, 0x07, 0x31, 0x71, 0x79, 0xad, 0x2b, 0x38, 0x11, 0xf9, 0xa4, 0x7a,
-	0x91, 0x6f, 0xc7, 0xce, 0x88, 0x57, 0xb6, 0x82, 0x53, 0x19, 0xed, 0x40, 0x31, 0x8a, 0xed, 0x98,
-	0xf0, 0xda, 0x6a, 0xbb, 0xc6, 0x12, 0x7c, 0x7a, 0xcc, 0x8e, 0x85, 0xdb, 0x1c, 0x0b, 0xed, 0xdd,
-	0xb1, 0x28, 0xde, 0x8a, 0x85, 0xbe, 0x88, 0xc5, 0xfb, 0xa0, 0xdb, 0x41, 0x34, 0x23, 0xd4, 0x28,
-	0x2d, 0x89, 0xd7, 0xe2, 0x26, 0x2c, 0x5d, 0x10, 0x02, 0x2d, 0x26, 0xd4, 0x37, 0x56, 0xf8, 0xf5,
-	0xe5, 0x6b, 0xf3, 0x07, 0x05, 0x74, 0xe1, 0xc6, 0xda, 0xcb, 0x6a, 0xb8, 0x10, 0x97, 0xae, 0x88,
-	0xa5, 0x84, 0x9e, 0x42, 0x69, 0x44, 0x6c, 0x97, 0xd0, 0xc8, 0x50, 0x9b, 0x85, 0x2b, 0x41, 0x0e,
-	0xb9, 0x0d, 0x27, 0x3e, 0x2c, 0x0a, 0x9b, 0x5f, 0x0e, 0x58, 0x15, 0xf3, 0x35, 0xba, 0x0f, 0xe5,
-	0x98, 0x5e, 0x04, 0x8e, 0xcd, 0xd0, 0xd7, 0x38, 0xc4, 0x73, 0x85, 0xb9, 0x0b, 0xba, 0x38, 0x84,
-	0xed, 0x0d, 0x6c, 0x9f, 0xc8, 0x11, 0xe7, 0x6b, 0xb4, 0x0e, 0xc5, 0xa9, 0x3d, 0xbe, 0x48, 0x86,
-	0x5b, 0x08, 0xe6, 0x9f, 0x0a, 0xac, 0xe6, 0xae, 0xed, 0x3b, 0xcc, 0x71, 0xda, 0x23, 0xf5, 0xd6,
-	0x1e, 0xe5, 0xe1, 0x2f, 0x2c, 0xc2, 0x9f, 0x4e, 0x87, 0xf6, 0x76, 0xd3, 0x31, 0x6f, 0x57, 0xf1,
-	0xd6, 0x76, 0x99, 0x9f, 0xb1, 0xab, 0x2a, 0x2a, 0x94, 0x23, 0x9c, 0x86, 0x53, 0xde, 0x2a, 0x9c,
-	0xf9, 0x1c, 0x40, 0x10, 0x50, 0x27, 0x26, 0x3e, 0x03, 0x77, 0x62, 0xc7, 0xa3, 0x04, 0x5c, 0xb6,
-	0x66, 0xba, 0xaf, 0x23, 0xc9, 0xe8, 0x55, 0xcc, 0xd7, 0xe6, 0xcf, 0x0a, 0xdc, 0x5d, 0x42, 0x6a,
-	0x68, 0x0b, 0xca, 0x92, 0x0d, 0x3d, 0x37, 0x25, 0x21, 0xae, 0xe8, 0xb8, 0x6c, 0x98, 0xcf, 0xec,
-	0x88, 0x0c, 0x28, 0x99, 0x7a, 0xd1, 0xfc, 0x1b, 0x51, 0x65, 0x4a, 0x2c, 0x75, 0x6c, 0xc2, 0xec,
-	0x8b, 0x78, 0x14, 0x52, 0x89, 0xa4, 0x94, 0xd0, 0x43, 0xa8, 0x08, 0x82, 0x1d, 0xf0, 0x64, 0x34,
-	0x9e, 0x0c, 0x08, 0xd5, 0x4b, 0x96, 0xd2, 0x8f, 0x2a, 0xac, 0xe7, 0x53, 0x92, 0x88, 0x34, 0x60,
-	0x25, 0x8d, 0xa8, 0xf0, 0x88, 0xa9, 0xcc, 0x39, 0x33, 0x0c, 0xce, 0xc7, 0x9e, 0x13, 0x27, 0xd7,
-	0x3a, 0x91, 0xd1, 0x36, 0xd4, 0x67, 0x5e, 0xc0, 0x2e, 0xdf, 0xbc, 0x24, 0x91, 0x53, 0x4d, 0xe8,
-	0xf7, 0x33, 0x85, 0x49, 0x4f, 0x99, 0xba, 0x64, 0x2c, 0xa1, 0x6c, 0x89, 0x02, 0x0c, 0x28, 0x79,
-	0xc1, 0xd4, 0x1e, 0xa7, 0x74, 0x95, 0x88, 0xe8, 0x7f, 0x50, 0xfb, 0x2e, 0x0c, 0x48, 0x34, 0xf0,
-	0x82, 0xc1, 0x79, 0x48, 0x1d, 0x62, 0xe8, 0xcd, 0x02, 0xdb, 0xcf, 0xb5, 0x9d, 0xe0, 0x80, 0xe9,
-	0x58, 0x10, 0xe1, 0x35, 0x21, 0x81, 0xeb, 0x05, 0x43, 0xa3, 0x94, 0x71, 0x3a, 0x15, 0x3a, 0xf3,
-	0x7b, 0x05, 0xd0, 0x01, 0x89, 0x9d, 0x51, 0xbe, 0x2d, 0x8f, 0x61, 0x75, 0x64, 0x4f, 0x33, 0xc8,
-	0x0b, 0x1c, 0xaa, 0x4c, 0x99, 0x22, 0xbf, 0x01, 0xa5, 0x99, 0xed, 0xc5, 0x8c, 0x2e, 0x55, 0xf1,
-	0x45, 0x65, 0xe2, 0x71, 0xc4, 0x32, 0x9f, 0xd0, 0xd0, 0x61, 0xf4, 0x23, 0xea, 0x4f, 0x44, 0x36,
-	0x1a, 0x2c, 0xbc, 0xac, 0x97, 0xaf, 0xcd, 0x3f, 0x14, 0xa8, 0x88, 0xe8, 0x6d, 0x32, 0x8e, 0xed,
-	0x1b, 0xe1, 0xcf, 0x8d, 0x8b, 0xba, 0x30, 0x2e, 0xd7, 0x4d, 0x42, 0xe6, 0xcb, 0xaf, 0xe5, 0xbe,
-	0xfc, 0xbc, 0x99, 0xfe, 0x64, 0x4c, 0x62, 0xc2, 0x21, 0xe6, 0xcd, 0x14, 0x32, 0x7a, 0x0a, 0x45,
-	0x2f, 0x26, 0xfc, 0x4b, 0xc0, 0xe8, 0x69, 0x23, 0xff, 0x79, 0x4e, 0x2f, 0x00, 0x16, 0x5e, 0xa6,
-	0x03, 0x77, 0x73, 0x30, 0xca, 0x51, 0xfa, 0x10, 0x74, 0x97, 0x15, 0x25, 0xfe, 0x56, 0x2a, 0x0b,
-	0xb7, 0x2b, 0x53, 0x35, 0x96, 0x7e, 0xb9, 0xea, 0xd5, 0x7c, 0xf5, 0xe6, 0x57, 0x50, 0x79, 0x19,
-	0x7a, 0xc1, 0xbc, 0x49, 0xaa, 0xbc, 0x34, 0xd7, 0xf0, 0x8d, 0xea, 0xb9, 0x29, 0xe2, 0xea, 0x1c,
-	0x71, 0xd6, 0x9f, 0xe4, 0xf3, 0x20, 0xfb, 0x23, 0x45, 0xb3, 0x06, 0x55, 0x11, 0x41, 0xfe, 0x40,
-	0x85, 0xb0, 0x66, 0xbd, 0x11, 0x00, 0x27, 0x51, 0x11, 0x68, 0xe7, 0x34, 0x4c, 0x7e, 0xe4, 0xf8,
-	0xfa, 0xf6, 0x5f, 0xb9, 0x34, 0x8d, 0x42, 0x26, 0x0d, 0x46, 0xcc, 0x64, 0x16, 0xc9, 0xab, 0xc9,
-	0xd7, 0xe6, 0xff, 0xa1, 0x3e, 0x0f, 0x28, 0x41, 0x4c, 0xfc, 0x94, 0x8c, 0x5f, 0x04, 0xb5, 0x56,
-	0x1c, 0x13, 0x7f, 0x12, 0xbf, 0x3b, 0x55, 0xe7, 0xf9, 0x57, 0x5d, 0xe4, 0x5f, 0x86, 0xce, 0x99,
-	0x1d, 0xb8, 0x61, 0xc0, 0xb3, 0x5d, 0xc1, 0x89, 0x68, 0xfa, 0xb0, 0x96, 0x06, 0x95, 0xb9, 0xa5,
-	0xb4, 0xaf, 0xdc, 0x4a, 0xfb, 0xcf, 0x12, 0xa2, 0x55, 0x39, 0xd1, 0x6e, 0xe6, 0x69, 0x5a, 0x9c,
-	0x9b, 0x65, 0xda, 0x27, 0xbf, 0x2a, 0x50, 0xc9, 0x10, 0x30, 0xba, 0x0f, 0x06, 0xb6, 0xf6, 0x4f,
-	0x70, 0x7b, 0xd0, 0xeb, 0xb7, 0xfa, 0xd6, 0xe0, 0x55, 0xb7, 0x77, 0x6a, 0xed, 0x77, 0x0e, 0x3a,
-	0x56, 0xbb, 0x7e, 0x07, 0x6d, 0xc2, 0x7f, 0x73, 0x56, 0x6c, 0xf5, 0x2c, 0xfc, 0xb9, 0xd5, 0xae,
-	0x2b, 0x57, 0x4c, 0xad, 0x6e, 0xef, 0xb5, 0x85, 0xad, 0x76, 0x5d, 0x45, 0x06, 0xac, 0xe7, 0x4c,
-	0xdd, 0x93, 0xfe, 0x00, 0xbf, 0xea, 0xd6, 0x0b, 0x57, 0x2c, 0xaf, 0xba, 0x47, 0xdd, 0x93, 0xd7,
-	0xdd, 0xba, 0x76, 0xc5, 0x62, 0x7d, 0x71, 0xda, 0x61, 0xa7, 0x15, 0x9f, 0xfc, 0xa6, 0x40, 0x35,
-	0x5b, 0x09, 0x7a, 0x00, 0x9b, 0xad, 0x7e, 0xdf, 0x3a, 0x3e, 0xed, 0x2f, 0xcd, 0xd9, 0x80, 0xf5,
-	0xbc, 0xb9, 0xb5, 0xd7, 0xb3, 0xba, 0x7d, 0x91, 0x72, 0xde, 0xf2, 0xba, 0xd5, 0xe9, 0x77, 0xba,
-	0x2f, 0xea, 0x2a, 0x83, 0x21, 0x6f, 0x6a, 0x77, 0x7a, 0xa7, 0xad, 0xfe, 0xfe, 0xa1, 0xd5, 0xae,
-	0x17, 0xd0, 0x16, 0x6c, 0x2c, 0x1e, 0xd9, 0xea, 0xb6, 0x4f, 0xba, 0x56, 0xbb, 0xae, 0xa1, 0x06,
-	0xdc, 0xcb, 0x1b, 0x0f, 0x3a, 0xdd, 0x4e, 0x8f, 0x6d, 0x2c, 0xee, 0xfe, 0x5e, 0x80, 0x12, 0x16,
-	0xef, 0x18, 0xd4, 0x86, 0x92, 0x7c, 0x4a, 0xa0, 0xfc, 0x63, 0x20, 0xff, 0x1c, 0x69, 0xdc, 0x5f,
-	0x6e, 0x94, 0xb3, 0xd1, 0x66, 0x07, 0x8a, 0xa7, 0xc2, 0x4d, 0x4f, 0x8a, 0x85, 0x53, 0x16, 0x7f,
-	0x31, 0x5b, 0xa0, 0x8b, 0x21, 0x40, 0x37, 0xbc, 0x2f, 0x1a, 0x5b, 0x4b, 0x6d, 0xf2, 0x88, 0x1e,
-	0x54, 0xb3, 0x1f, 0x3a, 0x74, 0xeb, 0x5b, 0xa3, 0xf1, 0xe8, 0x06, 0x0f, 0x79, 0xe8, 0x29, 0x54,
-	0x32, 0x8c, 0x87, 0x1e, 0xe6, 0x76, 0x5c, 0xfd, 0xa4, 0x34, 0x9a, 0xd7, 0x3b, 0xc8, 0x13, 0x3f,
-	0x05, 0x8d, 0x91, 0x0f, 0xca, 0x93, 0x64, 0x86, 0xf1, 0x1a, 0x9b, 0x4b, 0x2c, 0x62, 0xf3, 0xee,
-	0x5f, 0x0a, 0x68, 0xa7, 0x84, 0x50, 0xf4, 0x02, 0x56, 0x12, 0x06, 0x41, 0x79, 0x64, 0x17, 0x98,
-	0xac, 0xf1, 0xe0, 0x1a, 0xeb, 0xbc, 0x7d, 0x72, 0x96, 0x17, 0xda, 0x97, 0x27, 0x9e, 0x85, 0xf6,
-	0x2d, 0x12, 0xc4, 0x11, 0xe8, 0xff, 0x1a, 0x42, 0x7b, 0x5b, 0x5f, 0x6e, 0x66, 0x5c, 0x9e, 0x79,
-	0x41, 0x4c, 0x68, 0x60, 0x8f, 0x9f, 0xcd, 0x3c, 0x4a, 0xce, 0x74, 0xfe, 0xfa, 0xfe, 0xe8, 0x9f,
-	0x00, 0x00, 0x00, 0xff, 0xff, 0x01, 0x65, 0x1c, 0x2c, 0x8e, 0x0f, 0x00, 0x00,
+	// 1766 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x58, 0x5f, 0x6f, 0x1b, 0x4b,
+	0x15, 0xef, 0xae, 0xed, 0xb5, 0x7d, 0xec, 0x38, 0xbe, 0xd3, 0xd0, 0x6e, 0x9c, 0x96, 0xe6, 0x6e,
+	0xd1, 0x55, 0x28, 0xf7, 0x36, 0xc8, 0x5c, 0x09, 0x09, 0x04, 0xba, 0x6e, 0xec, 0x34, 0x6e, 0x15,
+	0x27, 0x1a, 0xbb, 0x14, 0xf1, 0x62, 0x36, 0xbb, 0x93, 0x64, 0xc1, 0x3b, 0x6b, 0x66, 0x37, 0x76,
+	0xc3, 0x13, 0xf0, 0xc4, 0x13, 0x5f, 0x03, 0xf1, 0xc4, 0x33, 0x12, 0x4f, 0x7c, 0x12, 0x84, 0xf8,
+	0x0c, 0x3c, 0xa3, 0xf9, 0xb3, 0xeb, 0x9d, 0xad, 0x93, 0xb4, 0x52, 0x75, 0xdf, 0xe6, 0xfc, 0x99,
+	0x99, 0x73, 0x7e, 0xe7, 0xcc, 0x39, 0x33, 0x03, 0x1b, 0x8c, 0xcc, 0x67, 0x81, 0xe7, 0x3e, 0x9f,
+	0xb3, 0x28, 0x89, 0x50, 0x63, 0xe9, 0xbe, 0x5b, 0x06, 0xf4, 0xc2, 0x73, 0x59, 0xe2, 0x20, 0x68,
+	0xbf, 0x24, 0xc9, 0x41, 0x44, 0xcf, 0x83, 0x0b, 0x4c, 0x7e, 0x77, 0x45, 0xe2, 0xc4, 0x39, 0x85,
+	0xcf, 0x72, 0xbc, 0x78, 0x1e, 0xd1, 0x98, 0xa0, 0x0e, 0xd4, 0x18, 0x59, 0x04, 0x71, 0x10, 0x51,
+	0xdb, 0xd8, 0x35, 0xf6, 0xca, 0x38, 0xa3, 0xd1, 0x13, 0x68, 0x78, 0x42, 0x7b, 0xfa, 0x9b, 0x38,
+	0xa2, 0xb6, 0xb9, 0x6b, 0xec, 0x35, 0x31, 0x48, 0xd6, 0xab, 0x38, 0xa2, 0xce, 0x17, 0xd0, 0x3a,
+	0x0a, 0xe2, 0x24, 0x62, 0xd7, 0x6a, 0x0f, 0xb4, 0x05, 0x95, 0x59, 0x10, 0x06, 0x89, 0x58, 0xab,
+	0x82, 0x25, 0xe1, 0x7c, 0x03, 0x9b, 0x99, 0x9e, 0xda, 0xf7, 0x2b, 0xa8, 0x7a, 0x97, 0x2e, 0xbd,
+	0x20, 0xb1, 0x6d, 0xec, 0x96, 0xf6, 0x1a, 0xdd, 0xfb, 0xcf, 0x73, 0xf6, 0x3f, 0x3f, 0x10, 0x32,
+	0x9c, 0xea, 0x38, 0x7f, 0x36, 0xc0, 0x92, 0xbc, 0x5b, 0x2d, 0xde, 0x81, 0xba, 0x9c, 0x31, 0x0d,
+	0x7c, 0x61, 0x6f, 0x1d, 0xd7, 0x24, 0x63, 0xe8, 0xa3, 0x07, 0x60, 0xb9, 0x57, 0xc9, 0x65, 0xc4,
+	0xec, 0x92, 0x90, 0x28, 0x0a, 0x3d, 0x84, 0x6a, 0x12, 0x84, 0x64, 0x1a, 0xc6, 0x76, 0x79, 0xd7,
+	0xd8, 0x2b, 0x61, 0x8b, 0x93, 0xc7, 0x31, 0x77, 0x66, 0xee, 0x26, 0x97, 0xb1, 0x5d, 0xd9, 0x2d,
+	0xed, 0xd5, 0xb1, 0x24, 0x9c, 0x7d, 0x68, 0xf6, 0x99, 0x1b, 0xd0, 0xd4, 0xe5, 0x27, 0xd0, 0xf0,
+	0x89, 0xeb, 0xcf, 0x02, 0x2a, 0x96, 0x30, 0xc4, 0x12, 0x90, 0xb2, 0x8e, 0x63, 0xe7, 0x4b, 0xd8,
+	0x50, 0x13, 0x94, 0xef, 0x3b, 0x50, 0x0f, 0xe8, 0xf4, 0x7c, 0x16, 0x5c, 0x5c, 0xa6, 0x40, 0xd5,
+	0x02, 0x7a, 0x28, 0x68, 0x67, 0x1f, 0x5a, 0x83, 0x77, 0xf3, 0x59, 0x6e, 0x83, 0xc7, 0x00, 0x4c,
+	0x0e, 0xb9, 0x57, 0x86, 0xb0, 0xbd, 0xae, 0x38, 0x43, 0xdf, 0xf9, 0x19, 0x6c, 0x66, 0x13, 0xd4,
+	0x06, 0x5b, 0x50, 0x39, 0x8f, 0xae, 0xa8, 0x54, 0xae, 0x61, 0x49, 0x70, 0x6e, 0x9c, 0x90, 0x79,
+	0x6c, 0x9b, 0xd2, 0x1d, 0x41, 0x38, 0x3f, 0x01, 0x6b, 0x14, 0xf9, 0x64, 0xd8, 0x47, 0x2d, 0x30,
+	0x17, 0xa1, 0x5a, 0xdf, 0x5c, 0x84, 0x68, 0x17, 0x1a, 0x01, 0xf5, 0x5c, 0x46, 0xdd, 0x24, 0x50,
+	0xe1, 0x2f, 0xe3, 0x3c, 0xcb, 0xf9, 0x12, 0x5a, 0x7d, 0x32, 0x0b, 0x16, 0x84, 0xa5, 0xb6, 0x76,
+	0xa0, 0x16, 0x92, 0x38, 0x76, 0xd3, 0xb8, 0x36, 0x71, 0x46, 0x3b, 0x9f, 0xc1, 0x66, 0xa6, 0x2d,
+	0x0d, 0x75, 0xfe, 0x62, 0x42, 0xf5, 0x20, 0x0a, 0x43, 0x97, 0xfa, 0xf9, 0x30, 0x18, 0x5a, 0x18,
+	0x7e, 0x0c, 0x55, 0x46, 0x62, 0xc2, 0x16, 0x44, 0xd8, 0xd0, 0xe8, 0xee, 0x68, 0xa9, 0x82, 0xa5,
+	0x4c, 0x59, 0x70, 0x74, 0x0f, 0xa7, 0xda, 0xe8, 0x6b, 0xb0, 0x18, 0xf1, 0x22, 0xe6, 0x8b, 0x80,
+	0x37, 0xba, 0x9d, 0xc2, 0x3c, 0x2e, 0x5a, 0x4d, 0x53, 0xba, 0xe8, 0x25, 0x6c, 0xa8, 0x1c, 0x92,
+	0x99, 0x2e, 0x92, 0xa2, 0xd1, 0xdd, 0x5d, 0x93, 0x9f, 0xda, 0xf9, 0x3a, 0xba, 0x87, 0x9b, 0x5e,
+	0x8e, 0x8d, 0x9e, 0x41, 0x9b, 0xbc, 0x9b, 0x07, 0x8c, 0x4c, 0xcf, 0xc8, 0x79, 0xc4, 0x84, 0x67,
+	0x15, 0xee, 0xd9, 0xd1, 0x3d, 0xdc, 0x92, 0x92, 0x17, 0x42, 0x70, 0x1c, 0xbf, 0xb0, 0xa0, 0x7c,
+	0x16, 0xf9, 0xd7, 0xce, 0x18, 0xea, 0xd2, 0xae, 0xd7, 0xe4, 0x9a, 0x83, 0xe9, 0x5d, 0xc5, 0x49,
+	0x14, 0x12, 0xa6, 0xc2, 0x92, 0xd1, 0xc8, 0x86, 0x2a, 0x77, 0x32, 0xf0, 0x88, 0xca, 0xf3, 0x94,
+	0x44, 0x6d, 0x28, 0xfd, 0x96, 0x5c, 0xab, 0x1c, 0xe7, 0x43, 0xe7, 0xbf, 0x06, 0xb4, 0x74, 0x94,
+	0xd0, 0x9e, 0x54, 0x32, 0x84, 0x6b, 0x0f, 0xd6, 0xe0, 0xf2, 0x9a, 0x5c, 0x8b, 0xc9, 0xfc, 0xd4,
+	0xf8, 0xc1, 0x05, 0x89, 0x13, 0x75, 0xfe, 0x15, 0x85, 0xbe, 0x0f, 0x95, 0x68, 0x49, 0x09, 0x53,
+	0xd8, 0xea, 0xc7, 0x57, 0x66, 0x14, 0x96, 0x1a, 0xe8, 0x29, 0x6c, 0x88, 0xc1, 0xd4, 0xf5, 0x7d,
+	0x46, 0x62, 0x79, 0xcc, 0xea, 0xb8, 0x29, 0x98, 0x3d, 0xc9, 0x2b, 0x64, 0x79, 0xa5, 0x90, 0xe5,
+	0xe8, 0x73, 0x68, 0x32, 0x92, 0x10, 0xca, 0xf3, 0x8e, 0x03, 0x69, 0x89, 0x14, 0x69, 0x64, 0xbc,
+	0xe3, 0xd8, 0xf9, 0xab, 0x09, 0x9b, 0x99, 0x9b, 0xea, 0x24, 0xd8, 0x50, 0xbd, 0x60, 0x2e, 0x4d,
+	0x48, 0x7a, 0x16, 0x52, 0x52, 0x64, 0x6a, 0x10, 0x87, 0x6e, 0xe2, 0x5d, 0x0a, 0xcf, 0x6a, 0x38,
+	0xa3, 0xd1, 0x73, 0x7e, 0x52, 0xdc, 0x84, 0x08, 0xdf, 0x5a, 0x5d, 0x7b, 0x0d, 0x3e, 0x63, 0x2e,
+	0xc7, 0x52, 0x6d, 0x85, 0x45, 0xf9, 0xe3, 0xb1, 0xa8, 0xdc, 0x89, 0x85, 0x55, 0xc4, 0xe2, 0x07,
+	0x60, 0xb9, 0x34, 0x5e, 0x12, 0x66, 0x57, 0xd7, 0xec, 0xd7, 0x13, 0x22, 0xac, 0x54, 0x10, 0x82,
+	0x72, 0x42, 0x58, 0x68, 0xd7, 0xc4, 0xf1, 0x15, 0x63, 0xe7, 0x8f, 0x06, 0x58, 0x52, 0x8d, 0x87,
+	0x97, 0xfb, 0x70, 0x15, 0xab, 0x42, 0xa4, 0x28, 0x5e, 0x9f, 0x2f, 0x89, 0xeb, 0x13, 0x26, 0xcb,
+	0x45, 0x71, 0x93, 0x23, 0x21, 0xc3, 0xa9, 0x0e, 0xdf, 0x85, 0xe7, 0xaf, 0x00, 0xac, 0x89, 0xc5,
+	0x18, 0x3d, 0x82, 0x7a, 0xc2, 0xae, 0xa8, 0xe7, 0x72, 0xf4, 0xcb, 0x02, 0xe2, 0x15, 0xc3, 0xe9,
+	0x82, 0x25, 0x17, 0xe1, 0x73, 0xa9, 0x1b, 0x12, 0x95, 0xe2, 0x62, 0xcc, 0x6b, 0xd5, 0xc2, 0x9d,
+	0x5d, 0xa5, 0xc9, 0x2d, 0x09, 0xe7, 0xdf, 0x06, 0x6c, 0x68, 0xc7, 0xf6, 0x23, 0xf2, 0x38, 0x8b,
+	0x91, 0x79, 0x67, 0x8c, 0x74, 0xf8, 0x4b, 0x45, 0xf8, 0xb3, 0xec, 0x28, 0x7f, 0x58, 0x76, 0xac,
+	0xc2, 0x55, 0xb9, 0x33, 0x5c, 0xce, 0x37, 0xfc, 0xa8, 0x4a, 0x0f, 0x55, 0x0a, 0x67, 0xdb, 0x19,
+	0x1f, 0xb4, 0x9d, 0xf3, 0x35, 0x80, 0x2c, 0x40, 0xc3, 0x84, 0x84, 0x1c, 0x5c, 0xde, 0xb6, 0x52,
+	0x70, 0xf9, 0x98, 0xf3, 0x72, 0x0d, 0x5d, 0x8c, 0x9d, 0xbf, 0x19, 0x70, 0x7f, 0x4d, 0x51, 0xd3,
+	0x3b, 0xaa, 0x51, 0xe8, 0xa8, 0x4f, 0x61, 0xe3, 0xcc, 0x8d, 0xc9, 0x34, 0xeb, 0xc7, 0xb2, 0x47,
+	0x34, 0x39, 0x13, 0xa7, 0x3d, 0xf9, 0xa6, 0xb6, 0x5b, 0xb8, 0x5d, 0x94, 0x8b, 0xb7, 0x0b, 0xde,
+	0x10, 0x96, 0x6e, 0x90, 0x64, 0x65, 0x13, 0x5b, 0x9c, 0x3c, 0x8e, 0x9d, 0x3f, 0x99, 0xb0, 0xa5,
+	0xdb, 0xfa, 0x01, 0x97, 0x19, 0x5e, 0x4c, 0x23, 0x7a, 0x3e, 0x0b, 0xbc, 0x24, 0x3d, 0xef, 0x29,
+	0x8d, 0xf6, 0xa0, 0xbd, 0x0c, 0x28, 0x3f, 0x95, 0x2b, 0x5f, 0xa5, 0xb1, 0x2d, 0xc9, 0x3f, 0xc8,
+	0x79, 0xac, 0x34, 0x95, 0x4f, 0xaa, 0x94, 0x49, 0x66, 0x4f, 0x7a, 0x66, 0x43, 0x35, 0xa0, 0x0b,
+	0x77, 0x96, 0xd5, 0xb1, 0x94, 0x44, 0xdf, 0x83, 0xd6, 0xef, 0x23, 0x4a, 0xe2, 0x29, 0xef, 0xff,
+	0x11, 0xf3, 0x88, 0x6d, 0x89, 0x5e, 0xdc, 0x14, 0xdc, 0x21, 0x3d, 0xe4, 0x3c, 0xbe, 0x89, 0xd4,
+	0x9a, 0x13, 0xea, 0x07, 0xf4, 0xc2, 0xae, 0xe6, 0x94, 0x4e, 0x25, 0xcf, 0xf9, 0x83, 0x01, 0xe8,
+	0x90, 0x24, 0xde, 0xa5, 0x1e, 0xaf, 0xa7, 0xb0, 0x71, 0xe9, 0x2e, 0x72, 0x21, 0x91, 0x38, 0x34,
+	0x39, 0x33, 0x0b, 0x49, 0x0e, 0x59, 0x33, 0x8f, 0x2c, 0xb7, 0x7c, 0xce, 0x22, 0x8f, 0xd7, 0x25,
+	0xe9, 0x7f, 0x4a, 0xf2, 0x9c, 0xe1, 0xdb, 0x2b, 0x7f, 0xc5, 0xd8, 0xf9, 0x97, 0x01, 0x0d, 0xb9,
+	0x7b, 0x9f, 0xcc, 0x12, 0xf7, 0x5b, 0xbc, 0x99, 0x89, 0x60, 0x86, 0xf3, 0x19, 0x49, 0x88, 0x80,
+	0x58, 0x04, 0x53, 0xd2, 0xe8, 0x2b, 0xa8, 0x04, 0x09, 0x11, 0x2d, 0x82, 0xd7, 0xad, 0x87, 0x7a,
+	0xdf, 0xce, 0x4e, 0x06, 0x96, 0x5a, 0x8e, 0x07, 0xf7, 0x35, 0x18, 0x55, 0x2a, 0xfd, 0x10, 0x2c,
+	0x9f, 0x3b, 0x95, 0x5e, 0x4f, 0xed, 0x35, 0xcb, 0x08, 0xaf, 0xb1, 0xd2, 0xd3, 0xbc, 0x37, 0x75,
+	0xef, 0x9d, 0x5f, 0x43, 0xe3, 0x55, 0xb4, 0xba, 0xd1, 0x3d, 0x05, 0x53, 0x9d, 0xa6, 0x1b, 0x0a,
+	0x91, 0x19, 0xf8, 0x19, 0xe2, 0xe6, 0x0a, 0x71, 0x1e, 0x9f, 0xb4, 0x6f, 0xa8, 0xf8, 0x28, 0xd2,
+	0x69, 0x41, 0x53, 0xee, 0xa0, 0x6e, 0x56, 0x11, 0xbf, 0x15, 0x4a, 0x80, 0xd3, 0x5d, 0x11, 0x94,
+	0xcf, 0x59, 0x94, 0xde, 0xf0, 0xc4, 0xf8, 0xee, 0x3b, 0x5e, 0x66, 0x46, 0x29, 0x67, 0x06, 0xaf,
+	0xd8, 0x64, 0x19, 0xab, 0x33, 0x2b, 0xc6, 0xce, 0x17, 0xd0, 0x5e, 0x6d, 0xa8, 0x40, 0x4c, 0xf5,
+	0x8c, 0x9c, 0x5e, 0x0c, 0xad, 0x5e, 0x92, 0x90, 0x70, 0x9e, 0x7c, 0x7c, 0x0d, 0xd7, 0x0b, 0xb3,
+	0x59, 0x2c, 0xcc, 0x1c, 0x9d, 0x33, 0x97, 0xfa, 0x11, 0x15, 0xd6, 0xd6, 0x70, 0x4a, 0x3a, 0x21,
+	0x6c, 0x66, 0x9b, 0x2a, 0xdb, 0xb2, 0x7e, 0x60, 0xdc, 0xd9, 0x0f, 0xf6, 0xd3, 0x0a, 0x6c, 0x8a,
+	0x0a, 0xbc, 0xad, 0xd7, 0x6f, 0xb9, 0x6e, 0xbe, 0x04, 0x3f, 0xfb, 0xbb, 0x01, 0x8d, 0x5c, 0x65,
+	0x46, 0x8f, 0xc0, 0xc6, 0x83, 0x83, 0x13, 0xdc, 0x9f, 0x8e, 0x27, 0xbd, 0xc9, 0x60, 0xfa, 0x66,
+	0x34, 0x3e, 0x1d, 0x1c, 0x0c, 0x0f, 0x87, 0x83, 0x7e, 0xfb, 0x1e, 0xda, 0x86, 0xef, 0x68, 0x52,
+	0x3c, 0x18, 0x0f, 0xf0, 0x2f, 0x06, 0xfd, 0xb6, 0xf1, 0x9e, 0xa8, 0x37, 0x1a, 0xbf, 0x1d, 0xe0,
+	0x41, 0xbf, 0x6d, 0x22, 0x1b, 0xb6, 0x34, 0xd1, 0xe8, 0x64, 0x32, 0xc5, 0x6f, 0x46, 0xed, 0xd2,
+	0x7b, 0x92, 0x37, 0xa3, 0xd7, 0xa3, 0x93, 0xb7, 0xa3, 0x76, 0xf9, 0x3d, 0xc9, 0xe0, 0x97, 0xa7,
+	0x43, 0xbe, 0x5a, 0xe5, 0xd9, 0x3f, 0x0c, 0x68, 0xe6, 0x3d, 0x41, 0x8f, 0x61, 0xbb, 0x37, 0x99,
+	0x0c, 0x8e, 0x4f, 0x27, 0x6b, 0x6d, 0xb6, 0x61, 0x4b, 0x17, 0xf7, 0x5e, 0x8c, 0x07, 0xa3, 0x89,
+	0x34, 0x59, 0x97, 0xbc, 0xed, 0x0d, 0x27, 0xc3, 0xd1, 0xcb, 0xb6, 0xc9, 0x61, 0xd0, 0x45, 0xfd,
+	0xe1, 0xf8, 0xb4, 0x37, 0x39, 0x38, 0x1a, 0xf4, 0xdb, 0x25, 0xb4, 0x03, 0x0f, 0x8b, 0x4b, 0xf6,
+	0x46, 0xfd, 0x93, 0xd1, 0xa0, 0xdf, 0x2e, 0xa3, 0x0e, 0x3c, 0xd0, 0x85, 0x87, 0xc3, 0xd1, 0x70,
+	0xcc, 0x27, 0x56, 0xba, 0xff, 0x2c, 0x41, 0x15, 0xcb, 0xa7, 0x30, 0xea, 0x43, 0x55, 0xbd, 0x31,
+	0x90, 0xfe, 0x4a, 0xd0, 0xdf, 0x29, 0x9d, 0x47, 0xeb, 0x85, 0x2a, 0x37, 0xfa, 0x7c, 0x41, 0xf9,
+	0x86, 0xb8, 0xed, 0xad, 0x51, 0x58, 0xa5, 0x78, 0xf7, 0xec, 0x81, 0x25, 0x93, 0x00, 0xdd, 0xf2,
+	0xf0, 0xe8, 0xec, 0xac, 0x95, 0xa9, 0x25, 0xc6, 0xd0, 0xcc, 0x37, 0x3a, 0x74, 0xe7, 0x23, 0xa4,
+	0xf3, 0xf9, 0x2d, 0x1a, 0x6a, 0xd1, 0x53, 0x68, 0xe4, 0x2a, 0x1e, 0x7a, 0xa2, 0xcd, 0x78, 0xbf,
+	0xa5, 0x74, 0x76, 0x6f, 0x56, 0x50, 0x2b, 0xfe, 0x14, 0xca, 0xbc, 0xf8, 0x20, 0xbd, 0x48, 0xe6,
+	0x2a, 0x5e, 0x67, 0x7b, 0x8d, 0x44, 0x4e, 0xee, 0xfe, 0xc7, 0x80, 0xf2, 0x29, 0x21, 0x0c, 0xbd,
+	0x84, 0x5a, 0x5a, 0x41, 0x90, 0x8e, 0x6c, 0xa1, 0x92, 0x75, 0x1e, 0xdf, 0x20, 0x5d, 0x85, 0x4f,
+	0xe5, 0x72, 0x21, 0x7c, 0x7a, 0xe1, 0x29, 0x84, 0xaf, 0x58, 0x20, 0x5e, 0x83, 0xf5, 0xc9, 0x10,
+	0xea, 0xfe, 0xcf, 0x84, 0xda, 0xc9, 0x9c, 0x30, 0x37, 0x89, 0x18, 0xc2, 0xd0, 0xe8, 0xcd, 0xe7,
+	0xb3, 0xeb, 0x4f, 0x19, 0xd4, 0x57, 0x50, 0xcf, 0x3e, 0x77, 0x90, 0x8e, 0x4f, 0xf1, 0x23, 0xa8,
+	0xf3, 0xdd, 0x9b, 0xc4, 0x2b, 0xfc, 0xd4, 0x77, 0x4d, 0x01, 0x3f, 0xfd, 0xb3, 0xa7, 0x80, 0x5f,
+	0xf1, 0x87, 0xe7, 0xe7, 0x50, 0x11, 0xdf, 0x1e, 0x48, 0x8f, 0x7d, 0xfe, 0xef, 0xa4, 0xd3, 0x59,
+	0x27, 0x5a, 0x59, 0xa1, 0xfe, 0x35, 0x0a, 0x56, 0xe8, 0xdf, 0x23, 0x9d, 0x47, 0xeb, 0x85, 0x72,
+	0x95, 0x17, 0x3b, 0xbf, 0xda, 0xce, 0x89, 0xf7, 0x03, 0x9a, 0x10, 0x46, 0xdd, 0xd9, 0xfe, 0x32,
+	0x60, 0xe4, 0xcc, 0x12, 0x3f, 0x67, 0x3f, 0xfa, 0x7f, 0x00, 0x00, 0x00, 0xff, 0xff, 0xf5, 0x3e,
+	0x41, 0x46, 0x4a, 0x13, 0x00, 0x00,
 }
