Add load policy cores: routing, admission, retry

Cause: the entry has nothing that decides who runs, where, and again. Change: admission as weighted fair queues with shared limits and refusal of hopeless requests; retry as a budget per service with safety rules; routing with the baselines and a first expected completion.

--- /dev/null
+++ b/internal/core/admission/controller.go
@@ -0,0 +1,345 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"waxwingcart/internal/core/fleet"
+)
+
+// Controller holds the queues and limits of one entry.
+type Controller struct {
+	options   Options
+	random    *rand.Rand
+	share     share
+	customers map[string]*customer
+	services  map[string]*service
+	// order lists the services by name, so that equal runs give equal effects.
+	order    []*service
+	requests map[uint64]*request
+	queued   int
+	sequence uint64
+	effects  Effects
+}
+
+// New returns a Controller without customers or capacity.
+func New(options Options) *Controller {
+	if options.QueueLimit <= 0 {
+		options.QueueLimit = DefaultQueueLimit
+	}
+	if options.GrowAfter == 0 {
+		options.GrowAfter = DefaultGrowAfter
+	}
+	return &Controller{
+		options:   options,
+		random:    rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
+		share:     share{growAfter: max(0, options.GrowAfter)},
+		customers: make(map[string]*customer),
+		services:  make(map[string]*service),
+		requests:  make(map[uint64]*request),
+	}
+}
+
+// Step takes one event at the given time and returns what follows from it.
+func (c *Controller) Step(now time.Duration, event Event) Effects {
+	c.effects.Admit = c.effects.Admit[:0]
+	c.effects.Refuse = c.effects.Refuse[:0]
+	switch e := event.(type) {
+	case Arrive:
+		c.arrive(now, e)
+	case FirstToken:
+		c.firstToken(now, e.ID)
+	case Finished:
+		c.finished(now, e)
+	case Cancelled:
+		c.cancelled(now, e.ID)
+	case Capacity:
+		c.capacity(now, e)
+	case Customers:
+		c.setCustomers(now, e.Customers)
+	case LiveEntries:
+		c.share.update(now, e)
+		c.applyShares(now)
+	case Tick:
+		c.tick(now)
+	}
+	return c.effects
+}
+
+// Queued returns the number of requests that wait.
+func (c *Controller) Queued() int { return c.queued }
+
+// InFlight returns the number of requests of a service that run.
+func (c *Controller) InFlight(service string) int {
+	if s := c.services[service]; s != nil {
+		return s.inFlight()
+	}
+	return 0
+}
+
+func (c *Controller) arrive(now time.Duration, e Arrive) {
+	if c.requests[e.ID] != nil {
+		return
+	}
+	customer := c.customers[e.Customer]
+	if customer == nil || customer.removed {
+		c.refuse(e.ID, ReasonUnknownCustomer, 0)
+		return
+	}
+	s := c.services[e.Service]
+	if s == nil || s.slots == 0 {
+		c.refuse(e.ID, ReasonNoCapacity, minRetryAfter)
+		return
+	}
+	r := &request{Arrive: e, customer: customer, service: s, cost: float64(max(1, e.EstimatedTokens)), arrived: now}
+	c.sequence++
+	r.sequence = c.sequence
+	if reason, wait := customer.limited(now, r.cost); reason != 0 {
+		c.refuse(e.ID, reason, wait)
+		return
+	}
+	c.requests[r.ID] = r
+	c.queued++
+	customer.queued++
+	s.push(r)
+	if r.Short {
+		s.noteShort(now)
+	}
+	if reason, late := s.hopeless(now, r, r.flow.ahead(r)); reason != 0 {
+		c.refuseQueued(now, r, reason, late)
+		return
+	}
+	c.dispatch(now, s)
+	c.enforceQueueLimit(now, r)
+}
+
+// ahead returns the work that the flow serves before r.
+func (f *flow) ahead(r *request) float64 {
+	var work float64
+	for _, other := range f.queue {
+		if other == r {
+			break
+		}
+		work += other.cost
+	}
+	return work
+}
+
+// dispatch admits requests while the service has room.
+func (c *Controller) dispatch(now time.Duration, s *service) {
+	for {
+		class, flow := s.next()
+		if flow == nil {
+			return
+		}
+		r := flow.queue[0]
+		if reason, late := s.hopeless(now, r, 0); reason != 0 {
+			c.refuseQueued(now, r, reason, late)
+			continue
+		}
+		s.start(class, r)
+		class.remove(r)
+		c.queued--
+		r.customer.queued--
+		r.customer.inFlight++
+		r.running = true
+		r.admitted = now
+		c.effects.Admit = append(c.effects.Admit, Admit{ID: r.ID, Waited: now - r.arrived})
+	}
+}
+
+// enforceQueueLimit refuses a request if too many wait after the arrival of r:
+// the last one of the customer that has most waiting for its weight.
+func (c *Controller) enforceQueueLimit(now time.Duration, r *request) {
+	limit := c.options.QueueLimit
+	if r.QueueLimit > 0 {
+		limit = min(limit, r.QueueLimit)
+	}
+	if r.running || c.requests[r.ID] != r || c.queued <= limit {
+		return
+	}
+	victim := r
+	most := float64(r.customer.queued) / r.customer.weight()
+	for _, s := range c.order {
+		for kind := range s.classes {
+			for _, f := range s.classes[kind].active {
+				if used := float64(f.customer.queued) / f.customer.weight(); used > most {
+					most = used
+					victim = f.queue[len(f.queue)-1]
+				}
+			}
+		}
+	}
+	c.refuseQueued(now, victim, ReasonQueueFull, 0)
+}
+
+func (c *Controller) firstToken(now time.Duration, id uint64) {
+	r := c.requests[id]
+	if r == nil || !r.running || r.firstToken {
+		return
+	}
+	r.firstToken = true
+	r.service.firstToken.add((now - r.admitted).Seconds())
+}
+
+func (c *Controller) finished(now time.Duration, e Finished) {
+	r := c.requests[e.ID]
+	if r == nil || !r.running {
+		return
+	}
+	c.firstToken(now, e.ID)
+	tokens := float64(max(1, e.Tokens))
+	class := r.service.class(r)
+	class.perToken.add((now - r.admitted).Seconds() / tokens)
+	r.customer.correct(now, r.cost-tokens)
+	r.flow.tag += (tokens - r.cost) / r.customer.weight()
+	c.release(now, r)
+}
+
+func (c *Controller) cancelled(now time.Duration, id uint64) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	if r.running {
+		c.release(now, r)
+		return
+	}
+	c.drop(now, r)
+	c.dispatch(now, r.service)
+}
+
+// release frees the slot of an admitted request.
+func (c *Controller) release(now time.Duration, r *request) {
+	delete(c.requests, r.ID)
+	r.service.class(r).inFlight--
+	r.customer.inFlight--
+	if r.customer.maxInFlight >= 0 {
+		// The customer may have been blocked in other services too.
+		c.dispatchAll(now)
+		return
+	}
+	c.dispatch(now, r.service)
+}
+
+func (c *Controller) dispatchAll(now time.Duration) {
+	for _, s := range c.order {
+		c.dispatch(now, s)
+	}
+}
+
+func (c *Controller) capacity(now time.Duration, e Capacity) {
+	s := c.services[e.Service]
+	if s == nil {
+		s = newService(e.Service)
+		c.services[e.Service] = s
+		c.sortServices()
+	}
+	s.configure(e)
+	c.review(now, s)
+	c.dispatch(now, s)
+	if s.slots == 0 && s.inFlight() == 0 {
+		delete(c.services, e.Service)
+		c.sortServices()
+	}
+}
+
+func (c *Controller) sortServices() {
+	c.order = c.order[:0]
+	for _, s := range c.services {
+		c.order = append(c.order, s)
+	}
+	slices.SortFunc(c.order, func(a, b *service) int { return strings.Compare(a.name, b.name) })
+}
+
+func (c *Controller) setCustomers(now time.Duration, customers []fleet.Customer) {
+	for _, known := range c.customers {
+		known.removed = true
+	}
+	for _, config := range customers {
+		known := c.customers[config.Name]
+		if known == nil {
+			known = &customer{}
+			c.customers[config.Name] = known
+		}
+		known.removed = false
+		known.config = config
+	}
+	c.applyShares(now)
+	c.dispatchAll(now)
+}
+
+// applyShares recomputes every customer's limits at this entry.
+func (c *Controller) applyShares(now time.Duration) {
+	for name, known := range c.customers {
+		if known.removed && known.inFlight+known.queued == 0 {
+			delete(c.customers, name)
+			continue
+		}
+		known.configure(now, known.config, &c.share)
+	}
+}
+
+func (c *Controller) tick(now time.Duration) {
+	if c.share.tick(now) {
+		c.applyShares(now)
+	}
+	for _, s := range c.order {
+		s.decayShort(now)
+		c.review(now, s)
+		c.dispatch(now, s)
+		for kind := range s.classes {
+			s.classes[kind].prune()
+		}
+	}
+}
+
+// review refuses the queued requests that can no longer make it.
+func (c *Controller) review(now time.Duration, s *service) {
+	for kind := range s.classes {
+		class := &s.classes[kind]
+		for i := len(class.active) - 1; i >= 0; i-- {
+			c.reviewFlow(now, s, class.active[i])
+		}
+	}
+}
+
+func (c *Controller) reviewFlow(now time.Duration, s *service, f *flow) {
+	var ahead float64
+	for i := 0; i < len(f.queue); {
+		r := f.queue[i]
+		if reason, late := s.hopeless(now, r, ahead); reason != 0 {
+			c.refuseQueued(now, r, reason, late)
+			continue
+		}
+		ahead += r.cost
+		i++
+	}
+}
+
+// drop removes a queued request and gives back what it was charged.
+func (c *Controller) drop(now time.Duration, r *request) {
+	r.service.class(r).remove(r)
+	c.queued--
+	r.customer.queued--
+	r.customer.refund(now, r.cost)
+	delete(c.requests, r.ID)
+}
+
+func (c *Controller) refuseQueued(now time.Duration, r *request, reason Reason, late float64) {
+	c.drop(now, r)
+	wait := time.Duration(late * float64(time.Second))
+	c.refuse(r.ID, reason, max(minRetryAfter, wait))
+}
+
+// refuse adds a refusal. The time to wait is stretched at random so that the
+// callers don't come back together.
+func (c *Controller) refuse(id uint64, reason Reason, wait time.Duration) {
+	if wait > 0 {
+		wait = min(max(wait, minRetryAfter), maxRetryAfter)
+		wait += time.Duration(c.random.Int64N(int64(wait)/2 + 1))
+	}
+	c.effects.Refuse = append(c.effects.Refuse, Refuse{ID: id, Reason: reason, RetryAfter: wait})
+}
--- /dev/null
+++ b/internal/core/admission/service.go
@@ -0,0 +1,182 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// The classes of a service.
+const (
+	classShort = iota
+	classLong
+	classes
+)
+
+// The shares of the two classes of a service while both have a queue.
+const (
+	shortWeight = 3.0
+	longWeight  = 1.0
+)
+
+// maxReserveRatio bounds the slots kept free for short requests.
+const maxReserveRatio = 0.25
+
+// reserveHalfLife is how fast the slots kept for short requests are given up
+// when fewer are needed.
+const reserveHalfLife = 20 * time.Second
+
+// defaultPerToken is the time per token that is assumed before anything was
+// learned, in seconds.
+const defaultPerToken = 0.02
+
+// average is an exponentially weighted moving average.
+type average struct {
+	value float64
+	known bool
+}
+
+// averageWeight is the weight of a new sample.
+const averageWeight = 0.05
+
+func (a *average) add(sample float64) {
+	if !a.known {
+		a.value, a.known = sample, true
+		return
+	}
+	a.value += averageWeight * (sample - a.value)
+}
+
+// quantile tracks a high quantile by steps in proportion to its value.
+type quantile struct{ value float64 }
+
+// The quantile that is tracked and the relative size of a step.
+const (
+	trackedQuantile = 0.9
+	quantileStep    = 0.05
+)
+
+func (q *quantile) add(sample float64) {
+	if q.value == 0 {
+		q.value = sample
+		return
+	}
+	step := quantileStep * max(q.value, 0.001)
+	if sample > q.value {
+		q.value += step * trackedQuantile
+		return
+	}
+	q.value -= step * (1 - trackedQuantile)
+}
+
+// service holds the queues of one service.
+type service struct {
+	name    string
+	slots   int
+	classes [classes]class
+	// virtual is the start tag of the class served last.
+	virtual float64
+	// firstToken is the time in seconds from admission to the first token.
+	firstToken quantile
+	// shortPeak is the decaying peak of short requests in flight or queued.
+	shortPeak   float64
+	shortPeakAt time.Duration
+}
+
+func newService(name string) *service {
+	s := &service{name: name}
+	s.classes[classShort] = newClass(shortWeight)
+	s.classes[classLong] = newClass(longWeight)
+	return s
+}
+
+// configure sets the capacity.
+func (s *service) configure(e Capacity) {
+	s.slots = max(0, e.Slots)
+	if e.TokensPerSecond <= 0 || s.slots == 0 {
+		return
+	}
+	for i := range s.classes {
+		if !s.classes[i].perToken.known {
+			s.classes[i].perToken.value = float64(s.slots) / e.TokensPerSecond
+		}
+	}
+}
+
+func (s *service) inFlight() int {
+	return s.classes[classShort].inFlight + s.classes[classLong].inFlight
+}
+
+// noteShort raises the peak of short requests.
+func (s *service) noteShort(now time.Duration) {
+	s.decayShort(now)
+	short := &s.classes[classShort]
+	count := short.inFlight
+	for _, f := range short.active {
+		count += len(f.queue)
+	}
+	s.shortPeak = max(s.shortPeak, float64(count))
+}
+
+func (s *service) decayShort(now time.Duration) {
+	if now > s.shortPeakAt {
+		s.shortPeak *= math.Exp2(-float64(now-s.shortPeakAt) / float64(reserveHalfLife))
+		s.shortPeakAt = now
+	}
+	if s.shortPeak < 0.1 {
+		s.shortPeak = 0
+	}
+}
+
+// limit returns the number of requests that may be in flight before a request
+// of the class has to wait. Long requests leave room for short ones.
+func (s *service) limit(kind int) int {
+	if kind == classShort || s.shortPeak == 0 {
+		return s.slots
+	}
+	reserve := min(int(math.Ceil(s.shortPeak)), int(maxReserveRatio*float64(s.slots)))
+	free := max(0, reserve-s.classes[classShort].inFlight)
+	return s.slots - free
+}
+
+// next returns the class and flow to serve next, or nil if none may start.
+func (s *service) next() (*class, *flow) {
+	var bestClass *class
+	var bestFlow *flow
+	for kind := range s.classes {
+		c := &s.classes[kind]
+		if s.inFlight() >= s.limit(kind) {
+			continue
+		}
+		f := c.next()
+		if f == nil {
+			continue
+		}
+		if bestClass == nil || c.tag < bestClass.tag {
+			bestClass, bestFlow = c, f
+		}
+	}
+	return bestClass, bestFlow
+}
+
+// start charges a request that is admitted.
+func (s *service) start(c *class, r *request) {
+	s.virtual = max(s.virtual, c.tag)
+	c.tag += r.cost / c.weight
+	c.start(r)
+}
+
+// push queues a request.
+func (s *service) push(r *request) {
+	c := s.class(r)
+	if len(c.active) == 0 {
+		c.tag = max(c.tag, s.virtual)
+	}
+	c.push(r)
+}
+
+func (s *service) class(r *request) *class {
+	if r.Short {
+		return &s.classes[classShort]
+	}
+	return &s.classes[classLong]
+}
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,38 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"waxwingcart/internal/core/fleet"
+)
+
+func TestDecide(t *testing.T) {
+	policy := &fleet.Policy{MaxAttempts: 3, RetryBudgetRatio: 0.1}
+	base := Attempt{Service: "s", Error: ErrorConnectionLost, Repeatable: true, HandedOver: true, Attempts: 1, Deadline: time.Second, Policy: policy}
+	tests := []struct {
+		name   string
+		change func(*Attempt)
+		retry  bool
+		notRun bool
+		reason Reason
+	}{
+		{"repeatable", func(*Attempt) {}, true, false, ReasonRetry},
+		{"not repeatable", func(a *Attempt) { a.Repeatable = false }, false, false, ReasonNotRepeatable},
+		{"not repeatable while dialling", func(a *Attempt) { a.Repeatable, a.HandedOver, a.Error = false, false, ErrorDial }, true, true, ReasonRetry},
+		{"not repeatable, refused by the server", func(a *Attempt) { a.Repeatable, a.Error = false, ErrorNotStarted }, false, true, ReasonNotRepeatable},
+		{"final", func(a *Attempt) { a.Error = ErrorFinal }, false, false, ReasonFinal},
+		{"too many", func(a *Attempt) { a.Attempts = 3 }, false, false, ReasonMaxAttempts},
+		{"too late", func(a *Attempt) { a.Expected = time.Second }, false, false, ReasonDeadline},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := base
+			test.change(&a)
+			d := New(Options{Seed: 1}).Decide(0, a)
+			if d.Retry != test.retry || d.NotRun != test.notRun || d.Reason != test.reason {
+				t.Errorf("got %+v", d)
+			}
+		})
+	}
+}
