Add the replica process round the log (not built yet)

Cause: the replicated state needs a process with sockets and disk. Change: one loop owns node and state machine; a writer syncs in order and stops for good at the first failure; senders deliver in batches.

--- /dev/null
+++ b/internal/replica/apply.go
@@ -0,0 +1,133 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/replication"
+	"waxwingcart/internal/core/state"
+)
+
+// The errors of a proposal.
+var (
+	errNotLeader = errors.New("not the leader")
+	errLost      = errors.New("leadership was lost before the commit; the outcome is in doubt")
+	errBusy      = errors.New("too many proposals are waiting")
+)
+
+// pending is a proposal that was appended and waits for its commit.
+type pending struct {
+	term  uint64
+	token uint64
+}
+
+// apply feeds a committed entry to the state machine and answers whoever
+// proposed it. A proposal whose index was taken by another term's entry was
+// lost.
+func (r *Replica) apply(entry replication.Entry) {
+	var applied state.Result
+	if entry.Kind == replication.EntryCommand {
+		applied = r.applyCommand(entry)
+	}
+	r.applied = entry.Index
+	if entry.Kind == replication.EntryMembership {
+		r.membershipChanged()
+	}
+	waiting, ok := r.appended[entry.Index]
+	if ok {
+		delete(r.appended, entry.Index)
+		outcome := result{applied: applied}
+		if waiting.term != entry.Term {
+			outcome = result{err: errLost}
+		}
+		r.answer(waiting.token, outcome)
+	}
+	r.finishReads()
+}
+
+func (r *Replica) applyCommand(entry replication.Entry) state.Result {
+	command, err := codec.DecodeCommand(entry.Data)
+	if err != nil {
+		// Every replica finds the same bytes, so all skip the same entry.
+		r.logger.Error().Str("step", "decode command").Uint64("index", entry.Index).Err(err).Msg("entry skipped")
+		return nil
+	}
+	before := r.machine.Revision()
+	applied := r.machine.Apply(entry.Index, entry.Term, command)
+	if r.machine.Revision() != before {
+		r.revisionChanged()
+	}
+	return applied
+}
+
+// install replaces the state by a leader's snapshot.
+func (r *Replica) install(snapshot *replication.Snapshot) {
+	r.applied = snapshot.Index
+	r.compactedAt = snapshot.Index
+	r.membershipChanged()
+	if len(snapshot.Data) == 0 {
+		return
+	}
+	restored, err := codec.DecodeState(snapshot.Data)
+	if err != nil {
+		r.fail(fmt.Errorf("install snapshot at index %d: %w", snapshot.Index, err))
+		return
+	}
+	r.machine.Restore(restored)
+	r.revisionChanged()
+	r.finishReads()
+}
+
+// compact starts a snapshot once enough entries were applied since the last.
+// The copy is taken here and encoded by the writer.
+func (r *Replica) compact() {
+	if r.compacting || r.applied < r.compactedAt+compactEvery {
+		return
+	}
+	snapshot, ok := r.node.SnapshotAt(r.applied, nil)
+	if !ok {
+		return
+	}
+	r.compacting = true
+	r.compactedAt = r.applied
+	r.writes <- write{snapshot: &snapshotJob{snapshot: snapshot, state: r.machine.Snapshot()}}
+}
+
+func (r *Replica) reject(rejection replication.Rejection) {
+	switch rejection.Reason {
+	case replication.RejectLost:
+		r.answer(rejection.Token, result{err: errLost})
+	case replication.RejectBusy, replication.RejectMembership:
+		r.answer(rejection.Token, result{err: errBusy})
+	default:
+		r.answer(rejection.Token, result{err: errNotLeader})
+	}
+}
+
+func (r *Replica) answer(token uint64, outcome result) {
+	done, ok := r.waiting[token]
+	if !ok {
+		return
+	}
+	delete(r.waiting, token)
+	done <- outcome
+}
+
+// finishRead answers a read once the state machine has caught up with it.
+func (r *Replica) finishRead(read replication.ReadResult) {
+	r.reads = append(r.reads, read)
+	r.finishReads()
+}
+
+func (r *Replica) finishReads() {
+	kept := r.reads[:0]
+	for _, read := range r.reads {
+		if read.Index > r.applied {
+			kept = append(kept, read)
+			continue
+		}
+		r.answer(read.Token, result{})
+	}
+	r.reads = kept
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -7,6 +7,7 @@
 
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/replication"
+	"waxwingcart/internal/core/state"
 )
 
 // Sizes and intervals of the loop.
@@ -22,6 +23,8 @@
 // work is one thing for the loop to do.
 type work struct {
 	event replication.Event
+	// call, if set, runs in the loop instead of an event.
+	call func()
 	// done, if set, receives the result of a proposal or read.
 	done chan result
 }
@@ -36,7 +39,13 @@
 // write is one job of the writer: a log write or a snapshot.
 type write struct {
 	persist  *replication.Persist
-	snapshot *replication.Snapshot
+	snapshot *snapshotJob
+}
+
+// snapshotJob is a copy of the state that is to be encoded and saved.
+type snapshotJob struct {
+	snapshot replication.Snapshot
+	state    *state.Snapshot
 }
 
 // run feeds events to the node and carries out its effects until the context
@@ -52,6 +61,7 @@
 			return fmt.Errorf("replica %s stops: %w", r.opts.Self.VM, err)
 		case <-ticker.C:
 			r.step(replication.Tick{})
+			r.publish()
 		case sequence := <-r.written:
 			r.step(replication.Persisted{Sequence: sequence})
 		case snapshot := <-r.saved:
@@ -61,7 +71,7 @@
 			r.handle(w)
 			r.handleWaiting()
 		}
-		r.publish()
+
 	}
 }
 
@@ -79,6 +89,10 @@
 }
 
 func (r *Replica) handle(w work) {
+	if w.call != nil {
+		w.call()
+		return
+	}
 	if w.done == nil {
 		r.step(w.event)
 		return
@@ -92,6 +106,9 @@
 	case replication.Read:
 		ev.Token = r.token
 		r.step(ev)
+	case replication.Join:
+		ev.Token = r.token
+		r.step(ev)
 	}
 }
 
@@ -140,24 +157,6 @@
 	r.senderTo(address).send(data)
 }
 
-// addressOf finds where a node listens.
-func (r *Replica) addressOf(id replication.NodeID) (string, bool) {
-	membership := r.node.Status().Membership
-	for _, members := range [][]replication.Member{membership.Voters, membership.Learners} {
-		for _, member := range members {
-			if member.ID == id {
-				return member.Address, true
-			}
-		}
-	}
-	for _, peer := range r.opts.Peers {
-		if peer.VM == id.VM {
-			return peer.Address, true
-		}
-	}
-	return "", false
-}
-
 // runWriter writes and syncs in order. The first failure ends it for good:
 // after a failed sync nothing is known about what the disk holds.
 func (r *Replica) runWriter(ctx context.Context) {
@@ -177,11 +176,7 @@
 
 func (r *Replica) write(w write) error {
 	if w.snapshot != nil {
-		if err := r.log.SaveSnapshot(*w.snapshot); err != nil {
-			return err
-		}
-		r.saved <- *w.snapshot
-		return nil
+		return r.writeSnapshot(w.snapshot)
 	}
 	if err := r.log.Write(w.persist); err != nil {
 		return err
@@ -189,3 +184,16 @@
 	r.written <- w.persist.Sequence
 	return nil
 }
+
+func (r *Replica) writeSnapshot(job *snapshotJob) error {
+	data, err := codec.EncodeState(job.state)
+	if err != nil {
+		return fmt.Errorf("encode snapshot: %w", err)
+	}
+	job.snapshot.Data = data
+	if err := r.log.SaveSnapshot(job.snapshot); err != nil {
+		return err
+	}
+	r.saved <- job.snapshot
+	return nil
+}
--- /dev/null
+++ b/internal/replica/metrics.go
@@ -0,0 +1,48 @@
+package replica
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/core/replication"
+)
+
+type metrics struct {
+	revision     prometheus.Gauge
+	term         prometheus.Gauge
+	leader       prometheus.Gauge
+	applied      prometheus.Gauge
+	records      prometheus.Gauge
+	reservations *prometheus.CounterVec
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "waxwingcart", Subsystem: "replica", Name: name, Help: help})
+		registry.MustRegister(g)
+		return g
+	}
+	m := &metrics{
+		revision: gauge("config_revision", "Configuration revision committed at this replica."),
+		term:     gauge("term", "Current term, which is the fencing number of orders."),
+		leader:   gauge("leader", "1 if this replica leads."),
+		applied:  gauge("applied_index", "Index of the last applied log entry."),
+		records:  gauge("idempotency_records", "Idempotency records held."),
+		reservations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "waxwingcart", Subsystem: "replica", Name: "reservations_total",
+			Help: "Reservations answered by this replica as leader, by result.",
+		}, []string{"result"}),
+	}
+	registry.MustRegister(m.reservations)
+	return m
+}
+
+func (m *metrics) observe(v view) {
+	m.term.Set(float64(v.status.Term))
+	m.applied.Set(float64(v.applied))
+	m.records.Set(float64(v.records))
+	leads := 0.0
+	if v.status.Role == replication.RoleLeader {
+		leads = 1
+	}
+	m.leader.Set(leads)
+}
--- /dev/null
+++ b/internal/replica/service.go
@@ -0,0 +1,233 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/replication"
+	"waxwingcart/internal/core/state"
+	"waxwingcart/internal/wire"
+)
+
+// Bounds on waiting calls.
+const (
+	maxFetchWait  = 20 * time.Second
+	maxChangeWait = 30 * time.Second
+)
+
+// Service serves the calls between processes. It implements wire.Replica.
+type Service struct{ replica *Replica }
+
+// Service returns the replica's calls.
+func (r *Replica) Service() *Service { return &Service{replica: r} }
+
+// Deliver hands messages to the replication core.
+func (s *Service) Deliver(ctx context.Context, req *wire.DeliverRequest) (*wire.DeliverResponse, error) {
+	for _, data := range req.Messages {
+		message, err := codec.DecodeMessage(data)
+		if err != nil {
+			return nil, twirp.InvalidArgumentError("messages", err.Error())
+		}
+		select {
+		case s.replica.inbox <- work{event: replication.Receive{Message: message}}:
+		case <-ctx.Done():
+			return nil, twirp.NewError(twirp.ResourceExhausted, "replica is overloaded")
+		}
+	}
+	return &wire.DeliverResponse{}, nil
+}
+
+// Reserve commits a reservation.
+func (s *Service) Reserve(ctx context.Context, req *wire.ReserveRequest) (*wire.ReserveResponse, error) {
+	command, err := codec.ReserveFromWire(req)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("reserve", err.Error())
+	}
+	applied, err := s.replica.propose(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	reserved, ok := applied.(state.ReserveResult)
+	if !ok {
+		return nil, twirp.InternalError("reserve was not applied")
+	}
+	if reserved.Full {
+		s.replica.metrics.reservations.WithLabelValues("full").Inc()
+		return nil, twirp.NewError(twirp.ResourceExhausted, "no idempotency record can be taken in")
+	}
+	s.replica.metrics.reservations.WithLabelValues(reserveLabel(reserved)).Inc()
+	return codec.ReserveResultToWire(reserved), nil
+}
+
+func reserveLabel(reserved state.ReserveResult) string {
+	switch {
+	case reserved.Granted:
+		return "granted"
+	case reserved.Mismatch:
+		return "mismatch"
+	default:
+		return "existing"
+	}
+}
+
+// Record commits the outcome of a reservation.
+func (s *Service) Record(ctx context.Context, req *wire.RecordRequest) (*wire.RecordResponse, error) {
+	command, err := codec.RecordFromWire(req)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("record", err.Error())
+	}
+	applied, err := s.replica.propose(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	recorded, ok := applied.(state.RecordResult)
+	if !ok {
+		return nil, twirp.InternalError("record was not applied")
+	}
+	return codec.RecordResultToWire(recorded), nil
+}
+
+// ChangeConfig commits a configuration change and tells where it is in force.
+func (s *Service) ChangeConfig(ctx context.Context, req *wire.ChangeConfigRequest) (*wire.ChangeConfigResponse, error) {
+	request := codec.ChangeRequestFromWire(req)
+	if request.ChangeID == "" || len(request.ChangeID) > state.MaxChangeIDBytes {
+		return nil, twirp.InvalidArgumentError("change_id", "must not be empty or too long")
+	}
+	var prepared state.ChangeConfig
+	if err := s.replica.do(ctx, func() { prepared = s.replica.machine.Prepare(request) }); err != nil {
+		return nil, err
+	}
+	applied, err := s.replica.propose(ctx, prepared)
+	if err != nil {
+		return nil, err
+	}
+	changed, ok := applied.(state.ChangeResult)
+	if !ok {
+		return nil, twirp.InternalError("change was not applied")
+	}
+	response := codec.ChangeResultToWire(changed)
+	if changed.Accepted {
+		s.awaitZones(ctx, response, time.Duration(req.WaitMs)*time.Millisecond)
+	}
+	return response, nil
+}
+
+// awaitZones fills in the zones in which a revision is in force, waiting for
+// all of them for a bounded time.
+func (s *Service) awaitZones(ctx context.Context, response *wire.ChangeConfigResponse, wait time.Duration) {
+	var zones []string
+	if err := s.replica.do(ctx, func() { zones = s.replica.zones() }); err != nil {
+		return
+	}
+	timer := time.NewTimer(min(wait, maxChangeWait))
+	defer timer.Stop()
+	for {
+		inForce, pending, changed := s.replica.acks.zones(zones, response.Revision, time.Now())
+		response.ZonesInForce, response.ZonesPending = inForce, pending
+		if len(pending) == 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// zones lists the zones of the committed configuration.
+func (r *Replica) zones() []string {
+	config, err := fleet.Assemble(r.machine.Items())
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, zone := range config.Zones {
+		names = append(names, zone.Name)
+	}
+	return names
+}
+
+// FetchConfig returns the committed changes that the caller lacks.
+func (s *Service) FetchConfig(ctx context.Context, req *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	s.replica.acks.put(req.Process, req.Zone, req.HaveRevision, time.Now())
+	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, maxFetchWait))
+	defer timer.Stop()
+	for {
+		response, revised, err := s.fetch(ctx, req.HaveRevision)
+		if err != nil {
+			return nil, err
+		}
+		if len(response.Deltas) > 0 || req.WaitMs <= 0 {
+			return response, nil
+		}
+		select {
+		case <-revised:
+		case <-timer.C:
+			return response, nil
+		case <-ctx.Done():
+			return response, nil
+		case <-s.replica.loopContext.Done():
+			return nil, twirp.NewError(twirp.Unavailable, "replica stops")
+		}
+	}
+}
+
+func (s *Service) fetch(ctx context.Context, have uint64) (*wire.FetchConfigResponse, <-chan struct{}, error) {
+	r := s.replica
+	response := &wire.FetchConfigResponse{}
+	var revised <-chan struct{}
+	err := r.do(ctx, func() {
+		deltas, _ := r.machine.DeltasSince(have)
+		response.Deltas = codec.DeltasToWire(deltas)
+		response.Revision = r.machine.Revision()
+		r.mu.Lock()
+		revised = r.revised
+		r.mu.Unlock()
+	})
+	return response, revised, err
+}
+
+// Join takes a node in as a learner.
+func (s *Service) Join(ctx context.Context, req *wire.JoinRequest) (*wire.JoinResponse, error) {
+	if req.Id == nil || req.Id.Vm == "" || req.Id.Incarnation == 0 || req.Address == "" {
+		return nil, twirp.InvalidArgumentError("id", "VM, incarnation and address must be given")
+	}
+	member := replication.Member{
+		ID:      replication.NodeID{VM: req.Id.Vm, Incarnation: req.Id.Incarnation},
+		Zone:    req.Zone,
+		Address: req.Address,
+	}
+	if _, err := s.replica.await(ctx, replication.Join{Member: member}); err != nil {
+		return nil, err
+	}
+	return &wire.JoinResponse{}, nil
+}
+
+// History lists the latest changes, newest first.
+func (r *Replica) History(ctx context.Context, limit int) ([]state.Delta, error) {
+	var deltas []state.Delta
+	err := r.do(ctx, func() { deltas = r.machine.History(limit) })
+	return deltas, err
+}
+
+// Config returns the committed configuration and its revision.
+func (r *Replica) Config(ctx context.Context) (*fleet.Config, uint64, error) {
+	var config *fleet.Config
+	var revision uint64
+	var assembleErr error
+	err := r.do(ctx, func() {
+		config, assembleErr = fleet.Assemble(r.machine.Items())
+		revision = r.machine.Revision()
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return config, revision, assembleErr
+}
