Add stand-ins and the client of backend servers

Cause: the entry needs engines, applications and a platform to call, and an error that says how far a call got. Change: internal/standin serves the calls of docs/BACKENDS.md; internal/backend calls them. A call counts the bytes handed to the network and seals its connection when it is given up, so that 'no byte was handed over' stays true after it was said. Ruled out: leaving retries to net/http's transport, which sends a request with an Idempotency-Key again by itself on a reused connection. Conclusion: one streamed answer is checked end to end; the failure phases are not tested yet.

--- /dev/null
+++ b/internal/backend/answer.go
@@ -0,0 +1,104 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// watchdog cancels a call that makes no progress.
+type watchdog struct {
+	timer   *time.Timer
+	timeout time.Duration
+	expired atomic.Bool
+	// sent is set once the header of the answer is there; sending the
+	// request's body counts as progress until then.
+	sent atomic.Bool
+}
+
+func newWatchdog(cancel context.CancelCauseFunc, timeout, otherwise time.Duration) *watchdog {
+	setDefault(&timeout, otherwise)
+	w := &watchdog{timeout: timeout}
+	w.timer = time.AfterFunc(timeout, func() {
+		w.expired.Store(true)
+		cancel(errSilent)
+	})
+	return w
+}
+
+func (w *watchdog) progress()   { w.timer.Reset(w.timeout) }
+func (w *watchdog) stop()       { w.timer.Stop() }
+func (w *watchdog) fired() bool { return w.expired.Load() }
+
+// onceBody is a request body that a transport cannot send again by itself.
+type onceBody struct {
+	from    io.Reader
+	watched *watchdog
+}
+
+// Read reads on and counts as progress.
+func (b onceBody) Read(data []byte) (int, error) {
+	if !b.watched.sent.Load() {
+		b.watched.progress()
+	}
+	return b.from.Read(data)
+}
+
+// Close does nothing.
+func (onceBody) Close() error { return nil }
+
+// answer is the body of an answer, watched for progress.
+type answer struct {
+	client   *Client
+	call     Call
+	response *http.Response
+	over     *handover
+	watched  *watchdog
+	cancel   context.CancelCauseFunc
+	ended    atomic.Bool
+}
+
+// Read reads on. Any error but io.EOF is an *Error.
+func (a *answer) Read(data []byte) (int, error) {
+	a.watched.progress()
+	n, err := a.response.Body.Read(data)
+	a.watched.stop()
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) {
+		a.ended.Store(true)
+		return n, io.EOF
+	}
+	if a.watched.fired() {
+		a.client.Forget(a.call.Address)
+		return n, a.fail(PhaseSilent, errSilent)
+	}
+	return n, a.fail(PhaseTruncated, err)
+}
+
+// Close gives the answer up unless it was read to its end. The connection of
+// an answer that was not is closed.
+func (a *answer) Close() error {
+	a.watched.stop()
+	if !a.ended.Load() {
+		a.over.end()
+	}
+	a.cancel(context.Canceled)
+	return a.response.Body.Close()
+}
+
+// fail makes an error of the call in a phase.
+func (a *answer) fail(phase Phase, err error) *Error {
+	return &Error{
+		Step:       a.call.Step,
+		Peer:       a.call.Address,
+		Phase:      phase,
+		Status:     a.response.StatusCode,
+		RetryAfter: a.response.Header.Get("Retry-After"),
+		Err:        err,
+	}
+}
--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,297 @@
+// Package backend calls backend servers and the platform: model engines with
+// streams that can be resumed and moved, application servers whose requests
+// may not be repeated, and the reports of load that each vendor shapes its
+// own way. Each failure says how far the call got, so that a caller can tell
+// what certainly did not run.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Options sets up a Client. Zero values mean the defaults.
+type Options struct {
+	// DialTimeout bounds connecting to a server.
+	DialTimeout time.Duration
+	// ProgressTimeout is the longest silence while an answer is awaited or
+	// read.
+	ProgressTimeout time.Duration
+	// MaxIdlePerServer bounds the idle connections to one server.
+	MaxIdlePerServer int
+	// IdleTimeout bounds the age of an idle connection. An idle connection
+	// can go silent unnoticed.
+	IdleTimeout time.Duration
+	// MaxReportBytes bounds the body of a report, order or list.
+	MaxReportBytes int64
+	// MaxEventBytes bounds one event of a stream.
+	MaxEventBytes int
+	// MaxErrorBytes bounds what is read of an error's body.
+	MaxErrorBytes int64
+}
+
+// The defaults of Options.
+const (
+	DefaultDialTimeout      = time.Second
+	DefaultProgressTimeout  = 5 * time.Second
+	DefaultMaxIdlePerServer = 16
+	DefaultIdleTimeout      = 10 * time.Second
+	DefaultMaxReportBytes   = 1 << 20
+	DefaultMaxEventBytes    = 256 << 10
+	DefaultMaxErrorBytes    = 4 << 10
+)
+
+const maxHeaderBytes = 64 << 10
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.ProgressTimeout, DefaultProgressTimeout)
+	setDefault(&o.MaxIdlePerServer, DefaultMaxIdlePerServer)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.MaxReportBytes, DefaultMaxReportBytes)
+	setDefault(&o.MaxEventBytes, DefaultMaxEventBytes)
+	setDefault(&o.MaxErrorBytes, DefaultMaxErrorBytes)
+	return o
+}
+
+func setDefault[T comparable](value *T, other T) {
+	var zero T
+	if *value == zero {
+		*value = other
+	}
+}
+
+// Client calls servers by address. It is safe for concurrent use.
+type Client struct {
+	opts Options
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer holds the transports to one server. Requests that may not be repeated
+// get a connection of their own: a transport sends a request again by itself
+// only when a reused connection fails.
+type peer struct {
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// New returns a client.
+func New(opts Options) *Client {
+	return &Client{opts: opts.withDefaults(), peers: make(map[string]*peer)}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.peers {
+		p.pooled.CloseIdleConnections()
+		delete(c.peers, address)
+	}
+}
+
+// Forget closes the idle connections to a server, as when it has gone.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[address]; p != nil {
+		p.pooled.CloseIdleConnections()
+		delete(c.peers, address)
+	}
+}
+
+func (c *Client) peer(address string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[address]
+	if p == nil {
+		p = &peer{pooled: c.transport(), fresh: c.transport()}
+		p.fresh.DisableKeepAlives = true
+		c.peers[address] = p
+	}
+	return p
+}
+
+func (c *Client) transport() *http.Transport {
+	return &http.Transport{
+		DialContext:            c.dial,
+		MaxIdleConnsPerHost:    c.opts.MaxIdlePerServer,
+		IdleConnTimeout:        c.opts.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: c.opts.DialTimeout}
+	raw, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw}, nil
+}
+
+// Call is one attempt of a request.
+type Call struct {
+	// Step names the call in errors, as "dispatch".
+	Step string
+	// Address is the server's IP address and port.
+	Address string
+	Method  string
+	// Path is the request's path with its query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Repeatable is false for a request that must not run twice. It then gets
+	// a connection of its own.
+	Repeatable bool
+	// RequestID and Attempt name the attempt; an answer that names another
+	// one is refused. An empty ID sends no name.
+	RequestID string
+	Attempt   int
+	// Priority is sent as X-Priority; lower is more urgent.
+	Priority int
+	// ProgressTimeout replaces the client's own, if set.
+	ProgressTimeout time.Duration
+}
+
+// attemptName returns the X-Request-Id of the call.
+func (c Call) attemptName() string {
+	if c.RequestID == "" {
+		return ""
+	}
+	return c.RequestID + "/" + strconv.Itoa(c.Attempt)
+}
+
+// Response is an answer whose header has been read.
+type Response struct {
+	Status int
+	Header http.Header
+	// Body fails with an *Error when the answer is cut off or goes silent. It
+	// must be closed; a connection whose body was not read to its end is not
+	// used again.
+	Body io.ReadCloser
+}
+
+// Do sends a request once and returns the answer, whatever its status, unless
+// the server refused it before running.
+func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
+	answer, err := c.send(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return &Response{Status: answer.response.StatusCode, Header: answer.response.Header, Body: answer}, nil
+}
+
+// send sends the request and waits for the header of its answer.
+func (c *Client) send(ctx context.Context, call Call) (*answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	watched := newWatchdog(cancel, call.ProgressTimeout, c.opts.ProgressTimeout)
+	over := &handover{}
+	fail := func(err error) error {
+		defer cancel(context.Canceled)
+		watched.stop()
+		return c.failed(call, over, watched, err)
+	}
+
+	request, err := call.request(ctx, over, watched)
+	if err != nil {
+		return nil, fail(err)
+	}
+	p := c.peer(call.Address)
+	transport := p.fresh
+	if call.Repeatable {
+		transport = p.pooled
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, fail(err)
+	}
+	watched.sent.Store(true)
+	watched.stop()
+	got := &answer{client: c, call: call, response: response, over: over, watched: watched, cancel: cancel}
+	// A connection whose answer has no body is idle already.
+	got.ended.Store(response.Body == http.NoBody)
+	if err := got.check(); err != nil {
+		got.Close()
+		return nil, err
+	}
+	return got, nil
+}
+
+// request builds the HTTP request.
+func (c Call) request(ctx context.Context, over *handover, watched *watchdog) (*http.Request, error) {
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { over.got(info.Conn) },
+	}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address+c.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	// A body of this type keeps the transport from sending the request again
+	// on another connection, also when it has no bytes.
+	request.Body = onceBody{bytes.NewReader(c.Body), watched}
+	request.ContentLength = int64(len(c.Body))
+	for name, values := range c.Header {
+		request.Header[name] = values
+	}
+	if name := c.attemptName(); name != "" {
+		request.Header.Set("X-Request-Id", name)
+	}
+	if c.Priority != 0 {
+		request.Header.Set("X-Priority", strconv.Itoa(c.Priority))
+	}
+	return request, nil
+}
+
+// failed makes the error of a call that got no answer.
+func (c *Client) failed(call Call, over *handover, watched *watchdog, err error) error {
+	made := &Error{Step: call.Step, Peer: call.Address, Phase: PhaseDial, Err: err}
+	if !over.end() {
+		return made
+	}
+	made.Phase = PhaseHandedOver
+	if watched.fired() {
+		made.Phase = PhaseSilent
+		made.Err = errSilent
+		c.Forget(call.Address)
+	}
+	return made
+}
+
+var (
+	errSilent     = errors.New("no progress within the time allowed")
+	errOtherReply = errors.New("the answer belongs to another request")
+)
+
+// check turns a refusal and an answer to another request into errors.
+func (a *answer) check() error {
+	header := a.response.Header
+	if name := header.Get("X-Request-Id"); name != "" && a.call.RequestID != "" && name != a.call.attemptName() {
+		return a.fail(PhaseInvalid, fmt.Errorf("%w: %q", errOtherReply, name))
+	}
+	status := a.response.StatusCode
+	refusal := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	if refusal && header.Get("X-Not-Started") == "1" {
+		return a.fail(PhaseRefused, a.statusError())
+	}
+	return nil
+}
+
+// statusError describes an error status with the start of its body.
+func (a *answer) statusError() error {
+	text, _ := io.ReadAll(io.LimitReader(a, a.client.opts.MaxErrorBytes))
+	return fmt.Errorf("status %d: %s", a.response.StatusCode, bytes.TrimSpace(text))
+}
--- /dev/null
+++ b/internal/backend/platform.go
@@ -0,0 +1,129 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// The states of a VM in the platform's list.
+const (
+	VMLive    = "live"
+	VMLeaving = "leaving"
+)
+
+// VM is one VM of the platform's list.
+type VM struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Class       string `json:"class"`
+	Address     string `json:"address"`
+	State       string `json:"state"`
+	Incarnation string `json:"incarnation"`
+}
+
+// VMList is the platform's list; it shows the past.
+type VMList struct {
+	VMs []VM
+	Age time.Duration
+}
+
+// Notice announces that the platform takes a VM back.
+type Notice struct {
+	Seq  int64
+	VM   string
+	Left time.Duration
+}
+
+// ListVMs reads the platform's list.
+func (c *Client) ListVMs(ctx context.Context, platform string) (VMList, error) {
+	var list struct {
+		VMs   []VM    `json:"vms"`
+		AgeMS float64 `json:"age_ms"`
+	}
+	call := Call{Step: "list VMs", Address: platform, Method: http.MethodGet, Path: "/vms", Repeatable: true}
+	if err := c.exchangeJSON(ctx, call, &list); err != nil {
+		return VMList{}, err
+	}
+	age := duration(list.AgeMS, time.Millisecond)
+	if age < 0 {
+		return VMList{}, call.invalid(fmt.Errorf("age_ms %g: out of range", list.AgeMS))
+	}
+	for _, vm := range list.VMs {
+		if vm.Name == "" || vm.State != VMLive && vm.State != VMLeaving {
+			return VMList{}, call.invalid(fmt.Errorf("VM %.40q: state %.40q", vm.Name, vm.State))
+		}
+	}
+	return VMList{VMs: list.VMs, Age: age}, nil
+}
+
+// Notices reads the notices after a sequence number, and the last number.
+func (c *Client) Notices(ctx context.Context, platform string, after int64) ([]Notice, int64, error) {
+	var list struct {
+		Notices []struct {
+			Seq         int64   `json:"seq"`
+			VM          string  `json:"vm"`
+			SecondsLeft float64 `json:"seconds_left"`
+		} `json:"notices"`
+		Last int64 `json:"last"`
+	}
+	path := "/notices?after=" + strconv.FormatInt(after, 10)
+	call := Call{Step: "read notices", Address: platform, Method: http.MethodGet, Path: path, Repeatable: true}
+	if err := c.exchangeJSON(ctx, call, &list); err != nil {
+		return nil, 0, err
+	}
+	notices := make([]Notice, 0, len(list.Notices))
+	for _, n := range list.Notices {
+		left := duration(n.SecondsLeft, time.Second)
+		if n.VM == "" || left < 0 {
+			return nil, 0, call.invalid(fmt.Errorf("notice %d: VM %.40q, %g s left", n.Seq, n.VM, n.SecondsLeft))
+		}
+		notices = append(notices, Notice{n.Seq, n.VM, left})
+	}
+	return notices, list.Last, nil
+}
+
+// Rent rents a VM. An *Error with Status 503 means that the platform has none
+// of the class in the zone. A Rent that failed otherwise may have rented one.
+func (c *Client) Rent(ctx context.Context, platform, zone, class string) (VM, error) {
+	var vm VM
+	body, err := json.Marshal(map[string]string{"zone": zone, "class": class})
+	if err != nil {
+		return vm, fmt.Errorf("rent VM %s: %w", platform, err)
+	}
+	call := Call{Step: "rent VM", Address: platform, Method: http.MethodPost, Path: "/vms", Body: body}
+	call.Header = http.Header{"Content-Type": {"application/json"}}
+	if err := c.exchangeJSON(ctx, call, &vm); err != nil {
+		return vm, err
+	}
+	if vm.Name == "" {
+		return vm, call.invalid(fmt.Errorf("the rented VM has no name"))
+	}
+	return vm, nil
+}
+
+// GiveBack gives a rented VM back.
+func (c *Client) GiveBack(ctx context.Context, platform, name string) error {
+	call := Call{Step: "give VM back", Address: platform, Method: http.MethodDelete, Path: "/vms/" + url.PathEscape(name), Repeatable: true}
+	_, err := c.exchange(ctx, call, c.opts.MaxReportBytes)
+	return err
+}
+
+// Prices reads the prices of a VM hour by class/zone, as "spot/kochi-a".
+func (c *Client) Prices(ctx context.Context, platform string) (map[string]float64, error) {
+	var list struct {
+		Prices map[string]float64 `json:"prices_per_hour"`
+	}
+	call := Call{Step: "read prices", Address: platform, Method: http.MethodGet, Path: "/prices", Repeatable: true}
+	err := c.exchangeJSON(ctx, call, &list)
+	return list.Prices, err
+}
+
+// invalid makes the error of an answer that breaks the protocol.
+func (c Call) invalid(err error) *Error {
+	return &Error{Step: c.Step, Peer: c.Address, Phase: PhaseInvalid, Err: err}
+}
--- /dev/null
+++ b/internal/standin/report.go
@@ -0,0 +1,48 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// reportAlpha reports the load in the shape of vendor alpha.
+func (m *modelServer) reportAlpha(w http.ResponseWriter, _ *http.Request) {
+	if m.server.faults.sendGarbage(w) {
+		return
+	}
+	load := m.engine.reported()
+	writeJSON(w, http.StatusOK, map[string]any{
+		"running":     load.running,
+		"waiting":     load.waiting,
+		"slots":       m.server.opts.Slots,
+		"kv_used":     load.kvUsed,
+		"leaving":     m.leaving(),
+		"incarnation": strconv.FormatInt(m.booted.UnixNano(), 36),
+		"age_ms":      m.server.opts.ReportLag.Milliseconds(),
+		"models":      []string{m.orders.model()},
+	})
+}
+
+// reportBeta reports the load in the shape of vendor beta.
+func (m *modelServer) reportBeta(w http.ResponseWriter, _ *http.Request) {
+	if m.server.faults.sendGarbage(w) {
+		return
+	}
+	load := m.engine.reported()
+	leaving := 0.0
+	if m.leaving() {
+		leaving = 1
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	gauge := func(name string, value float64) {
+		fmt.Fprintf(w, "# TYPE %s gauge\n%s %s\n", name, name, strconv.FormatFloat(value, 'f', -1, 64))
+	}
+	gauge("engine_requests_running", float64(load.running))
+	gauge("engine_requests_waiting", float64(load.waiting))
+	gauge("engine_slots", float64(m.server.opts.Slots))
+	gauge("engine_kv_usage_ratio", load.kvUsed)
+	gauge("engine_leaving", leaving)
+	gauge("engine_start_time_seconds", float64(m.booted.UnixMicro())/1e6)
+	gauge("engine_report_age_seconds", m.server.opts.ReportLag.Seconds())
+}
--- /dev/null
+++ b/internal/standin/runs.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// runLog counts the runs that were started, by request ID.
+type runLog struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func newRunLog() *runLog {
+	return &runLog{runs: make(map[string]int)}
+}
+
+// started counts one run. Requests without an ID count under "".
+func (l *runLog) started(requestID string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[requestID]++
+}
+
+func (l *runLog) handle(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"runs": l.runs})
+}
+
+// requestID returns the request's ID without the attempt.
+func requestID(r *http.Request) string {
+	id, _, _ := strings.Cut(r.Header.Get("X-Request-Id"), "/")
+	return id
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,131 @@
+// Package standin serves small stand-ins for the systems that waxwingcart
+// meets: model engines, application servers and the platform. They answer the
+// calls of docs/BACKENDS.md, with answers that any caller can check, and count
+// what they run.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/phuslu/log"
+)
+
+const (
+	bodyLimitBytes    = 8 << 20
+	readHeaderTimeout = 10 * time.Second
+	shutdownTimeout   = 2 * time.Second
+)
+
+// Server is one stand-in.
+type Server struct {
+	opts   Options
+	runs   *runLog
+	faults *faults
+	router *mux.Router
+}
+
+// New sets up a stand-in. It starts nothing.
+func New(opts Options) (*Server, error) {
+	if err := opts.Validate(); err != nil {
+		return nil, fmt.Errorf("standin %s: %w", opts.Name, err)
+	}
+	s := &Server{opts: opts, runs: newRunLog(), faults: newFaults(), router: mux.NewRouter()}
+	s.router.HandleFunc("/standin/runs", s.runs.handle).Methods(http.MethodGet)
+	s.router.HandleFunc("/standin/fault", s.faults.handle).Methods(http.MethodPost)
+	switch opts.Kind {
+	case KindModel:
+		newModelServer(s).register(s.router)
+	case KindApp:
+		newAppServer(s).register(s.router)
+	case KindPlatform:
+		if err := s.registerPlatform(); err != nil {
+			return nil, fmt.Errorf("standin %s: %w", opts.Name, err)
+		}
+	}
+	return s, nil
+}
+
+// Handler returns the stand-in's HTTP handler. A server that sets
+// Server.ConnContext as its own lets faults tell connections apart.
+func (s *Server) Handler() http.Handler {
+	return s.faults.wrap(s.router)
+}
+
+// ConnContext numbers connections; it is an http.Server's ConnContext.
+func (s *Server) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return s.faults.connContext(ctx)
+}
+
+// Run listens and serves until ctx ends.
+func Run(ctx context.Context, opts Options) error {
+	s, err := New(opts)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", opts.Listen)
+	if err != nil {
+		return fmt.Errorf("standin %s: listen: %w", opts.Name, err)
+	}
+	log.Info().Str("name", opts.Name).Str("kind", opts.Kind).Str("zone", opts.Zone).
+		Str("address", listener.Addr().String()).Msg("stand-in listening")
+	return s.Serve(ctx, listener)
+}
+
+// Serve serves on the listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           s.Handler(),
+		ConnContext:       s.ConnContext,
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case err := <-served:
+		return fmt.Errorf("standin %s: serve: %w", s.opts.Name, err)
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(stop); err != nil {
+		server.Close()
+	}
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("standin %s: serve: %w", s.opts.Name, err)
+	}
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// readJSON decodes a bounded body; a bad one is answered with 400.
+func readJSON(w http.ResponseWriter, r *http.Request, value any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimitBytes)).Decode(value)
+	if err == nil {
+		return true
+	}
+	writeError(w, http.StatusBadRequest, "body: "+err.Error())
+	return false
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, map[string]any{"error": message})
+}
+
+// refuse answers that the request did not run.
+func refuse(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("X-Not-Started", "1")
+	w.Header().Set("Retry-After", "1")
+	writeError(w, status, message)
+}
