--- a/internal/codec/state.go
+++ b/internal/codec/state.go
@@ -357,3 +357,14 @@
 	}
 	return state.RecordUnknown
 }
+
+// RecordResultToWire converts the answer to an outcome.
+func RecordResultToWire(r state.RecordResult) *wire.RecordResponse {
+	return &wire.RecordResponse{State: RecordStateToWire(r.State)}
+}
+
+// RecordResultFromWire converts the answer to an outcome of the given state.
+func RecordResultFromWire(w *wire.RecordResponse, outcome state.RecordState) state.RecordResult {
+	got := RecordStateFromWire(w.GetState())
+	return state.RecordResult{Accepted: got == outcome, State: got}
+}
