Test replicated state, its codec and fleet validation

Found by TestTransitions (rapid seed 37): a reservation that its owner sent again with a later end of retention kept the first end. It now has the later one, so that nothing expires before the retention last granted.

--- a/internal/core/fleet/address.go
+++ b/internal/core/fleet/address.go
@@ -20,8 +20,8 @@
 }
 
 func validPort(s string) bool {
-	n, ok := decimal(s, 65_535)
-	return ok && n > 0
+	n, err := strconv.ParseUint(s, 10, 16)
+	return err == nil && n > 0
 }
 
 func validIPv4(s string) bool {
--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,252 @@
+package fleet
+
+import (
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func small(t testing.TB) *Config {
+	t.Helper()
+	data, err := os.ReadFile("testdata/small.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := ParseJSON(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
+func TestValidate(t *testing.T) {
+	number := 5.0
+	tests := []struct {
+		change func(c *Config)
+		// want is a part of the only problem; empty if there is none.
+		want string
+	}{
+		{func(c *Config) {}, ""},
+		{func(c *Config) { c.Defaults.MaxAttempts = 0 }, "defaults.max_attempts: got 0, expected 1 to 10"},
+		{func(c *Config) { c.Defaults.Routing = "fast" }, `defaults.routing: got "fast", expected one of expected-completion,`},
+		{func(c *Config) { c.Zones = append(c.Zones, Zone{Name: "Alba I"}) }, `zones[2].name: got "Alba I", expected 1 to 63 of`},
+		{func(c *Config) { c.Zones = append(c.Zones, c.Zones[1]) }, `zones[2].name: got a second "mures-d"`},
+		{func(c *Config) { c.Zones[0].DelaysMS["alba"] = 1 }, `zones[0].delays_ms.alba: got "alba", expected the name of a zone`},
+		{func(c *Config) { c.Classes[0].PricesPerHour["mures-d"] = -1 }, "classes[0].prices_per_hour.mures-d: got -1"},
+		{func(c *Config) { c.Classes[0].Slots = 0 }, "classes[0].slots: got 0, expected 1 to"},
+		{func(c *Config) { c.Services[0].Model = "" }, "services[0].model: got nothing"},
+		{func(c *Config) { c.Services[1].Kind = "batch" }, `services[1].kind: got "batch", expected one of model, app`},
+		{func(c *Config) { c.Services[1].Repeatable[0] = "GET records" }, "services[1].repeatable[0]: got"},
+		{func(c *Config) { c.BackendServers[0].Address = "engine:80" }, `backend_servers[0].address: got "engine:80", expected an IP address and port`},
+		{func(c *Config) { c.BackendServers[0].Zone = "mures-d" }, "backend_servers[0].class: got \"g1\", expected a class with a price in zone mures-d"},
+		{func(c *Config) { c.BackendServers[0].Service = "verdicts" }, "backend_servers[0].service: got \"verdicts\""},
+		{func(c *Config) { c.BackendServers[0].Fencing = "" }, "backend_servers[0].fencing: got nothing"},
+		{func(c *Config) { c.Customers[0].KeyHashes[0] = "secret" }, "customers[0].key_hashes[0]: got 6 characters"},
+		{func(c *Config) { c.Customers[0].Weight = 0 }, "customers[0].weight: got 0, expected above 0 to 1000"},
+		{func(c *Config) { c.Exceptions[0].Reason = " " }, "exceptions[0].reason: got nothing, expected a written reason"},
+		{func(c *Config) { c.Exceptions[0].Set = PolicyOverride{} }, "exceptions[0].set: got nothing"},
+		{func(c *Config) { c.Exceptions[0].Service = "" }, "exceptions[0]: got nothing, expected a service, a customer or a zone"},
+		{func(c *Config) { c.Exceptions[0].Zone = "alba" }, "exceptions[0].zone: got \"alba\""},
+		{func(c *Config) { c.Exceptions[0].Set.RetentionS = &number }, "exceptions[0].set.retention_s: got 5, expected 3600 to 604800 s"},
+		{func(c *Config) { c.Exceptions[1] = c.Exceptions[0] }, "exceptions[1]: got a second exception for service=desk"},
+	}
+	for _, test := range tests {
+		c := small(t)
+		test.change(c)
+		problems := c.Validate()
+		switch {
+		case test.want == "" && len(problems) == 0:
+		case test.want == "" || len(problems) != 1 || !strings.HasPrefix(problems[0].String(), test.want):
+			t.Errorf("got %v, expected %q", problems, test.want)
+		}
+	}
+}
+
+func TestPolicyFor(t *testing.T) {
+	queue := func(n int) PolicyOverride { return PolicyOverride{QueueLimit: &n} }
+	c := &Config{
+		Defaults: DefaultPolicy(),
+		Exceptions: []Exception{
+			{Service: "desk", Customer: "rally", Set: queue(6)},
+			{Customer: "rally", Set: queue(4)},
+			{Zone: "cluj-c", Set: queue(2)},
+			{Service: "desk", Set: queue(3)},
+			{Service: "desk", Zone: "cluj-c", Set: queue(5)},
+		},
+	}
+	tests := []struct {
+		service, customer, zone string
+		want                    int
+	}{
+		{"briefings", "other", "mures-d", DefaultPolicy().QueueLimit},
+		{"briefings", "other", "cluj-c", 2},
+		{"desk", "other", "mures-d", 3},
+		{"briefings", "rally", "cluj-c", 4},
+		{"desk", "other", "cluj-c", 5},
+		{"desk", "rally", "cluj-c", 6},
+	}
+	for _, test := range tests {
+		policy := c.PolicyFor(test.service, test.customer, test.zone)
+		if policy.QueueLimit != test.want {
+			t.Errorf("%s/%s/%s: queue limit %d, expected %d", test.service, test.customer, test.zone, policy.QueueLimit, test.want)
+		}
+		policy.QueueLimit = c.Defaults.QueueLimit
+		if policy != c.Defaults {
+			t.Errorf("%s/%s/%s: more than the queue limit changed", test.service, test.customer, test.zone)
+		}
+	}
+}
+
+// Every field of Policy can be overridden, under the same name.
+func TestOverrideCoversPolicy(t *testing.T) {
+	policy, over := reflect.TypeFor[Policy](), reflect.TypeFor[PolicyOverride]()
+	for i := range policy.NumField() {
+		field := policy.Field(i)
+		match, ok := over.FieldByName(field.Name)
+		if !ok || match.Type.Elem() != field.Type {
+			t.Fatalf("%s has no override", field.Name)
+		}
+		var o PolicyOverride
+		value := reflect.New(field.Type)
+		reflect.ValueOf(&o).Elem().FieldByName(field.Name).Set(value)
+		p := DefaultPolicy()
+		reflect.ValueOf(&p).Elem().Field(i).Set(reflect.ValueOf(DefaultPolicy()).Field(i))
+		o.apply(&p)
+		if !reflect.ValueOf(p).Field(i).IsZero() {
+			t.Errorf("override of %s has no effect", field.Name)
+		}
+	}
+}
+
+// subset draws a configuration that holds some of the elements of another.
+func subset(t *rapid.T, c *Config) *Config {
+	d := *c
+	d.Defaults.QueueLimit = rapid.IntRange(0, 3).Draw(t, "queue")
+	d.Zones = some(t, c.Zones)
+	d.Services = some(t, c.Services)
+	d.Customers = some(t, c.Customers)
+	d.BackendServers = some(t, c.BackendServers)
+	d.Exceptions = some(t, c.Exceptions)
+	return &d
+}
+
+func some[T any](t *rapid.T, list []T) []T {
+	var kept []T
+	for _, element := range list {
+		if rapid.Bool().Draw(t, "keep") {
+			kept = append(kept, element)
+		}
+	}
+	return kept
+}
+
+func TestFlattenAssembleDiff(t *testing.T) {
+	whole := small(t)
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := subset(t, whole), subset(t, whole)
+		from, err := Flatten(before)
+		if err != nil {
+			t.Fatal(err)
+		}
+		to, err := Flatten(after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		document := NewDocument()
+		for _, item := range append(Diff(nil, from), Diff(from, to)...) {
+			if err := document.Put(item); err != nil {
+				t.Fatal(err)
+			}
+		}
+		assembled, err := Assemble(to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(document.Config(), assembled) {
+			t.Fatal("items and difference give another configuration than all items")
+		}
+		again, err := Flatten(assembled)
+		if err != nil || !reflect.DeepEqual(again, to) {
+			t.Fatalf("flattened again: %v, %v", again, err)
+		}
+	})
+}
+
+func TestFlattenRefusesDuplicates(t *testing.T) {
+	c := small(t)
+	c.Zones = append(c.Zones, c.Zones[0])
+	if _, err := Flatten(c); err == nil {
+		t.Fatal("two zones of one name were accepted")
+	}
+}
+
+func TestDocumentPutFails(t *testing.T) {
+	d := NewDocument()
+	for _, item := range []Item{
+		{Path: "planets/earth", JSON: []byte("{}")},
+		{Path: "zones", JSON: []byte("{}")},
+		{Path: "zones/cluj-c", JSON: []byte("[]")},
+		{Path: "defaults", JSON: []byte("7")},
+	} {
+		if err := d.Put(item); err == nil {
+			t.Errorf("%s = %s was accepted", item.Path, item.JSON)
+		}
+	}
+	if !reflect.DeepEqual(d.Config(), NewDocument().Config()) {
+		t.Error("a refused item changed the document")
+	}
+}
+
+func TestParseJSONIsStrict(t *testing.T) {
+	for _, data := range []string{`{"zone": []}`, `{} {}`, `{"defaults": {"queue_limit": "7"}}`, ``} {
+		if _, err := ParseJSON([]byte(data)); err == nil {
+			t.Errorf("%s was accepted", data)
+		}
+	}
+}
+
+// Addresses are what netip accepts, without zones, embedded IPv4 and port 0.
+func TestValidAddress(t *testing.T) {
+	pieces := rapid.SliceOfN(rapid.SampledFrom([]string{
+		"127.0.0.1", "10.", "255", "256", "01", ".", ":", "::", "[", "]", "fd00", "7", "0", "%eth0", ":80", ":65536", "[::1]", "g",
+	}), 0, 10)
+	rapid.Check(t, func(t *rapid.T) {
+		s := strings.Join(pieces.Draw(t, "pieces"), "")
+		parsed, err := netip.ParseAddrPort(s)
+		want := err == nil && parsed.Port() != 0 && parsed.Addr().Zone() == "" &&
+			(parsed.Addr().Is4() || !strings.Contains(s, "."))
+		if got := validAddress(s); got != want {
+			t.Fatalf("%q: got %t, expected %t", s, got, want)
+		}
+	})
+}
+
+func FuzzParseJSON(f *testing.F) {
+	data, err := os.ReadFile("testdata/small.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte(`{"exceptions": [{"set": {}}], "zones": [{"delays_ms": {"": 1e308}}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := ParseJSON(data)
+		if err != nil || len(c.Validate()) > 0 {
+			return
+		}
+		items, err := Flatten(c)
+		if err != nil {
+			t.Fatalf("valid, but %v", err)
+		}
+		assembled, err := Assemble(items)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if problems := assembled.Validate(); len(problems) > 0 {
+			t.Fatalf("valid, but assembled it has %v", problems)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/state/config_test.go
@@ -0,0 +1,166 @@
+package state
+
+import (
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"waxwingcart/internal/core/fleet"
+)
+
+// smallJSON returns a valid configuration with the given queue limit.
+func smallJSON(t testing.TB, queueLimit int) []byte {
+	t.Helper()
+	data, err := os.ReadFile("../fleet/testdata/small.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []byte(strings.Replace(string(data), `"deadline_ms": 30000`, `"queue_limit": `+strconv.Itoa(queueLimit), 1))
+}
+
+func (s *script) change(id string, base uint64, author string, queueLimit int) ChangeResult {
+	return s.send(ChangeRequest{ChangeID: id, BaseRevision: base, Author: author, JSON: smallJSON(s.t, queueLimit)})
+}
+
+func (s *script) send(request ChangeRequest) ChangeResult {
+	return s.apply(s.machine.Prepare(request)).(ChangeResult)
+}
+
+func (s *script) assembled() *fleet.Config {
+	s.t.Helper()
+	c, err := fleet.Assemble(s.machine.Items())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return c
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	s := newScript(t, Options{})
+	s.change("c0", 0, "setup", 1)
+	winner := s.change("c1", 1, "anjali", 2)
+	loser := s.change("c2", 1, "ion", 3)
+	if want := (ChangeResult{Accepted: true, Revision: 2}); winner != want {
+		t.Fatalf("first: got %+v, expected %+v", winner, want)
+	}
+	if want := (ChangeResult{Conflict: true, Revision: 2, WinnerChangeID: "c1", WinnerAuthor: "anjali"}); loser != want {
+		t.Fatalf("second: got %+v, expected %+v", loser, want)
+	}
+	s.change("c3", 2, "ion", 4)
+	if got := s.change("c1", 1, "anjali", 2); got != winner {
+		t.Fatalf("first again: got %+v, expected %+v", got, winner)
+	}
+	if got := s.change("c2", 1, "ion", 3); got != loser {
+		t.Fatalf("second again: got %+v, expected %+v", got, loser)
+	}
+	if got := s.assembled().Defaults.QueueLimit; got != 4 {
+		t.Fatalf("queue limit is %d, expected 4", got)
+	}
+}
+
+func TestInvalidIsRefusedWhole(t *testing.T) {
+	s := newScript(t, Options{})
+	s.change("c1", 0, "ion", 7)
+	for id, json := range map[string]string{
+		"range":  string(smallJSON(t, -1)),
+		"syntax": `{"zones": `,
+		"field":  `{"zonen": []}`,
+	} {
+		request := ChangeRequest{ChangeID: id, BaseRevision: 1, JSON: []byte(json)}
+		refused := s.send(request)
+		if refused.Accepted || refused.Invalid == "" || refused.Revision != 1 {
+			t.Errorf("%s: got %+v, expected it to be refused", id, refused)
+		}
+		if got := s.send(request); got != refused {
+			t.Errorf("%s again: got %+v, expected %+v", id, got, refused)
+		}
+	}
+	if got := s.assembled().Defaults.QueueLimit; got != 7 || s.machine.Revision() != 1 {
+		t.Errorf("revision %d with queue limit %d, expected 1 with 7", s.machine.Revision(), got)
+	}
+}
+
+func TestChangeIDs(t *testing.T) {
+	s := newScript(t, Options{ChangeAnswerLimit: 2})
+	s.change("c1", 0, "ion", 1)
+	if got := s.change("c1", 0, "ion", 2); got.Accepted || !strings.Contains(got.Invalid, "another change") {
+		t.Errorf("other content: got %+v", got)
+	}
+	for _, id := range []string{"", strings.Repeat("x", MaxChangeIDBytes+1)} {
+		if got := s.change(id, 1, "ion", 2); got.Accepted || got.Invalid == "" {
+			t.Errorf("ID of %d bytes: got %+v", len(id), got)
+		}
+	}
+	s.change("c2", 1, "ion", 2)
+	s.change("c3", 2, "ion", 3)
+	// The answer to c1 is forgotten; its base revision keeps it from being
+	// applied twice.
+	if got := s.change("c1", 0, "ion", 1); !got.Conflict || got.Accepted {
+		t.Errorf("forgotten: got %+v, expected a conflict", got)
+	}
+}
+
+// A leader that has not applied everything prepares a complete change.
+func TestPreparedBehind(t *testing.T) {
+	s := newScript(t, Options{})
+	behind := New(Options{})
+	s.change("c1", 0, "ion", 1)
+	prepared := behind.Prepare(ChangeRequest{ChangeID: "c2", BaseRevision: 1, JSON: smallJSON(t, 2)})
+	if got := s.apply(prepared).(ChangeResult); !got.Accepted || got.Revision != 2 {
+		t.Fatalf("got %+v, expected revision 2", got)
+	}
+	deltas, _ := s.machine.DeltasSince(1)
+	if len(deltas) != 1 || len(deltas[0].Items) != 1 || deltas[0].Items[0].Path != "defaults" {
+		t.Fatalf("got %+v, expected a delta with the defaults alone", deltas)
+	}
+}
+
+func TestDeltasSince(t *testing.T) {
+	s := newScript(t, Options{HistoryLimit: 3})
+	for i := range 6 {
+		s.change("c"+strconv.Itoa(i), uint64(i), "ion", i)
+	}
+	tests := []struct {
+		have     uint64
+		complete bool
+		want     []uint64
+	}{
+		{0, true, []uint64{6}},
+		{2, true, []uint64{6}},
+		{3, false, []uint64{4, 5, 6}},
+		{5, false, []uint64{6}},
+		{6, false, nil},
+		{9, false, nil},
+	}
+	for _, test := range tests {
+		deltas, complete := s.machine.DeltasSince(test.have)
+		var got []uint64
+		for _, delta := range deltas {
+			got = append(got, delta.Revision)
+		}
+		if complete != test.complete || !reflect.DeepEqual(got, test.want) {
+			t.Errorf("since %d: got %v, complete %t, expected %v, %t", test.have, got, complete, test.want, test.complete)
+		}
+	}
+	if history := s.machine.History(2); len(history) != 2 || history[0].Revision != 6 || history[1].Revision != 5 {
+		t.Errorf("got history %+v", history)
+	}
+	if n := len(s.machine.History(100)); n != 3 {
+		t.Errorf("history has %d changes, expected 3", n)
+	}
+}
+
+func TestHistoryBytes(t *testing.T) {
+	s := newScript(t, Options{HistoryBytes: 1_000})
+	for i := range 6 {
+		s.change("c"+strconv.Itoa(i), uint64(i), "ion", i)
+	}
+	if got := s.machine.config.historyBytes; got > 1_000 {
+		t.Errorf("history holds %d bytes", got)
+	}
+	if deltas, complete := s.machine.DeltasSince(0); !complete || deltas[0].Revision != 6 {
+		t.Errorf("got %+v, complete %t", deltas, complete)
+	}
+}
--- a/internal/core/state/main_test.go
+++ b/internal/core/state/main_test.go
@@ -11,6 +11,7 @@
 	if !flagSet("rapid.seed") {
 		_ = flag.Set("rapid.seed", "1")
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
--- a/internal/core/state/records.go
+++ b/internal/core/state/records.go
@@ -150,6 +150,7 @@
 	held := rec.heldBy(c.Owner, c.RequestID)
 	switch {
 	case rec.state == RecordReserved && held:
+		rec.expiry = max(rec.expiry, expiry)
 		return ReserveResult{Granted: true, Record: rec.view()}
 	case rec.state == RecordNotRun && !held:
 		r.release(rec)
--- /dev/null
+++ b/internal/core/state/view_test.go
@@ -0,0 +1,139 @@
+package state_test
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/state"
+)
+
+// applyChange applies a valid change that follows the newest revision.
+func applyChange(t testing.TB, m *state.Machine, base []byte, queue int) {
+	t.Helper()
+	request := state.ChangeRequest{
+		ChangeID:     fmt.Sprintf("c%d", m.Revision()),
+		BaseRevision: m.Revision(),
+		JSON:         []byte(string(base[:len(base)-2]) + fmt.Sprintf(`, "zones": [{"name": "cluj-c"}, {"name": "mures-d"}, {"name": "z%d"}]}`, queue)),
+	}
+	result := m.Apply(m.Applied()+1, 1, state.Command{Body: m.Prepare(request)}).(state.ChangeResult)
+	if !result.Accepted {
+		t.Fatalf("change was refused: %+v", result)
+	}
+}
+
+func assemble(t testing.TB, m *state.Machine) *fleet.Config {
+	c, err := fleet.Assemble(m.Items())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Views that get deltas late, twice, in part and out of order, from replicas
+// and from each other, never go back, have exactly the configuration of their
+// revision, and catch up.
+func TestViews(t *testing.T) {
+	base := readSmall(t)
+	rapid.Check(t, func(r *rapid.T) {
+		replica := state.New(state.Options{HistoryLimit: 4})
+		views := []*state.View{state.NewView(), state.NewView()}
+		var configs = []*fleet.Config{nil}
+		var inFlight []state.DeltasReceived
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			view := rapid.SampledFrom(views).Draw(r, "view")
+			switch rapid.SampledFrom([]string{"change", "fetch", "ask peer", "deliver", "deliver", "restart"}).Draw(r, "step") {
+			case "change":
+				applyChange(t, replica, base, rapid.IntRange(0, 2).Draw(r, "zone"))
+				configs = append(configs, assemble(t, replica))
+			case "fetch":
+				deltas, _ := replica.DeltasSince(view.Revision())
+				inFlight = append(inFlight, state.DeltasReceived{Deltas: deltas, Revision: replica.Revision(), Committed: true})
+			case "ask peer":
+				peer := rapid.SampledFrom(views).Draw(r, "peer")
+				inFlight = append(inFlight, state.DeltasReceived{Deltas: peer.Deltas(view.Revision()), Revision: peer.Revision()})
+			case "deliver":
+				deliver(r, view, inFlight, configs)
+			case "restart":
+				if i := slices.Index(views, view); rapid.Bool().Draw(r, "without disk") {
+					views[i] = state.NewView()
+				}
+			}
+		}
+		for _, view := range views {
+			deltas, _ := replica.DeltasSince(view.Revision())
+			view.Step(0, state.DeltasReceived{Deltas: deltas, Revision: replica.Revision(), Committed: true})
+			if view.Revision() != replica.Revision() || !reflect.DeepEqual(view.Config(), configs[replica.Revision()]) {
+				r.Fatalf("view is at revision %d, expected %d", view.Revision(), replica.Revision())
+			}
+		}
+	})
+}
+
+// deliver hands over a part of some answer that is on its way, or a repeated
+// one.
+func deliver(r *rapid.T, view *state.View, inFlight []state.DeltasReceived, configs []*fleet.Config) {
+	if len(inFlight) == 0 {
+		return
+	}
+	received := rapid.SampledFrom(inFlight).Draw(r, "answer")
+	n := len(received.Deltas)
+	from := rapid.IntRange(0, n).Draw(r, "from")
+	received.Deltas = received.Deltas[from:rapid.IntRange(from, n).Draw(r, "to")]
+	before := view.Revision()
+	effects := view.Step(time.Second, received)
+	if effects.Err != nil || view.Revision() < before {
+		r.Fatalf("revision %d after %d, error %v", view.Revision(), before, effects.Err)
+	}
+	if !reflect.DeepEqual(view.Config(), configs[view.Revision()]) {
+		r.Fatalf("revision %d with another configuration", view.Revision())
+	}
+	if (effects.Config != nil) != (view.Revision() > before) || effects.Fetch != (view.Revision() < received.Revision) {
+		r.Fatalf("revision %d after %d, of %d: %+v", view.Revision(), before, received.Revision, effects)
+	}
+}
+
+func TestViewConfirmation(t *testing.T) {
+	replica := state.New(state.Options{})
+	base := readSmall(t)
+	applyChange(t, replica, base, 0)
+	deltas, _ := replica.DeltasSince(0)
+	view := state.NewView()
+	view.Step(1*time.Second, state.DeltasReceived{Deltas: deltas, Revision: 1})
+	if _, ok := view.ConfirmedAt(); ok {
+		t.Error("a peer's answer counts as confirmation")
+	}
+	view.Step(2*time.Second, state.DeltasReceived{Revision: 1, Committed: true})
+	view.Step(3*time.Second, state.DeltasReceived{Revision: 2, Committed: true})
+	view.Step(4*time.Second, state.DeltasReceived{Revision: 0, Committed: true})
+	if at, ok := view.ConfirmedAt(); !ok || at != 2*time.Second {
+		t.Errorf("confirmed at %v, %t, expected 2s", at, ok)
+	}
+}
+
+// A damaged delta is refused whole and named.
+func TestViewRefusesDamagedDelta(t *testing.T) {
+	replica := state.New(state.Options{})
+	base := readSmall(t)
+	applyChange(t, replica, base, 0)
+	applyChange(t, replica, base, 1)
+	deltas, _ := replica.DeltasSince(0)
+	damaged := deltas[1]
+	damaged.Items = append(slices.Clone(damaged.Items), fleet.Item{Path: "zones/z1", JSON: []byte("{")})
+	view := state.NewView()
+	effects := view.Step(0, state.DeltasReceived{From: "replica-1", Deltas: []state.Delta{deltas[0], damaged}, Revision: 2})
+	if effects.Err == nil || view.Revision() != 1 || effects.Config == nil {
+		t.Fatalf("revision %d, effects %+v", view.Revision(), effects)
+	}
+	if effects = view.Step(0, state.DeltasReceived{Deltas: deltas, Revision: 2}); effects.Err != nil || effects.Stale != 1 {
+		t.Fatalf("effects %+v", effects)
+	}
+	if !reflect.DeepEqual(view.Config(), assemble(t, replica)) {
+		t.Fatal("the damaged delta left traces")
+	}
+}
