--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,261 @@
+// Package entry serves callers: it authenticates them, admits and routes their
+// requests, keeps their streams going across failures of backend servers, and
+// tells each caller one truthful outcome.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/backend"
+	"waxwingcart/internal/rpc"
+)
+
+// Peer is another entry of the settings.
+type Peer struct {
+	VM      string
+	Zone    string
+	Address string
+}
+
+// Options configures an Entry.
+type Options struct {
+	VM   string
+	Zone string
+	// PeerAddress is where other entries reach this one.
+	PeerAddress string
+	// Peers lists the other entries.
+	Peers []Peer
+	// Replicas lists the replicas' peer addresses.
+	Replicas []string
+	// Platform is the platform's address, or empty.
+	Platform string
+	// PeerSecret authenticates event IDs across entries.
+	PeerSecret string
+	// MaxRequests bounds the requests that this entry holds.
+	MaxRequests int
+	// BodyTimeout bounds reading a caller's body, WriteTimeout one write to a
+	// caller.
+	BodyTimeout  time.Duration
+	WriteTimeout time.Duration
+	Client       *rpc.Client
+	Logger       *log.Logger
+	Registry     *prometheus.Registry
+}
+
+// The defaults of Options.
+const (
+	DefaultMaxRequests  = 4096
+	DefaultBodyTimeout  = 10 * time.Second
+	DefaultWriteTimeout = 10 * time.Second
+)
+
+// Entry is one running entry.
+type Entry struct {
+	opts        Options
+	logger      *log.Logger
+	metrics     *metrics
+	incarnation uint64
+	started     time.Time
+	backends    *backend.Client
+	replicas    *rpc.Replicas
+	policy      *policy
+	config      *configHolder
+	history     *history
+
+	nextID   atomic.Uint64
+	stop     context.CancelFunc
+	ctx      context.Context
+	stopped  sync.WaitGroup
+	draining atomic.Bool
+
+	mu sync.Mutex
+	// runs holds the requests in flight by request ID.
+	runs map[string]*run
+	// idle is closed when the last request of a draining entry ended.
+	idle chan struct{}
+}
+
+// New returns an entry that is not running yet.
+func New(opts Options) *Entry {
+	setDefaults(&opts)
+	e := &Entry{
+		opts:        opts,
+		logger:      opts.Logger,
+		metrics:     newMetrics(opts.Registry),
+		incarnation: randomUint64(),
+		started:     time.Now(),
+		backends:    backend.New(backend.Options{}),
+		replicas:    rpc.NewReplicas(opts.Client, opts.Replicas),
+		history:     newHistory(),
+		runs:        make(map[string]*run),
+		idle:        make(chan struct{}),
+	}
+	e.policy = newPolicy(e)
+	e.config = newConfigHolder(e)
+	return e
+}
+
+func setDefaults(opts *Options) {
+	if opts.MaxRequests == 0 {
+		opts.MaxRequests = DefaultMaxRequests
+	}
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = DefaultBodyTimeout
+	}
+	if opts.WriteTimeout == 0 {
+		opts.WriteTimeout = DefaultWriteTimeout
+	}
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+// Start runs the entry's background work.
+func (e *Entry) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.ctx, e.stop = ctx, cancel
+	e.spawn(func() { e.config.run(ctx) })
+	e.spawn(func() { e.runReports(ctx) })
+	e.spawn(func() { e.policy.runTicks(ctx) })
+	e.spawn(func() { e.runMembership(ctx) })
+}
+
+func (e *Entry) spawn(work func()) {
+	e.stopped.Add(1)
+	go func() {
+		defer e.stopped.Done()
+		work()
+	}()
+}
+
+// Stop ends the entry's background work. Drain comes first.
+func (e *Entry) Stop() {
+	e.stop()
+	e.stopped.Wait()
+	e.backends.Close()
+}
+
+// Ready reports whether a balancer should send requests here.
+func (e *Entry) Ready() bool {
+	return !e.draining.Load() && e.config.inForce() != nil
+}
+
+// Incarnation is the random number of this run of the entry.
+func (e *Entry) Incarnation() uint64 { return e.incarnation }
+
+func (e *Entry) now() time.Duration { return time.Since(e.started) }
+
+// newRequestID returns an ID that no other request of any entry has.
+func (e *Entry) newRequestID() string {
+	var b [12]byte
+	binary.BigEndian.PutUint64(b[:], e.incarnation)
+	binary.BigEndian.PutUint32(b[8:], uint32(e.nextID.Add(1)))
+	return "r-" + hex.EncodeToString(b[:])
+}
+
+// add takes a request in. It fails if the entry holds too many or drains.
+func (e *Entry) add(r *run) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.draining.Load() || len(e.runs) >= e.opts.MaxRequests {
+		return false
+	}
+	e.runs[r.id] = r
+	e.metrics.inFlight.Set(float64(len(e.runs)))
+	return true
+}
+
+func (e *Entry) remove(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.runs, r.id)
+	e.metrics.inFlight.Set(float64(len(e.runs)))
+	e.signalIdle()
+}
+
+// signalIdle wakes the drain once no request is left. The caller holds mu.
+func (e *Entry) signalIdle() {
+	if !e.draining.Load() || len(e.runs) > 0 {
+		return
+	}
+	select {
+	case <-e.idle:
+	default:
+		close(e.idle)
+	}
+}
+
+func (e *Entry) find(requestID string) *run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[requestID]
+}
+
+// each calls a function for every request in flight.
+func (e *Entry) each(visit func(*run)) {
+	e.mu.Lock()
+	list := make([]*run, 0, len(e.runs))
+	for _, r := range e.runs {
+		list = append(list, r)
+	}
+	e.mu.Unlock()
+	for _, r := range list {
+		visit(r)
+	}
+}
+
+// Drain takes readiness off and waits until no request is in flight. At the
+// deadline, streams end resumable and waiting requests are refused. A zero
+// deadline waits for every request to end by itself.
+func (e *Entry) Drain(ctx context.Context, deadline time.Duration) {
+	e.beginDrain()
+	e.logger.Info().Str("step", "drain").Dur("deadline", deadline).Msg("drain begins")
+	var timeout <-chan time.Time
+	if deadline > 0 {
+		timer := time.NewTimer(deadline)
+		defer timer.Stop()
+		timeout = timer.C
+	}
+	select {
+	case <-e.idle:
+	case <-timeout:
+		e.endStreams(ctx)
+	case <-ctx.Done():
+		e.endStreams(context.Background())
+	}
+	e.logger.Info().Str("step", "drain").Msg("drain ends")
+}
+
+func (e *Entry) beginDrain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining.Store(true)
+	e.metrics.draining.Set(1)
+	e.signalIdle()
+}
+
+// endGrace bounds the wait for requests to hand out their last event.
+const endGrace = 2 * time.Second
+
+func (e *Entry) endStreams(ctx context.Context) {
+	e.each(func(r *run) { r.drain() })
+	timer := time.NewTimer(endGrace)
+	defer timer.Stop()
+	select {
+	case <-e.idle:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
