--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -8,8 +8,9 @@
 // Retrier decides whether a failed attempt may be followed by another.
 type Retrier interface {
 	// Retry returns the delay before the next attempt, and false if there
-	// may be none. It takes from the budget when it allows one.
-	Retry(now time.Duration, attempts int) (time.Duration, bool)
+	// may be none. It takes from the budget when it allows one. HandedOver
+	// is true if this or an earlier attempt may have run.
+	Retry(now time.Duration, failure Failure, attempts int, handedOver bool) (time.Duration, bool)
 }
 
 type state uint8
@@ -312,7 +313,7 @@
 		r.handedOver = true
 	}
 	if r.mayTryAgain(ev.Failure) {
-		if delay, ok := r.retrier.Retry(now, r.attempt); ok && now+delay < r.spec.Deadline {
+		if delay, ok := r.retrier.Retry(now, ev.Failure, r.attempt, r.handedOver); ok && now+delay < r.spec.Deadline {
 			r.noteFailedServer(ev.Failure)
 			r.state = stateBackoff
 			return []Effect{Backoff{Delay: delay}}
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -67,6 +67,8 @@
 	StreamGone bool
 	// Permanent is true if another attempt would fail the same way.
 	Permanent bool
+	// Silent is true if no progress was made for too long.
+	Silent bool
 	// Status is the HTTP status of a refusal, or 0.
 	Status int
 	// Step and Peer say where the failure arose.
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,317 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingcart/internal/backend"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/core/routing"
+)
+
+// Bounds on single calls to backend servers.
+const (
+	cancelTimeout  = 2 * time.Second
+	moveTimeout    = 20 * time.Second
+	maxAnswerBytes = 32 << 20
+	maxExportBytes = 1 << 30
+)
+
+// chatPath is the path of chat completions, at entries and at engines.
+const chatPath = "/v1/chat/completions"
+
+// attempt is one attempt at a backend server. Its goroutine reads the answer
+// and posts what it finds under the attempt's number.
+type attempt struct {
+	run     *run
+	number  int
+	server  *fleet.BackendServer
+	cancel  context.CancelFunc
+	started time.Duration
+	// first is when the first token or answer came, as a time since the
+	// attempt began.
+	first  time.Duration
+	tokens int
+	ended  bool
+}
+
+// token counts a token of the attempt.
+func (a *attempt) token(now time.Duration) {
+	a.tokens++
+	if a.first == 0 {
+		a.first = now - a.started
+	}
+}
+
+// dispatch hands the request to a server.
+func (r *run) dispatch(e request.Dispatch) {
+	r.dispatched.Store(true)
+	r.begin(e.Attempt, e.Server, func(ctx context.Context, a *attempt) {
+		if r.service.Kind == fleet.ServiceApp {
+			a.runApp(ctx)
+			return
+		}
+		stream, err := r.entry.backends.Stream(ctx, a.call("dispatch"))
+		a.runStream(ctx, stream, err, 0)
+	})
+}
+
+// resume opens a stream again at the offset that the caller lacks.
+func (r *run) resume(e request.ResumeStream) {
+	r.dispatched.Store(true)
+	r.begin(e.Attempt, e.Position.Server, func(ctx context.Context, a *attempt) {
+		stream, err := r.entry.backends.Resume(ctx, a.call("resume"), e.Position.Stream, int64(e.Position.Next))
+		a.runStream(ctx, stream, err, e.Position.Sum)
+	})
+}
+
+// begin counts the attempt and runs it. A server that the configuration no
+// longer names can't be reached.
+func (r *run) begin(number int, name string, work func(context.Context, *attempt)) {
+	r.endAttempt(routing.ResultFailed)
+	server, ok := r.config.servers[name]
+	if current := r.entry.config.inForce(); current != nil && current.servers[name] != nil {
+		server, ok = current.servers[name], true
+	}
+	if !ok {
+		r.queue = append(r.queue, request.Failed{Attempt: number, Failure: request.Failure{
+			Phase: request.PhaseDial, StreamGone: true, Step: "resolve", Peer: name,
+		}})
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &attempt{run: r, number: number, server: server, cancel: cancel, started: r.entry.now()}
+	r.attempt = a
+	r.entry.policy.started(server.Name, r.load)
+	r.trace.add(time.Now(), "attempt %d at %s (%s)", number, server.Name, server.Address)
+	go work(ctx, a)
+}
+
+// endAttempt stops reading the current attempt and gives its place back.
+func (r *run) endAttempt(result routing.Result) {
+	a := r.attempt
+	if a == nil || a.ended {
+		return
+	}
+	a.ended = true
+	a.cancel()
+	r.entry.policy.finished(a.server.Name, routing.Outcome{
+		Load:         r.load,
+		Result:       result,
+		FirstToken:   a.first,
+		Elapsed:      r.entry.now() - a.started,
+		OutputTokens: a.tokens,
+		CachedTokens: -1,
+	})
+	r.entry.metrics.attempts.WithLabelValues(r.service.Name, a.server.Name, resultName(result)).Inc()
+}
+
+func resultName(result routing.Result) string {
+	switch result {
+	case routing.ResultCompleted:
+		return "completed"
+	case routing.ResultConnectFailed:
+		return "connect-failed"
+	case routing.ResultRefused:
+		return "refused"
+	case routing.ResultCancelled:
+		return "cancelled"
+	default:
+		return "failed"
+	}
+}
+
+// cancel stops the attempt and tells the engine that nobody waits for it.
+func (r *run) cancel(e request.CancelAttempt) {
+	r.endAttempt(routing.ResultCancelled)
+	server, ok := r.config.servers[e.Server]
+	if e.Stream == "" || !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := r.entry.backends.Cancel(ctx, server.Address, e.Stream); err != nil {
+			r.entry.logger.Debug().Str("step", "cancel").Str("peer", server.Address).Str("request", r.id).Err(err).Msg("stream not cancelled")
+		}
+	}()
+}
+
+// Priorities of requests at engines; lower is more urgent.
+const (
+	priorityShort  = 0
+	priorityNormal = 10
+)
+
+func (a *attempt) call(step string) backend.Call {
+	r := a.run
+	priority := priorityNormal
+	if r.service.Short {
+		priority = priorityShort
+	}
+	return backend.Call{
+		Step:            step,
+		Address:         a.server.Address,
+		Method:          r.message.method,
+		Path:            r.message.path,
+		Header:          r.message.header,
+		Body:            r.message.body,
+		Repeatable:      r.spec.Repeatable,
+		RequestID:       r.id,
+		Attempt:         a.number,
+		Priority:        priority,
+		ProgressTimeout: a.progressTimeout(),
+	}
+}
+
+// progressTimeout bounds silence. An application answers all at once, so it
+// may be silent until the deadline.
+func (a *attempt) progressTimeout() time.Duration {
+	if a.run.service.Kind == fleet.ServiceApp {
+		return max(a.run.deadline-a.run.entry.now(), time.Millisecond)
+	}
+	return milliseconds(a.run.policy.ProgressTimeoutMS)
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// post hands an event to the request, unless the attempt is over.
+func (a *attempt) post(ctx context.Context, ev streamEvent) bool {
+	select {
+	case a.run.stream <- ev:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runStream reads a stream to its end.
+func (a *attempt) runStream(ctx context.Context, stream *backend.Stream, err error, sum uint64) {
+	if err != nil {
+		a.fail(ctx, err)
+		return
+	}
+	defer stream.Close()
+	a.post(ctx, streamEvent{event: request.Opened{Attempt: a.number, Stream: stream.ID}})
+	for {
+		ev, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			a.post(ctx, streamEvent{event: request.Completed{Attempt: a.number}})
+			return
+		}
+		if err != nil {
+			a.fail(ctx, err)
+			return
+		}
+		sum = addToSum(sum, ev.Data)
+		token := request.Token{Attempt: a.number, Offset: int(ev.Offset), Sum: sum}
+		if !a.post(ctx, streamEvent{event: token, data: ev.Data}) {
+			return
+		}
+	}
+}
+
+// addToSum extends the running checksum by a token's text. It covers only the
+// generated text, for an engine's other fields differ from run to run.
+func addToSum(sum uint64, data []byte) uint64 {
+	var parsed chunk
+	if json.Unmarshal(data, &parsed) != nil {
+		return sum
+	}
+	digest := xxhash.NewWithSeed(sum)
+	_, _ = digest.WriteString(parsed.content())
+	return digest.Sum64()
+}
+
+// runApp sends the request once and reads the whole answer.
+func (a *attempt) runApp(ctx context.Context) {
+	response, err := a.run.entry.backends.Do(ctx, a.call("dispatch"))
+	if err != nil {
+		a.fail(ctx, err)
+		return
+	}
+	defer response.Body.Close()
+	a.post(ctx, streamEvent{event: request.Opened{Attempt: a.number}})
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = &backend.Error{Step: "read answer", Peer: a.server.Address, Phase: backend.PhaseInvalid, Err: errAnswerTooLarge}
+	}
+	if err != nil {
+		a.fail(ctx, err)
+		return
+	}
+	whole := &answer{status: response.Status, header: response.Header, body: body}
+	a.post(ctx, streamEvent{event: request.Completed{Attempt: a.number}, answer: whole})
+}
+
+var errAnswerTooLarge = errors.New("answer is too large")
+
+// fail posts how the attempt failed.
+func (a *attempt) fail(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	failure := failureOf(err, a.server.Address)
+	a.run.entry.contact(a.server, failure.Phase != request.PhaseDial && !failure.Silent)
+	a.run.entry.logger.Warn().Str("step", failure.Step).Str("peer", failure.Peer).Str("request", a.run.id).Int("attempt", a.number).Err(err).Msg("attempt failed")
+	a.post(ctx, streamEvent{event: request.Failed{Attempt: a.number, Failure: failure}})
+}
+
+func failureOf(err error, address string) request.Failure {
+	failure := request.Failure{Phase: request.PhaseHandedOver, Step: "dispatch", Peer: address}
+	var callErr *backend.Error
+	if !errors.As(err, &callErr) {
+		return failure
+	}
+	failure.Step, failure.Peer, failure.Status = callErr.Step, callErr.Peer, callErr.Status
+	switch callErr.Phase {
+	case backend.PhaseDial:
+		failure.Phase = request.PhaseDial
+	case backend.PhaseRefused:
+		failure.Phase = request.PhaseRefused
+	case backend.PhaseSilent:
+		failure.Silent = true
+	case backend.PhaseInvalid:
+		failure.StreamGone = true
+	case backend.PhaseAnswered:
+		failure.StreamGone = true
+		failure.Permanent = callErr.Status >= 400 && callErr.Status < 500 && callErr.Status != http.StatusNotFound
+	}
+	return failure
+}
+
+// moveKV exports the stream's KV cache and imports it at the target.
+func (r *run) moveKV(e request.MoveKV) {
+	moved := request.Moved{Attempt: e.Attempt, Server: e.Target}
+	from, to := r.config.servers[e.From.Server], r.config.servers[e.Target]
+	if from != nil && to != nil {
+		moved.Stream = r.entry.transfer(r.id, from, to, e.From.Stream)
+	}
+	r.post(moved)
+}
+
+// transfer moves a KV cache and returns the stream at the target, or "".
+func (e *Entry) transfer(requestID string, from, to *fleet.BackendServer, stream string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
+	defer cancel()
+	cache, err := e.backends.Export(ctx, from.Address, stream, maxExportBytes)
+	if err != nil {
+		e.logger.Warn().Str("step", "export").Str("peer", from.Address).Str("request", requestID).Err(err).Msg("KV cache not exported")
+		return ""
+	}
+	moved, err := e.backends.Import(ctx, to.Address, cache)
+	if err != nil {
+		e.logger.Warn().Str("step", "import").Str("peer", to.Address).Str("request", requestID).Err(err).Msg("KV cache not imported")
+		return ""
+	}
+	return moved
+}
--- /dev/null
+++ b/internal/entry/caller.go
@@ -0,0 +1,307 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"waxwingcart/internal/core/eventid"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/core/routing"
+	"waxwingcart/internal/rpc"
+)
+
+// The headers that callers may send.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerLastEventID    = "Last-Event-ID"
+	headerDeadline       = "Waxwingcart-Deadline-Ms"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 255
+
+// Routes adds the callers' calls to a router.
+func (e *Entry) Routes(router *mux.Router) {
+	router.HandleFunc("/healthz", e.serveHealth).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", e.serveReady).Methods(http.MethodGet)
+	router.HandleFunc(chatPath, e.serveModel).Methods(http.MethodPost)
+	router.HandleFunc("/v1/completions", e.serveModel).Methods(http.MethodPost)
+	router.PathPrefix("/services/{service}/").HandlerFunc(e.serveApp)
+}
+
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// serveReady tells the balancer whether to send callers here.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if e.Ready() {
+		_, _ = io.WriteString(w, "ready\n")
+		return
+	}
+	w.Header().Set(headerRetryAfter, "1")
+	http.Error(w, "not ready", http.StatusServiceUnavailable)
+}
+
+// callError is a request that ends before it has a run.
+type callError struct {
+	reason  request.Reason
+	message string
+}
+
+func (c *callError) Error() string { return string(c.reason) + ": " + c.message }
+
+func refusal(reason request.Reason, format string, args ...any) error {
+	return &callError{reason: reason, message: fmt.Sprintf(format, args...)}
+}
+
+// refuseCall answers a request that has no run. Nothing ran.
+func (e *Entry) refuseCall(w http.ResponseWriter, requestID string, err error) {
+	outcome := request.Outcome{Kind: request.OutcomeNotRun, Reason: reasonBadRequest, Step: err.Error(), RetryAfter: request.DefaultRetryAfter}
+	var call *callError
+	if errors.As(err, &call) {
+		outcome.Reason, outcome.Step = call.reason, call.message
+	}
+	e.metrics.outcomes.WithLabelValues("", outcomeNotRun, string(outcome.Reason)).Inc()
+	writeRefusal(w, requestID, outcome)
+}
+
+// prepared is a request that passed the checks of the HTTP layer.
+type prepared struct {
+	config   *configuration
+	customer *fleet.Customer
+	body     []byte
+}
+
+// prepare authenticates the caller and reads the body within its bounds.
+func (e *Entry) prepare(w http.ResponseWriter, req *http.Request) (prepared, error) {
+	config := e.config.inForce()
+	if config == nil {
+		return prepared{}, refusal(reasonNotReady, "no configuration is in force yet")
+	}
+	customer := config.customerOf(rpc.Bearer(req))
+	if customer == nil {
+		return prepared{}, refusal(reasonUnauthorized, "the bearer key belongs to no customer")
+	}
+	body, err := e.readBody(w, req, config.Defaults.BodyLimitBytes)
+	return prepared{config: config, customer: customer, body: body}, err
+}
+
+func (e *Entry) readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, refusal(reasonTooLarge, "body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal(reasonSlowBody, "body took longer than %s", e.opts.BodyTimeout)
+	default:
+		return nil, refusal(reasonBadRequest, "body could not be read: %v", err)
+	}
+}
+
+// serveModel serves a chat or completion request.
+func (e *Entry) serveModel(w http.ResponseWriter, req *http.Request) {
+	id := e.newRequestID()
+	call, err := e.prepare(w, req)
+	if err != nil {
+		e.refuseCall(w, id, err)
+		return
+	}
+	parsed, err := parseModelRequest(call.body)
+	if err != nil {
+		e.refuseCall(w, id, err)
+		return
+	}
+	service, ok := call.config.models[parsed.model]
+	if !ok {
+		e.refuseCall(w, id, refusal(reasonNoService, "no service has the model %q", parsed.model))
+		return
+	}
+	r := e.newRun(id, req, call, service)
+	r.spec.Kind = request.KindModel
+	r.spec.Repeatable = true
+	r.load = routing.Load{PromptTokens: parsed.promptTokens, OutputTokens: parsed.outputTokens, Prefix: parsed.prefix}
+	r.message = message{method: http.MethodPost, path: req.URL.Path, header: forwardHeader(req), body: parsed.forward}
+	codec := eventid.NewCodec(e.eventKey(), eventid.Binding{Customer: call.customer.Name, Digest: digest(req, call.body)})
+	if err := r.readPosition(req, codec); err != nil {
+		e.refuseCall(w, id, err)
+		return
+	}
+	r.sink = e.modelSink(w, r, parsed, codec)
+	e.serve(w, r)
+}
+
+// readPosition takes the position of a resumed stream from Last-Event-ID.
+func (r *run) readPosition(req *http.Request, codec *eventid.Codec) error {
+	text := req.Header.Get(headerLastEventID)
+	if text == "" {
+		return nil
+	}
+	id, err := codec.Decode(text)
+	if err != nil {
+		return refusal(reasonBadEventID, "%v", err)
+	}
+	if id.Service != r.service.Name {
+		return refusal(reasonBadEventID, "the stream belongs to service %q", id.Service)
+	}
+	r.spec.Resume = &request.Position{Server: id.Server, Stream: id.Stream, Next: int(id.Offset) + 1, Sum: id.Sum}
+	return nil
+}
+
+func (e *Entry) modelSink(w http.ResponseWriter, r *run, parsed modelRequest, codec *eventid.Codec) sink {
+	if !parsed.stream {
+		return &wholeSink{w: w, requestID: r.id, chat: r.message.path == chatPath, prompt: parsed.promptTokens}
+	}
+	return &streamSink{
+		w:            w,
+		controller:   http.NewResponseController(w),
+		requestID:    r.id,
+		service:      r.service.Name,
+		incarnations: e.serverIncarnation,
+		codec:        codec,
+		writeTimeout: e.opts.WriteTimeout,
+	}
+}
+
+// serveApp passes a request on to an application service.
+func (e *Entry) serveApp(w http.ResponseWriter, req *http.Request) {
+	id := e.newRequestID()
+	call, err := e.prepare(w, req)
+	if err != nil {
+		e.refuseCall(w, id, err)
+		return
+	}
+	name := mux.Vars(req)["service"]
+	service, ok := call.config.services[name]
+	if !ok || service.Kind != fleet.ServiceApp {
+		e.refuseCall(w, id, refusal(reasonNoService, "no application service is named %q", name))
+		return
+	}
+	key := req.Header.Get(headerIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		e.refuseCall(w, id, refusal(reasonBadRequest, "%s: got %d bytes, expected at most %d", headerIdempotencyKey, len(key), maxKeyBytes))
+		return
+	}
+	r := e.newRun(id, req, call, service)
+	r.spec.Kind = request.KindApp
+	path := "/" + strings.TrimPrefix(req.URL.EscapedPath(), "/services/"+name+"/")
+	if req.URL.RawQuery != "" {
+		path += "?" + req.URL.RawQuery
+	}
+	r.spec.Repeatable = repeatable(service, req.Method, path)
+	r.spec.Keyed = key != "" && !r.spec.Repeatable
+	r.load = routing.Load{PromptTokens: 1, OutputTokens: 1}
+	r.message = message{method: req.Method, path: path, header: forwardHeader(req), body: call.body}
+	r.sink = &appSink{w: w, requestID: id}
+	if r.spec.Keyed {
+		r.reservation = newReservation(r, key, digest(req, call.body))
+	}
+	e.serve(w, r)
+}
+
+// repeatable reports whether running the request twice does no harm.
+func repeatable(service *fleet.Service, method, path string) bool {
+	if method == http.MethodGet || method == http.MethodHead {
+		return true
+	}
+	for _, rule := range service.Repeatable {
+		ruleMethod, prefix, found := strings.Cut(rule, " ")
+		if found && ruleMethod == method && strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// forwardHeader copies the headers that a backend server should see. The
+// caller's key stays here.
+func forwardHeader(req *http.Request) http.Header {
+	header := make(http.Header, len(req.Header))
+	for name, values := range req.Header {
+		if hopByHop[name] || name == "Authorization" || name == "Accept-Encoding" || name == http.CanonicalHeaderKey(headerLastEventID) {
+			continue
+		}
+		header[name] = values
+	}
+	return header
+}
+
+// digest is the SHA-256 over method, path and body.
+func digest(req *http.Request, body []byte) [sha256.Size]byte {
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%s\n%s\n", req.Method, req.URL.RequestURI())
+	hash.Write(body)
+	var sum [sha256.Size]byte
+	hash.Sum(sum[:0])
+	return sum
+}
+
+// eventKey is the key of event IDs, the same at every entry.
+func (e *Entry) eventKey() []byte {
+	key := sha256.Sum256([]byte("event-id\n" + e.opts.PeerSecret))
+	return key[:]
+}
+
+func (e *Entry) newRun(id string, req *http.Request, call prepared, service *fleet.Service) *run {
+	now := e.now()
+	policy := call.config.PolicyFor(service.Name, call.customer.Name, e.opts.Zone)
+	r := &run{
+		entry:        e,
+		id:           id,
+		customer:     call.customer,
+		service:      service,
+		policy:       policy,
+		config:       call.config,
+		arrived:      now,
+		deadline:     now + deadlineOf(req, policy),
+		firstTokenBy: now + milliseconds(policy.FirstTokenTargetMS),
+		controls:     make(chan control, controlQueue),
+		stream:       make(chan streamEvent, streamQueue),
+		caller:       req.Context(),
+		ended:        make(chan struct{}),
+		trace:        &trace{id: id, customer: call.customer.Name, service: service.Name, arrived: time.Now()},
+	}
+	r.spec.ID = id
+	r.spec.Deadline = r.deadline
+	r.spec.MaxAttempts = policy.MaxAttempts
+	return r
+}
+
+// deadlineOf is the policy's deadline, or the caller's if it is earlier.
+func deadlineOf(req *http.Request, policy fleet.Policy) time.Duration {
+	deadline := milliseconds(policy.DeadlineMS)
+	asked, err := strconv.ParseFloat(req.Header.Get(headerDeadline), 64)
+	if err == nil && asked > 0 {
+		deadline = min(deadline, milliseconds(asked))
+	}
+	return deadline
+}
+
+// serve takes the request in and runs it to its outcome.
+func (e *Entry) serve(w http.ResponseWriter, r *run) {
+	r.req = request.New(r.spec, r)
+	if !e.add(r) {
+		reason := request.ReasonAdmission
+		if e.draining.Load() {
+			reason = request.ReasonDraining
+		}
+		e.refuseCall(w, r.id, refusal(reason, "the entry takes no more requests"))
+		return
+	}
+	r.serve()
+}
--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/state"
+	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/wire"
+)
+
+// Timing of the configuration's distribution.
+const (
+	fetchWait    = 2 * time.Second
+	fetchTimeout = 3 * time.Second
+	fetchRetry   = 200 * time.Millisecond
+	// firstFetchTimeout bounds the wait for all replicas and zone peers before
+	// the first configuration is put in force.
+	firstFetchTimeout = 2 * time.Second
+)
+
+// configuration is what is in force, with its look-up tables. It is never
+// changed after it was published.
+type configuration struct {
+	*fleet.Config
+	revision  uint64
+	customers map[[sha256.Size]byte]*fleet.Customer
+	models    map[string]*fleet.Service
+	services  map[string]*fleet.Service
+	servers   map[string]*fleet.BackendServer
+}
+
+func newConfiguration(config *fleet.Config, revision uint64) *configuration {
+	c := &configuration{
+		Config:    config,
+		revision:  revision,
+		customers: make(map[[sha256.Size]byte]*fleet.Customer),
+		models:    make(map[string]*fleet.Service),
+		services:  make(map[string]*fleet.Service),
+		servers:   make(map[string]*fleet.BackendServer),
+	}
+	for i := range config.Customers {
+		c.addCustomer(&config.Customers[i])
+	}
+	for i := range config.Services {
+		service := &config.Services[i]
+		c.services[service.Name] = service
+		if service.Kind == fleet.ServiceModel {
+			c.models[service.Model] = service
+		}
+	}
+	for i := range config.BackendServers {
+		server := &config.BackendServers[i]
+		c.servers[server.Name] = server
+	}
+	return c
+}
+
+func (c *configuration) addCustomer(customer *fleet.Customer) {
+	for _, text := range customer.KeyHashes {
+		var hash [sha256.Size]byte
+		if _, err := hex.Decode(hash[:], []byte(text)); err == nil {
+			c.customers[hash] = customer
+		}
+	}
+}
+
+// customerOf finds the customer with a bearer key. Only hashes are compared,
+// and the last comparison takes constant time.
+func (c *configuration) customerOf(key string) *fleet.Customer {
+	if key == "" {
+		return nil
+	}
+	hash := sha256.Sum256([]byte(key))
+	customer, ok := c.customers[hash]
+	if !ok {
+		return nil
+	}
+	for _, text := range customer.KeyHashes {
+		if subtle.ConstantTimeCompare([]byte(text), []byte(hex.EncodeToString(hash[:]))) == 1 {
+			return customer
+		}
+	}
+	return nil
+}
+
+// configHolder keeps the configuration in force and fetches newer ones.
+type configHolder struct {
+	entry   *Entry
+	current atomic.Pointer[configuration]
+
+	mu   sync.Mutex
+	view *state.View
+}
+
+func newConfigHolder(e *Entry) *configHolder {
+	return &configHolder{entry: e, view: state.NewView()}
+}
+
+// inForce returns the configuration in force, or nil.
+func (h *configHolder) inForce() *configuration { return h.current.Load() }
+
+// run fetches the first configuration from everyone who can be reached, and
+// then follows the replicas.
+func (h *configHolder) run(ctx context.Context) {
+	h.fetchFromAll(ctx)
+	for ctx.Err() == nil {
+		if h.follow(ctx) {
+			continue
+		}
+		h.fetchFromPeers(ctx)
+		wait(ctx, fetchRetry)
+	}
+}
+
+func wait(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// follow asks the leader, or else any replica, for what is missing.
+func (h *configHolder) follow(ctx context.Context) bool {
+	addresses := h.entry.replicas.Addresses()
+	if leader := h.entry.replicas.Leader(); leader != "" {
+		addresses = append([]string{leader}, addresses...)
+	}
+	for _, address := range addresses {
+		request := h.request(fetchWait)
+		call, cancel := context.WithTimeout(ctx, fetchTimeout)
+		response, err := h.entry.replicas.At(address).FetchConfig(call, request)
+		cancel()
+		if err == nil {
+			h.receive(address, response, true)
+			return true
+		}
+		h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
+	}
+	return false
+}
+
+func (h *configHolder) request(wait time.Duration) *wire.FetchConfigRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return &wire.FetchConfigRequest{
+		HaveRevision: h.view.Revision(),
+		WaitMs:       wait.Milliseconds(),
+		Process:      h.entry.opts.VM,
+		Zone:         h.entry.opts.Zone,
+	}
+}
+
+// fetchFromAll asks every replica and every entry of the zone at once, so that
+// a process that starts does not take an old configuration for the newest.
+func (h *configHolder) fetchFromAll(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, firstFetchTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, address := range h.entry.replicas.Addresses() {
+		group.Go(func() {
+			response, err := h.entry.replicas.At(address).FetchConfig(call, h.request(0))
+			if err == nil {
+				h.hold(address, response)
+			}
+		})
+	}
+	for _, peer := range h.entry.opts.Peers {
+		group.Go(func() { h.fetchFromPeer(call, peer) })
+	}
+	group.Wait()
+	h.publish()
+}
+
+// fetchFromPeers asks the entries of the own zone while no replica answers.
+func (h *configHolder) fetchFromPeers(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, firstFetchTimeout)
+	defer cancel()
+	for _, peer := range h.entry.opts.Peers {
+		if peer.Zone == h.entry.opts.Zone {
+			h.fetchFromPeer(call, peer)
+		}
+	}
+	h.publish()
+}
+
+func (h *configHolder) fetchFromPeer(ctx context.Context, peer Peer) {
+	stub := wire.NewPeerProtobufClient("http://"+peer.Address, h.entry.opts.Client)
+	response, err := stub.Config(ctx, h.request(0))
+	if err != nil {
+		h.entry.logger.Debug().Str("step", "fetch config").Err(rpc.Wrap("fetch config", peer.Address, err)).Msg("peer did not answer")
+		return
+	}
+	h.hold(peer.Address, response)
+}
+
+// receive takes deltas in and puts the newest in force.
+func (h *configHolder) receive(from string, response *wire.FetchConfigResponse, committed bool) {
+	h.step(from, response, committed)
+	h.publish()
+}
+
+// hold takes deltas in without putting them in force yet.
+func (h *configHolder) hold(from string, response *wire.FetchConfigResponse) {
+	h.step(from, response, false)
+}
+
+func (h *configHolder) step(from string, response *wire.FetchConfigResponse, committed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	effects := h.view.Step(h.entry.now(), state.DeltasReceived{
+		From:      from,
+		Deltas:    codec.DeltasFromWire(response.Deltas),
+		Revision:  response.Revision,
+		Committed: committed,
+	})
+	if effects.Err != nil {
+		h.entry.logger.Error().Str("step", "apply config").Str("peer", from).Err(effects.Err).Msg("configuration refused")
+	}
+}
+
+// publish puts the view's configuration in force if it is newer.
+func (h *configHolder) publish() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	current := h.current.Load()
+	if h.view.Config() == nil || (current != nil && current.revision >= h.view.Revision()) {
+		return
+	}
+	next := newConfiguration(h.view.Config(), h.view.Revision())
+	h.entry.policy.configure(next)
+	h.current.Store(next)
+	h.entry.metrics.revision.Set(float64(next.revision))
+	h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).Msg("configuration in force")
+}
+
+// answer serves another process that asks for the configuration.
+func (h *configHolder) answer(have uint64) *wire.FetchConfigResponse {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return &wire.FetchConfigResponse{
+		Deltas:   codec.DeltasToWire(h.view.Deltas(have)),
+		Revision: h.view.Revision(),
+	}
+}
+
+// configState is the configuration's part of the dump.
+type configState struct {
+	Revision uint64 `json:"revision"`
+	ChangeID string `json:"change_id,omitempty"`
+	// UnconfirmedS is the time since a quorum last confirmed the revision, in
+	// seconds, or -1 if none ever did.
+	UnconfirmedS float64 `json:"unconfirmed_s"`
+}
+
+func (h *configHolder) state() configState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := configState{Revision: h.view.Revision(), ChangeID: h.view.Last().ChangeID, UnconfirmedS: -1}
+	if at, ok := h.view.ConfirmedAt(); ok {
+		s.UnconfirmedS = (h.entry.now() - at).Seconds()
+	}
+	return s
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
 	"sync"
@@ -70,6 +69,8 @@
 	policy      *policy
 	config      *configHolder
 	history     *history
+	members     *members
+	reports     reportState
 
 	nextID   atomic.Uint64
 	stop     context.CancelFunc
@@ -91,7 +92,7 @@
 		opts:        opts,
 		logger:      opts.Logger,
 		metrics:     newMetrics(opts.Registry),
-		incarnation: randomUint64(),
+		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
 		backends:    backend.New(backend.Options{}),
 		replicas:    rpc.NewReplicas(opts.Client, opts.Replicas),
@@ -101,6 +102,9 @@
 	}
 	e.policy = newPolicy(e)
 	e.config = newConfigHolder(e)
+	e.members = newMembers(e)
+	e.reports.incarnations = make(map[string]string)
+	e.reports.cacheSeq = make(map[string]int64)
 	return e
 }
 
@@ -116,16 +120,11 @@
 	}
 }
 
-func randomUint64() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return binary.BigEndian.Uint64(b[:]) | 1
-}
-
 // Start runs the entry's background work.
 func (e *Entry) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.ctx, e.stop = ctx, cancel
+	e.shareLimits()
 	e.spawn(func() { e.config.run(ctx) })
 	e.spawn(func() { e.runReports(ctx) })
 	e.spawn(func() { e.policy.runTicks(ctx) })
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"waxwingcart/internal/backend"
+	"waxwingcart/internal/core/admission"
+	"waxwingcart/internal/core/membership"
+	"waxwingcart/internal/wire"
+)
+
+// Timing of membership.
+const (
+	memberTick       = 100 * time.Millisecond
+	exchangeTimeout  = 500 * time.Millisecond
+	platformInterval = 500 * time.Millisecond
+)
+
+// maxNewsBytes bounds the news of one exchange.
+const maxNewsBytes = 1 << 20
+
+// members holds the membership core behind a lock.
+type members struct {
+	mu    sync.Mutex
+	table *membership.Table
+}
+
+func newMembers(e *Entry) *members {
+	var peers []membership.Record
+	for _, peer := range e.opts.Peers {
+		peers = append(peers, membership.Record{
+			Kind: membership.KindEntry, VM: peer.VM, Zone: peer.Zone, Address: peer.Address,
+		})
+	}
+	return &members{table: membership.New(membership.Options{
+		Self: membership.Record{
+			Kind: membership.KindEntry, VM: e.opts.VM, Zone: e.opts.Zone,
+			Address: e.opts.PeerAddress, Incarnation: e.incarnation,
+		},
+		Peers:   peers,
+		EpochMS: e.started.UnixMilli(),
+		Seed:    e.incarnation,
+	})}
+}
+
+// learn feeds an event to the membership core and carries out what follows.
+func (e *Entry) learn(ev membership.Event) []membership.Record {
+	e.members.mu.Lock()
+	effects := e.members.table.Step(e.now(), ev)
+	e.members.mu.Unlock()
+	for _, send := range effects.Send {
+		go e.sendNews(send)
+	}
+	for _, change := range effects.Changes {
+		e.memberChanged(change)
+	}
+	return effects.Reply
+}
+
+// memberChanged keeps new work off a VM at once.
+func (e *Entry) memberChanged(change membership.Change) {
+	e.logger.Info().Str("step", "membership").Str("peer", change.VM).Str("kind", string(change.Kind)).
+		Str("from", string(change.From)).Str("to", string(change.To)).Msg("member changed")
+	if change.Kind == membership.KindBackend {
+		e.applyUsable()
+		if change.To == membership.StateLeaving {
+			e.moveStreams(change.VM)
+		}
+		return
+	}
+	e.shareLimits()
+}
+
+// shareLimits tells admission how many entries share the customers' limits. An
+// entry that can't be reached counts until it is known to have ended.
+func (e *Entry) shareLimits() {
+	e.members.mu.Lock()
+	list := e.members.table.Entries("")
+	e.members.mu.Unlock()
+	var names []string
+	for _, member := range list {
+		names = append(names, member.VM)
+	}
+	slices.Sort(names)
+	rank := max(slices.Index(names, e.opts.VM), 0)
+	e.policy.setEntries(admission.LiveEntries{Entries: max(len(names), 1), Rank: rank, Confirmed: true})
+}
+
+// sendNews exchanges news with another entry.
+func (e *Entry) sendNews(send membership.Send) {
+	ctx, cancel := context.WithTimeout(e.ctx, exchangeTimeout)
+	defer cancel()
+	news, err := json.Marshal(send.Records)
+	if err != nil {
+		return
+	}
+	stub := wire.NewPeerProtobufClient("http://"+send.Address, e.opts.Client)
+	response, err := stub.Exchange(ctx, &wire.ExchangeRequest{
+		From: e.opts.VM, Incarnation: e.incarnation, Zone: e.opts.Zone, News: news,
+	})
+	if err != nil {
+		e.learn(membership.Contact{Kind: membership.KindEntry, VM: send.Peer, OK: false})
+		return
+	}
+	records, err := decodeNews(response.News)
+	if err != nil {
+		return
+	}
+	e.learn(membership.News{From: send.Peer, Records: records})
+}
+
+func decodeNews(data []byte) ([]membership.Record, error) {
+	if len(data) > maxNewsBytes {
+		return nil, twirp.InvalidArgumentError("news", "too large")
+	}
+	if len(data) == 0 {
+		return nil, nil
+	}
+	var records []membership.Record
+	if err := json.Unmarshal(data, &records); err != nil {
+		return nil, twirp.InvalidArgumentError("news", err.Error())
+	}
+	return records, nil
+}
+
+// exchange answers another entry's news.
+func (e *Entry) exchange(req *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	records, err := decodeNews(req.News)
+	if err != nil {
+		return nil, err
+	}
+	reply := e.learn(membership.News{From: req.From, Records: records, Request: true})
+	news, err := json.Marshal(reply)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &wire.ExchangeResponse{News: news}, nil
+}
+
+// runMembership ticks the membership core and reads the platform's sources.
+func (e *Entry) runMembership(ctx context.Context) {
+	if e.opts.Platform != "" {
+		e.spawn(func() { e.runPlatform(ctx) })
+	}
+	ticker := time.NewTicker(memberTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.learn(membership.Tick{})
+		}
+	}
+}
+
+// runPlatform reads reclaim notices and the list of VMs.
+func (e *Entry) runPlatform(ctx context.Context) {
+	var seen int64
+	ticker := time.NewTicker(platformInterval)
+	defer ticker.Stop()
+	for {
+		seen = e.readNotices(ctx, seen)
+		e.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Entry) readNotices(ctx context.Context, after int64) int64 {
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	notices, last, err := e.backends.Notices(call, e.opts.Platform, after)
+	if err != nil {
+		e.logger.Debug().Str("step", "notices").Str("peer", e.opts.Platform).Err(err).Msg("platform did not answer")
+		return after
+	}
+	for _, notice := range notices {
+		e.takeNotice(notice)
+	}
+	return last
+}
+
+// takeNotice spreads a reclaim notice. A notice for this VM drains the entry.
+func (e *Entry) takeNotice(notice backend.Notice) {
+	e.logger.Warn().Str("step", "notice").Str("peer", notice.VM).Dur("left", notice.Left).Msg("reclaim notice")
+	e.learn(membership.Notice{VM: notice.VM, Left: notice.Left})
+	if notice.VM == e.opts.VM {
+		e.spawn(func() { e.Drain(e.ctx, drainDeadline(notice.Left)) })
+	}
+}
+
+// drainMargin is kept before a reclaim for ending streams resumably.
+const drainMargin = 3 * time.Second
+
+func drainDeadline(left time.Duration) time.Duration {
+	return max(left-drainMargin, time.Millisecond)
+}
+
+func (e *Entry) readList(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	list, err := e.backends.ListVMs(call, e.opts.Platform)
+	if err != nil {
+		return
+	}
+	var listed []membership.ListedVM
+	for _, vm := range list.VMs {
+		listed = append(listed, membership.ListedVM{
+			VM:          vm.Name,
+			Zone:        vm.Zone,
+			Incarnation: membership.ParseIncarnation(vm.Incarnation),
+			Leaving:     vm.State == backend.VMLeaving,
+		})
+	}
+	e.learn(membership.PlatformList{VMs: listed})
+}
+
+// moveStreams moves the streams off a leaving VM.
+func (e *Entry) moveStreams(string) {}
--- /dev/null
+++ b/internal/entry/policy.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"waxwingcart/internal/core/admission"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/core/retry"
+	"waxwingcart/internal/core/routing"
+)
+
+// policyTick is the interval at which queued requests are looked at.
+const policyTick = 10 * time.Millisecond
+
+// retryAfterNoServer is told to a caller when no backend server is usable.
+const retryAfterNoServer = 2 * time.Second
+
+// policy holds the decision cores behind one lock.
+type policy struct {
+	entry *Entry
+
+	mu        sync.Mutex
+	admission *admission.Controller
+	router    *routing.Router
+	retry     *retry.Controller
+	// waiting holds the requests that were handed to admission.
+	waiting map[uint64]*run
+	nextID  uint64
+}
+
+func newPolicy(e *Entry) *policy {
+	return &policy{
+		entry:     e,
+		admission: admission.New(admission.Options{Seed: e.incarnation}),
+		router:    routing.New(routing.Options{Zone: e.opts.Zone, Seed: e.incarnation}),
+		retry:     retry.New(retry.Options{Seed: e.incarnation}),
+		waiting:   make(map[uint64]*run),
+	}
+}
+
+// configure takes a new configuration in.
+func (p *policy) configure(config *configuration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.entry.now()
+	servers := routing.Servers(config.Config, p.entry.opts.Zone)
+	p.router.SetServers(servers)
+	var services []string
+	for _, service := range config.Services {
+		services = append(services, service.Name)
+	}
+	p.retry.SetServices(services)
+	p.carryOut(p.admission.Step(now, admission.Customers{Customers: config.Customers}))
+	p.setCapacity(now, config)
+	for _, server := range servers {
+		p.entry.metrics.costPerServer.WithLabelValues(server.Service, server.Name).Set(server.PricePerHour)
+	}
+}
+
+// setCapacity tells admission what the usable servers can take.
+func (p *policy) setCapacity(now time.Duration, config *configuration) {
+	for _, service := range config.Services {
+		capacity := admission.Capacity{Service: service.Name, Slots: p.router.Slots(service.Name)}
+		p.carryOut(p.admission.Step(now, capacity))
+	}
+}
+
+// setUsable marks servers and adapts the capacity.
+func (p *policy) setUsable(usable map[string]bool) {
+	config := p.entry.config.inForce()
+	if config == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, ok := range usable {
+		p.router.SetUsable(name, ok)
+	}
+	p.setCapacity(p.entry.now(), config)
+}
+
+// setEntries tells admission how many entries share the limits.
+func (p *policy) setEntries(live admission.LiveEntries) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.carryOut(p.admission.Step(p.entry.now(), live))
+}
+
+// arrive hands a request to admission; it is answered by an event to the run.
+func (p *policy) arrive(r *run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextID++
+	r.admissionID = p.nextID
+	p.waiting[r.admissionID] = r
+	p.carryOut(p.admission.Step(p.entry.now(), admission.Arrive{
+		ID:              r.admissionID,
+		Customer:        r.customer.Name,
+		Service:         r.service.Name,
+		Short:           r.service.Short,
+		EstimatedTokens: r.load.PromptTokens + r.load.OutputTokens,
+		FirstTokenBy:    r.firstTokenBy,
+		Deadline:        r.deadline,
+		QueueLimit:      r.policy.QueueLimit,
+	}))
+}
+
+// firstToken tells admission that a request began to answer.
+func (p *policy) firstToken(r *run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.carryOut(p.admission.Step(p.entry.now(), admission.FirstToken{ID: r.admissionID}))
+}
+
+// leave ends a request's part in admission.
+func (p *policy) leave(r *run, finished bool, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, r.admissionID)
+	if finished {
+		p.carryOut(p.admission.Step(p.entry.now(), admission.Finished{ID: r.admissionID, Tokens: tokens}))
+		return
+	}
+	p.carryOut(p.admission.Step(p.entry.now(), admission.Cancelled{ID: r.admissionID}))
+}
+
+// carryOut posts admission's decisions to the requests. The caller holds mu.
+func (p *policy) carryOut(effects admission.Effects) {
+	for _, admit := range effects.Admit {
+		if r, ok := p.waiting[admit.ID]; ok {
+			r.post(request.Admitted{})
+		}
+	}
+	for _, refuse := range effects.Refuse {
+		if r, ok := p.waiting[refuse.ID]; ok {
+			r.post(request.Refused{
+				Reason:     request.Reason("admission-" + refuse.Reason.String()),
+				RetryAfter: refuse.RetryAfter,
+			})
+		}
+	}
+}
+
+func (p *policy) runTicks(ctx context.Context) {
+	ticker := time.NewTicker(policyTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.mu.Lock()
+			p.carryOut(p.admission.Step(p.entry.now(), admission.Tick{}))
+			p.mu.Unlock()
+		}
+	}
+}
+
+// pick chooses a server and counts the attempt there.
+func (p *policy) pick(r *run, exclude []string) request.Event {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.entry.now()
+	decision, ok := p.router.Pick(now, routing.Request{
+		Service:      r.service.Name,
+		PromptTokens: r.load.PromptTokens,
+		OutputTokens: r.load.OutputTokens,
+		Prefix:       r.load.Prefix,
+		Policy:       &r.policy,
+		Exclude:      exclude,
+	})
+	if !ok {
+		return request.NoServer{RetryAfter: retryAfterNoServer}
+	}
+	r.trace.add(time.Now(), "picked %s: %s, first token expected in %s", decision.Server, decision.Reason, decision.ExpectedFirstToken.Round(time.Millisecond))
+	return request.Picked{Server: decision.Server}
+}
+
+// started counts an attempt at a server.
+func (p *policy) started(server string, load routing.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Started(p.entry.now(), server, load)
+}
+
+// finished ends an attempt at a server.
+func (p *policy) finished(server string, outcome routing.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Finished(p.entry.now(), server, outcome)
+}
+
+// report takes a server's own report in.
+func (p *policy) report(server string, report routing.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Report(p.entry.now(), server, report)
+}
+
+func (p *policy) cacheEvent(server string, seq uint64, kind routing.CacheEventKind, prefix uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.CacheEvent(server, seq, kind, prefix)
+}
+
+// success fills the retry budget.
+func (p *policy) success(service string, policy *fleet.Policy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.entry.now()
+	p.retry.Success(now, service, policy)
+	p.entry.metrics.retryBudget.WithLabelValues(service).Set(p.retry.Budget(now, service))
+}
+
+// decideRetry asks the retry core about a failed attempt.
+func (p *policy) decideRetry(attempt retry.Attempt) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	decision := p.retry.Decide(p.entry.now(), attempt)
+	return decision.Delay, decision.Retry
+}
+
+// limits is the policy's part of the dump.
+type limits struct {
+	Queued   int                `json:"queued"`
+	InFlight map[string]int     `json:"in_flight"`
+	Slots    map[string]int     `json:"slots"`
+	Budget   map[string]float64 `json:"retry_budget"`
+}
+
+func (p *policy) state() limits {
+	config := p.entry.config.inForce()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := limits{
+		Queued:   p.admission.Queued(),
+		InFlight: make(map[string]int),
+		Slots:    make(map[string]int),
+		Budget:   make(map[string]float64),
+	}
+	if config == nil {
+		return s
+	}
+	for _, service := range config.Services {
+		s.InFlight[service.Name] = p.admission.InFlight(service.Name)
+		s.Slots[service.Name] = p.router.Slots(service.Name)
+		s.Budget[service.Name] = p.retry.Budget(p.entry.now(), service.Name)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/entry/reports.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"waxwingcart/internal/backend"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/membership"
+	"waxwingcart/internal/core/routing"
+)
+
+// Timing and bounds of reading reports.
+const (
+	reportInterval = 500 * time.Millisecond
+	reportTimeout  = 800 * time.Millisecond
+	reportParallel = 32
+)
+
+// reportState is what the entry remembers between two reports of a server.
+type reportState struct {
+	mu           sync.Mutex
+	incarnations map[string]string
+	cacheSeq     map[string]int64
+}
+
+// serverIncarnation returns the incarnation that a server last reported.
+func (e *Entry) serverIncarnation(server string) string {
+	e.reports.mu.Lock()
+	defer e.reports.mu.Unlock()
+	return e.reports.incarnations[server]
+}
+
+// runReports reads the load reports of all servers in turns.
+func (e *Entry) runReports(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		e.readReports(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Entry) readReports(ctx context.Context) {
+	config := e.config.inForce()
+	if config == nil {
+		return
+	}
+	var group sync.WaitGroup
+	places := make(chan struct{}, reportParallel)
+	for i := range config.BackendServers {
+		server := &config.BackendServers[i]
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			e.readReport(ctx, server)
+		})
+	}
+	group.Wait()
+	e.applyUsable()
+}
+
+func (e *Entry) readReport(ctx context.Context, server *fleet.BackendServer) {
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := e.backends.Report(call, server.Address, server.Vendor)
+	var callErr *backend.Error
+	if err != nil && errors.As(err, &callErr) && callErr.Phase == backend.PhaseDial {
+		e.contact(server, false)
+		return
+	}
+	if err != nil {
+		e.logger.Debug().Str("step", "report").Str("peer", server.Address).Err(err).Msg("no load report")
+		return
+	}
+	e.contact(server, true)
+	e.takeReport(server, report)
+	if server.Vendor != backend.VendorGamma {
+		e.readCacheEvents(call, server)
+	}
+}
+
+func (e *Entry) takeReport(server *fleet.BackendServer, report backend.Report) {
+	e.reports.mu.Lock()
+	if e.reports.incarnations[server.Name] != report.Incarnation {
+		e.reports.incarnations[server.Name] = report.Incarnation
+		delete(e.reports.cacheSeq, server.Name)
+	}
+	e.reports.mu.Unlock()
+	e.policy.report(server.Name, routing.Report{
+		Running: report.Running,
+		Waiting: report.Waiting,
+		Slots:   report.Slots,
+		KVUsed:  report.KVUsed,
+		Age:     report.Age,
+	})
+	e.learn(membership.Report{
+		VM:          server.VM,
+		Incarnation: membership.ParseIncarnation(report.Incarnation),
+		Leaving:     report.Leaving,
+	})
+}
+
+func (e *Entry) readCacheEvents(ctx context.Context, server *fleet.BackendServer) {
+	e.reports.mu.Lock()
+	after := e.reports.cacheSeq[server.Name]
+	e.reports.mu.Unlock()
+	events, last, err := e.backends.CacheEvents(ctx, server.Address, after)
+	if err != nil {
+		return
+	}
+	for _, ev := range events {
+		e.takeCacheEvent(server.Name, ev)
+	}
+	e.reports.mu.Lock()
+	e.reports.cacheSeq[server.Name] = last
+	e.reports.mu.Unlock()
+}
+
+func (e *Entry) takeCacheEvent(server string, ev backend.CacheEvent) {
+	prefix, err := strconv.ParseUint(ev.Prefix, 16, 64)
+	if err != nil {
+		return
+	}
+	kind := routing.CacheStored
+	if ev.Kind == backend.CacheEvicted {
+		kind = routing.CacheEvicted
+	}
+	e.policy.cacheEvent(server, uint64(ev.Seq), kind, prefix)
+}
+
+// contact notes whether a server could be reached.
+func (e *Entry) contact(server *fleet.BackendServer, ok bool) {
+	e.learn(membership.Contact{Kind: membership.KindBackend, VM: server.VM, OK: ok})
+}
+
+// applyUsable tells the policy which servers may get work.
+func (e *Entry) applyUsable() {
+	config := e.config.inForce()
+	if config == nil {
+		return
+	}
+	usable := make(map[string]bool, len(config.BackendServers))
+	e.members.mu.Lock()
+	for _, server := range config.BackendServers {
+		usable[server.Name] = e.members.table.Usable(server.VM)
+	}
+	e.members.mu.Unlock()
+	e.policy.setUsable(usable)
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,309 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/core/retry"
+	"waxwingcart/internal/core/routing"
+)
+
+// Lengths of a request's queues.
+const (
+	controlQueue = 32
+	streamQueue  = 64
+)
+
+// control is an event for a request, from within the entry.
+type control struct {
+	event request.Event
+	// handled, if set, is closed once the event was taken in.
+	handled chan struct{}
+}
+
+// streamEvent is an event of an attempt with what came with it.
+type streamEvent struct {
+	event request.Event
+	// data is a token's JSON text.
+	data []byte
+	// answer is an application's whole answer.
+	answer *answer
+}
+
+// answer is a whole HTTP answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run drives the state machine of one request. Its loop runs in the goroutine
+// of the caller's HTTP request.
+type run struct {
+	entry    *Entry
+	id       string
+	customer *fleet.Customer
+	service  *fleet.Service
+	policy   fleet.Policy
+	config   *configuration
+	load     routing.Load
+	arrived  time.Duration
+	// deadline and firstTokenBy are times since the entry's start.
+	deadline     time.Duration
+	firstTokenBy time.Duration
+	admissionID  uint64
+	spec         request.Spec
+	req          *request.Request
+	message      message
+	reservation  *reservation
+	sink         sink
+	trace        *trace
+
+	controls chan control
+	stream   chan streamEvent
+	caller   context.Context
+	// dispatched is true once an attempt was handed to a server.
+	dispatched atomic.Bool
+	ended      chan struct{}
+
+	// The loop alone uses what follows.
+	queue        []request.Event
+	attempt      *attempt
+	token        []byte
+	answer       *answer
+	replay       *answer
+	lastToken    time.Duration
+	firstTokenAt time.Duration
+	tokens       int
+	outcome      *request.Outcome
+}
+
+// message is the caller's HTTP request as it is sent on.
+type message struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+}
+
+// post hands an event to the request without blocking. The queue is longer
+// than what one request can be sent, so only repeated wishes can be lost.
+func (r *run) post(ev request.Event) {
+	select {
+	case r.controls <- control{event: ev}:
+	default:
+	}
+}
+
+func (r *run) drain() { r.post(request.Drain{}) }
+
+// serve runs the request to its outcome.
+func (r *run) serve() {
+	defer r.finish()
+	deadline := time.NewTimer(r.deadline - r.entry.now())
+	defer deadline.Stop()
+	gone := r.caller.Done()
+	r.step(request.Start{})
+	for r.outcome == nil {
+		select {
+		case c := <-r.controls:
+			r.step(c.event)
+			if c.handled != nil {
+				close(c.handled)
+			}
+		case ev := <-r.stream:
+			r.take(ev)
+		case <-deadline.C:
+			r.step(request.Tick{})
+		case <-gone:
+			gone = nil
+			r.step(request.CallerGone{})
+		}
+	}
+}
+
+func (r *run) take(ev streamEvent) {
+	r.token = ev.data
+	if ev.answer != nil {
+		r.answer = ev.answer
+	}
+	r.noteEnd(ev.event)
+	r.step(ev.event)
+}
+
+// noteEnd counts how the current attempt ended.
+func (r *run) noteEnd(ev request.Event) {
+	switch ev := ev.(type) {
+	case request.Completed:
+		if r.attempt != nil && r.attempt.number == ev.Attempt {
+			r.endAttempt(routing.ResultCompleted)
+		}
+	case request.Failed:
+		if r.attempt != nil && r.attempt.number == ev.Attempt {
+			r.trace.add(time.Now(), "attempt %d failed at %s: %s", ev.Attempt, ev.Failure.Peer, ev.Failure.Step)
+			r.endAttempt(resultOf(ev.Failure))
+		}
+	}
+}
+
+func resultOf(failure request.Failure) routing.Result {
+	switch failure.Phase {
+	case request.PhaseDial:
+		return routing.ResultConnectFailed
+	case request.PhaseRefused:
+		return routing.ResultRefused
+	default:
+		return routing.ResultFailed
+	}
+}
+
+// step feeds an event, and those that its effects give at once.
+func (r *run) step(ev request.Event) {
+	r.queue = append(r.queue, ev)
+	for len(r.queue) > 0 {
+		next := r.queue[0]
+		r.queue = r.queue[1:]
+		for _, effect := range r.req.Step(r.entry.now(), next) {
+			r.carryOut(effect)
+		}
+	}
+}
+
+func (r *run) carryOut(effect request.Effect) {
+	switch e := effect.(type) {
+	case request.Admit:
+		r.entry.policy.arrive(r)
+	case request.Reserve:
+		go r.reserve()
+	case request.Pick:
+		r.queue = append(r.queue, r.entry.policy.pick(r, e.Exclude))
+	case request.Dispatch:
+		r.dispatch(e)
+	case request.ResumeStream:
+		r.resume(e)
+	case request.CancelAttempt:
+		r.cancel(e)
+	case request.DropAttempt:
+		r.endAttempt(routing.ResultCancelled)
+	case request.MoveKV:
+		go r.moveKV(e)
+	case request.Forward:
+		r.forward(e)
+	case request.Backoff:
+		time.AfterFunc(e.Delay, func() { r.post(request.BackoffOver{}) })
+	case request.Record:
+		r.record(e)
+	case request.Respond:
+		r.respond(e.Outcome)
+	}
+}
+
+// forward hands the current token to the caller.
+func (r *run) forward(e request.Forward) {
+	now := r.entry.now()
+	if r.firstTokenAt == 0 {
+		r.firstTokenAt = now
+		r.entry.policy.firstToken(r)
+		r.entry.metrics.firstToken.WithLabelValues(r.service.Name).Observe((now - r.arrived).Seconds())
+	} else {
+		r.entry.metrics.tokenGap.WithLabelValues(r.service.Name).Observe((now - r.lastToken).Seconds())
+	}
+	r.lastToken = now
+	r.tokens++
+	r.attempt.token(now)
+	r.sink.token(r.token, r.req.Position())
+}
+
+func (r *run) respond(outcome request.Outcome) {
+	r.outcome = &outcome
+	switch outcome.Kind {
+	case request.OutcomeAnswered:
+		r.sink.complete(r.answer)
+	case request.OutcomeReplay:
+		r.sink.complete(r.replay)
+	default:
+		r.sink.refuse(outcome)
+	}
+}
+
+// finish gives back what the request holds and counts its outcome.
+func (r *run) finish() {
+	answered := r.outcome.Kind == request.OutcomeAnswered
+	r.endAttempt(routing.ResultCancelled)
+	r.entry.policy.leave(r, answered, r.tokens)
+	if answered {
+		r.entry.policy.success(r.service.Name, &r.policy)
+	}
+	r.count(answered)
+	r.trace.outcome = r.outcome
+	r.trace.dispatched = r.req.Dispatched()
+	r.trace.add(time.Now(), "ended: %s %s", kindName(r.outcome.Kind), r.outcome.Reason)
+	r.entry.history.put(r.trace)
+	close(r.ended)
+	r.entry.remove(r)
+}
+
+func (r *run) count(answered bool) {
+	m := r.entry.metrics
+	service := r.service.Name
+	m.outcomes.WithLabelValues(service, kindName(r.outcome.Kind), string(r.outcome.Reason)).Inc()
+	m.late.Add(float64(r.req.Late()))
+	m.recomputed.WithLabelValues(service).Add(float64(r.req.Recomputed()))
+	m.tokens.WithLabelValues(service).Add(float64(r.tokens))
+	if retries := r.req.Attempts() - 1; retries > 0 {
+		m.retries.WithLabelValues(service).Add(float64(retries))
+	}
+	if answered && r.service.Kind == fleet.ServiceApp {
+		m.firstToken.WithLabelValues(service).Observe((r.entry.now() - r.arrived).Seconds())
+	}
+	event := r.entry.logger.Info()
+	event.Str("step", "request").Str("request", r.id).Str("customer", r.customer.Name).Str("service", service).
+		Str("outcome", kindName(r.outcome.Kind)).Str("reason", string(r.outcome.Reason)).
+		Int("attempts", r.req.Attempts()).Int("tokens", r.tokens).
+		Dur("elapsed", r.entry.now()-r.arrived).Msg("request ended")
+}
+
+func kindName(kind request.OutcomeKind) string {
+	switch kind {
+	case request.OutcomeAnswered:
+		return "answered"
+	case request.OutcomeReplay:
+		return "replayed"
+	default:
+		return outcomeName(kind)
+	}
+}
+
+// Retry implements request.Retrier with the entry's budget.
+func (r *run) Retry(_ time.Duration, failure request.Failure, attempts int, handedOver bool) (time.Duration, bool) {
+	return r.entry.policy.decideRetry(retry.Attempt{
+		Service:    r.service.Name,
+		Error:      errorClass(failure),
+		Repeatable: r.spec.Repeatable,
+		HandedOver: handedOver,
+		Attempts:   attempts,
+		Deadline:   r.deadline,
+		Policy:     &r.policy,
+	})
+}
+
+func errorClass(failure request.Failure) retry.ErrorClass {
+	switch {
+	case failure.Permanent:
+		return retry.ErrorFinal
+	case failure.Phase == request.PhaseDial:
+		return retry.ErrorDial
+	case failure.Phase == request.PhaseRefused:
+		return retry.ErrorNotStarted
+	case failure.Silent:
+		return retry.ErrorTimeout
+	case failure.Status >= http.StatusInternalServerError:
+		return retry.ErrorServer
+	default:
+		return retry.ErrorConnectionLost
+	}
+}
--- /dev/null
+++ b/internal/entry/sink.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"waxwingcart/internal/core/eventid"
+	"waxwingcart/internal/core/request"
+)
+
+// sink writes a request's answer to its caller.
+type sink interface {
+	// token hands over one token; position is where the answer then stands.
+	token(data []byte, position request.Position)
+	// complete ends the whole answer.
+	complete(a *answer)
+	// refuse ends with an outcome that is not the whole answer.
+	refuse(outcome request.Outcome)
+}
+
+// appSink writes an application's answer.
+type appSink struct {
+	w         http.ResponseWriter
+	requestID string
+}
+
+func (s *appSink) token([]byte, request.Position) {}
+
+func (s *appSink) complete(a *answer) {
+	header := s.w.Header()
+	for name, values := range a.header {
+		if !hopByHop[name] {
+			header[name] = values
+		}
+	}
+	header.Set(headerRequestID, s.requestID)
+	header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	s.w.WriteHeader(a.status)
+	_, _ = s.w.Write(a.body)
+}
+
+func (s *appSink) refuse(outcome request.Outcome) {
+	writeRefusal(s.w, s.requestID, outcome)
+}
+
+// hopByHop lists the headers that belong to one connection.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// streamSink writes a model's answer as server-sent events.
+type streamSink struct {
+	w            http.ResponseWriter
+	controller   *http.ResponseController
+	requestID    string
+	service      string
+	incarnations func(server string) string
+	codec        *eventid.Codec
+	writeTimeout time.Duration
+	begun        bool
+}
+
+func (s *streamSink) token(data []byte, position request.Position) {
+	s.begin()
+	id := s.codec.Encode(eventid.ID{
+		Service:     s.service,
+		Server:      position.Server,
+		Incarnation: s.incarnations(position.Server),
+		Stream:      position.Stream,
+		Offset:      uint64(position.Next - 1),
+		Sum:         position.Sum,
+	})
+	s.event(id, "", data)
+}
+
+func (s *streamSink) begin() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	header := s.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	header.Set(headerRequestID, s.requestID)
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// event writes one event and hands it to the connection. A caller that does
+// not read is cut off after the write timeout.
+func (s *streamSink) event(id, kind string, data []byte) {
+	var b strings.Builder
+	b.Grow(len(id) + len(data) + 32)
+	if id != "" {
+		b.WriteString("id: " + id + "\n")
+	}
+	if kind != "" {
+		b.WriteString("event: " + kind + "\n")
+	}
+	b.WriteString("data: ")
+	b.Write(data)
+	b.WriteString("\n\n")
+	_ = s.controller.SetWriteDeadline(time.Now().Add(s.writeTimeout))
+	_, _ = s.w.Write([]byte(b.String()))
+	_ = s.controller.Flush()
+}
+
+func (s *streamSink) complete(*answer) {
+	s.begin()
+	s.event("", "", []byte("[DONE]"))
+}
+
+// refuse ends a stream that has begun with an error event and no [DONE], so
+// that a cut answer never looks complete.
+func (s *streamSink) refuse(outcome request.Outcome) {
+	if !s.begun {
+		writeRefusal(s.w, s.requestID, outcome)
+		return
+	}
+	data, _ := json.Marshal(errorBody{Error: detailOf(s.requestID, outcome)})
+	s.event("", "error", data)
+}
+
+// wholeSink collects a model's answer for a caller that does not stream.
+type wholeSink struct {
+	w         http.ResponseWriter
+	requestID string
+	chat      bool
+	prompt    int
+	text      strings.Builder
+	model     string
+	finish    string
+	tokens    int
+}
+
+func (s *wholeSink) token(data []byte, _ request.Position) {
+	var parsed chunk
+	if json.Unmarshal(data, &parsed) != nil {
+		return
+	}
+	s.tokens++
+	s.text.WriteString(parsed.content())
+	s.model = parsed.Model
+	for _, choice := range parsed.Choices {
+		if choice.FinishReason != "" {
+			s.finish = choice.FinishReason
+		}
+	}
+}
+
+// completion is the answer to a request that does not stream.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   completionUsage    `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int                `json:"index"`
+	Message      *completionMessage `json:"message,omitempty"`
+	Text         string             `json:"text,omitempty"`
+	FinishReason string             `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func (s *wholeSink) complete(*answer) {
+	choice := completionChoice{FinishReason: s.finish}
+	object := "text_completion"
+	if s.chat {
+		object = "chat.completion"
+		choice.Message = &completionMessage{Role: "assistant", Content: s.text.String()}
+	} else {
+		choice.Text = s.text.String()
+	}
+	body := completion{
+		ID:      s.requestID,
+		Object:  object,
+		Created: time.Now().Unix(),
+		Model:   s.model,
+		Choices: []completionChoice{choice},
+		Usage:   completionUsage{s.prompt, s.tokens, s.prompt + s.tokens},
+	}
+	s.w.Header().Set("Content-Type", "application/json")
+	s.w.Header().Set(headerRequestID, s.requestID)
+	_ = json.NewEncoder(s.w).Encode(body)
+}
+
+func (s *wholeSink) refuse(outcome request.Outcome) {
+	writeRefusal(s.w, s.requestID, outcome)
+}
