Replicated log: node, write-ahead log, message codec

Conclusion: a single voter commits over a real folder and goes on after a restart (internal/storage TestSingleVoter, with -race). Several nodes under faults are not yet tested.

--- /dev/null
+++ b/internal/codec/record.go
@@ -0,0 +1,79 @@
+package codec
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"waxwingcart/internal/core/replication"
+	"waxwingcart/internal/wire"
+)
+
+// Record is one batch of the write-ahead log.
+type Record struct {
+	HardState replication.HardState
+	Entries   []replication.Entry
+	// Installed is true if a snapshot replaced the log before Entries.
+	Installed     bool
+	SnapshotIndex uint64
+	SnapshotTerm  uint64
+}
+
+// AppendRecord appends the encoded record to buf.
+func AppendRecord(buf []byte, r *Record) ([]byte, error) {
+	w := wire.LogRecord{
+		Term:          r.HardState.Term,
+		Vote:          nodeIDToWire(r.HardState.Vote),
+		Commit:        r.HardState.Commit,
+		Entries:       entriesToWire(r.Entries),
+		Installed:     r.Installed,
+		SnapshotIndex: r.SnapshotIndex,
+		SnapshotTerm:  r.SnapshotTerm,
+	}
+	data, err := proto.MarshalOptions{}.MarshalAppend(buf, &w)
+	if err != nil {
+		return buf, fmt.Errorf("encode log record: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeRecord decodes a record and checks its shape.
+func DecodeRecord(data []byte) (Record, error) {
+	var w wire.LogRecord
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return Record{}, fmt.Errorf("decode log record: %w", err)
+	}
+	entries, err := entriesFromWire(w.GetEntries())
+	if err != nil {
+		return Record{}, fmt.Errorf("decode log record: %w", err)
+	}
+	return Record{
+		HardState: replication.HardState{
+			Term:   w.GetTerm(),
+			Vote:   nodeIDFromWire(w.GetVote()),
+			Commit: w.GetCommit(),
+		},
+		Entries:       entries,
+		Installed:     w.GetInstalled(),
+		SnapshotIndex: w.GetSnapshotIndex(),
+		SnapshotTerm:  w.GetSnapshotTerm(),
+	}, nil
+}
+
+// EncodeSnapshot encodes a snapshot for the disk.
+func EncodeSnapshot(s *replication.Snapshot) ([]byte, error) {
+	data, err := proto.Marshal(snapshotToWire(s))
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeSnapshot decodes a snapshot from the disk.
+func DecodeSnapshot(data []byte) (*replication.Snapshot, error) {
+	var w wire.LogSnapshot
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	return snapshotFromWire(&w), nil
+}
--- /dev/null
+++ b/internal/core/replication/election.go
@@ -0,0 +1,190 @@
+package replication
+
+import "time"
+
+// hear notes contact with a leader and postpones the next election.
+func (n *Node) hear() {
+	n.heard = true
+	n.heardAt = n.now
+	n.postponeElection()
+}
+
+// postponeElection draws a timeout in [1, 2) times the election timeout.
+func (n *Node) postponeElection() {
+	jitter := time.Duration(n.rand.Int64N(int64(n.opts.ElectionTimeout)))
+	n.electionAt = n.now + n.opts.ElectionTimeout + jitter
+}
+
+// refusesVotes is true while a leader may hold a lease that counts on this
+// node. It does not depend on the term: the lease of an older term's leader
+// holds until this node's silence has lasted for an election timeout.
+func (n *Node) refusesVotes() bool {
+	if n.lead != nil {
+		return true
+	}
+	return n.heard && n.now-n.heardAt < n.opts.ElectionTimeout
+}
+
+// becomeFollower takes over a term and its leader, if known. A leader gives up
+// what it had pending.
+func (n *Node) becomeFollower(term uint64, leader NodeID) {
+	if term > n.term {
+		n.term = term
+		n.vote = NodeID{}
+		n.writes.hardDirty = true
+	}
+	pending := n.lead
+	n.lead = nil
+	n.role = RoleFollower
+	n.leader = leader
+	n.votes = nil
+	if pending != nil {
+		n.postponeElection()
+		n.abandon(pending)
+	}
+}
+
+// abandon answers what a former leader had not finished.
+func (n *Node) abandon(l *leadership) {
+	for _, p := range l.pending {
+		n.reject(p.Token, RejectLost)
+	}
+	for _, r := range l.reads {
+		n.reject(r.token, RejectNotLeader)
+	}
+}
+
+// preCampaign asks whether an election could be won, without a new term.
+func (n *Node) preCampaign() {
+	n.postponeElection()
+	if n.refusesVotes() {
+		return
+	}
+	n.role = RolePreCandidate
+	n.leader = NodeID{}
+	n.votes = map[NodeID]bool{n.self(): true}
+	if n.hasVoteQuorum() {
+		n.campaign()
+		return
+	}
+	for _, voter := range n.log.membership().Voters {
+		if voter.ID != n.self() {
+			n.send(n.voteRequest(MessagePreVote, voter.ID, n.term+1))
+		}
+	}
+}
+
+// campaign starts an election. The own vote counts once it is synced.
+func (n *Node) campaign() {
+	n.becomeFollower(n.term+1, NodeID{})
+	n.role = RoleCandidate
+	n.vote = n.self()
+	n.votes = make(map[NodeID]bool)
+	n.sendSynced(Message{Kind: MessageVoteReply, To: n.self(), Granted: true})
+	for _, voter := range n.log.membership().Voters {
+		if voter.ID != n.self() {
+			n.sendSynced(n.voteRequest(MessageVote, voter.ID, n.term))
+		}
+	}
+}
+
+func (n *Node) voteRequest(kind MessageKind, to NodeID, term uint64) Message {
+	return Message{
+		Kind:      kind,
+		To:        to,
+		Term:      term,
+		PrevIndex: n.log.lastIndex(),
+		PrevTerm:  n.log.lastTerm(),
+	}
+}
+
+func (n *Node) hasVoteQuorum() bool {
+	membership := n.log.membership()
+	granted := 0
+	for _, voter := range membership.Voters {
+		if n.votes[voter.ID] {
+			granted++
+		}
+	}
+	return len(membership.Voters) > 0 && granted >= membership.Quorum()
+}
+
+func (n *Node) receivePreVote(m *Message) {
+	granted := m.Term > n.term && !n.refusesVotes() && n.log.upToDate(m.PrevIndex, m.PrevTerm)
+	reply := Message{Kind: MessagePreVoteReply, To: m.From, Granted: granted}
+	if granted {
+		reply.Term = m.Term
+		n.send(reply)
+		return
+	}
+	n.sendInTerm(reply)
+}
+
+func (n *Node) receivePreVoteReply(m *Message) {
+	if n.role != RolePreCandidate || !m.Granted || m.Term != n.term+1 {
+		return
+	}
+	n.votes[m.From] = true
+	if n.hasVoteQuorum() {
+		n.campaign()
+	}
+}
+
+// receiveVote handles a request of the present term.
+func (n *Node) receiveVote(m *Message) {
+	free := n.vote.IsZero() && n.leader.IsZero()
+	granted := (free || n.vote == m.From) && !n.refusesVotes() && n.log.upToDate(m.PrevIndex, m.PrevTerm)
+	if granted && n.vote != m.From {
+		n.vote = m.From
+		n.writes.hardDirty = true
+		n.postponeElection()
+	}
+	n.sendSynced(Message{Kind: MessageVoteReply, To: m.From, Granted: granted})
+}
+
+func (n *Node) receiveVoteReply(m *Message) {
+	if n.role != RoleCandidate || !m.Granted {
+		return
+	}
+	n.votes[m.From] = true
+	if n.hasVoteQuorum() {
+		n.becomeLeader()
+	}
+}
+
+// resign gives up lease and role. The lease of this term is never taken up
+// again, so the others need not wait for it.
+func (n *Node) resign() {
+	if n.lead == nil {
+		return
+	}
+	for _, member := range n.others() {
+		n.send(Message{Kind: MessageResign, To: member.ID})
+	}
+	n.becomeFollower(n.term, NodeID{})
+}
+
+// receiveResign lets a voter campaign at once, spread over a heartbeat
+// interval so that votes are rarely split.
+func (n *Node) receiveResign(m *Message) {
+	if m.Term != n.term || n.leader != m.From || n.lead != nil {
+		return
+	}
+	n.leader = NodeID{}
+	n.heard = false
+	n.electionAt = n.now + time.Duration(n.rand.Int64N(int64(n.opts.HeartbeatInterval)))
+}
+
+// others returns all members but the node itself, voters first.
+func (n *Node) others() []Member {
+	membership := n.log.membership()
+	members := make([]Member, 0, len(membership.Voters)+len(membership.Learners))
+	for _, list := range [][]Member{membership.Voters, membership.Learners} {
+		for _, member := range list {
+			if member.ID != n.self() {
+				members = append(members, member)
+			}
+		}
+	}
+	return members
+}
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -82,8 +82,23 @@
 	// MaxClockDrift is the largest relative difference in the rate of two
 	// nodes' clocks, as a fraction.
 	MaxClockDrift float64
-	// MaxBatchBytes bounds the entries of one append message.
+	// MaxBatchBytes bounds the entries of one append message, in bytes.
 	MaxBatchBytes int
+	// MaxInflight bounds the append messages to one peer that are not yet
+	// acknowledged.
+	MaxInflight int
+	// MaxPendingBytes bounds the data of proposals that are appended but not
+	// yet committed; beyond it proposals are rejected with RejectBusy.
+	MaxPendingBytes int
+	// RetainEntries is how many entries before a snapshot are kept in memory
+	// for peers that lag.
+	RetainEntries uint64
+	// TargetVoters is the number of voters that the leader grows to and
+	// repairs towards. Zero leaves the membership to ProposeMembership.
+	TargetVoters int
+	// MinVoters is the number of voters below which commands are rejected
+	// with RejectBusy, so that nothing is accepted on too few disks.
+	MinVoters int
 	// ReplaceAfter is how long a voter may be silent before the leader
 	// replaces it with a caught-up learner.
 	ReplaceAfter time.Duration
@@ -127,6 +142,18 @@
 	Membership Membership
 }
 
+// Join asks the leader to take a node in as a learner. It is answered under
+// its token by Appended once the membership holds the node, and by Rejected
+// otherwise; the caller asks again until it is a member.
+type Join struct {
+	Token  uint64
+	Member Member
+}
+
+// Resign makes a leader give up its lease and its role at once and lets the
+// others elect a leader without waiting for a timeout.
+type Resign struct{}
+
 // Read asks for an index at which a read of the state machine is
 // linearizable.
 type Read struct{ Token uint64 }
@@ -143,6 +170,8 @@
 func (Persisted) isEvent()         {}
 func (Propose) isEvent()           {}
 func (ProposeMembership) isEvent() {}
+func (Join) isEvent()              {}
+func (Resign) isEvent()            {}
 func (Read) isEvent()              {}
 func (Applied) isEvent()           {}
 func (Compacted) isEvent()         {}
@@ -154,12 +183,12 @@
 	// Send may be sent at once; messages that need a sync are held back by
 	// the node until it is reported.
 	Send []Message
-	// Install replaces the state machine's state.
+	// Install replaces the state machine's state. The snapshot is synced.
 	Install *Snapshot
-	// Committed must be applied in order.
+	// Committed must be applied in order. The entries are synced here.
 	Committed []Entry
-	// Results answers proposals that will not be applied under their token;
-	// accepted ones are answered by the token in Appended.
+	// Rejected answers proposals, joins and reads that will not be done under
+	// their token; accepted proposals are answered by the token in Appended.
 	Rejected []Rejection
 	// Appended gives the index and term at which proposals were appended.
 	Appended []AppendedProposal
@@ -194,8 +223,11 @@
 // stepped down is reported with RejectLost: it may still be committed.
 const (
 	RejectNotLeader RejectReason = iota
+	// RejectMembership: the change is not allowed, or another is under way.
 	RejectMembership
 	RejectLost
+	// RejectBusy: too much is pending, too few voters, or the leader has not
+	// heard from a quorum within its lease.
 	RejectBusy
 )
 
@@ -244,6 +276,8 @@
 	MessageHeartbeat
 	MessageHeartbeatReply
 	MessageSnapshot
+	// MessageResign says that the leader of Term gave up its lease and role.
+	MessageResign
 )
 
 // Message travels between two nodes. It may be lost, repeated, delayed and
@@ -254,7 +288,7 @@
 	To   NodeID
 	Term uint64
 	// PrevIndex and PrevTerm name the entry before Entries in an append, and
-	// the candidate's last entry in a vote.
+	// the candidate's last entry in a vote. A rejection repeats PrevIndex.
 	PrevIndex uint64
 	PrevTerm  uint64
 	Entries   []Entry
@@ -262,7 +296,8 @@
 	// Granted is the answer to a vote; Rejected of an append.
 	Granted  bool
 	Rejected bool
-	// Index is the last matching index of a reply, or a hint if Rejected.
+	// Index is the last matching index of an append's reply, or a hint if
+	// Rejected; the last index of the log in a heartbeat's reply.
 	Index uint64
 	// Round numbers heartbeats, for leases and reads.
 	Round    uint64
--- /dev/null
+++ b/internal/storage/files.go
@@ -0,0 +1,123 @@
+package storage
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// file is an open file that is written from its start or its end on.
+type file interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+// fileSystem is what the package needs of the operating system. Tests replace
+// it by one that fails or loses what was not synced.
+type fileSystem interface {
+	MkdirAll(path string) error
+	// Create makes a new file; it fails if the file exists.
+	Create(path string) (file, error)
+	OpenAppend(path string) (file, error)
+	ReadFile(path string) ([]byte, error)
+	// ReadDir returns the names in a folder in order.
+	ReadDir(path string) ([]string, error)
+	Rename(from, to string) error
+	Remove(path string) error
+	// SyncDir syncs the entries of a folder.
+	SyncDir(path string) error
+	// Lock takes the folder for this process until closed.
+	Lock(path string) (io.Closer, error)
+}
+
+type osFileSystem struct{}
+
+const (
+	filePermissions   = 0o600
+	folderPermissions = 0o700
+)
+
+func (osFileSystem) MkdirAll(path string) error { return os.MkdirAll(path, folderPermissions) }
+
+func (osFileSystem) Create(path string) (file, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, filePermissions)
+}
+
+func (osFileSystem) OpenAppend(path string) (file, error) {
+	return os.OpenFile(path, os.O_APPEND|os.O_WRONLY, filePermissions)
+}
+
+func (osFileSystem) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+func (osFileSystem) ReadDir(path string) ([]string, error) {
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+func (osFileSystem) Rename(from, to string) error { return os.Rename(from, to) }
+
+func (osFileSystem) Remove(path string) error { return os.Remove(path) }
+
+func (osFileSystem) SyncDir(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return dir.Sync()
+}
+
+func (osFileSystem) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, filePermissions)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("in use by another process: %w", err)
+	}
+	return f, nil
+}
+
+// temporarySuffix marks files that are not complete.
+const temporarySuffix = ".tmp"
+
+// writeFile makes a file appear under its name complete and synced, or not at
+// all.
+func writeFile(fs fileSystem, path string, parts ...[]byte) error {
+	temporary := path + temporarySuffix
+	f, err := fs.Create(temporary)
+	if err != nil {
+		return err
+	}
+	if err := writeSynced(f, parts...); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := fs.Rename(temporary, path); err != nil {
+		return err
+	}
+	return fs.SyncDir(filepath.Dir(path))
+}
+
+func writeSynced(f file, parts ...[]byte) error {
+	for _, part := range parts {
+		if _, err := f.Write(part); err != nil {
+			return err
+		}
+	}
+	return f.Sync()
+}
--- /dev/null
+++ b/internal/storage/log_test.go
@@ -0,0 +1,80 @@
+package storage
+
+import (
+	"testing"
+	"time"
+
+	"waxwingcart/internal/core/replication"
+)
+
+// TestSingleVoter drives a node over a real folder through two starts.
+func TestSingleVoter(t *testing.T) {
+	dir := t.TempDir()
+	for start := range 2 {
+		l, err := Open(dir, Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		self := replication.Member{
+			ID:   replication.NodeID{VM: "vm-1", Incarnation: l.Incarnation()},
+			Zone: "kochi-a",
+		}
+		if l.Empty() {
+			if start != 0 {
+				t.Fatal("folder is empty after a restart")
+			}
+			first := replication.Bootstrap([]replication.Member{self})
+			if err := l.SaveSnapshot(*first.Snapshot); err != nil {
+				t.Fatal(err)
+			}
+		}
+		n, err := replication.New(replication.Options{Self: self}, l.Restored())
+		if err != nil {
+			t.Fatal(err)
+		}
+		commands := runAlone(t, n, l)
+		if commands != start+1 {
+			t.Fatalf("start %d: %d commands committed, want %d", start, commands, start+1)
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// runAlone proposes one command and counts the committed ones.
+func runAlone(t *testing.T, n *replication.Node, l *Log) int {
+	t.Helper()
+	commands := 0
+	proposed := false
+	step := func(now time.Duration, ev replication.Event) {
+		queue := []replication.Event{ev}
+		for len(queue) > 0 {
+			effects := n.Step(now, queue[0])
+			queue = queue[1:]
+			if effects.Persist != nil {
+				if err := l.Write(effects.Persist); err != nil {
+					t.Fatal(err)
+				}
+				queue = append(queue, replication.Persisted{Sequence: effects.Persist.Sequence})
+			}
+			for _, e := range effects.Committed {
+				if e.Kind == replication.EntryCommand {
+					commands++
+				}
+			}
+		}
+	}
+	for i := range 100 {
+		now := time.Duration(i) * 50 * time.Millisecond
+		step(now, replication.Tick{})
+		if !proposed && n.Status().Role == replication.RoleLeader {
+			proposed = true
+			step(now, replication.Propose{Token: 1, Data: []byte("command")})
+		}
+	}
+	if until, ok := n.LeaseUntil(); !ok || until <= 99*50*time.Millisecond {
+		t.Fatalf("no lease: until %v, %v", until, ok)
+	}
+	return commands
+}
