--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"unicode"
 
 	"github.com/tailscale/hujson"
 )
@@ -62,16 +63,26 @@
 		File:    d.file,
 		Line:    line,
 		Column:  column,
-		Path:    path,
-		Message: message,
+		Path:    printable(path),
+		Message: printable(message),
 	})
 }
 
+// printable replaces what would break a problem's line.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return unicode.ReplacementChar
+	}, s)
+}
+
 // reportPath adds a problem with the value at a path, or with the nearest
 // value around it. It adds none for a value that could not be decoded.
 func (d *document) reportPath(path, message string) {
 	for _, problem := range d.problems {
-		if within(path, problem.Path) {
+		if within(printable(path), problem.Path) {
 			return
 		}
 	}
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -23,8 +23,10 @@
 	Replicas []Peer `json:"replicas"`
 	// Entries lists the peer addresses of other entries.
 	Entries []Peer `json:"entries,omitempty"`
-	// Bootstrap lets a replica with an empty disk found the first membership,
-	// which is Replicas.
+	// Bootstrap lets a replica with an empty disk start the deployment's log,
+	// which the other replicas join. Exactly one replica has it, and only until
+	// the deployment runs: a VM that came back without its disk would start a
+	// second log.
 	Bootstrap bool `json:"bootstrap,omitempty"`
 	// PeerKeyFile holds the key that processes of the deployment share.
 	PeerKeyFile string `json:"peer_key_file"`
