--- a/internal/codec/snapshot.go
+++ b/internal/codec/snapshot.go
@@ -58,7 +58,7 @@
 
 func countParts(s *state.Snapshot) uint64 {
 	tombstones := (len(s.Tombstones) + tombstonesPerPart - 1) / tombstonesPerPart
-	return uint64(len(s.Items) + len(s.History) + len(s.ChangeAnswers) + tombstones + len(s.Records))
+	return uint64(len(s.Items) + len(s.History) + len(s.ChangeAnswers) + tombstones + s.RecordCount())
 }
 
 // stateParts yields the messages after the header.
@@ -87,8 +87,8 @@
 				return
 			}
 		}
-		for i := range s.Records {
-			w := storedToWire(&s.Records[i])
+		for rec := range s.AllRecords() {
+			w := storedToWire(&rec)
 			if !yield(&wire.StatePart{Body: &wire.StatePart_Record{Record: w}}) {
 				return
 			}
--- a/internal/core/fleet/document.go
+++ b/internal/core/fleet/document.go
@@ -12,25 +12,17 @@
 // items it touches. It is not safe for concurrent use.
 type Document struct {
 	defaults   Policy
-	zones      map[string]Zone
-	classes    map[string]MachineClass
-	services   map[string]Service
-	servers    map[string]BackendServer
-	customers  map[string]Customer
-	exceptions map[string]Exception
+	zones      collection[Zone]
+	classes    collection[MachineClass]
+	services   collection[Service]
+	servers    collection[BackendServer]
+	customers  collection[Customer]
+	exceptions collection[Exception]
 }
 
 // NewDocument returns a document with the default policy and nothing else.
 func NewDocument() *Document {
-	return &Document{
-		defaults:   DefaultPolicy(),
-		zones:      make(map[string]Zone),
-		classes:    make(map[string]MachineClass),
-		services:   make(map[string]Service),
-		servers:    make(map[string]BackendServer),
-		customers:  make(map[string]Customer),
-		exceptions: make(map[string]Exception),
-	}
+	return &Document{defaults: DefaultPolicy()}
 }
 
 // Put sets an item, or removes it if its JSON is empty. On an error the
@@ -45,17 +37,17 @@
 	}
 	switch kind + "/" {
 	case pathZones:
-		return put(d.zones, name, item)
+		return d.zones.put(name, item)
 	case pathClasses:
-		return put(d.classes, name, item)
+		return d.classes.put(name, item)
 	case pathServices:
-		return put(d.services, name, item)
+		return d.services.put(name, item)
 	case pathBackendServers:
-		return put(d.servers, name, item)
+		return d.servers.put(name, item)
 	case pathCustomers:
-		return put(d.customers, name, item)
+		return d.customers.put(name, item)
 	case pathExceptions:
-		return put(d.exceptions, name, item)
+		return d.exceptions.put(name, item)
 	}
 	return fmt.Errorf("configuration item %q: unknown path", item.Path)
 }
@@ -71,40 +63,53 @@
 	return nil
 }
 
-func put[T any](values map[string]T, name string, item Item) error {
+// Config returns the document as one configuration. Results share lists with
+// each other and with the document and must not be changed.
+func (d *Document) Config() *Config {
+	return &Config{
+		Defaults:       d.defaults,
+		Zones:          d.zones.list(),
+		Classes:        d.classes.list(),
+		Services:       d.services.list(),
+		BackendServers: d.servers.list(),
+		Customers:      d.customers.list(),
+		Exceptions:     d.exceptions.list(),
+	}
+}
+
+// collection holds the elements of one list by name.
+type collection[T any] struct {
+	values map[string]T
+	// sorted is the list in order of name; it is shared by configurations
+	// until an element changes, and nil then.
+	sorted []T
+}
+
+func (c *collection[T]) put(name string, item Item) error {
 	if len(item.JSON) == 0 {
-		delete(values, name)
+		delete(c.values, name)
+		c.sorted = nil
 		return nil
 	}
 	var value T
 	if err := json.Unmarshal(item.JSON, &value); err != nil {
 		return fmt.Errorf("configuration item %q: %w", item.Path, err)
 	}
-	values[name] = value
-	return nil
-}
-
-// Config returns the document as one configuration. The result shares maps and
-// slices inside its list elements with the document and must not be changed.
-func (d *Document) Config() *Config {
-	return &Config{
-		Defaults:       d.defaults,
-		Zones:          sorted(d.zones),
-		Classes:        sorted(d.classes),
-		Services:       sorted(d.services),
-		BackendServers: sorted(d.servers),
-		Customers:      sorted(d.customers),
-		Exceptions:     sorted(d.exceptions),
+	if c.values == nil {
+		c.values = make(map[string]T)
 	}
+	c.values[name] = value
+	c.sorted = nil
+	return nil
 }
 
-func sorted[T any](values map[string]T) []T {
-	if len(values) == 0 {
-		return nil
+func (c *collection[T]) list() []T {
+	if c.sorted != nil || len(c.values) == 0 {
+		return c.sorted
 	}
-	list := make([]T, 0, len(values))
-	for _, name := range slices.Sorted(maps.Keys(values)) {
-		list = append(list, values[name])
+	c.sorted = make([]T, 0, len(c.values))
+	for _, name := range slices.Sorted(maps.Keys(c.values)) {
+		c.sorted = append(c.sorted, c.values[name])
 	}
-	return list
+	return c.sorted
 }
--- a/internal/core/state/config.go
+++ b/internal/core/state/config.go
@@ -47,9 +47,14 @@
 	options  Options
 	revision uint64
 	items    map[string][]byte
+	// itemBytes is the size of items.
+	itemBytes int
+	// whole is the configuration as one delta, nil until it is asked for.
+	whole *Delta
 	// last is the newest change without its items.
 	last Delta
-	// history holds deltas without a gap, up to revision.
+	// history holds deltas without a gap, up to revision. Snapshots share its
+	// elements, so they are not overwritten.
 	history      []Delta
 	historyBytes int
 	answers      map[string]ChangeAnswer
@@ -65,21 +70,39 @@
 	}
 }
 
-func (c *config) prepare(request ChangeRequest) ChangeConfig {
-	change := ChangeConfig{
+// ParsedChange is a ChangeRequest whose configuration was parsed and checked.
+type ParsedChange struct {
+	change ChangeConfig
+	items  map[string][]byte
+}
+
+// ParseChange does the part of preparing a change that takes long and needs no
+// machine. It may run in any goroutine.
+func ParseChange(request ChangeRequest) ParsedChange {
+	parsed := ParsedChange{change: ChangeConfig{
 		ChangeID:     request.ChangeID,
 		BaseRevision: request.BaseRevision,
 		Author:       request.Author,
 		Digest:       request.digest(),
-	}
+	}}
 	items, err := flattenValid(request.JSON)
+	if err != nil {
+		parsed.change.Invalid = err.Error()
+	}
+	parsed.items = items
+	return parsed
+}
+
+// prepare reduces a valid change to what differs, if the machine knows the
+// base revision.
+func (c *config) prepare(parsed ParsedChange) ChangeConfig {
+	change := parsed.change
 	switch {
-	case err != nil:
-		change.Invalid = err.Error()
-	case request.BaseRevision == c.revision:
-		change.Items = fleet.Diff(c.items, items)
+	case change.Invalid != "":
+	case change.BaseRevision == c.revision:
+		change.Items = fleet.Diff(c.items, parsed.items)
 	default:
-		change.Items = fleet.Diff(nil, items)
+		change.Items = fleet.Diff(nil, parsed.items)
 		change.Complete = true
 	}
 	return change
@@ -188,12 +211,9 @@
 
 func (c *config) accept(delta Delta) {
 	for _, item := range delta.Items {
-		if len(item.JSON) == 0 {
-			delete(c.items, item.Path)
-			continue
-		}
-		c.items[item.Path] = item.JSON
+		c.put(item)
 	}
+	c.whole = nil
 	c.revision = delta.Revision
 	c.last = delta
 	c.last.Items = nil
@@ -202,10 +222,20 @@
 	c.trimHistory()
 }
 
+func (c *config) put(item fleet.Item) {
+	if before, ok := c.items[item.Path]; ok {
+		c.itemBytes -= len(item.Path) + len(before)
+		delete(c.items, item.Path)
+	}
+	if len(item.JSON) > 0 {
+		c.itemBytes += len(item.Path) + len(item.JSON)
+		c.items[item.Path] = item.JSON
+	}
+}
+
 func (c *config) trimHistory() {
 	for len(c.history) > 0 && (len(c.history) > c.options.HistoryLimit || c.historyBytes > c.options.HistoryBytes) {
 		c.historyBytes -= deltaBytes(c.history[0])
-		c.history[0] = Delta{}
 		c.history = c.history[1:]
 	}
 }
@@ -239,18 +269,34 @@
 	if revision >= c.revision {
 		return nil, false
 	}
-	if i := c.historyIndex(revision + 1); i >= 0 {
-		return slices.Clone(c.history[i:]), false
+	i := c.historyIndex(revision + 1)
+	if i < 0 || c.exceedsWhole(c.history[i:]) {
+		return []Delta{c.complete()}, true
+	}
+	return slices.Clone(c.history[i:]), false
+}
+
+// exceedsWhole reports whether deltas are larger than the configuration.
+func (c *config) exceedsWhole(deltas []Delta) bool {
+	n := 0
+	for _, delta := range deltas {
+		n += deltaBytes(delta)
+		if n > c.itemBytes {
+			return true
+		}
 	}
-	return []Delta{c.complete()}, true
+	return false
 }
 
 // complete returns the whole configuration as one delta.
 func (c *config) complete() Delta {
-	delta := c.last
-	delta.Complete = true
-	delta.Items = fleet.Diff(nil, c.items)
-	return delta
+	if c.whole == nil {
+		delta := c.last
+		delta.Complete = true
+		delta.Items = fleet.Diff(nil, c.items)
+		c.whole = &delta
+	}
+	return *c.whole
 }
 
 func (c *config) newest(n int) []Delta {
--- a/internal/core/state/machine.go
+++ b/internal/core/state/machine.go
@@ -112,7 +112,7 @@
 
 // DeltasSince returns what a process with the given revision lacks, in
 // ascending order. If complete is true, the one delta holds the whole
-// configuration. A process that lacks nothing, or is ahead, gets none.
+// configuration, as the history is too short or larger than that. A process that lacks nothing, or is ahead, gets none.
 func (m *Machine) DeltasSince(revision uint64) (deltas []Delta, complete bool) {
 	return m.config.deltasSince(revision)
 }
@@ -123,5 +123,10 @@
 // Prepare turns an operator's request into the command to propose: it parses,
 // validates and flattens the configuration.
 func (m *Machine) Prepare(request ChangeRequest) ChangeConfig {
-	return m.config.prepare(request)
+	return m.PrepareParsed(ParseChange(request))
+}
+
+// PrepareParsed is the part of Prepare that needs the machine.
+func (m *Machine) PrepareParsed(parsed ParsedChange) ChangeConfig {
+	return m.config.prepare(parsed)
 }
--- a/internal/core/state/records.go
+++ b/internal/core/state/records.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"container/heap"
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
@@ -54,17 +53,12 @@
 	address string
 }
 
-// slab is the number of records allocated at once.
-const slab = 4_096
-
 // records holds the idempotency records by key. Each record is in one list of
 // the expiry queue, at its expiry or earlier.
 type records struct {
 	options     Options
 	slots       map[keyHash]uint32
-	slabs       [][]record
-	free        uint32
-	used        uint32
+	store       store
 	owners      map[ownerKey]*owner
 	queue       expiryQueue
 	tombstones  tombstones
@@ -75,7 +69,7 @@
 	return records{
 		options:    options,
 		slots:      make(map[keyHash]uint32),
-		free:       none,
+		store:      newStore(),
 		owners:     make(map[ownerKey]*owner),
 		queue:      newExpiryQueue(),
 		tombstones: newTombstones(options.TombstoneLimit),
@@ -99,16 +93,22 @@
 
 func (r *records) count() int { return len(r.slots) }
 
-func (r *records) at(slot uint32) *record {
-	return &r.slabs[slot/slab][slot%slab]
+// find returns a key's record for reading, or nil.
+func (r *records) find(key keyHash) *record {
+	slot, ok := r.slots[key]
+	if !ok {
+		return nil
+	}
+	return r.store.at(slot)
 }
 
-func (r *records) find(key keyHash) *record {
+// edit returns a key's record for writing, or nil.
+func (r *records) edit(key keyHash) *record {
 	slot, ok := r.slots[key]
 	if !ok {
 		return nil
 	}
-	return r.at(slot)
+	return r.store.edit(slot)
 }
 
 func (r *records) lookup(key keyHash) RecordView {
@@ -140,7 +140,7 @@
 	key := hashKey(c.Key)
 	digest := [16]byte(c.Digest[:16])
 	expiry := expiryUnit(timeMS + max(0, c.RetentionMS))
-	rec := r.find(key)
+	rec := r.edit(key)
 	if rec == nil {
 		return r.reserveNew(key, digest, expiry, c)
 	}
@@ -167,13 +167,13 @@
 	if len(r.slots) >= r.options.RecordLimit {
 		return ReserveResult{Full: true}
 	}
-	slot := r.allocate()
-	rec := r.at(slot)
+	slot := r.store.allocate()
+	rec := r.store.edit(slot)
 	rec.key = key
 	rec.digest = digest
 	r.take(rec, expiry, c)
 	r.slots[key] = slot
-	r.queue.push(r, slot, rec.expiry)
+	r.queue.push(&r.store, slot, rec.expiry)
 	return ReserveResult{Granted: true, Record: rec.view()}
 }
 
@@ -210,23 +210,9 @@
 	return o
 }
 
-func (r *records) allocate() uint32 {
-	if r.free != none {
-		slot := r.free
-		r.free = r.at(slot).next
-		*r.at(slot) = record{}
-		return slot
-	}
-	if r.used%slab == 0 {
-		r.slabs = append(r.slabs, make([]record, slab))
-	}
-	r.used++
-	return r.used - 1
-}
-
 func (r *records) record(c Record) RecordResult {
 	key := hashKey(c.Key)
-	rec := r.find(key)
+	rec := r.edit(key)
 	if rec == nil {
 		return RecordResult{State: r.lookup(key).State}
 	}
@@ -287,10 +273,10 @@
 	var expired []uint32
 	slot := r.queue.pop()
 	for slot != none {
-		rec := r.at(slot)
+		rec := r.store.at(slot)
 		next := rec.next
 		if rec.expiry > unit {
-			r.queue.push(r, slot, rec.expiry)
+			r.queue.push(&r.store, slot, rec.expiry)
 		} else {
 			expired = append(expired, slot)
 		}
@@ -299,7 +285,7 @@
 	// Tombstones are kept in order of age, which must be the same on every
 	// replica.
 	slices.SortFunc(expired, func(a, b uint32) int {
-		return slices.Compare(r.at(a).key[:], r.at(b).key[:])
+		return slices.Compare(r.store.at(a).key[:], r.store.at(b).key[:])
 	})
 	for _, slot := range expired {
 		r.drop(timeMS, slot)
@@ -310,14 +296,13 @@
 // drop removes a record. A key that is known not to have run needs no
 // tombstone.
 func (r *records) drop(timeMS int64, slot uint32) {
-	rec := r.at(slot)
+	rec := r.store.edit(slot)
 	if rec.state != RecordNotRun {
 		r.tombstones.add(rec.key, expiryUnit(timeMS+TombstoneMS))
 	}
 	delete(r.slots, rec.key)
 	r.release(rec)
-	*rec = record{next: r.free}
-	r.free = slot
+	r.store.release(slot)
 }
 
 // expiryUnit rounds a time up to units.
@@ -334,48 +319,3 @@
 func clampUnit(units int64) uint32 {
 	return uint32(min(max(units, 0), int64(none)))
 }
-
-// expiryQueue lists slots by expiry.
-type expiryQueue struct {
-	heads map[uint32]uint32
-	units unitHeap
-}
-
-func newExpiryQueue() expiryQueue {
-	return expiryQueue{heads: make(map[uint32]uint32)}
-}
-
-func (q *expiryQueue) empty() bool   { return len(q.units) == 0 }
-func (q *expiryQueue) first() uint32 { return q.units[0] }
-
-func (q *expiryQueue) push(r *records, slot, unit uint32) {
-	head, ok := q.heads[unit]
-	if !ok {
-		head = none
-		heap.Push(&q.units, unit)
-	}
-	r.at(slot).next = head
-	q.heads[unit] = slot
-}
-
-// pop removes the first unit and returns its first slot.
-func (q *expiryQueue) pop() uint32 {
-	unit := heap.Pop(&q.units).(uint32)
-	head := q.heads[unit]
-	delete(q.heads, unit)
-	return head
-}
-
-// unitHeap is a min-heap for container/heap.
-type unitHeap []uint32
-
-func (h unitHeap) Len() int           { return len(h) }
-func (h unitHeap) Less(i, j int) bool { return h[i] < h[j] }
-func (h unitHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *unitHeap) Push(x any)        { *h = append(*h, x.(uint32)) }
-func (h *unitHeap) Pop() any {
-	last := len(*h) - 1
-	x := (*h)[last]
-	*h = (*h)[:last]
-	return x
-}
--- a/internal/core/state/replay_test.go
+++ b/internal/core/state/replay_test.go
@@ -168,6 +168,31 @@
 	})
 }
 
+// A snapshot is encoded by another goroutine while the machine goes on.
+func TestSnapshotDoesNotChange(t *testing.T) {
+	base := readSmall(t)
+	rapid.Check(t, func(t *rapid.T) {
+		m := state.New(smallOptions)
+		run := func() {
+			for range rapid.IntRange(0, 30).Draw(t, "commands") {
+				m.Apply(m.Applied()+1, 1, drawCommand(t, m, base))
+			}
+		}
+		run()
+		want := encode(t, m)
+		snapshot := m.Snapshot()
+		encoded := make(chan []byte)
+		go func() {
+			data, _ := codec.EncodeState(snapshot)
+			encoded <- data
+		}()
+		run()
+		if got := <-encoded; !bytes.Equal(got, want) {
+			t.Fatal("the snapshot changed with the machine")
+		}
+	})
+}
+
 // oracle follows what callers and owners are told and checks that it agrees.
 type oracle struct {
 	machine *state.Machine
--- a/internal/core/state/snapshot.go
+++ b/internal/core/state/snapshot.go
@@ -2,8 +2,9 @@
 
 import (
 	"iter"
-	"maps"
 	"slices"
+
+	"waxwingcart/internal/core/fleet"
 )
 
 // Snapshot is a copy of a machine's state. It does not change when the machine
@@ -20,8 +21,11 @@
 	// ChangeAnswers and Tombstones are in order of age, oldest first.
 	ChangeAnswers []ChangeAnswer
 	Tombstones    []Tombstone
-	// Records are in order of key.
+	// Records of a decoded snapshot, in order of key; see AllRecords.
 	Records []StoredRecord
+	// frozen holds the records of a machine's own snapshot.
+	frozen frozen
+	count  int
 }
 
 // StoredRecord is an idempotency record as a snapshot holds it.
@@ -38,7 +42,27 @@
 	Expiry uint32
 }
 
-// Snapshot returns a copy of the state.
+// RecordCount returns the number of records.
+func (s *Snapshot) RecordCount() int { return s.count + len(s.Records) }
+
+// AllRecords yields the records in order of key. It sorts them first.
+func (s *Snapshot) AllRecords() iter.Seq[StoredRecord] {
+	return func(yield func(StoredRecord) bool) {
+		for rec := range s.frozen.inOrder() {
+			if !yield(rec.stored()) {
+				return
+			}
+		}
+		for _, rec := range s.Records {
+			if !yield(rec) {
+				return
+			}
+		}
+	}
+}
+
+// Snapshot returns a copy of the state. It shares what does not change, so
+// that it takes little time at any number of records.
 func (m *Machine) Snapshot() *Snapshot {
 	s := &Snapshot{
 		Applied:    m.applied,
@@ -46,32 +70,17 @@
 		Revision:   m.config.revision,
 		Last:       m.config.last,
 		Items:      m.config.copyItems(),
-		History:    slices.Clone(m.config.history),
-		Tombstones: slices.Clone(m.records.tombstones.order),
-		Records:    make([]StoredRecord, 0, m.records.count()),
+		History:    slices.Clip(m.config.history),
+		Tombstones: slices.Clip(m.records.tombstones.order),
+		frozen:     m.records.store.freeze(),
+		count:      m.records.count(),
 	}
 	for _, id := range m.config.answerOrder {
 		s.ChangeAnswers = append(s.ChangeAnswers, m.config.answers[id])
 	}
-	for rec := range m.records.all() {
-		s.Records = append(s.Records, rec.stored())
-	}
-	slices.SortFunc(s.Records, func(a, b StoredRecord) int {
-		return slices.Compare(a.KeyHash[:], b.KeyHash[:])
-	})
 	return s
 }
 
-func (r *records) all() iter.Seq[*record] {
-	return func(yield func(*record) bool) {
-		for _, slot := range r.slots {
-			if !yield(r.at(slot)) {
-				return
-			}
-		}
-	}
-}
-
 func (rec *record) stored() StoredRecord {
 	return StoredRecord{
 		KeyHash:      rec.key,
@@ -97,9 +106,8 @@
 func (c *config) restore(s *Snapshot) {
 	c.revision = s.Revision
 	c.last = s.Last
-	c.items = maps.Clone(s.Items)
-	if c.items == nil {
-		c.items = make(map[string][]byte)
+	for path, json := range s.Items {
+		c.put(fleet.Item{Path: path, JSON: json})
 	}
 	c.history = slices.Clone(s.History)
 	for _, delta := range c.history {
@@ -114,14 +122,14 @@
 	for _, tombstone := range s.Tombstones {
 		r.tombstones.insert(tombstone)
 	}
-	for i := range s.Records {
-		r.restoreRecord(&s.Records[i])
+	for rec := range s.AllRecords() {
+		r.restoreRecord(&rec)
 	}
 }
 
 func (r *records) restoreRecord(s *StoredRecord) {
-	slot := r.allocate()
-	*r.at(slot) = record{
+	slot := r.store.allocate()
+	*r.store.edit(slot) = record{
 		key:       s.KeyHash,
 		digest:    s.Digest,
 		requestID: s.RequestID,
@@ -131,7 +139,7 @@
 		state:     s.State,
 	}
 	r.slots[s.KeyHash] = slot
-	r.queue.push(r, slot, s.Expiry)
+	r.queue.push(&r.store, slot, s.Expiry)
 	if s.Answer != nil {
 		r.answerBytes += int64(len(s.Answer.Body))
 	}
--- a/internal/core/state/tombstones.go
+++ b/internal/core/state/tombstones.go
@@ -15,6 +15,7 @@
 	limit  int
 	hashes map[uint64]struct{}
 	// order lists them from the oldest on. Until never goes down in it.
+	// Snapshots share its elements, so they are not overwritten.
 	order []Tombstone
 }
 
--- a/internal/core/state/view_test.go
+++ b/internal/core/state/view_test.go
@@ -122,7 +122,8 @@
 	base := readSmall(t)
 	applyChange(t, replica, base, 0)
 	applyChange(t, replica, base, 1)
-	deltas, _ := replica.DeltasSince(0)
+	deltas := replica.History(2)
+	slices.Reverse(deltas)
 	damaged := deltas[1]
 	damaged.Items = append(slices.Clone(damaged.Items), fleet.Item{Path: "zones/z1", JSON: []byte("{")})
 	view := state.NewView()
