--- a/internal/codec/state.go
+++ b/internal/codec/state.go
@@ -270,6 +270,25 @@
 	}
 }
 
+// EncodeDelta returns the encoding of one delta, for a process that keeps its
+// configuration in force on disk.
+func EncodeDelta(d state.Delta) ([]byte, error) {
+	data, err := proto.Marshal(deltaToWire(d))
+	if err != nil {
+		return nil, fmt.Errorf("encode delta of revision %d: %w", d.Revision, err)
+	}
+	return data, nil
+}
+
+// DecodeDelta is the inverse of EncodeDelta.
+func DecodeDelta(data []byte) (state.Delta, error) {
+	var w wire.ConfigDelta
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return state.Delta{}, fmt.Errorf("decode delta: %w", err)
+	}
+	return deltaFromWire(&w), nil
+}
+
 func itemsToWire(items []fleet.Item) []*wire.ConfigItem {
 	list := make([]*wire.ConfigItem, len(items))
 	for i, item := range items {
--- a/internal/core/fleet/items.go
+++ b/internal/core/fleet/items.go
@@ -26,6 +26,12 @@
 	pathExceptions     = "exceptions/"
 )
 
+// ZoneOf returns the name of the zone that an item with this path defines, and
+// false if it defines none.
+func ZoneOf(path string) (string, bool) {
+	return strings.CutPrefix(path, pathZones)
+}
+
 // ScopeKey returns the part of an exception's path that names its scope, as
 // "service=bookings,zone=cluj-c". Two exceptions of a valid configuration
 // differ in it.
--- a/internal/core/state/config.go
+++ b/internal/core/state/config.go
@@ -306,6 +306,17 @@
 	return deltas
 }
 
+func (c *config) zones() []string {
+	var names []string
+	for path := range c.items {
+		if name, ok := fleet.ZoneOf(path); ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (c *config) copyItems() map[string][]byte { return maps.Clone(c.items) }
 
 func itemMap(items []fleet.Item) map[string][]byte {
--- a/internal/core/state/config_test.go
+++ b/internal/core/state/config_test.go
@@ -147,6 +147,9 @@
 	if history := s.machine.History(2); len(history) != 2 || history[0].Revision != 6 || history[1].Revision != 5 {
 		t.Errorf("got history %+v", history)
 	}
+	if zones := s.machine.Zones(); !reflect.DeepEqual(zones, []string{"cluj-c", "mures-d"}) {
+		t.Errorf("got zones %v", zones)
+	}
 	if n := len(s.machine.History(100)); n != 3 {
 		t.Errorf("history has %d changes, expected 3", n)
 	}
--- a/internal/core/state/machine.go
+++ b/internal/core/state/machine.go
@@ -107,6 +107,9 @@
 // Revision returns the configuration's revision, 0 before the first change.
 func (m *Machine) Revision() uint64 { return m.config.revision }
 
+// Zones lists the zones of the configuration, in order of name.
+func (m *Machine) Zones() []string { return m.config.zones() }
+
 // Items returns the configuration by item. The values must not be changed.
 func (m *Machine) Items() map[string][]byte { return m.config.copyItems() }
 
--- a/internal/core/state/view_test.go
+++ b/internal/core/state/view_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/state"
 )
@@ -60,9 +61,8 @@
 			case "deliver":
 				deliver(r, view, inFlight, configs)
 			case "restart":
-				if i := slices.Index(views, view); rapid.Bool().Draw(r, "without disk") {
-					views[i] = state.NewView()
-				}
+				i := slices.Index(views, view)
+				views[i] = restart(r, view, rapid.Bool().Draw(r, "with disk"))
 			}
 		}
 		for _, view := range views {
@@ -75,6 +75,28 @@
 	})
 }
 
+// restart returns a new process's view. With a disk it starts from what the
+// old one had in force.
+func restart(r *rapid.T, view *state.View, disk bool) *state.View {
+	started := state.NewView()
+	if !disk || view.Revision() == 0 {
+		return started
+	}
+	data, err := codec.EncodeDelta(view.Deltas(0)[0])
+	if err != nil {
+		r.Fatal(err)
+	}
+	kept, err := codec.DecodeDelta(data)
+	if err != nil {
+		r.Fatal(err)
+	}
+	started.Step(0, state.DeltasReceived{Deltas: []state.Delta{kept}})
+	if started.Revision() != view.Revision() || !reflect.DeepEqual(started.Config(), view.Config()) {
+		r.Fatalf("restarted at revision %d, expected %d", started.Revision(), view.Revision())
+	}
+	return started
+}
+
 // deliver hands over a part of some answer that is on its way, or a repeated
 // one.
 func deliver(r *rapid.T, view *state.View, inFlight []state.DeltasReceived, configs []*fleet.Config) {
