--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -129,6 +129,9 @@
 	d.Zones = some(t, c.Zones)
 	d.Services = some(t, c.Services)
 	d.Customers = some(t, c.Customers)
+	for i := range d.Customers {
+		d.Customers[i].Weight = rapid.SampledFrom([]float64{1, 2}).Draw(t, "weight")
+	}
 	d.BackendServers = some(t, c.BackendServers)
 	d.Exceptions = some(t, c.Exceptions)
 	return &d
@@ -157,18 +160,16 @@
 			t.Fatal(err)
 		}
 		document := NewDocument()
-		for _, item := range append(Diff(nil, from), Diff(from, to)...) {
-			if err := document.Put(item); err != nil {
-				t.Fatal(err)
-			}
-		}
-		assembled, err := Assemble(to)
-		if err != nil {
-			t.Fatal(err)
-		}
+		putAll(t, document, Diff(nil, from))
+		first := document.Config()
+		putAll(t, document, Diff(from, to))
+		assembled := mustAssemble(t, to)
 		if !reflect.DeepEqual(document.Config(), assembled) {
 			t.Fatal("items and difference give another configuration than all items")
 		}
+		if !reflect.DeepEqual(first, mustAssemble(t, from)) {
+			t.Fatal("an earlier configuration changed")
+		}
 		again, err := Flatten(assembled)
 		if err != nil || !reflect.DeepEqual(again, to) {
 			t.Fatalf("flattened again: %v, %v", again, err)
@@ -176,6 +177,22 @@
 	})
 }
 
+func putAll(t *rapid.T, document *Document, items []Item) {
+	for _, item := range items {
+		if err := document.Put(item); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func mustAssemble(t *rapid.T, items map[string][]byte) *Config {
+	config, err := Assemble(items)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
 func TestFlattenRefusesDuplicates(t *testing.T) {
 	c := small(t)
 	c.Zones = append(c.Zones, c.Zones[0])
--- a/internal/core/state/records_test.go
+++ b/internal/core/state/records_test.go
@@ -178,20 +178,38 @@
 	s.expectGranted(s.reserve(first, "r1"), true, RecordReserved)
 }
 
+// answer reserves a key, records an answer of 10 bytes and returns how much of
+// it is kept.
+func (s *script) answer(key string) int {
+	s.t.Helper()
+	k := Key{Key: key}
+	body := []byte("0123456789")
+	s.apply(Reserve{Key: k, Owner: first, RequestID: "r", RetentionMS: minute})
+	s.apply(Record{Key: k, Owner: first, RequestID: "r", State: RecordAnswered, Answer: &Answer{Status: 200, Body: body}})
+	got := s.machine.Lookup(k).Answer
+	if !got.Truncated || got.Status != 200 || string(body) != "0123456789" {
+		s.t.Fatalf("key %s: answer %+v", key, got)
+	}
+	return len(got.Body)
+}
+
 func TestAnswerLimits(t *testing.T) {
 	s := newScript(t, Options{AnswerBytes: 8, AnswerTotalBytes: 10})
-	body := []byte("0123456789")
-	for i, kept := range []int{8, 2, 0} {
-		key := Key{Key: string(rune('a' + i))}
-		s.apply(Reserve{Key: key, Owner: first, RequestID: "r"})
-		s.apply(Record{Key: key, Owner: first, RequestID: "r", State: RecordAnswered, Answer: &Answer{Status: 200, Body: body}})
-		got := s.machine.Lookup(key).Answer
-		if len(got.Body) != kept || !got.Truncated || got.Status != 200 {
-			t.Fatalf("answer %d keeps %d bytes, truncated %t", i, len(got.Body), got.Truncated)
+	for i, want := range []int{8, 2, 0} {
+		if got := s.answer(string(rune('a' + i))); got != want {
+			t.Errorf("answer %d: %d bytes are kept, expected %d", i, got, want)
 		}
 	}
-	if len(body) != 10 || string(body) != "0123456789" {
-		t.Fatal("the command's answer changed")
+	restored := New(s.machine.options)
+	restored.Restore(s.machine.Snapshot())
+	s.machine = restored
+	if got := s.answer("d"); got != 0 {
+		t.Errorf("after a restore %d bytes are kept, expected 0", got)
+	}
+	s.timeMS += 5 * minute
+	s.expire()
+	if got := s.answer("e"); got != 8 {
+		t.Errorf("after expiry %d bytes are kept, expected 8", got)
 	}
 }
 
