Serve the thin whole path in separate processes

Ruled out: a replica that bootstraps alone, which would fork the log when its disk is lost; it starts a log only after every other replica said it holds none. Found on the way: a new entry has no share of the limits for 2 s, so it refused its first callers; it is ready only after that.

--- a/cmd/waxwingcart/main.go
+++ b/cmd/waxwingcart/main.go
@@ -1,4 +1,160 @@
-// Command waxwingcart is the one binary of the system.
+// Command waxwingcart is the one binary of the system: the processes of a
+// deployment, the operators' command line, and stand-ins for tests.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/fx"
+
+	"waxwingcart/internal/process"
+	"waxwingcart/internal/settings"
+	"waxwingcart/internal/standin"
+)
+
+// The exit codes.
+const (
+	exitOK = 0
+	// exitFailed: the command could not be carried out.
+	exitFailed = 1
+	// exitRefused: what was given is invalid or lost against another change.
+	exitRefused = 2
+)
+
+// errRefused marks errors that end with exitRefused.
+var errRefused = errors.New("refused")
+
+type commands struct {
+	Run     runCommand     `cmd:"" help:"Run the roles that the settings name."`
+	Ctl     ctlCommand     `cmd:"" help:"Operate a running deployment."`
+	Check   checkCommand   `cmd:"" help:"Check process settings and fleet configurations."`
+	Dump    dumpCommand    `cmd:"" help:"Print the state of a process as JSON."`
+	Standin standinCommand `cmd:"" help:"Run a small model engine, app service or platform for tests."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, stdout, stderr io.Writer) int {
+	var cli commands
+	parser, err := kong.New(&cli,
+		kong.Name("waxwingcart"),
+		kong.Description("Serves model and application traffic on reclaimable VMs."),
+		kong.Writers(stdout, stderr),
+		kong.BindTo(stdout, (*io.Writer)(nil)),
+	)
+	if err != nil {
+		fmt.Fprintln(stderr, "waxwingcart:", err)
+		return exitFailed
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(stderr, "waxwingcart:", err)
+		return exitRefused
+	}
+	return exitCode(parsed.Run(), stderr)
+}
+
+func exitCode(err error, stderr io.Writer) int {
+	var problems settings.Problems
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &problems):
+		fmt.Fprintln(stderr, problems.Error())
+		return exitRefused
+	case errors.Is(err, errRefused):
+		fmt.Fprintln(stderr, "waxwingcart:", err)
+		return exitRefused
+	default:
+		fmt.Fprintln(stderr, "waxwingcart:", err)
+		return exitFailed
+	}
+}
+
+type runCommand struct {
+	Config string `required:"" help:"Process settings." placeholder:"FILE"`
+}
+
+// Run runs the process until SIGTERM or SIGINT, and then drains it.
+func (c *runCommand) Run() error {
+	loaded, err := settings.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	app := fx.New(process.Options(loaded))
+	if err := app.Err(); err != nil {
+		return fmt.Errorf("set up: %w", err)
+	}
+	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(start); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	signal := <-app.Wait()
+	stop, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stop); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	if signal.ExitCode != exitOK {
+		return fmt.Errorf("process failed; see its log")
+	}
+	return nil
+}
+
+type checkCommand struct {
+	Files []string `arg:"" help:"Files to check." placeholder:"FILE"`
+}
+
+// Run checks every file and reports every problem.
+func (c *checkCommand) Run(stdout io.Writer) error {
+	var all settings.Problems
+	for _, file := range c.Files {
+		kind, problems, err := settings.Check(file)
+		if err != nil {
+			return err
+		}
+		if len(problems) == 0 {
+			fmt.Fprintf(stdout, "%s: %s, ok\n", file, kind)
+		}
+		all = append(all, problems...)
+	}
+	if len(all) > 0 {
+		return all
+	}
+	return nil
+}
+
+type standinCommand struct {
+	standin.Options
+}
+
+// Run serves the stand-in until SIGTERM or SIGINT.
+func (c *standinCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return standin.Run(ctx, c.Options)
+}
+
+type versionCommand struct{}
+
+// Run prints the module's version and the Go version that built it.
+func (c *versionCommand) Run(stdout io.Writer) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("the binary carries no build information")
+	}
+	fmt.Fprintf(stdout, "waxwingcart %s %s\n", info.Main.Version, info.GoVersion)
+	return nil
+}
--- a/internal/core/request/request_test.go
+++ b/internal/core/request/request_test.go
@@ -54,7 +54,6 @@
 	got      []int
 	outcomes []Outcome
 	records  []OutcomeKind
-	awaits   int
 }
 
 func sumAfter(sum uint64, offset int, wrong bool) uint64 {
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -165,11 +165,10 @@
 
 func (e *Entry) modelSink(w http.ResponseWriter, r *run, parsed modelRequest, codec *eventid.Codec) sink {
 	if !parsed.stream {
-		return &wholeSink{w: w, requestID: r.id, chat: r.message.path == chatPath, prompt: parsed.promptTokens}
+		return &wholeSink{w: w, requestID: r.id, writeTimeout: e.opts.WriteTimeout, chat: r.message.path == chatPath, prompt: parsed.promptTokens}
 	}
 	return &streamSink{
 		w:            w,
-		controller:   http.NewResponseController(w),
 		requestID:    r.id,
 		service:      r.service.Name,
 		incarnations: e.serverIncarnation,
@@ -207,7 +206,7 @@
 	r.spec.Keyed = key != "" && !r.spec.Repeatable
 	r.load = routing.Load{PromptTokens: 1, OutputTokens: 1}
 	r.message = message{method: req.Method, path: path, header: forwardHeader(req), body: call.body}
-	r.sink = &appSink{w: w, requestID: id}
+	r.sink = &appSink{w: w, requestID: id, writeTimeout: e.opts.WriteTimeout}
 	if r.spec.Keyed {
 		r.reservation = newReservation(r, key, digest(req, call.body))
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"waxwingcart/internal/backend"
+	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/rpc"
 )
 
@@ -57,6 +58,9 @@
 	DefaultWriteTimeout = 10 * time.Second
 )
 
+// warmUp is the time until a new entry has a share of the customers' limits.
+const warmUp = admission.DefaultGrowAfter + 10*policyTick
+
 // Entry is one running entry.
 type Entry struct {
 	opts        Options
@@ -146,9 +150,10 @@
 	e.backends.Close()
 }
 
-// Ready reports whether a balancer should send requests here.
+// Ready reports whether a balancer should send requests here. A new entry has
+// no share of the customers' limits until the others have made room for it.
 func (e *Entry) Ready() bool {
-	return !e.draining.Load() && e.config.inForce() != nil
+	return !e.draining.Load() && e.config.inForce() != nil && e.now() > warmUp
 }
 
 // Incarnation is the random number of this run of the entry.
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -23,8 +23,9 @@
 
 // appSink writes an application's answer.
 type appSink struct {
-	w         http.ResponseWriter
-	requestID string
+	w            http.ResponseWriter
+	requestID    string
+	writeTimeout time.Duration
 }
 
 func (s *appSink) token([]byte, request.Position) {}
@@ -38,8 +39,11 @@
 	}
 	header.Set(headerRequestID, s.requestID)
 	header.Set("Content-Length", strconv.Itoa(len(a.body)))
-	s.w.WriteHeader(a.status)
-	_, _ = s.w.Write(a.body)
+	writeWithin(s.w, s.writeTimeout, func() {
+		s.w.WriteHeader(a.status)
+		_, _ = s.w.Write(a.body)
+		_ = http.NewResponseController(s.w).Flush()
+	})
 }
 
 func (s *appSink) refuse(outcome request.Outcome) {
@@ -63,7 +67,6 @@
 // streamSink writes a model's answer as server-sent events.
 type streamSink struct {
 	w            http.ResponseWriter
-	controller   *http.ResponseController
 	requestID    string
 	service      string
 	incarnations func(server string) string
@@ -111,9 +114,19 @@
 	b.WriteString("data: ")
 	b.Write(data)
 	b.WriteString("\n\n")
-	_ = s.controller.SetWriteDeadline(time.Now().Add(s.writeTimeout))
-	_, _ = s.w.Write([]byte(b.String()))
-	_ = s.controller.Flush()
+	writeWithin(s.w, s.writeTimeout, func() {
+		_, _ = s.w.Write([]byte(b.String()))
+		_ = http.NewResponseController(s.w).Flush()
+	})
+}
+
+// writeWithin bounds a write to a caller that may not read. The connection may
+// serve another request later, so the bound is taken off afterwards.
+func writeWithin(w http.ResponseWriter, timeout time.Duration, write func()) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(time.Now().Add(timeout))
+	write()
+	_ = controller.SetWriteDeadline(time.Time{})
 }
 
 func (s *streamSink) complete(*answer) {
@@ -134,14 +147,15 @@
 
 // wholeSink collects a model's answer for a caller that does not stream.
 type wholeSink struct {
-	w         http.ResponseWriter
-	requestID string
-	chat      bool
-	prompt    int
-	text      strings.Builder
-	model     string
-	finish    string
-	tokens    int
+	w            http.ResponseWriter
+	requestID    string
+	writeTimeout time.Duration
+	chat         bool
+	prompt       int
+	text         strings.Builder
+	model        string
+	finish       string
+	tokens       int
 }
 
 func (s *wholeSink) token(data []byte, _ request.Position) {
@@ -206,7 +220,10 @@
 	}
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set(headerRequestID, s.requestID)
-	_ = json.NewEncoder(s.w).Encode(body)
+	writeWithin(s.w, s.writeTimeout, func() {
+		_ = json.NewEncoder(s.w).Encode(body)
+		_ = http.NewResponseController(s.w).Flush()
+	})
 }
 
 func (s *wholeSink) refuse(outcome request.Outcome) {
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -78,8 +78,7 @@
 	_ = encoder.Encode(d.State())
 }
 
-// Routes adds the metrics and dump endpoints to a router.
-func Routes(router *mux.Router, registry *prometheus.Registry, dump *Dump) {
+// Routes adds the metrics endpoint to a router.
+func Routes(router *mux.Router, registry *prometheus.Registry) {
 	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
-	router.Handle("/dump", dump).Methods(http.MethodGet)
 }
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,128 @@
+// Package operator serves operators' calls on a process's admin address. Every
+// process of a deployment answers them; what needs the log's leader is passed
+// on to it.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/state"
+	"waxwingcart/internal/entry"
+	"waxwingcart/internal/replica"
+	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/wire"
+)
+
+// Timeouts of operators' calls.
+const (
+	changeTimeout = 5 * time.Second
+	readTimeout   = 3 * time.Second
+)
+
+// defaultHistory is the number of changes listed if none is given.
+const defaultHistory = 20
+
+// Service implements wire.Operator.
+type Service struct {
+	// Entry and Replica are the process's roles; either may be nil.
+	Entry    *entry.Entry
+	Replica  *replica.Replica
+	Replicas *rpc.Replicas
+}
+
+// ApplyConfig commits a change at the leader.
+func (s *Service) ApplyConfig(ctx context.Context, req *wire.ChangeConfigRequest) (*wire.ChangeConfigResponse, error) {
+	wait := time.Duration(req.WaitMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout+wait)
+	defer cancel()
+	return rpc.CallSlow(ctx, s.Replicas, "change config", func(ctx context.Context, stub wire.Replica) (*wire.ChangeConfigResponse, error) {
+		return stub.ChangeConfig(ctx, req)
+	})
+}
+
+// GetConfig returns the committed configuration.
+func (s *Service) GetConfig(ctx context.Context, _ *wire.GetConfigRequest) (*wire.GetConfigResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	response, err := rpc.Call(ctx, s.Replicas, "get config", func(ctx context.Context, stub wire.Replica) (*wire.FetchConfigResponse, error) {
+		return stub.FetchConfig(ctx, &wire.FetchConfigRequest{})
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	view := state.NewView()
+	effects := view.Step(0, state.DeltasReceived{
+		From:     "replica",
+		Deltas:   codec.DeltasFromWire(response.Deltas),
+		Revision: response.Revision,
+	})
+	if effects.Err != nil {
+		return nil, twirp.InternalErrorWith(effects.Err)
+	}
+	return configResponse(view.Config(), view.Revision())
+}
+
+func configResponse(config *fleet.Config, revision uint64) (*wire.GetConfigResponse, error) {
+	if config == nil {
+		return &wire.GetConfigResponse{}, nil
+	}
+	data, err := json.MarshalIndent(config, "", "  ")
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &wire.GetConfigResponse{Revision: revision, ConfigJson: data}, nil
+}
+
+// History lists the latest changes, newest first. A process without a replica
+// knows only those that the replicas still hand out as deltas.
+func (s *Service) History(ctx context.Context, req *wire.HistoryRequest) (*wire.HistoryResponse, error) {
+	limit := int(req.Limit)
+	if limit <= 0 {
+		limit = defaultHistory
+	}
+	if s.Replica == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "ask a replica's admin address for the history")
+	}
+	deltas, err := s.Replica.History(ctx, limit)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	response := &wire.HistoryResponse{}
+	for _, delta := range deltas {
+		response.Changes = append(response.Changes, change(delta))
+	}
+	return response, nil
+}
+
+func change(delta state.Delta) *wire.Change {
+	c := &wire.Change{Revision: delta.Revision, ChangeId: delta.ChangeID, Author: delta.Author, TimeMs: delta.TimeMS}
+	for _, item := range delta.Items {
+		c.Paths = append(c.Paths, item.Path)
+	}
+	return c
+}
+
+// Drain begins a graceful drain of the entry and returns at once.
+func (s *Service) Drain(_ context.Context, req *wire.DrainRequest) (*wire.DrainResponse, error) {
+	if s.Entry == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this process runs no entry")
+	}
+	inFlight := s.Entry.InFlight()
+	go s.Entry.Drain(context.Background(), time.Duration(req.DeadlineMs)*time.Millisecond)
+	return &wire.DrainResponse{InFlight: int32(inFlight)}, nil
+}
+
+// Explain tells what happened to a request at this entry.
+func (s *Service) Explain(_ context.Context, req *wire.ExplainRequest) (*wire.ExplainResponse, error) {
+	if s.Entry == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this process runs no entry")
+	}
+	steps, found := s.Entry.Explain(req.RequestId)
+	return &wire.ExplainResponse{Found: found, Steps: steps}, nil
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,287 @@
+// Package process assembles the roles that the settings name into one running
+// process.
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"waxwingcart/internal/entry"
+	"waxwingcart/internal/observe"
+	"waxwingcart/internal/operator"
+	"waxwingcart/internal/replica"
+	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/settings"
+	"waxwingcart/internal/wire"
+)
+
+// startTimeout bounds the start of a process. The stop may take as long as
+// requests in flight do.
+const (
+	startTimeout = 30 * time.Second
+	stopTimeout  = 365 * 24 * time.Hour
+)
+
+// Keys are the secrets that a process reads from files.
+type Keys struct {
+	Peer     string
+	Operator string
+}
+
+// Options returns the parts of a process for fx.
+func Options(process *settings.Process) fx.Option {
+	return fx.Options(
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(process),
+		fx.Provide(
+			newLogger,
+			observe.NewRegistry,
+			observe.NewDump,
+			readKeys,
+			newClient,
+			newReplicas,
+			newReplica,
+			newEntry,
+			newOperator,
+		),
+		fx.Invoke(serve),
+	)
+}
+
+func newLogger(process *settings.Process) *log.Logger {
+	return observe.NewLogger(os.Stderr, process.Log.Level, process.Name, process.Zone)
+}
+
+func readKeys(process *settings.Process) (Keys, error) {
+	peer, err := ReadKey(process.PeerKeyFile)
+	if err != nil {
+		return Keys{}, fmt.Errorf("peer_key_file: %w", err)
+	}
+	operatorKey, err := ReadKey(process.OperatorKeyFile)
+	if err != nil {
+		return Keys{}, fmt.Errorf("operator_key_file: %w", err)
+	}
+	return Keys{Peer: peer, Operator: operatorKey}, nil
+}
+
+// ReadKey reads a secret from a file.
+func ReadKey(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read key: %w", err)
+	}
+	key := strings.TrimSpace(string(data))
+	if key == "" {
+		return "", fmt.Errorf("read key: %s is empty, expected a secret", path)
+	}
+	return key, nil
+}
+
+func newClient(keys Keys) *rpc.Client { return rpc.NewClient(keys.Peer) }
+
+func newReplicas(process *settings.Process, client *rpc.Client) *rpc.Replicas {
+	return rpc.NewReplicas(client, addresses(process.Replicas))
+}
+
+func addresses(peers []settings.Peer) []string {
+	list := make([]string, 0, len(peers))
+	for _, peer := range peers {
+		list = append(list, peer.Address)
+	}
+	return list
+}
+
+// newReplica returns nil if the settings name no replica role.
+func newReplica(lc fx.Lifecycle, shutdown fx.Shutdowner, process *settings.Process, client *rpc.Client, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) (*replica.Replica, error) {
+	if !process.HasRole(settings.RoleReplica) {
+		return nil, nil
+	}
+	opts := replica.Options{
+		Self:      replica.Peer{VM: process.Name, Zone: process.Zone, Address: process.Listen.Peers},
+		DataDir:   process.DataDir,
+		Bootstrap: process.Bootstrap,
+		Client:    client,
+		Logger:    logger,
+		Registry:  registry,
+		Fail:      func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) },
+	}
+	for _, peer := range process.Replicas {
+		if peer.VM != process.Name {
+			opts.Peers = append(opts.Peers, replica.Peer(peer))
+		}
+	}
+	r, err := replica.New(opts)
+	if err != nil {
+		return nil, err
+	}
+	dump.Add("replica", func() any { return r.State() })
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { r.Start(); return nil },
+		OnStop:  r.Stop,
+	})
+	return r, nil
+}
+
+// newEntry returns nil if the settings name no entry role.
+func newEntry(lc fx.Lifecycle, process *settings.Process, keys Keys, client *rpc.Client, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) *entry.Entry {
+	if !process.HasRole(settings.RoleEntry) {
+		return nil
+	}
+	opts := entry.Options{
+		VM:           process.Name,
+		Zone:         process.Zone,
+		PeerAddress:  process.Listen.Peers,
+		Replicas:     addresses(process.Replicas),
+		Platform:     process.Platform,
+		PeerSecret:   keys.Peer,
+		BodyTimeout:  milliseconds(process.Timeouts.ReadBodyMS),
+		WriteTimeout: milliseconds(process.Timeouts.WriteMS),
+		Client:       client,
+		Logger:       logger,
+		Registry:     registry,
+	}
+	for _, peer := range process.Entries {
+		if peer.VM != process.Name {
+			opts.Peers = append(opts.Peers, entry.Peer(peer))
+		}
+	}
+	e := entry.New(opts)
+	dump.Add("entry", func() any { return e.State() })
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { e.Start(); return nil },
+		OnStop:  func(context.Context) error { e.Stop(); return nil },
+	})
+	return e
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func newOperator(e *entry.Entry, r *replica.Replica, replicas *rpc.Replicas) *operator.Service {
+	return &operator.Service{Entry: e, Replica: r, Replicas: replicas}
+}
+
+// parts is what serve needs.
+type parts struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Process   *settings.Process
+	Keys      Keys
+	Logger    *log.Logger
+	Registry  *prometheus.Registry
+	Dump      *observe.Dump
+	Replica   *replica.Replica
+	Entry     *entry.Entry
+	Operator  *operator.Service
+}
+
+// serve listens on the process's addresses. Stopping goes in reverse: the
+// entry drains while its peers can still be reached.
+func serve(p parts) error {
+	serveHTTP(p, "admin", p.Process.Listen.Admin, adminHandler(p), nil)
+	serveHTTP(p, "peers", p.Process.Listen.Peers, peersHandler(p), nil)
+	if p.Entry == nil {
+		return nil
+	}
+	config, err := tlsConfig(p.Process)
+	if err != nil {
+		return err
+	}
+	router := mux.NewRouter()
+	p.Entry.Routes(router)
+	serveHTTP(p, "callers", p.Process.Listen.Callers, router, config)
+	p.Lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		p.Entry.Drain(ctx, time.Duration(p.Process.DrainS*float64(time.Second)))
+		return nil
+	}})
+	return nil
+}
+
+func tlsConfig(process *settings.Process) (*tls.Config, error) {
+	if process.TLS == nil {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(process.TLS.CertFile, process.TLS.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+func adminHandler(p parts) http.Handler {
+	key := rpc.NewKey(p.Keys.Operator)
+	open := mux.NewRouter()
+	observe.Routes(open, p.Registry)
+	guarded := mux.NewRouter()
+	guarded.Handle("/dump", p.Dump).Methods(http.MethodGet)
+	service := wire.NewOperatorServer(p.Operator)
+	guarded.PathPrefix(service.PathPrefix()).Handler(service)
+	open.PathPrefix("/").Handler(rpc.Require(key, guarded))
+	return open
+}
+
+func peersHandler(p parts) http.Handler {
+	router := mux.NewRouter()
+	if p.Replica != nil {
+		service := wire.NewReplicaServer(p.Replica.Service())
+		router.PathPrefix(service.PathPrefix()).Handler(service)
+	}
+	if p.Entry != nil {
+		service := wire.NewPeerServer(p.Entry.PeerService())
+		router.PathPrefix(service.PathPrefix()).Handler(service)
+	}
+	return rpc.Require(rpc.NewKey(p.Keys.Peer), router)
+}
+
+// serveHTTP adds a server to the process's life.
+func serveHTTP(p parts, name, address string, handler http.Handler, config *tls.Config) {
+	server := &http.Server{
+		Handler:           handler,
+		TLSConfig:         config,
+		ReadHeaderTimeout: milliseconds(p.Process.Timeouts.ReadHeaderMS),
+		IdleTimeout:       milliseconds(p.Process.Timeouts.IdleMS),
+		MaxHeaderBytes:    p.Process.Limits.HeaderBytes,
+		ErrorLog:          nil,
+	}
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return start(p, name, address, server) },
+		OnStop:  server.Shutdown,
+	})
+}
+
+func start(p parts, name, address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", name, err)
+	}
+	if name == "callers" {
+		listener = limitConnections(listener, p.Process.Limits.Connections)
+	}
+	if server.TLSConfig != nil {
+		listener = tls.NewListener(listener, server.TLSConfig)
+	}
+	p.Logger.Info().Str("step", "listen").Str("listener", name).Str("address", listener.Addr().String()).Msg("listening")
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.Logger.Error().Str("step", "serve").Str("listener", name).Err(err).Msg("listener failed")
+		}
+	}()
+	return nil
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -135,6 +135,9 @@
 	for _, entry := range effects.Committed {
 		r.apply(entry)
 	}
+	if len(effects.Committed) > 0 {
+		r.carryOut(r.node.Step(r.now(), replication.Applied{Index: r.applied}))
+	}
 	for _, read := range effects.Reads {
 		r.finishRead(read)
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -35,7 +35,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return outcome.applied, nil
+	applied, _ := outcome.applied.(state.Result)
+	return applied, nil
 }
 
 // await hands an event to the loop and waits for its result.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -54,7 +54,8 @@
 	Peers []Peer
 	// DataDir is the data folder.
 	DataDir string
-	// Bootstrap makes this replica start a new log if its disk is unused.
+	// Bootstrap makes this replica start a new log if no replica's disk holds
+	// one.
 	Bootstrap bool
 	Client    *rpc.Client
 	Logger    *log.Logger
@@ -111,7 +112,7 @@
 // New opens the data folder and returns a replica that is not running yet.
 func New(opts Options) (*Replica, error) {
 	dir := filepath.Join(opts.DataDir, "replica")
-	store, err := storage.Open(dir, storage.Options{Bootstrap: opts.Bootstrap})
+	store, err := storage.Open(dir, storage.Options{})
 	if err != nil {
 		return nil, fmt.Errorf("open replica storage: %w", err)
 	}
@@ -145,9 +146,6 @@
 func (r *Replica) restore() error {
 	restored := r.log.Restored()
 	self := r.self()
-	if r.opts.Bootstrap && r.log.Unused() {
-		restored = replication.Bootstrap([]replication.Member{self})
-	}
 	node, err := replication.New(nodeOptions(self, len(r.opts.Peers)+1), restored)
 	if err != nil {
 		return fmt.Errorf("restore the replicated log: %w", err)
@@ -211,6 +209,9 @@
 	r.publish()
 	r.spawn(func() { r.runWriter(ctx) })
 	r.spawn(func() { r.runLoop(ctx) })
+	if r.opts.Bootstrap && r.log.Empty() {
+		r.spawn(func() { r.runBootstrap(ctx) })
+	}
 	r.spawn(func() { r.runJoin(ctx) })
 	r.spawn(func() { r.runExpiry(ctx) })
 }
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -194,6 +194,11 @@
 	return response, revised, err
 }
 
+// Probe tells whether this replica's disk holds state of a log.
+func (s *Service) Probe(context.Context, *wire.ProbeRequest) (*wire.ProbeResponse, error) {
+	return &wire.ProbeResponse{Used: !s.replica.log.Empty()}, nil
+}
+
 // Join takes a node in as a learner.
 func (s *Service) Join(ctx context.Context, req *wire.JoinRequest) (*wire.JoinResponse, error) {
 	if req.Id == nil || req.Id.Vm == "" || req.Id.Incarnation == 0 || req.Address == "" {
--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"waxwingcart/internal/wire"
 )
 
@@ -83,15 +85,31 @@
 // Call makes a call at the leader, looking for it until the context ends. A
 // call in doubt is repeated, so the call must be idempotent.
 func Call[Response any](ctx context.Context, r *Replicas, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
+	return callWithin(ctx, r, step, callTimeout, call)
+}
+
+// CallSlow is Call for calls that may take as long as the context allows.
+func CallSlow[Response any](ctx context.Context, r *Replicas, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
+	timeout := callTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = max(time.Until(deadline), callTimeout)
+	}
+	return callWithin(ctx, r, step, timeout, call)
+}
+
+func callWithin[Response any](ctx context.Context, r *Replicas, step string, timeout time.Duration, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
 	var last error = ErrNoLeader
 	for {
 		for _, address := range r.candidates() {
-			response, next, err := try(ctx, r, address, call)
+			response, next, err := try(ctx, r, address, timeout, call)
 			if err == nil {
 				r.setLeader(address)
 				return response, nil
 			}
 			last = Wrap(step, address, err)
+			if final(err) {
+				return response, last
+			}
 			if next != "" && next != address {
 				r.setLeader(next)
 				break
@@ -104,9 +122,19 @@
 	}
 }
 
+// final reports whether asking again gives the same error.
+func final(err error) bool {
+	var twerr twirp.Error
+	if !errors.As(err, &twerr) {
+		return false
+	}
+	code := twerr.Code()
+	return code == twirp.InvalidArgument || code == twirp.Unauthenticated
+}
+
 // try makes the call at one address and returns the leader it was told of.
-func try[Response any](ctx context.Context, r *Replicas, address string, call func(context.Context, wire.Replica) (Response, error)) (Response, string, error) {
-	attempt, cancel := context.WithTimeout(ctx, callTimeout)
+func try[Response any](ctx context.Context, r *Replicas, address string, timeout time.Duration, call func(context.Context, wire.Replica) (Response, error)) (Response, string, error) {
+	attempt, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := call(attempt, r.At(address))
 	if err == nil {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -3,7 +3,6 @@
 package rpc
 
 import (
-	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
@@ -109,19 +108,6 @@
 	return twerr.Meta(leaderMeta), true
 }
 
-// InDoubt reports whether a failed call may have taken effect.
-func InDoubt(err error) bool {
-	if err == nil {
-		return false
-	}
-	var twerr twirp.Error
-	if errors.As(err, &twerr) && twerr.Code() == twirp.FailedPrecondition {
-		return false
-	}
-	var opErr *net.OpError
-	return !errors.As(err, &opErr) || opErr.Op != "dial"
-}
-
 // Wrap adds the step and the peer to an error.
 func Wrap(step, peer string, err error) error {
 	if err == nil {
@@ -129,8 +115,3 @@
 	}
 	return fmt.Errorf("%s: peer %s: %w", step, peer, err)
 }
-
-// WithTimeout bounds one call.
-func WithTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, timeout)
-}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -57,9 +57,9 @@
 	Cancelled     int64 `json:"cancelled"`
 	// RefusedLeaving counts requests that came while the engine was leaving.
 	RefusedLeaving int64 `json:"refused_leaving"`
-	Exported      int64 `json:"exported"`
-	Imported      int64 `json:"imported"`
-	Resumed       int64 `json:"resumed"`
+	Exported       int64 `json:"exported"`
+	Imported       int64 `json:"imported"`
+	Resumed        int64 `json:"resumed"`
 }
 
 // engineLoad is what an engine reports.
