Add membership: sticky leaving, news between entries, entry liveness

Entries need to agree on leaving VMs without the control plane.

Table is a state machine over the platform's list, notices, reports, own contacts and other entries' news. Notices are still pushed at once.

--- /dev/null
+++ b/internal/core/membership/record.go
@@ -0,0 +1,112 @@
+package membership
+
+import (
+	"cmp"
+	"strconv"
+)
+
+// Kind tells what a VM runs.
+type Kind string
+
+// The kinds of VM.
+const (
+	KindEntry   Kind = "entry"
+	KindBackend Kind = "backend"
+)
+
+// Health is the entries' common opinion on whether an entry answers probes.
+type Health uint8
+
+// The healths, in ascending order of gravity.
+const (
+	Alive Health = iota
+	Suspect
+	Dead
+)
+
+// Record is what is known about one VM, in the form that entries exchange.
+// Records of one VM form a join semilattice under Join.
+type Record struct {
+	Kind    Kind   `json:"kind"`
+	VM      string `json:"vm"`
+	Zone    string `json:"zone,omitempty"`
+	Address string `json:"address,omitempty"`
+	// Incarnation grows with each start of the VM. Zero means unknown.
+	Incarnation uint64 `json:"incarnation"`
+	// Leaving is never taken back within one incarnation.
+	Leaving bool `json:"leaving,omitempty"`
+	// DeadlineMS is when the VM is reclaimed, in milliseconds since 1970.
+	// Zero means unknown.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+	// Version orders opinions on Health. An entry refutes a wrong one by
+	// raising its own version.
+	Version uint64 `json:"version,omitempty"`
+	Health  Health `json:"health,omitempty"`
+}
+
+// Join merges two records of the same kind and VM. A higher incarnation
+// replaces a lower one. Join is commutative, idempotent and associative.
+func Join(a, b Record) Record {
+	if a.Incarnation > b.Incarnation {
+		return a
+	}
+	if a.Incarnation < b.Incarnation {
+		return b
+	}
+	a.Zone = max(a.Zone, b.Zone)
+	a.Address = max(a.Address, b.Address)
+	a.Leaving = a.Leaving || b.Leaving
+	a.DeadlineMS = earliest(a.DeadlineMS, b.DeadlineMS)
+	opinion := cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Health, b.Health))
+	if opinion < 0 {
+		a.Version, a.Health = b.Version, b.Health
+	}
+	return a
+}
+
+// earliest returns the earlier of two deadlines, where zero means unknown.
+func earliest(a, b int64) int64 {
+	if a == 0 || (b != 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+// State sums up a record.
+type State string
+
+// The states of a VM.
+const (
+	StateUnknown State = "unknown"
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+	StateSuspect State = "suspect"
+	StateDead    State = "dead"
+)
+
+// State returns the record's state. Dead hides leaving, which hides suspect.
+func (r Record) State() State {
+	switch {
+	case r.Health == Dead:
+		return StateDead
+	case r.Leaving:
+		return StateLeaving
+	case r.Health == Suspect:
+		return StateSuspect
+	}
+	return StateLive
+}
+
+// ParseIncarnation reads an incarnation that a source gives as text, a whole
+// or decimal number that grows with each start. Any other text gives zero,
+// for unknown.
+func ParseIncarnation(text string) uint64 {
+	if whole, err := strconv.ParseUint(text, 10, 64); err == nil {
+		return whole
+	}
+	decimal, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(decimal > 0) || decimal >= 1<<63 {
+		return 0
+	}
+	return uint64(decimal * 1000)
+}
--- /dev/null
+++ b/internal/core/membership/table_test.go
@@ -0,0 +1,275 @@
+package membership
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func drawRecord(t *rapid.T, label string) Record {
+	return Record{
+		Kind: KindEntry, VM: "a",
+		Zone:        rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, label+"zone"),
+		Incarnation: rapid.Uint64Range(0, 2).Draw(t, label+"incarnation"),
+		Leaving:     rapid.Bool().Draw(t, label+"leaving"),
+		DeadlineMS:  rapid.Int64Range(0, 3).Draw(t, label+"deadline"),
+		Version:     rapid.Uint64Range(0, 2).Draw(t, label+"version"),
+		Health:      Health(rapid.IntRange(0, 2).Draw(t, label+"health")),
+	}
+}
+
+func TestJoinIsSemilattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawRecord(t, "a"), drawRecord(t, "b"), drawRecord(t, "c")
+		if Join(a, b) != Join(b, a) {
+			t.Fatalf("not commutative: %+v, %+v", a, b)
+		}
+		if Join(a, a) != a {
+			t.Fatalf("not idempotent: %+v", a)
+		}
+		if Join(Join(a, b), c) != Join(a, Join(b, c)) {
+			t.Fatalf("not associative: %+v, %+v, %+v", a, b, c)
+		}
+	})
+}
+
+// Once an incarnation is known to be leaving, no event makes it usable again.
+func TestLeavingIsFinalForAnIncarnation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := New(Options{Self: Record{VM: "self", Incarnation: 1}, ForgetAfter: 1000 * time.Hour})
+		left := map[uint64]bool{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond
+			incarnation := rapid.Uint64Range(0, 3).Draw(t, "incarnation")
+			leaving := rapid.Bool().Draw(t, "leaving")
+			current := table.member(KindBackend, "vm").record.Incarnation
+			notice := false
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				table.Step(now, PlatformList{VMs: []ListedVM{{VM: "vm", Incarnation: incarnation, Leaving: leaving}}})
+			case 1:
+				table.Step(now, Notice{VM: "vm", Incarnation: incarnation, Left: time.Second})
+				leaving, notice = true, true
+			case 2:
+				table.Step(now, Report{VM: "vm", Incarnation: incarnation, Leaving: leaving})
+			case 3:
+				table.Step(now, News{From: "b", Records: []Record{{Kind: KindBackend, VM: "vm", Incarnation: incarnation, Leaving: leaving}}})
+			case 4:
+				table.Step(now, Contact{Kind: KindBackend, VM: "vm", OK: leaving})
+				leaving = false
+			case 5:
+				table.Step(now, Tick{})
+				leaving = false
+			}
+			if leaving && incarnation == 0 {
+				incarnation = current
+			}
+			if leaving && incarnation != 0 {
+				left[incarnation] = true
+			}
+			if notice && !table.Leaving("vm") && incarnation >= table.member(KindBackend, "vm").record.Incarnation {
+				t.Fatal("a notice for the current incarnation has no effect")
+			}
+			now := table.member(KindBackend, "vm").record
+			if left[now.Incarnation] && (!table.Leaving("vm") || table.Usable("vm")) {
+				t.Fatalf("incarnation %d came back", now.Incarnation)
+			}
+		}
+	})
+}
+
+func TestNewIncarnationResetsLeaving(t *testing.T) {
+	table := New(Options{Self: Record{VM: "self", Incarnation: 1}})
+	table.Step(0, Report{VM: "vm", Incarnation: 7})
+	table.Step(time.Second, Notice{VM: "vm", Left: 20 * time.Second})
+	table.Step(2*time.Second, PlatformList{VMs: []ListedVM{{VM: "vm", Incarnation: 7}}})
+	if !table.Leaving("vm") || table.Usable("vm") {
+		t.Fatal("the lagging list took a notice back")
+	}
+	table.Step(3*time.Second, Report{VM: "vm", Incarnation: 8})
+	if table.Leaving("vm") || table.Usable("vm") {
+		t.Fatal("a process restarted on the leaving VM must wait for the list or the deadline")
+	}
+	table.Step(4*time.Second, PlatformList{VMs: []ListedVM{{VM: "vm", Incarnation: 8}}})
+	if !table.Usable("vm") {
+		t.Fatal("the new incarnation is not usable")
+	}
+}
+
+// exchange runs tables against each other with loss, delay and cut links.
+type exchange struct {
+	tables  map[string]*Table
+	random  *rand.Rand
+	loss    float64
+	cut     func(from, to string) bool
+	queue   []message
+	bytes   int
+	encoded bool
+}
+
+type message struct {
+	at       time.Duration
+	from, to string
+	records  []Record
+	request  bool
+	failed   bool
+}
+
+func newExchange(n, zones int, loss float64, seed uint64) (*exchange, []string) {
+	x := &exchange{tables: map[string]*Table{}, random: rand.New(rand.NewPCG(seed, 2)), loss: loss}
+	peers := make([]Record, n)
+	names := make([]string, n)
+	for i := range n {
+		names[i] = fmt.Sprintf("entry-%04d", i)
+		peers[i] = Record{VM: names[i], Zone: fmt.Sprintf("zone-%02d", i%zones), Address: "127.0.0.1:7000", Incarnation: 1}
+	}
+	for i, name := range names {
+		x.tables[name] = New(Options{Self: peers[i], Peers: peers, Seed: seed + uint64(i)})
+	}
+	return x, names
+}
+
+func (x *exchange) do(name string, now time.Duration, event Event) {
+	effects := x.tables[name].Step(now, event)
+	for _, send := range effects.Send {
+		x.post(now, message{from: name, to: send.Peer, records: send.Records, request: true})
+	}
+	if n, ok := event.(News); ok && n.Request {
+		x.post(now, message{from: name, to: n.From, records: effects.Reply})
+	}
+}
+
+func (x *exchange) post(now time.Duration, m message) {
+	if x.encoded {
+		text, _ := json.Marshal(m.records)
+		x.bytes += len(text)
+	}
+	lost := x.random.Float64() < x.loss || (x.cut != nil && x.cut(m.from, m.to))
+	m.at = now + time.Duration(1+x.random.IntN(20))*time.Millisecond
+	if lost && !m.request {
+		return
+	}
+	if lost {
+		m = message{at: m.at + 300*time.Millisecond, from: m.to, to: m.from, failed: true}
+	}
+	x.queue = append(x.queue, m)
+}
+
+// run moves time on in steps of 10 ms.
+func (x *exchange) run(names []string, from, to time.Duration) {
+	for now := from; now < to; now += 10 * time.Millisecond {
+		due := x.queue
+		x.queue = nil
+		for _, m := range due {
+			switch {
+			case m.at > now:
+				x.queue = append(x.queue, m)
+			case m.failed:
+				x.do(m.to, now, Contact{Kind: KindEntry, VM: m.from})
+			default:
+				x.do(m.to, now, News{From: m.from, Records: m.records, Request: m.request})
+			}
+		}
+		if now%(100*time.Millisecond) == 0 {
+			for _, name := range names {
+				x.do(name, now, Tick{})
+			}
+		}
+	}
+}
+
+func TestNoticeReachesAllEntriesWithinASecond(t *testing.T) {
+	for _, c := range []struct {
+		n, zones int
+		loss     float64
+	}{{7, 4, 0.2}, {46, 4, 0.1}, {120, 6, 0.1}, {200, 8, 0.05}} {
+		x, names := newExchange(c.n, c.zones, c.loss, 1)
+		x.run(names, 0, 3*time.Second)
+		for i := range 5 {
+			vm := fmt.Sprintf("engine-%d", i)
+			at := time.Duration(3+2*i) * time.Second
+			x.do(names[i], at, Notice{VM: vm, Incarnation: 1, Left: 25 * time.Second})
+			x.run(names, at, at+time.Second)
+			for _, name := range names {
+				if !x.tables[name].Leaving(vm) {
+					t.Errorf("%d entries, loss %v: %s does not know of %s", c.n, c.loss, name, vm)
+				}
+			}
+			x.run(names, at+time.Second, at+2*time.Second)
+		}
+	}
+}
+
+func TestCutOffZoneIsDeadAndComesBack(t *testing.T) {
+	x, names := newExchange(8, 4, 0, 1)
+	x.run(names, 0, 3*time.Second)
+	first := x.tables[names[0]]
+	zone := first.Self().Zone
+	x.cut = func(a, b string) bool {
+		return (x.tables[a].Self().Zone == zone) != (x.tables[b].Self().Zone == zone)
+	}
+	x.run(names, 3*time.Second, 20*time.Second)
+	if inside, all := len(first.Entries(zone)), len(first.Entries("")); inside != 2 || all != 2 {
+		t.Fatalf("cut off: %d entries in the zone, %d in all, want 2 and 2", inside, all)
+	}
+	x.cut = nil
+	x.run(names, 20*time.Second, 60*time.Second)
+	for _, name := range names {
+		if n := len(x.tables[name].Entries("")); n != 8 {
+			t.Errorf("%s counts %d live entries after healing, want 8", name, n)
+		}
+	}
+}
+
+// A link cut between two entries makes neither of them dead for good.
+func TestWrongSuspicionIsRefuted(t *testing.T) {
+	x, names := newExchange(6, 2, 0, 3)
+	x.cut = func(a, b string) bool {
+		return (a == names[0] && b == names[1]) || (a == names[1] && b == names[0])
+	}
+	x.run(names, 0, 12*time.Second)
+	if x.tables[names[1]].Self().Version == 0 {
+		t.Fatal("the suspicion was not refuted")
+	}
+	x.cut = nil
+	x.run(names, 12*time.Second, 30*time.Second)
+	for _, name := range names {
+		if n := len(x.tables[name].Entries("")); n != 6 {
+			t.Errorf("%s counts %d live entries, want 6", name, n)
+		}
+	}
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range []int{7, 50, 200, 1100} {
+		b.Run(fmt.Sprintf("peers=%d", n), func(b *testing.B) {
+			x, names := newExchange(n, max(4, n/46), 0, 1)
+			x.encoded = true
+			x.run(names, 0, time.Second)
+			x.bytes = 0
+			now := time.Second
+			b.ResetTimer()
+			for b.Loop() {
+				x.run(names, now, now+time.Second)
+				now += time.Second
+			}
+			nodeSeconds := float64(b.N * n)
+			b.ReportMetric(float64(x.bytes)/nodeSeconds, "bytes/node-s")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/nodeSeconds, "µs/node-s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/membership/view.go
@@ -0,0 +1,116 @@
+package membership
+
+import "time"
+
+// Member is one VM as the dump shows it.
+type Member struct {
+	Record
+	State  State `json:"state"`
+	Usable bool  `json:"usable"`
+	// Failures is the number of failed calls in a row.
+	Failures int `json:"failures,omitempty"`
+	// Sources tells which sources spoke of the VM, and how long ago.
+	Sources []SourceAge `json:"sources,omitempty"`
+}
+
+// SourceAge tells how long ago a source last spoke of a VM.
+type SourceAge struct {
+	Source string `json:"source"`
+	AgeMS  int64  `json:"age_ms"`
+}
+
+// Leaving tells whether a VM is leaving, as a backend server's or an entry's.
+func (t *Table) Leaving(vm string) bool {
+	for _, kind := range []Kind{KindBackend, KindEntry} {
+		m, ok := t.members[key{kind, vm}]
+		if ok && (m.record.Leaving || m.unbound != nil) {
+			return true
+		}
+	}
+	return false
+}
+
+// Usable tells whether a backend server's VM may get new work. A VM of which
+// nothing is known is usable: its address stands in the configuration.
+func (t *Table) Usable(vm string) bool {
+	m, ok := t.members[key{KindBackend, vm}]
+	if !ok {
+		return true
+	}
+	return t.usable(m)
+}
+
+func (t *Table) usable(m *member) bool {
+	if m.record.Leaving || m.unbound != nil || m.record.Health == Dead {
+		return false
+	}
+	if m.failures >= t.options.FailuresUntilUnusable && t.now < m.retryAt {
+		return false
+	}
+	if t.now < m.replacedUntil && !m.confirmed() {
+		return false
+	}
+	return !m.unlisted || t.heardDirectly(m)
+}
+
+// confirmed tells whether the platform's list has shown the VM since its
+// incarnation became known; a report alone may come from a process that was
+// restarted on the leaving VM.
+func (m *member) confirmed() bool {
+	return m.listedIncarnation == m.record.Incarnation
+}
+
+func (t *Table) heardDirectly(m *member) bool {
+	for _, source := range []Source{SourceReport, SourceContact} {
+		if m.heard[source] && t.now-m.seen[source] <= t.options.SilentAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// Self returns this entry's own record.
+func (t *Table) Self() Record {
+	return t.self.record
+}
+
+// Entries returns the entries of a zone that count as live, this one included,
+// or those of all zones if zone is empty. A suspect entry counts until it is
+// dead, a leaving one does not count.
+func (t *Table) Entries(zone string) []Member {
+	var entries []Member
+	if live(t.self) && (zone == "" || zone == t.self.record.Zone) {
+		entries = append(entries, t.view(t.self))
+	}
+	for _, m := range t.entries {
+		if live(m) && (zone == "" || zone == m.record.Zone) {
+			entries = append(entries, t.view(m))
+		}
+	}
+	return entries
+}
+
+func live(m *member) bool {
+	return m.record.Health != Dead && !m.record.Leaving && m.unbound == nil
+}
+
+// Members returns all known VMs, this entry first, then by name.
+func (t *Table) Members() []Member {
+	members := make([]Member, 0, 1+len(t.ordered))
+	members = append(members, t.view(t.self))
+	for _, m := range t.ordered {
+		members = append(members, t.view(m))
+	}
+	return members
+}
+
+func (t *Table) view(m *member) Member {
+	view := Member{Record: m.news(), State: t.state(m), Usable: t.usable(m), Failures: m.failures}
+	for source := range sourceCount {
+		if m.heard[source] {
+			age := (t.now - m.seen[source]) / time.Millisecond
+			view.Sources = append(view.Sources, SourceAge{Source: source.String(), AgeMS: int64(age)})
+		}
+	}
+	return view
+}
