Membership: probe a bounded number of peers an interval

Each entry now probes Fanout+Bridges random peers and those that missed one; notices are still pushed to all of a full mesh at once.

--- a/internal/core/membership/events.go
+++ b/internal/core/membership/events.go
@@ -112,14 +112,15 @@
 	Peers []Record
 	// EpochMS is the time at now = 0, in milliseconds since 1970.
 	EpochMS int64
-	// FullMeshLimit is the number of other entries up to which each probes
-	// every other. Default 46.
+	// FullMeshLimit is the number of other entries up to which a notice is
+	// pushed to all of them at once and peers are chosen regardless of their
+	// zone. Default 46.
 	FullMeshLimit int
-	// Fanout is the number of random peers of the own zone in one round above
-	// that limit, and of peers that news is passed on to. Default 4.
+	// Fanout is the number of random peers of the own zone in one round.
+	// Default 4.
 	Fanout int
-	// Bridges is the number of random peers of other zones in one round above
-	// that limit. Default 2.
+	// Bridges is the number of random peers of other zones in one round.
+	// Default 2.
 	Bridges int
 	// ProbeInterval is the time between two rounds of probes. Default 1 s.
 	ProbeInterval time.Duration
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -80,13 +80,12 @@
 	t.note(m, before)
 }
 
-// probe sends one round of probes.
+// probe sends one round of probes to a few random peers and to those that
+// missed the last one. Each entry is still probed by several others in an
+// interval, and the cost does not grow with the deployment.
 func (t *Table) probe() {
-	targets := t.peers("")
-	if len(targets) > t.options.FullMeshLimit {
-		targets = t.sample(t.options.Fanout, t.options.Bridges, "")
-		targets = t.addDoubtful(targets)
-	}
+	targets := t.sample(t.options.Fanout, t.options.Bridges, "")
+	targets = t.addDoubtful(targets)
 	if gone := t.randomDead(); gone != nil {
 		targets = append(targets, gone)
 	}
