Prove how far a call to a backend server got; add the load tool

Cause: 'not run' may be said only when it is provable, and answers under load must be checked token by token. The stand-in can hold streams at a token, so that no test depends on its speed. Failed first: resume and migration tests that relied on the stream outlasting the calls; they would have passed or failed by the machine's speed.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -12,7 +12,7 @@
 // watchdog cancels a call that makes no progress.
 type watchdog struct {
 	timer   *time.Timer
-	timeout time.Duration
+	timeout atomic.Int64
 	expired atomic.Bool
 	// sent is set once the header of the answer is there; sending the
 	// request's body counts as progress until then.
@@ -21,7 +21,8 @@
 
 func newWatchdog(cancel context.CancelCauseFunc, timeout, otherwise time.Duration) *watchdog {
 	setDefault(&timeout, otherwise)
-	w := &watchdog{timeout: timeout}
+	w := &watchdog{}
+	w.timeout.Store(int64(timeout))
 	w.timer = time.AfterFunc(timeout, func() {
 		w.expired.Store(true)
 		cancel(errSilent)
@@ -29,7 +30,7 @@
 	return w
 }
 
-func (w *watchdog) progress()   { w.timer.Reset(w.timeout) }
+func (w *watchdog) progress()   { w.timer.Reset(time.Duration(w.timeout.Load())) }
 func (w *watchdog) stop()       { w.timer.Stop() }
 func (w *watchdog) fired() bool { return w.expired.Load() }
 
--- /dev/null
+++ b/internal/backend/engine_test.go
@@ -0,0 +1,270 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"waxwingcart/internal/backend"
+	"waxwingcart/internal/standin"
+)
+
+type stats struct {
+	Prefill   int64 `json:"prefill_tokens"`
+	Decoded   int64 `json:"decoded_tokens"`
+	Cancelled int64 `json:"cancelled"`
+}
+
+func statsOf(t *testing.T, address string) stats {
+	t.Helper()
+	var s stats
+	get(t, address, "/standin/stats", &s)
+	return s
+}
+
+// readSome reads that many events of a stream.
+func readSome(t *testing.T, s *backend.Stream, events int) string {
+	t.Helper()
+	var got strings.Builder
+	for range events {
+		event, err := s.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got.WriteString(text(t, event))
+	}
+	return got.String()
+}
+
+// A connection that goes silent is replaced by one that resumes the stream;
+// no token is computed twice, and idle connections of the same age are not
+// tried first.
+func TestResumeAfterSilence(t *testing.T) {
+	address := startStandin(t, fastModel())
+	c := newClient(t, backend.Options{})
+	ctx := context.Background()
+	// An idle connection that will be silent as well.
+	spare, err := c.Stream(ctx, completion(address, "r-0", "spare", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	hold(t, address, 5)
+	call := completion(address, "r-1", "prompt", 40)
+	s, err := c.Stream(ctx, call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readAll(t, spare)
+	spare.Close()
+	got := readSome(t, s, 5)
+
+	yes := true
+	fault(t, address, standin.FaultRequest{Silent: &yes})
+	s.SetProgressTimeout(30 * time.Millisecond)
+	_, err = s.Next()
+	if phase := phaseOf(t, err); phase != backend.PhaseSilent {
+		t.Fatalf("got %v, %v", phase, err)
+	}
+	s.Close()
+
+	hold(t, address, 0)
+	call.Attempt = 2
+	resumed, err := c.Resume(ctx, call, s.ID, s.Offset())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resumed.Close()
+	got += readAll(t, resumed)
+	if got != standin.Answer("prompt", 40) {
+		t.Error("the answer is not the whole one")
+	}
+	if decoded := statsOf(t, address).Decoded; decoded != 41 {
+		t.Errorf("%d tokens decoded, want 41", decoded)
+	}
+	if got := runs(t, address)["r-1"]; got != 1 {
+		t.Errorf("%d runs, want 1", got)
+	}
+}
+
+func TestMigration(t *testing.T) {
+	from, to := startStandin(t, fastModel()), startStandin(t, fastModel())
+	c := newClient(t, backend.Options{})
+	ctx := context.Background()
+	prompt := strings.Repeat("long prompt ", 500)
+	hold(t, from, 3)
+	call := completion(from, "r-1", prompt, 50)
+	s, err := c.Stream(ctx, call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	got := readSome(t, s, 3)
+	if _, err := c.Export(ctx, from, s.ID, 10); phaseOf(t, err) != backend.PhaseInvalid {
+		t.Errorf("an export beyond the limit: %v", err)
+	}
+	cache, err := c.Export(ctx, from, s.ID, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Import(ctx, to, cache[:len(cache)-1]); phaseOf(t, err) != backend.PhaseAnswered {
+		t.Errorf("a cut import: %v", err)
+	}
+	moved, err := c.Import(ctx, to, cache)
+	if err != nil {
+		t.Fatal(err)
+	}
+	call.Address, call.Attempt = to, 2
+	resumed, err := c.Resume(ctx, call, moved, s.Offset())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resumed.Close()
+	if got += readAll(t, resumed); got != standin.Answer(prompt, 50) {
+		t.Error("the answer is not the whole one")
+	}
+	first, second := statsOf(t, from), statsOf(t, to)
+	if first.Decoded+second.Decoded != 50 || second.Prefill != 0 {
+		t.Errorf("decoded %d and %d, prefill %d", first.Decoded, second.Decoded, second.Prefill)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	address := startStandin(t, fastModel())
+	c := newClient(t, backend.Options{})
+	ctx := context.Background()
+	hold(t, address, 3)
+	s, err := c.Stream(ctx, completion(address, "r-1", "prompt", 50))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for range 2 {
+		if err := c.Cancel(ctx, address, s.ID); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := statsOf(t, address).Cancelled; got != 1 {
+		t.Errorf("%d cancelled, want 1", got)
+	}
+	_, err = c.Resume(ctx, backend.Call{Address: address}, s.ID, 0)
+	var failed *backend.Error
+	if !errors.As(err, &failed) || failed.Status != http.StatusNotFound {
+		t.Errorf("resumed a cancelled stream: %v", err)
+	}
+}
+
+func TestOrders(t *testing.T) {
+	for _, fencing := range []string{"checked", "ignored"} {
+		opts := fastModel()
+		opts.Fencing = fencing
+		address := startStandin(t, opts)
+		c := newClient(t, backend.Options{})
+		ctx := context.Background()
+		if err := c.Order(ctx, address, backend.Order{Fencing: 13, Kind: "set-model", Value: "new"}); err != nil {
+			t.Fatal(err)
+		}
+		err := c.Order(ctx, address, backend.Order{Fencing: 12, Kind: "set-model", Value: "old"})
+		want := "old"
+		if fencing == "checked" {
+			want = "new"
+			var failed *backend.Error
+			if !errors.As(err, &failed) || failed.Status != http.StatusConflict || failed.Highest != 13 {
+				t.Errorf("an older order: %v", err)
+			}
+		}
+		state, err := c.Orders(ctx, address)
+		if err != nil || state.Highest != 13 || state.Desired["set-model"] != want {
+			t.Errorf("%s: %+v, %v", fencing, state, err)
+		}
+	}
+}
+
+// An engine that was ordered to leave takes no new work, and finishes what it
+// has.
+func TestLeavingEngineFinishes(t *testing.T) {
+	address := startStandin(t, fastModel())
+	c := newClient(t, backend.Options{})
+	ctx := context.Background()
+	hold(t, address, 3)
+	s, err := c.Stream(ctx, completion(address, "r-1", "prompt", 50))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if err := c.Order(ctx, address, backend.Order{Fencing: 1, Kind: "set-leaving", Value: "true"}); err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.Stream(ctx, completion(address, "r-2", "prompt", 1))
+	if phaseOf(t, err) != backend.PhaseRefused || runs(t, address)["r-2"] != 0 {
+		t.Errorf("new work: %v", err)
+	}
+	hold(t, address, 0)
+	if readAll(t, s) != standin.Answer("prompt", 50) {
+		t.Error("the answer is not the whole one")
+	}
+}
+
+func TestCacheEventsHaveGaps(t *testing.T) {
+	opts := fastModel()
+	opts.CacheGapEvery = 2
+	address := startStandin(t, opts)
+	c := newClient(t, backend.Options{})
+	prompts := []string{"first", "second", "third"}
+	for _, prompt := range prompts {
+		s, err := c.Stream(context.Background(), completion(address, "r-1", prompt, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		readAll(t, s)
+		s.Close()
+	}
+	events, last, err := c.CacheEvents(context.Background(), address, 0)
+	if err != nil || last != 3 || len(events) != 2 {
+		t.Fatalf("%+v, %d, %v", events, last, err)
+	}
+	want := backend.CacheEvent{Seq: 3, Kind: backend.CacheStored, Prefix: standin.PrefixHash("third")}
+	if events[1] != want {
+		t.Errorf("got %+v, want %+v", events[1], want)
+	}
+}
+
+func TestPlatform(t *testing.T) {
+	opts := standin.DefaultOptions(standin.KindPlatform, "")
+	opts.ReportLag, opts.StartTime = 0, 0
+	opts.VMs = []string{"a,north,spot,10.0.0.1:80", "b,south,spot,10.0.0.2:80"}
+	opts.Capacity = map[string]int{"spot/north": 1}
+	opts.Prices = map[string]float64{"spot/north": 0.42}
+	address := startStandin(t, opts)
+	c := newClient(t, backend.Options{})
+	ctx := context.Background()
+	prices, err := c.Prices(ctx, address)
+	if err != nil || prices["spot/north"] != 0.42 {
+		t.Errorf("%v, %v", prices, err)
+	}
+	vm, err := c.Rent(ctx, address, "north", "spot")
+	if err != nil || vm.Zone != "north" {
+		t.Fatalf("%+v, %v", vm, err)
+	}
+	var failed *backend.Error
+	if _, err := c.Rent(ctx, address, "north", "spot"); !errors.As(err, &failed) || failed.Status != http.StatusServiceUnavailable {
+		t.Errorf("rented beyond the capacity: %v", err)
+	}
+	post(t, address, "/standin/reclaim", map[string]any{"zone": "north", "seconds": 60})
+	notices, last, err := c.Notices(ctx, address, 1)
+	if err != nil || last != 2 || len(notices) != 1 || notices[0].VM != vm.Name || notices[0].Left <= 0 {
+		t.Errorf("%+v, %d, %v", notices, last, err)
+	}
+	if err := c.GiveBack(ctx, address, vm.Name); err != nil {
+		t.Error(err)
+	}
+	list, err := c.ListVMs(ctx, address)
+	if err != nil || len(list.VMs) != 2 {
+		t.Fatalf("%+v, %v", list, err)
+	}
+	if list.VMs[0].State != backend.VMLeaving || list.VMs[1].State != backend.VMLive {
+		t.Errorf("%+v", list.VMs)
+	}
+}
--- a/internal/backend/sse.go
+++ b/internal/backend/sse.go
@@ -4,50 +4,47 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
-	"strconv"
 )
 
-var (
-	errEventTooLarge = errors.New("the event is larger than allowed")
-	errEventID       = errors.New("the event's id is not an offset")
-)
+var errEventTooLarge = errors.New("the event is larger than allowed")
 
-// eventReader reads server-sent events with whole-number ids.
-type eventReader struct {
+// EventReader reads server-sent events.
+type EventReader struct {
 	from  *bufio.Reader
 	limit int
 }
 
-// rawEvent is one event; id is negative if it has none.
-type rawEvent struct {
-	id   int64
-	name string
-	data []byte
+// RawEvent is one server-sent event that holds data.
+type RawEvent struct {
+	// ID is empty if the event has none.
+	ID   string
+	Name string
+	Data []byte
 }
 
-func newEventReader(from io.Reader, limit int) *eventReader {
-	return &eventReader{from: bufio.NewReaderSize(from, 4<<10), limit: limit}
+// NewEventReader reads events of up to limit bytes.
+func NewEventReader(from io.Reader, limit int) *EventReader {
+	return &EventReader{from: bufio.NewReaderSize(from, 4<<10), limit: limit}
 }
 
-// next returns the next event that holds data. It returns io.EOF at the end
+// Next returns the next event that holds data. It returns io.EOF at the end
 // of the input, where an event without its closing empty line is dropped.
-func (r *eventReader) next() (rawEvent, error) {
-	event := rawEvent{id: -1}
+func (r *EventReader) Next() (RawEvent, error) {
+	var event RawEvent
 	hasData := false
 	size := 0
 	for {
 		line, err := r.line(r.limit - size)
 		if err != nil {
-			return rawEvent{}, err
+			return RawEvent{}, err
 		}
 		size += len(line)
 		if len(line) == 0 {
 			if hasData {
 				return event, nil
 			}
-			event = rawEvent{id: -1}
+			event = RawEvent{}
 			size = 0
 			continue
 		}
@@ -55,24 +52,21 @@
 		switch field {
 		case "data":
 			if hasData {
-				event.data = append(event.data, '\n')
+				event.Data = append(event.Data, '\n')
 			}
-			event.data = append(event.data, value...)
+			event.Data = append(event.Data, value...)
 			hasData = true
 		case "event":
-			event.name = string(value)
+			event.Name = string(value)
 		case "id":
-			event.id, err = strconv.ParseInt(string(value), 10, 64)
-			if err != nil || event.id < 0 {
-				return rawEvent{}, fmt.Errorf("%w: %.40q", errEventID, value)
-			}
+			event.ID = string(value)
 		}
 	}
 }
 
 // line returns the next line without its end. The slice is valid until the
 // next call.
-func (r *eventReader) line(limit int) ([]byte, error) {
+func (r *EventReader) line(limit int) ([]byte, error) {
 	var whole []byte
 	for {
 		part, err := r.from.ReadSlice('\n')
--- /dev/null
+++ b/internal/backend/sse_test.go
@@ -0,0 +1,63 @@
+package backend_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+
+	"waxwingcart/internal/backend"
+)
+
+const fuzzLimit = 1 << 12
+
+// Events are read as they were written, however they are cut.
+func TestEventsSurviveAnyCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "end")
+		data := rapid.SliceOf(rapid.StringMatching(`[a-z:{}" ]{0,20}`)).Draw(t, "data")
+		var text strings.Builder
+		for i, d := range data {
+			fmt.Fprintf(&text, ": comment%sid: %d%sdata:%s%s%s", end, i, end, " "+d, end, end)
+		}
+		whole := text.String()
+		cut := rapid.IntRange(0, len(whole)).Draw(t, "cut")
+		from := io.MultiReader(strings.NewReader(whole[:cut]), iotest.OneByteReader(strings.NewReader(whole[cut:])))
+		reader := backend.NewEventReader(from, fuzzLimit)
+		for i, d := range data {
+			event, err := reader.Next()
+			if err != nil || event.ID != fmt.Sprint(i) || string(event.Data) != d {
+				t.Fatalf("event %d: %q %q %v, want %q", i, event.ID, event.Data, err, d)
+			}
+		}
+		if _, err := reader.Next(); !errors.Is(err, io.EOF) {
+			t.Fatalf("got %v at the end", err)
+		}
+	})
+}
+
+func FuzzEventReader(f *testing.F) {
+	for _, seed := range []string{
+		"id: 0\ndata: {}\n\ndata: [DONE]\n\n", "data: a\r\ndata: b\r\n\r\n", ": comment\n\n",
+		"id: -1\ndata\n\n", "event: error\ndata: {}\n\n", "data: cut", "\n\n\n", "\x00\xff\n",
+		strings.Repeat("x", fuzzLimit+10), "data: " + strings.Repeat("y\ndata: ", 2000),
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		reader := backend.NewEventReader(strings.NewReader(text), fuzzLimit)
+		for {
+			event, err := reader.Next()
+			if err != nil {
+				return
+			}
+			if len(event.Data) > fuzzLimit {
+				t.Fatalf("an event of %d bytes", len(event.Data))
+			}
+		}
+	})
+}
--- a/internal/backend/standin_test.go
+++ b/internal/backend/standin_test.go
@@ -101,6 +101,12 @@
 	post(t, address, "/standin/fault", request)
 }
 
+// hold stops all streams at so many tokens; 0 lets them go on.
+func hold(t *testing.T, address string, tokens int) {
+	t.Helper()
+	fault(t, address, standin.FaultRequest{HoldAfter: &tokens})
+}
+
 func post(t *testing.T, address, path string, value any) {
 	t.Helper()
 	body, _ := json.Marshal(value)
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -29,7 +29,7 @@
 	Header http.Header
 
 	answer *answer
-	events *eventReader
+	events *EventReader
 	next   int64
 	done   bool
 	late   int
@@ -37,7 +37,7 @@
 
 var (
 	errNotEvents = errors.New("the answer is not a stream of events")
-	errNoID      = errors.New("the event has no id")
+	errEventID   = errors.New("the event's id is not an offset")
 	errNoEnd     = errors.New("the stream ended without [DONE]")
 	errNoStream  = errors.New("the answer names no stream")
 )
@@ -75,7 +75,7 @@
 		ID:     got.response.Header.Get("X-Stream-Id"),
 		Header: got.response.Header,
 		answer: got,
-		events: newEventReader(got, c.opts.MaxEventBytes),
+		events: NewEventReader(got, c.opts.MaxEventBytes),
 		next:   offset,
 	}, nil
 }
@@ -105,27 +105,28 @@
 // and an *Error if the stream ends otherwise.
 func (s *Stream) Next() (Event, error) {
 	for !s.done {
-		event, err := s.events.next()
+		raw, err := s.events.Next()
 		if err != nil {
 			return Event{}, s.ended(err)
 		}
-		if event.id < 0 && string(event.data) == "[DONE]" {
+		if raw.ID == "" && string(raw.Data) == "[DONE]" {
 			s.drain()
 			break
 		}
-		if event.id < 0 {
-			return Event{}, s.answer.fail(PhaseInvalid, errNoID)
+		offset, err := strconv.ParseInt(raw.ID, 10, 64)
+		if err != nil || offset < 0 {
+			return Event{}, s.answer.fail(PhaseInvalid, fmt.Errorf("%w: %.40q", errEventID, raw.ID))
 		}
-		if event.id < s.next {
+		if offset < s.next {
 			s.late++
 			continue
 		}
-		if event.id > s.next {
-			err := fmt.Errorf("event %d where %d was due", event.id, s.next)
+		if offset > s.next {
+			err := fmt.Errorf("event %d where %d was due", offset, s.next)
 			return Event{}, s.answer.fail(PhaseInvalid, err)
 		}
 		s.next++
-		return Event{Offset: event.id, Data: event.data}, nil
+		return Event{Offset: offset, Data: raw.Data}, nil
 	}
 	return Event{}, io.EOF
 }
@@ -160,6 +161,12 @@
 	}
 }
 
+// SetProgressTimeout replaces the longest silence allowed from the next event
+// on. It must not be called while Next runs.
+func (s *Stream) SetProgressTimeout(timeout time.Duration) {
+	s.answer.watched.timeout.Store(int64(timeout))
+}
+
 // Offset returns the offset of the next event.
 func (s *Stream) Offset() int64 {
 	return s.next
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,170 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	histogramMax    = int64(time.Hour / time.Microsecond)
+	histogramDigits = 3
+)
+
+// Percentiles are latencies in milliseconds.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Group is the result of the requests of one class or customer, or of all.
+type Group struct {
+	Sent    int `json:"sent"`
+	Full    int `json:"full"`
+	Inside  int `json:"inside_target"`
+	Refused int `json:"refused"`
+	Broken  int `json:"broken"`
+	Wrong   int `json:"wrong"`
+	// InsideOfSent is the share of all requests inside the target, and
+	// InsideOfAccepted that of the requests that were not refused.
+	InsideOfSent     float64     `json:"inside_of_sent"`
+	InsideOfAccepted float64     `json:"inside_of_accepted"`
+	FirstToken       Percentiles `json:"first_token"`
+	TokenGap         Percentiles `json:"token_gap"`
+	Completion       Percentiles `json:"completion"`
+	Refusal          Percentiles `json:"refusal"`
+}
+
+// Refusal counts the refusals of one reason and stated outcome.
+type Refusal struct {
+	Reason  string `json:"reason"`
+	Outcome string `json:"outcome"`
+	Count   int    `json:"count"`
+}
+
+// Tokens compares what the stand-ins computed with what callers needed.
+type Tokens struct {
+	Decoded   int64 `json:"decoded"`
+	Delivered int64 `json:"delivered"`
+	// Recomputed tokens were decoded and not delivered.
+	Recomputed int64 `json:"recomputed"`
+	Prefill    int64 `json:"prefill"`
+	Cached     int64 `json:"cached"`
+	// PromptNeeded counts each prompt that got an answer once.
+	PromptNeeded int64 `json:"prompt_needed"`
+	// PrefillRepeated prompt tokens were looked up or computed beyond that.
+	PrefillRepeated int64 `json:"prefill_repeated"`
+	Cancelled       int64 `json:"cancelled"`
+}
+
+// Result is what a run showed.
+type Result struct {
+	Seed            uint64           `json:"seed"`
+	RatePerSecond   float64          `json:"rate_per_second"`
+	DurationSeconds float64          `json:"duration_s"`
+	Offered         int              `json:"offered"`
+	NotSent         int              `json:"not_sent"`
+	All             Group            `json:"all"`
+	Classes         map[string]Group `json:"classes"`
+	Customers       map[string]Group `json:"customers"`
+	Refusals        []Refusal        `json:"refusals"`
+	BrokenBy        map[string]int   `json:"broken_by"`
+	WrongBy         map[string]int   `json:"wrong_by"`
+	Resumes         int              `json:"resumes"`
+	Resends         int              `json:"resends"`
+	Retries         int              `json:"retries"`
+	DialErrors      int              `json:"dial_errors"`
+	// Doubled bookings ran more than once.
+	Doubled int `json:"doubled_runs"`
+	// Missing bookings were answered and did not run.
+	Missing int `json:"missing_runs"`
+	// Lies are answers that said not-run for a request that ran.
+	Lies int `json:"not_run_that_ran"`
+	// Unaudited stand-ins did not answer at the end; what they said last
+	// counts.
+	Unaudited []string `json:"unaudited"`
+	Tokens    Tokens   `json:"tokens"`
+	// Price is that of the backend servers during the run.
+	Price float64 `json:"price"`
+	// PricePer1000 is the price of 1,000 requests inside the target; 0 if
+	// none was or no price is known.
+	PricePer1000 float64 `json:"price_per_1000_inside"`
+}
+
+// Faults returns the number of outcomes that must never be.
+func (r *Result) Faults() int {
+	return r.All.Wrong + r.Doubled + r.Missing + r.Lies
+}
+
+// group gathers the outcomes of a Group.
+type group struct {
+	Group
+	first, gap, completion, refusal *hdrhistogram.Histogram
+}
+
+func newGroup() *group {
+	made := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMax, histogramDigits) }
+	return &group{first: made(), gap: made(), completion: made(), refusal: made()}
+}
+
+func record(histogram *hdrhistogram.Histogram, latency time.Duration) {
+	micros := min(max(latency.Microseconds(), 1), histogramMax)
+	_ = histogram.RecordValue(micros)
+}
+
+// add counts one outcome.
+func (g *group) add(o *outcome, inside bool) {
+	g.Sent++
+	switch o.ending {
+	case endFull:
+		g.Full++
+		record(g.first, o.first)
+		record(g.completion, o.total)
+	case endRefused:
+		g.Refused++
+		record(g.refusal, o.total)
+	case endBroken:
+		g.Broken++
+	case endWrong:
+		g.Wrong++
+	}
+	if inside {
+		g.Inside++
+	}
+	for _, gap := range o.gaps {
+		record(g.gap, gap)
+	}
+}
+
+// result works out shares and percentiles.
+func (g *group) result() Group {
+	made := g.Group
+	made.InsideOfSent = share(made.Inside, made.Sent)
+	made.InsideOfAccepted = share(made.Inside, made.Sent-made.Refused)
+	made.FirstToken = percentiles(g.first)
+	made.TokenGap = percentiles(g.gap)
+	made.Completion = percentiles(g.completion)
+	made.Refusal = percentiles(g.refusal)
+	return made
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	ms := func(micros int64) float64 { return float64(micros) / 1000 }
+	return Percentiles{
+		Count: h.TotalCount(),
+		P50:   ms(h.ValueAtQuantile(50)),
+		P95:   ms(h.ValueAtQuantile(95)),
+		P99:   ms(h.ValueAtQuantile(99)),
+		Max:   ms(h.Max()),
+	}
+}
--- a/internal/standin/app.go
+++ b/internal/standin/app.go
@@ -38,6 +38,7 @@
 	router.HandleFunc("/bookings", a.post).Methods(http.MethodPost)
 	router.HandleFunc("/records/{id}", a.record).Methods(http.MethodGet)
 	router.HandleFunc("/status", a.status).Methods(http.MethodGet)
+	router.HandleFunc("/standin/stats", a.stats).Methods(http.MethodGet)
 }
 
 // post runs a claim or booking once and answers with its serial number and
@@ -52,7 +53,7 @@
 		return
 	}
 	defer a.leave()
-	a.server.runs.started(requestID(r))
+	a.server.runs.startedBody(requestID(r), BodyDigest(body))
 	a.mu.Lock()
 	a.serial++
 	serial := a.serial
@@ -65,7 +66,7 @@
 	}
 	writeJSON(w, http.StatusCreated, map[string]any{
 		"id":     a.server.opts.Name + "-" + strconv.Itoa(serial),
-		"digest": digest(string(body))[:16],
+		"digest": BodyDigest(body),
 	})
 }
 
@@ -82,6 +83,11 @@
 	writeJSON(w, http.StatusOK, map[string]any{"id": id, "digest": RecordDigest(id)})
 }
 
+// stats gives an application's statistics, which has no tokens to count.
+func (a *appServer) stats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, engineStats{})
+}
+
 // RecordDigest returns the digest that a lookup of the record gives.
 func RecordDigest(id string) string {
 	return digest("record " + id)[:16]
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -57,9 +57,9 @@
 	Cancelled     int64 `json:"cancelled"`
 	// RefusedLeaving counts requests that came while the engine was leaving.
 	RefusedLeaving int64 `json:"refused_leaving"`
-	Exported      int64 `json:"exported"`
-	Imported      int64 `json:"imported"`
-	Resumed       int64 `json:"resumed"`
+	Exported       int64 `json:"exported"`
+	Imported       int64 `json:"imported"`
+	Resumed        int64 `json:"resumed"`
 }
 
 // engineLoad is what an engine reports.
@@ -75,6 +75,7 @@
 // the larger the batch is.
 type engine struct {
 	opts Options
+	held func() int // tokens at which streams are held; 0 for none
 
 	mu       sync.Mutex
 	stepping bool
@@ -88,9 +89,10 @@
 	stats    engineStats
 }
 
-func newEngine(opts Options) *engine {
+func newEngine(opts Options, held func() int) *engine {
 	return &engine{
 		opts:    opts,
+		held:    held,
 		streams: make(map[string]*stream),
 		cache:   newPrefixCache(opts),
 		load:    newDelayLine[engineLoad](opts.ReportLag),
@@ -265,6 +267,9 @@
 // produce adds one token.
 func (e *engine) produce(s *stream) {
 	s.phase = phaseDecode
+	if held := e.held(); held > 0 && s.produced >= held {
+		return
+	}
 	if s.produced < s.tokens {
 		s.produced++
 		e.stats.DecodedTokens++
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -27,6 +27,9 @@
 	// TruncateAfter closes a stream's connection after that many events;
 	// 0 turns it off.
 	TruncateAfter *int `json:"truncate_after,omitempty"`
+	// HoldAfter stops decoding each stream at that many tokens; 0 lets all go
+	// on.
+	HoldAfter *int `json:"hold_after,omitempty"`
 	// Garbage answers reports with text that is none.
 	Garbage *bool `json:"garbage,omitempty"`
 }
@@ -47,6 +50,7 @@
 	leaving       bool
 	dropAfterRun  bool
 	truncateAfter int
+	holdAfter     int
 	garbage       bool
 }
 
@@ -79,6 +83,7 @@
 	assign(&f.leaving, request.Leaving)
 	assign(&f.dropAfterRun, request.DropAfterRun)
 	assign(&f.truncateAfter, request.TruncateAfter)
+	assign(&f.holdAfter, request.HoldAfter)
 	assign(&f.garbage, request.Garbage)
 	if request.DelayMS != nil {
 		f.delay = time.Duration(*request.DelayMS) * time.Millisecond
@@ -153,6 +158,13 @@
 	return f.leaving
 }
 
+// held returns the number of tokens at which streams are held, or 0.
+func (f *faults) held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holdAfter
+}
+
 // dropped closes the connection without an answer if that fault is set.
 func (f *faults) dropped() {
 	f.mu.Lock()
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -27,7 +27,7 @@
 func newModelServer(s *Server) *modelServer {
 	return &modelServer{
 		server: s,
-		engine: newEngine(s.opts),
+		engine: newEngine(s.opts, s.faults.held),
 		orders: newOrders(s.opts),
 		booted: time.Now(),
 	}
