--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -108,6 +109,14 @@
 	case !(o.Duplicates >= 0 && o.Duplicates <= 1):
 		return errors.New("duplicates: expected 0 to 1")
 	}
+	for _, address := range slices.Concat(o.Entries, o.Standins, []string{o.Platform}) {
+		if _, err := netip.ParseAddrPort(address); err != nil && address != "" {
+			return fmt.Errorf("address %q: expected an IP address and port", address)
+		}
+	}
+	if strings.ContainsAny(o.App, "/?#% ") {
+		return fmt.Errorf("app %q: expected the name of a service", o.App)
+	}
 	return o.validateParts()
 }
 
