Count whole events as progress; find silent servers by their reports

Cause: a peer that sent bytes without ever ending an event counted as alive, and a silent idle connection was met first by a request, which then lost the whole progress timeout. Change: a stream's deadline runs from event to event; reports and other control calls have a deadline of their own (1 s) on the shared connections. One transport serves all calls that may not be repeated.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -60,13 +60,17 @@
 	watched  *watchdog
 	cancel   context.CancelCauseFunc
 	ended    atomic.Bool
+	// byEvent is set if events count as progress, and not bytes.
+	byEvent bool
 }
 
 // Read reads on. Any error but io.EOF is an *Error.
 func (a *answer) Read(data []byte) (int, error) {
-	a.watched.progress()
+	if !a.byEvent {
+		a.watched.progress()
+		defer a.watched.stop()
+	}
 	n, err := a.response.Body.Read(data)
-	a.watched.stop()
 	if err == nil {
 		return n, nil
 	}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -26,6 +26,10 @@
 	// ProgressTimeout is the longest silence while an answer is awaited or
 	// read.
 	ProgressTimeout time.Duration
+	// ControlTimeout replaces ProgressTimeout for reports, orders, lists and
+	// cancels. A report that goes silent closes the idle connections to its
+	// server, so that regular reports keep silent ones out of use.
+	ControlTimeout time.Duration
 	// MaxIdlePerServer bounds the idle connections to one server.
 	MaxIdlePerServer int
 	// IdleTimeout bounds the age of an idle connection. An idle connection
@@ -43,6 +47,7 @@
 const (
 	DefaultDialTimeout      = time.Second
 	DefaultProgressTimeout  = 5 * time.Second
+	DefaultControlTimeout   = time.Second
 	DefaultMaxIdlePerServer = 16
 	DefaultIdleTimeout      = 10 * time.Second
 	DefaultMaxReportBytes   = 1 << 20
@@ -55,6 +60,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.ProgressTimeout, DefaultProgressTimeout)
+	setDefault(&o.ControlTimeout, DefaultControlTimeout)
 	setDefault(&o.MaxIdlePerServer, DefaultMaxIdlePerServer)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.MaxReportBytes, DefaultMaxReportBytes)
@@ -73,54 +79,59 @@
 // Client calls servers by address. It is safe for concurrent use.
 type Client struct {
 	opts Options
+	// fresh serves requests that may not be repeated, each on a connection of
+	// its own: a transport sends a request again by itself only when a reused
+	// connection fails.
+	fresh *http.Transport
 
-	mu    sync.Mutex
-	peers map[string]*peer
-}
-
-// peer holds the transports to one server. Requests that may not be repeated
-// get a connection of their own: a transport sends a request again by itself
-// only when a reused connection fails.
-type peer struct {
-	pooled *http.Transport
-	fresh  *http.Transport
+	mu sync.Mutex
+	// pooled holds a transport per server, so that the idle connections to
+	// one server can be closed.
+	pooled map[string]*http.Transport
 }
 
 // New returns a client.
 func New(opts Options) *Client {
-	return &Client{opts: opts.withDefaults(), peers: make(map[string]*peer)}
+	c := &Client{opts: opts.withDefaults(), pooled: make(map[string]*http.Transport)}
+	c.fresh = c.transport()
+	c.fresh.DisableKeepAlives = true
+	return c
 }
 
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, p := range c.peers {
-		p.pooled.CloseIdleConnections()
-		delete(c.peers, address)
+	for address, transport := range c.pooled {
+		transport.CloseIdleConnections()
+		delete(c.pooled, address)
 	}
+	c.fresh.CloseIdleConnections()
 }
 
 // Forget closes the idle connections to a server, as when it has gone.
 func (c *Client) Forget(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p := c.peers[address]; p != nil {
-		p.pooled.CloseIdleConnections()
-		delete(c.peers, address)
+	if transport := c.pooled[address]; transport != nil {
+		transport.CloseIdleConnections()
+		delete(c.pooled, address)
 	}
 }
 
-func (c *Client) peer(address string) *peer {
+// transportFor returns the transport that a call goes through.
+func (c *Client) transportFor(call Call) *http.Transport {
+	if !call.Repeatable {
+		return c.fresh
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.peers[address]
-	if p == nil {
-		p = &peer{pooled: c.transport(), fresh: c.transport()}
-		p.fresh.DisableKeepAlives = true
-		c.peers[address] = p
+	transport := c.pooled[call.Address]
+	if transport == nil {
+		transport = c.transport()
+		c.pooled[call.Address] = transport
 	}
-	return p
+	return transport
 }
 
 func (c *Client) transport() *http.Transport {
@@ -209,12 +220,7 @@
 	if err != nil {
 		return nil, fail(err)
 	}
-	p := c.peer(call.Address)
-	transport := p.fresh
-	if call.Repeatable {
-		transport = p.pooled
-	}
-	response, err := transport.RoundTrip(request)
+	response, err := c.transportFor(call).RoundTrip(request)
 	if err != nil {
 		return nil, fail(err)
 	}
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -16,7 +16,7 @@
 // counts as ended.
 func (c *Client) Cancel(ctx context.Context, address, stream string) error {
 	call := Call{Step: "cancel", Address: address, Method: http.MethodDelete, Path: streamPath(stream), Repeatable: true}
-	_, err := c.exchange(ctx, call, c.opts.MaxReportBytes)
+	_, err := c.control(ctx, call)
 	var failed *Error
 	if errors.As(err, &failed) && failed.Status == http.StatusNotFound {
 		return nil
@@ -38,7 +38,11 @@
 	var answer struct {
 		Stream string `json:"stream"`
 	}
-	if err := c.exchangeJSON(ctx, call, &answer); err != nil {
+	body, err := c.exchange(ctx, call, c.opts.MaxReportBytes)
+	if err != nil {
+		return "", err
+	}
+	if err := call.decode(body, &answer); err != nil {
 		return "", err
 	}
 	if answer.Stream == "" {
@@ -73,7 +77,7 @@
 	}
 	call := Call{Step: "order", Address: address, Method: http.MethodPost, Path: "/v1/orders", Body: body, Repeatable: true}
 	call.Header = http.Header{"Content-Type": {"application/json"}}
-	_, err = c.exchange(ctx, call, c.opts.MaxReportBytes)
+	_, err = c.control(ctx, call)
 	return err
 }
 
@@ -81,7 +85,7 @@
 func (c *Client) Orders(ctx context.Context, address string) (OrderState, error) {
 	var state OrderState
 	call := Call{Step: "read orders", Address: address, Method: http.MethodGet, Path: "/v1/orders", Repeatable: true}
-	err := c.exchangeJSON(ctx, call, &state)
+	err := c.controlJSON(ctx, call, &state)
 	return state, err
 }
 
@@ -107,20 +111,31 @@
 		Events []CacheEvent `json:"events"`
 		Last   int64        `json:"last"`
 	}
-	if err := c.exchangeJSON(ctx, call, &list); err != nil {
+	if err := c.controlJSON(ctx, call, &list); err != nil {
 		return nil, 0, err
 	}
 	return list.Events, list.Last, nil
 }
 
-// exchangeJSON sends a call and decodes its answer.
-func (c *Client) exchangeJSON(ctx context.Context, call Call, value any) error {
-	body, err := c.exchange(ctx, call, c.opts.MaxReportBytes)
+// control sends a call and returns the whole body of a 2xx answer.
+func (c *Client) control(ctx context.Context, call Call) ([]byte, error) {
+	call.ProgressTimeout = c.opts.ControlTimeout
+	return c.exchange(ctx, call, c.opts.MaxReportBytes)
+}
+
+// controlJSON sends a call and decodes its answer.
+func (c *Client) controlJSON(ctx context.Context, call Call, value any) error {
+	body, err := c.control(ctx, call)
 	if err != nil {
 		return err
 	}
+	return call.decode(body, value)
+}
+
+// decode decodes an answer.
+func (c Call) decode(body []byte, value any) error {
 	if err := json.Unmarshal(body, value); err != nil {
-		return call.invalid(err)
+		return c.invalid(err)
 	}
 	return nil
 }
--- a/internal/backend/phase_test.go
+++ b/internal/backend/phase_test.go
@@ -136,6 +136,15 @@
 			fmt.Fprintf(w, "%s%x\r\n%s\r\n", chunked, len(event), event)
 			return true
 		}, backend.PhaseSilent},
+		"sends bytes for ever and no event": {func(w net.Conn, _ *http.Request, _ int) bool {
+			fmt.Fprint(w, chunked)
+			for {
+				if _, err := fmt.Fprint(w, "2\r\n:\n\r\n"); err != nil {
+					return false
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}, backend.PhaseSilent},
 		"answers another attempt": {func(w net.Conn, _ *http.Request, _ int) bool {
 			answer(w, "200 OK", eventHeader+"X-Request-Id: r-1/7\r\n", event+"data: [DONE]\n\n")
 			return true
@@ -196,6 +205,26 @@
 	}
 }
 
+// A peer that takes no more bytes blocks the sending of a body.
+func TestPeerTakesNoBytes(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	c := newClient(t, backend.Options{ProgressTimeout: 50 * time.Millisecond})
+	call := booking(listener.Addr().String(), "r-1", false)
+	call.Body = make([]byte, 64<<20)
+	_, err = c.Do(context.Background(), call)
+	for phaseOf(t, err) == backend.PhaseDial {
+		call.ProgressTimeout += time.Second
+		_, err = c.Do(context.Background(), call)
+	}
+	if got := phaseOf(t, err); got != backend.PhaseSilent {
+		t.Errorf("got %v, %v", got, err)
+	}
+}
+
 func TestDialFails(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/backend/platform.go
+++ b/internal/backend/platform.go
@@ -46,7 +46,7 @@
 		AgeMS float64 `json:"age_ms"`
 	}
 	call := Call{Step: "list VMs", Address: platform, Method: http.MethodGet, Path: "/vms", Repeatable: true}
-	if err := c.exchangeJSON(ctx, call, &list); err != nil {
+	if err := c.controlJSON(ctx, call, &list); err != nil {
 		return VMList{}, err
 	}
 	age := duration(list.AgeMS, time.Millisecond)
@@ -73,7 +73,7 @@
 	}
 	path := "/notices?after=" + strconv.FormatInt(after, 10)
 	call := Call{Step: "read notices", Address: platform, Method: http.MethodGet, Path: path, Repeatable: true}
-	if err := c.exchangeJSON(ctx, call, &list); err != nil {
+	if err := c.controlJSON(ctx, call, &list); err != nil {
 		return nil, 0, err
 	}
 	notices := make([]Notice, 0, len(list.Notices))
@@ -97,7 +97,7 @@
 	}
 	call := Call{Step: "rent VM", Address: platform, Method: http.MethodPost, Path: "/vms", Body: body}
 	call.Header = http.Header{"Content-Type": {"application/json"}}
-	if err := c.exchangeJSON(ctx, call, &vm); err != nil {
+	if err := c.controlJSON(ctx, call, &vm); err != nil {
 		return vm, err
 	}
 	if vm.Name == "" {
@@ -109,7 +109,7 @@
 // GiveBack gives a rented VM back.
 func (c *Client) GiveBack(ctx context.Context, platform, name string) error {
 	call := Call{Step: "give VM back", Address: platform, Method: http.MethodDelete, Path: "/vms/" + url.PathEscape(name), Repeatable: true}
-	_, err := c.exchange(ctx, call, c.opts.MaxReportBytes)
+	_, err := c.control(ctx, call)
 	return err
 }
 
@@ -119,7 +119,7 @@
 		Prices map[string]float64 `json:"prices_per_hour"`
 	}
 	call := Call{Step: "read prices", Address: platform, Method: http.MethodGet, Path: "/prices", Repeatable: true}
-	err := c.exchangeJSON(ctx, call, &list)
+	err := c.controlJSON(ctx, call, &list)
 	return list.Prices, err
 }
 
--- a/internal/backend/report.go
+++ b/internal/backend/report.go
@@ -61,7 +61,7 @@
 		return Report{}, fmt.Errorf("report %s: %w: %q", address, errVendor, vendorName)
 	}
 	call := Call{Step: "report", Address: address, Method: http.MethodGet, Path: v.path, Repeatable: true}
-	body, err := c.exchange(ctx, call, c.opts.MaxReportBytes)
+	body, err := c.control(ctx, call)
 	if err != nil {
 		return Report{}, err
 	}
--- a/internal/backend/report_test.go
+++ b/internal/backend/report_test.go
@@ -33,7 +33,7 @@
 	})}
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
-	c := backend.New(backend.Options{MaxReportBytes: 4096, ProgressTimeout: quiet})
+	c := backend.New(backend.Options{MaxReportBytes: 4096, ControlTimeout: quiet})
 	defer c.Close()
 	return c.Report(context.Background(), listener.Addr().String(), vendor)
 }
--- a/internal/backend/standin_test.go
+++ b/internal/backend/standin_test.go
@@ -38,6 +38,7 @@
 	if opts.ProgressTimeout == 0 {
 		opts.ProgressTimeout = quiet
 	}
+	opts.ControlTimeout = quiet
 	c := backend.New(opts)
 	t.Cleanup(c.Close)
 	return c
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -71,6 +71,7 @@
 		got.Close()
 		return nil, err
 	}
+	got.byEvent = true
 	return &Stream{
 		ID:     got.response.Header.Get("X-Stream-Id"),
 		Header: got.response.Header,
@@ -104,6 +105,8 @@
 // events that were read before are dropped. It returns io.EOF after [DONE]
 // and an *Error if the stream ends otherwise.
 func (s *Stream) Next() (Event, error) {
+	s.answer.watched.progress()
+	defer s.answer.watched.stop()
 	for !s.done {
 		raw, err := s.events.Next()
 		if err != nil {
--- a/internal/load/audit.go
+++ b/internal/load/audit.go
@@ -77,13 +77,14 @@
 	for {
 		select {
 		case <-ctx.Done():
+			a.spend(time.Since(last))
 			return
 		case <-ticker.C:
 		}
 		a.each(func(address string) { _ = a.readStats(address) })
 		a.each(func(address string) { _ = a.readRuns(address) })
 		now := time.Now()
-		a.spend(ctx, now.Sub(last))
+		a.spend(now.Sub(last))
 		last = now
 	}
 }
@@ -154,10 +155,12 @@
 }
 
 // spend adds the price of the VMs that the platform lists.
-func (a *audit) spend(ctx context.Context, elapsed time.Duration) {
+func (a *audit) spend(elapsed time.Duration) {
 	if a.opts.Platform == "" {
 		return
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), auditTimeout)
+	defer cancel()
 	list, err := a.backend.ListVMs(ctx, a.opts.Platform)
 	if err != nil {
 		return
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -36,6 +36,11 @@
 	opts.TokensPerSecond = 2000
 	opts.Slots = 64
 	opts.PrefillTokensPerSecond = 1e6
+	return serve(t, opts)
+}
+
+func serve(t *testing.T, opts standin.Options) string {
+	t.Helper()
 	s, err := standin.New(opts)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/app.go
+++ b/internal/standin/app.go
@@ -79,6 +79,7 @@
 	if !sleep(r.Context(), a.server.opts.RunTime) {
 		return
 	}
+	a.server.faults.dropped()
 	id := mux.Vars(r)["id"]
 	writeJSON(w, http.StatusOK, map[string]any{"id": id, "digest": RecordDigest(id)})
 }
@@ -100,6 +101,10 @@
 
 // enter takes a slot or refuses.
 func (a *appServer) enter(w http.ResponseWriter) bool {
+	if a.server.faults.isLeaving() {
+		refuse(w, http.StatusServiceUnavailable, "leaving")
+		return false
+	}
 	select {
 	case a.slots <- struct{}{}:
 		a.count(1)
