Let a call set its dial timeout; let callers of the load tool go away

Cause: the fleet's policy gives a dial timeout by scope; a caller that is gone must be cancelled at the engine, which nothing provoked. Tests: a dial timeout of 1 ns hands nothing over; TestAbandonedStreams.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -144,8 +144,14 @@
 	}
 }
 
+// dialTimeoutKey is the context key of a call's DialTimeout.
+type dialTimeoutKey struct{}
+
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: c.opts.DialTimeout}
+	if timeout, _ := ctx.Value(dialTimeoutKey{}).(time.Duration); timeout > 0 {
+		dialer.Timeout = timeout
+	}
 	raw, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -173,7 +179,10 @@
 	Attempt   int
 	// Priority is sent as X-Priority; lower is more urgent.
 	Priority int
-	// ProgressTimeout replaces the client's own, if set.
+	// DialTimeout and ProgressTimeout replace the client's own, if set. The
+	// progress timeout bounds the wait for the answer's header and then that
+	// for each event, or each part of a body.
+	DialTimeout     time.Duration
 	ProgressTimeout time.Duration
 }
 
@@ -242,6 +251,7 @@
 		GotConn: func(info httptrace.GotConnInfo) { over.got(info.Conn) },
 	}
 	ctx = httptrace.WithClientTrace(ctx, trace)
+	ctx = context.WithValue(ctx, dialTimeoutKey{}, c.DialTimeout)
 	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address+c.Path, nil)
 	if err != nil {
 		return nil, err
--- a/internal/backend/phase_test.go
+++ b/internal/backend/phase_test.go
@@ -225,6 +225,22 @@
 	}
 }
 
+func TestDialTimeoutOfTheCall(t *testing.T) {
+	p := startPeer(t, func(w net.Conn, _ *http.Request, _ int) bool {
+		answer(w, "201 Created", "", "{}")
+		return true
+	})
+	c := newClient(t, backend.Options{DialTimeout: quiet})
+	for _, repeatable := range []bool{true, false} {
+		call := booking(p.address, "r-1", repeatable)
+		call.DialTimeout = time.Nanosecond
+		_, err := c.Do(context.Background(), call)
+		if got := phaseOf(t, err); got != backend.PhaseDial {
+			t.Errorf("got %v, %v", got, err)
+		}
+	}
+}
+
 func TestDialFails(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -48,10 +48,11 @@
 }
 
 // Resume continues a stream from an offset on, at the engine that holds it.
-// The call needs an Address; the rest of its request is filled in.
+// The call needs an Address; the rest of its request is replaced.
 func (c *Client) Resume(ctx context.Context, call Call, stream string, offset int64) (*Stream, error) {
 	call.Method = http.MethodPost
 	call.Path = streamPath(stream) + "/resume?offset=" + strconv.FormatInt(offset, 10)
+	call.Header, call.Body = nil, nil
 	call.Repeatable = true
 	setDefault(&call.Step, "resume")
 	return c.openStream(ctx, call, stream, offset)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -265,6 +265,14 @@
 	}
 }
 
+func TestAbandonedStreams(t *testing.T) {
+	r, _ := run(t, "", func(o *load.Options) { o.Abandon = 1 })
+	streams := r.Classes[load.ClassBriefing].Sent + r.Classes[load.ClassAnswer].Sent
+	if r.All.Abandoned != streams || r.All.Full+streams != r.Offered || r.Faults() != 0 {
+		t.Errorf("%d streams, %+v", streams, r.All)
+	}
+}
+
 func TestRunFailsOnFaults(t *testing.T) {
 	address, e := startEntry(t, "token")
 	opts := load.DefaultOptions(address)
@@ -287,6 +295,7 @@
 		"mix: class":       func(o *load.Options) { o.Mix = map[string]float64{"other": 1} },
 		"mix: expected":    func(o *load.Options) { o.Mix = map[string]float64{} },
 		"share":            func(o *load.Options) { o.Shares = map[string]float64{"nobody": 1} },
+		"abandon":          func(o *load.Options) { o.Abandon = -1 },
 		"duplicates":       func(o *load.Options) { o.Duplicates = 2 },
 		"prompt-bytes":     func(o *load.Options) { o.PrefixBytes = o.PromptBytes + 1 },
 		"app":              func(o *load.Options) { o.App = "../x" },
--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -61,6 +61,7 @@
 	BriefingTokens int     `help:"Tokens of a briefing." default:"64"`
 	AnswerTokens   int     `help:"Tokens of a short answer." default:"8"`
 	Duplicates     float64 `help:"Share of bookings that are sent twice at once under one key." default:"0.2"`
+	Abandon        float64 `help:"Share of streams whose caller goes away after two tokens." default:"0"`
 
 	FirstTokenTarget time.Duration `help:"Target for the first token, and for the whole answer of an application." default:"930ms"`
 	TokenGapTarget   time.Duration `help:"Target for the gap between two tokens, met by 95 in 100 gaps of an answer." default:"44ms"`
@@ -108,6 +109,8 @@
 		return errors.New("prefix-groups: expected 1 or more")
 	case !(o.Duplicates >= 0 && o.Duplicates <= 1):
 		return errors.New("duplicates: expected 0 to 1")
+	case !(o.Abandon >= 0 && o.Abandon <= 1):
+		return errors.New("abandon: expected 0 to 1")
 	}
 	for _, address := range slices.Concat(o.Entries, o.Standins, []string{o.Platform}) {
 		if _, err := netip.ParseAddrPort(address); err != nil && address != "" {
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -13,6 +13,8 @@
 	endRefused
 	endBroken
 	endWrong
+	// endAbandoned is a stream whose caller went away.
+	endAbandoned
 )
 
 // claim is one answer that said whether its request ran.
--- a/internal/load/print.go
+++ b/internal/load/print.go
@@ -50,6 +50,7 @@
 	fmt.Fprintf(w, "wrong by\t%s\n", counts(r.WrongBy))
 	fmt.Fprintf(w, "resumed, resent, retried\t%d, %d, %d\n", r.Resumes, r.Resends, r.Retries)
 	fmt.Fprintf(w, "entries not reached\t%d\n", r.DialErrors)
+	fmt.Fprintf(w, "abandoned by callers, cancelled at engines\t%d, %d\n", r.All.Abandoned, r.Tokens.Cancelled)
 	fmt.Fprintf(w, "doubled runs\t%d\n", r.Doubled)
 	fmt.Fprintf(w, "answered and not run\t%d\n", r.Missing)
 	fmt.Fprintf(w, "said not-run and ran\t%d\n", r.Lies)
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -28,6 +28,8 @@
 	Refused int `json:"refused"`
 	Broken  int `json:"broken"`
 	Wrong   int `json:"wrong"`
+	// Abandoned streams lost their caller; they count in no share.
+	Abandoned int `json:"abandoned"`
 	// InsideOfSent is the share of all requests inside the target, and
 	// InsideOfAccepted that of the requests that were not refused.
 	InsideOfSent     float64     `json:"inside_of_sent"`
@@ -130,6 +132,8 @@
 		g.Broken++
 	case endWrong:
 		g.Wrong++
+	case endAbandoned:
+		g.Abandoned++
 	}
 	if inside {
 		g.Inside++
@@ -142,8 +146,8 @@
 // result works out shares and percentiles.
 func (g *group) result() Group {
 	made := g.Group
-	made.InsideOfSent = share(made.Inside, made.Sent)
-	made.InsideOfAccepted = share(made.Inside, made.Sent-made.Refused)
+	made.InsideOfSent = share(made.Inside, made.Sent-made.Abandoned)
+	made.InsideOfAccepted = share(made.Inside, made.Sent-made.Abandoned-made.Refused)
 	made.FirstToken = percentiles(g.first)
 	made.TokenGap = percentiles(g.gap)
 	made.Completion = percentiles(g.completion)
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -266,6 +266,10 @@
 			return p.wrong("token")
 		}
 		p.took(text)
+		if p.request.abandon && p.delivered >= abandonAfter {
+			p.ending = endAbandoned
+			return verdictFinal
+		}
 	}
 }
 
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -24,11 +24,15 @@
 	body     []byte
 	key      string // Idempotency-Key
 	twin     *bookingPair
-	prompt   int // prompt tokens
+	abandon  bool // the caller goes away after abandonAfter tokens
+	prompt   int  // prompt tokens
 	answer   string
 	digest   string // of an application's answer
 }
 
+// abandonAfter is the number of tokens after which some callers go away.
+const abandonAfter = 2
+
 // streamed reports whether the answer is a stream.
 func (r *request) streamed() bool {
 	return r.class == ClassBriefing || r.class == ClassAnswer
@@ -138,6 +142,7 @@
 func (t *traffic) completion(r *request, model, prompt string, tokens int) {
 	r.method = http.MethodPost
 	r.path = "/v1/chat/completions"
+	r.abandon = t.opts.Abandon > 0 && t.random.Float64() < t.opts.Abandon
 	r.prompt = standin.PromptTokens(prompt)
 	r.answer = standin.Answer(prompt, tokens)
 	r.body, _ = json.Marshal(map[string]any{
