Refuse events that are not JSON; prove that moved streams recompute nothing

Cause: a garbled event was passed on as a token. Change: Stream.Next refuses an event whose data is not JSON, in phase invalid, so that it is fetched again; the stand-in's garbage fault covers events. Tests: the phase, and a rapid property over three engines (step, export, failed export, import in any order): each token is decoded once, the prompt computed once.

--- a/internal/backend/phase_test.go
+++ b/internal/backend/phase_test.go
@@ -153,6 +153,10 @@
 			answer(w, "200 OK", eventHeader, "id: 1\ndata: {}\n\n")
 			return true
 		}, backend.PhaseInvalid},
+		"sends an event that is not JSON": {func(w net.Conn, _ *http.Request, _ int) bool {
+			answer(w, "200 OK", eventHeader, "id: 0\ndata: {\n\n")
+			return true
+		}, backend.PhaseInvalid},
 		"sends an event that is too large": {func(w net.Conn, _ *http.Request, _ int) bool {
 			answer(w, "200 OK", eventHeader, "id: 0\ndata: "+strings.Repeat("x", 1<<16)+"\n\n")
 			return true
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -38,6 +39,7 @@
 var (
 	errNotEvents = errors.New("the answer is not a stream of events")
 	errEventID   = errors.New("the event's id is not an offset")
+	errNotJSON   = errors.New("the event's data is not JSON")
 	errNoEnd     = errors.New("the stream ended without [DONE]")
 	errNoStream  = errors.New("the answer names no stream")
 )
@@ -129,6 +131,9 @@
 			err := fmt.Errorf("event %d where %d was due", offset, s.next)
 			return Event{}, s.answer.fail(PhaseInvalid, err)
 		}
+		if !json.Valid(raw.Data) {
+			return Event{}, s.answer.fail(PhaseInvalid, errNotJSON)
+		}
 		s.next++
 		return Event{Offset: offset, Data: raw.Data}, nil
 	}
--- a/internal/standin/events.go
+++ b/internal/standin/events.go
@@ -48,7 +48,9 @@
 				m.dropAfter(s)
 			}
 			m.server.faults.cut(sent)
-			if err := writeEvent(w, offset, s.chunk(offset)); err != nil {
+			if m.server.faults.isGarbage() {
+				fmt.Fprintf(w, "id: %d\ndata: {garbage\n\n", offset)
+			} else if err := writeEvent(w, offset, s.chunk(offset)); err != nil {
 				panic(http.ErrAbortHandler)
 			}
 			sent++
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -30,7 +30,7 @@
 	// HoldAfter stops decoding each stream at that many tokens; 0 lets all go
 	// on.
 	HoldAfter *int `json:"hold_after,omitempty"`
-	// Garbage answers reports with text that is none.
+	// Garbage answers reports and events with text that is none.
 	Garbage *bool `json:"garbage,omitempty"`
 }
 
@@ -185,16 +185,22 @@
 	}
 }
 
-// sendGarbage answers with garbage if that fault is set.
-func (f *faults) sendGarbage(w http.ResponseWriter) bool {
+// isGarbage reports whether that fault is set.
+func (f *faults) isGarbage() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.garbage {
-		_, _ = w.Write([]byte("{\"running\": \"many\" \x00\xff"))
-	}
 	return f.garbage
 }
 
+// sendGarbage answers with garbage if that fault is set.
+func (f *faults) sendGarbage(w http.ResponseWriter) bool {
+	if !f.isGarbage() {
+		return false
+	}
+	_, _ = w.Write([]byte("{\"running\": \"many\" \x00\xff"))
+	return true
+}
+
 // sleep waits for d and reports false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/standin/migrate.go
+++ b/internal/standin/migrate.go
@@ -130,27 +130,31 @@
 	if !m.transfer(r.Context(), header.Bytes) {
 		return
 	}
-	s := &stream{
-		request: header.Request, key: header.Key, model: header.Model,
-		chat: header.Chat, tokens: header.Tokens, prompt: header.Prompt,
-		priority: header.Priority, produced: header.Produced,
-		blocks: header.Blocks, changed: make(chan struct{}),
-	}
-	if err := m.engine.submit(s); err != nil {
+	s, err := m.engine.adopt(header)
+	if err != nil {
 		refuse(w, http.StatusTooManyRequests, err.Error())
 		return
 	}
-	m.engine.imported(s)
 	w.Header().Set("X-Stream-Id", s.id)
 	writeJSON(w, http.StatusOK, map[string]string{"stream": s.id})
 }
 
-// imported counts an import and holds its prompt in the cache.
-func (e *engine) imported(s *stream) {
+// adopt goes on with an exported stream and holds its prompt in the cache.
+func (e *engine) adopt(header exportHeader) (*stream, error) {
+	s := &stream{
+		request: header.Request, key: header.Key, model: header.Model,
+		chat: header.Chat, tokens: header.Tokens, prompt: header.Prompt,
+		priority: header.Priority, produced: header.Produced,
+		blocks: header.Blocks, changed: make(chan struct{}),
+	}
+	if err := e.submit(s); err != nil {
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stats.Imported++
 	e.cache.store(s.blocks, e.opts.KVTokens-e.active(), time.Now())
+	return s, nil
 }
 
 // readExport reads an exported KV cache to its end.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -1,13 +1,25 @@
 package standin
 
 import (
+	"flag"
+	"os"
 	"reflect"
 	"testing"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed, so that each run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
 // The command line's defaults are those of DefaultOptions.
 func TestDefaultsOfTheCommandLine(t *testing.T) {
 	var got Options
@@ -157,6 +169,49 @@
 	}
 }
 
+// However a stream is moved about, each of its tokens is decoded once, and its
+// prompt is computed once.
+func TestMovedStreamsRecomputeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := []*engine{stillEngine(nil), stillEngine(nil), stillEngine(nil)}
+		tokens := rapid.IntRange(1, 12).Draw(t, "tokens")
+		at, s := engines[0], newStream("prompt", tokens)
+		if err := at.submit(s); err != nil {
+			t.Fatal(err)
+		}
+		for s.phase != phaseDone {
+			if rapid.Bool().Draw(t, "step") {
+				before := s.produced
+				at.turn()
+				if s.produced < before || s.produced > before+1 {
+					t.Fatalf("from %d to %d tokens in a step", before, s.produced)
+				}
+				continue
+			}
+			header, err := at.pause(s.id)
+			if err != nil {
+				continue
+			}
+			if rapid.Bool().Draw(t, "export fails") {
+				at.open(s.id)
+				continue
+			}
+			at = rapid.SampledFrom(engines).Draw(t, "target")
+			if s, err = at.adopt(header); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var sum engineStats
+		for _, e := range engines {
+			sum.DecodedTokens += e.stats.DecodedTokens
+			sum.PrefillTokens += e.stats.PrefillTokens
+		}
+		if sum.DecodedTokens != int64(tokens) || sum.PrefillTokens != 2 {
+			t.Fatalf("%d tokens decoded, want %d; %d prompt tokens", sum.DecodedTokens, tokens, sum.PrefillTokens)
+		}
+	})
+}
+
 func TestBadOptions(t *testing.T) {
 	tests := map[string]func(*Options){
 		"kind":   func(o *Options) { o.Kind = "x" },
