--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -29,7 +30,7 @@
 	Header http.Header
 
 	answer *answer
-	events *eventReader
+	events *EventReader
 	next   int64
 	done   bool
 	late   int
@@ -37,7 +38,8 @@
 
 var (
 	errNotEvents = errors.New("the answer is not a stream of events")
-	errNoID      = errors.New("the event has no id")
+	errEventID   = errors.New("the event's id is not an offset")
+	errNotJSON   = errors.New("the event's data is not JSON")
 	errNoEnd     = errors.New("the stream ended without [DONE]")
 	errNoStream  = errors.New("the answer names no stream")
 )
@@ -48,10 +50,11 @@
 }
 
 // Resume continues a stream from an offset on, at the engine that holds it.
-// The call needs an Address; the rest of its request is filled in.
+// The call needs an Address; the rest of its request is replaced.
 func (c *Client) Resume(ctx context.Context, call Call, stream string, offset int64) (*Stream, error) {
 	call.Method = http.MethodPost
 	call.Path = streamPath(stream) + "/resume?offset=" + strconv.FormatInt(offset, 10)
+	call.Header, call.Body = nil, nil
 	call.Repeatable = true
 	setDefault(&call.Step, "resume")
 	return c.openStream(ctx, call, stream, offset)
@@ -71,11 +74,12 @@
 		got.Close()
 		return nil, err
 	}
+	got.byEvent = true
 	return &Stream{
 		ID:     got.response.Header.Get("X-Stream-Id"),
 		Header: got.response.Header,
 		answer: got,
-		events: newEventReader(got, c.opts.MaxEventBytes),
+		events: NewEventReader(got, c.opts.MaxEventBytes),
 		next:   offset,
 	}, nil
 }
@@ -104,28 +108,34 @@
 // events that were read before are dropped. It returns io.EOF after [DONE]
 // and an *Error if the stream ends otherwise.
 func (s *Stream) Next() (Event, error) {
+	s.answer.watched.progress()
+	defer s.answer.watched.stop()
 	for !s.done {
-		event, err := s.events.next()
+		raw, err := s.events.Next()
 		if err != nil {
 			return Event{}, s.ended(err)
 		}
-		if event.id < 0 && string(event.data) == "[DONE]" {
+		if raw.ID == "" && string(raw.Data) == "[DONE]" {
 			s.drain()
 			break
 		}
-		if event.id < 0 {
-			return Event{}, s.answer.fail(PhaseInvalid, errNoID)
+		offset, err := strconv.ParseInt(raw.ID, 10, 64)
+		if err != nil || offset < 0 {
+			return Event{}, s.answer.fail(PhaseInvalid, fmt.Errorf("%w: %.40q", errEventID, raw.ID))
 		}
-		if event.id < s.next {
+		if offset < s.next {
 			s.late++
 			continue
 		}
-		if event.id > s.next {
-			err := fmt.Errorf("event %d where %d was due", event.id, s.next)
+		if offset > s.next {
+			err := fmt.Errorf("event %d where %d was due", offset, s.next)
 			return Event{}, s.answer.fail(PhaseInvalid, err)
 		}
+		if !json.Valid(raw.Data) {
+			return Event{}, s.answer.fail(PhaseInvalid, errNotJSON)
+		}
 		s.next++
-		return Event{Offset: event.id, Data: event.data}, nil
+		return Event{Offset: offset, Data: raw.Data}, nil
 	}
 	return Event{}, io.EOF
 }
@@ -160,6 +170,12 @@
 	}
 }
 
+// SetProgressTimeout replaces the longest silence allowed from the next event
+// on. It must not be called while Next runs.
+func (s *Stream) SetProgressTimeout(timeout time.Duration) {
+	s.answer.watched.timeout.Store(int64(timeout))
+}
+
 // Offset returns the offset of the next event.
 func (s *Stream) Offset() int64 {
 	return s.next
