Route by expected completion, price and prefix affinity

Cause: the first router compared only its own requests in flight. Change: learned service times, reported load that fades to the mean with age, a bounded prefix table with a consistent hashing ring for new prefixes, ejection with back-off, tiers of equal servers that are sampled beyond 32.

--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -1,8 +1,8 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"waxwingcart/internal/core/fleet"
@@ -17,13 +17,11 @@
 	prefixes *prefixTable
 	// pick numbers the calls of Pick; it marks excluded servers.
 	pick uint64
-}
-
-// group is the set of servers of one service.
-type group struct {
-	servers []*server
-	// next is the position of round robin.
-	next int
+	// request, choice and marked are the working memory of Pick.
+	request   Request
+	choice    choice
+	marked    [maxHolders + 1]*server
+	scanLimit int
 }
 
 // New returns a Router without servers.
@@ -32,11 +30,12 @@
 		options.PrefixLimit = DefaultPrefixLimit
 	}
 	return &Router{
-		options:  options,
-		random:   rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
-		servers:  make(map[string]*server),
-		services: make(map[string]*group),
-		prefixes: newPrefixTable(options.PrefixLimit),
+		options:   options,
+		random:    rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
+		servers:   make(map[string]*server),
+		services:  make(map[string]*group),
+		prefixes:  newPrefixTable(options.PrefixLimit),
+		scanLimit: scanLimit,
 	}
 }
 
@@ -45,7 +44,7 @@
 func (r *Router) SetServers(servers []Server) {
 	old := r.servers
 	r.servers = make(map[string]*server, len(servers))
-	groups := make(map[string]*group)
+	list := make([]*server, 0, len(servers))
 	for _, config := range servers {
 		s := old[config.Name]
 		if s == nil {
@@ -53,29 +52,30 @@
 		} else {
 			s.configure(config)
 		}
+		if r.servers[config.Name] == nil {
+			list = append(list, s)
+		}
 		r.servers[config.Name] = s
-		g := groups[config.Service]
-		if g == nil {
-			g = &group{}
-			groups[config.Service] = g
+	}
+	for name, s := range old {
+		if r.servers[name] == nil {
+			s.group = nil
 		}
-		g.servers = append(g.servers, s)
 	}
+	groups := newGroups(list)
 	for name, g := range groups {
-		sort.Slice(g.servers, func(i, j int) bool { return g.servers[i].Name < g.servers[j].Name })
 		if before := r.services[name]; before != nil {
 			g.next = before.next
 		}
 	}
 	r.services = groups
-	r.prefixes.dropServers(r.servers)
 }
 
 // SetUsable says whether a server may be picked. Leaving and unreachable
 // servers must not be.
 func (r *Router) SetUsable(name string, usable bool) {
 	if s := r.servers[name]; s != nil {
-		s.usable = usable
+		s.tier.setUsable(s, usable)
 	}
 }
 
@@ -88,33 +88,67 @@
 	slots := 0
 	for _, s := range g.servers {
 		if s.usable {
-			slots += s.slots
+			slots += int(s.slots)
 		}
 	}
 	return slots
 }
 
+// Capacity returns how many requests of a service this entry may have in
+// flight: what it has, and its part of what is free. Part of the way it moves
+// to an even share, so that no entry keeps what others need.
+func (r *Router) Capacity(now time.Duration, service string, entries int) int {
+	g := r.services[service]
+	if g == nil {
+		return 0
+	}
+	var slots, own, inFlight float64
+	for _, s := range g.servers {
+		if s.usable {
+			slots += s.slots
+			own += float64(s.own)
+			inFlight += s.inFlight(now)
+		}
+	}
+	even := slots / float64(max(1, entries))
+	free := max(0, slots-inFlight) / float64(max(1, entries))
+	return int(math.Ceil(even + (1-evenPull)*(own+free-even)))
+}
+
+// evenPull is how far Capacity moves to an even share.
+const evenPull = 0.5
+
 // Started records an attempt that was handed to a server.
 func (r *Router) Started(now time.Duration, name string, load Load) {
-	if s := r.servers[name]; s != nil {
-		s.started(load)
+	s := r.servers[name]
+	if s == nil {
+		return
+	}
+	s.started(now)
+	if s.ejection.due(now) {
+		s.ejection.probing = true
 	}
 	if load.Prefix != 0 {
-		r.prefixes.hint(load.Prefix, name, confidenceSent)
+		r.prefixes.hint(load.Prefix, s, confidenceSent)
 	}
 }
 
 // Finished records the end of an attempt that Started announced.
 func (r *Router) Finished(now time.Duration, name string, outcome Outcome) {
-	if s := r.servers[name]; s != nil {
-		s.finished(now, outcome)
+	s := r.servers[name]
+	if s == nil {
+		return
+	}
+	s.finished(now, outcome)
+	if outcome.Result == ResultCompleted && outcome.Load.Prefix != 0 {
+		r.prefixes.served(outcome.Load, s, outcome.CachedTokens)
 	}
 }
 
 // Report records a server's own report, received now.
 func (r *Router) Report(now time.Duration, name string, report Report) {
 	if s := r.servers[name]; s != nil {
-		s.reported(now, report)
+		s.report(now, report)
 	}
 }
 
@@ -131,9 +165,9 @@
 	s.cacheSeq = seq
 	switch kind {
 	case CacheStored:
-		r.prefixes.hint(prefix, name, confidenceStored)
+		r.prefixes.hint(prefix, s, confidenceStored)
 	case CacheEvicted:
-		r.prefixes.evicted(prefix, name)
+		r.prefixes.evicted(prefix, s)
 	}
 }
 
@@ -150,14 +184,34 @@
 			s.excluded = r.pick
 		}
 	}
+	r.request = request
+	defer r.forget()
 	switch request.Policy.Routing {
 	case fleet.RouteRoundRobin:
-		return r.roundRobin(now, g, &request)
+		return r.roundRobin(now, g, &r.request)
 	case fleet.RouteLeastInFlight:
-		return r.leastInFlight(now, g, &request)
+		return r.leastInFlight(now, g, &r.request)
 	default:
-		return r.expectedCompletion(now, g, &request)
+		return r.expectedCompletion(now, g, &r.request)
+	}
+}
+
+// forget drops what the caller owns once a decision is made.
+func (r *Router) forget() {
+	r.request = Request{}
+	r.choice.best = nil
+}
+
+// homeOf returns the eligible server at which entries put a new prefix.
+func (r *Router) homeOf(g *group, prefix uint64) *server {
+	at := g.ringStart(prefix)
+	for i := range min(len(g.ring), maxHomeTries) {
+		s := g.ring[(at+i)%len(g.ring)].server
+		if r.eligible(s) {
+			return s
+		}
 	}
+	return nil
 }
 
 // eligible reports whether a server may be picked in the current call.
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -1,22 +1,99 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The model of a server before anything was learned.
+const (
+	// prefillSpeedup is how many times faster than decoding with all slots in
+	// use a model engine works through a prompt.
+	prefillSpeedup = 10.0
+	// idleGapRatio is the time between two tokens of a lone request, as a part
+	// of that with all slots in use.
+	idleGapRatio = 0.5
+	// defaultResidence is the time of one request, in seconds.
+	defaultResidence = 0.05
+	// defaultOutputTokens sizes the first guess of a model engine's residence.
+	defaultOutputTokens = 128.0
+)
+
+// learnWeight is the weight of a new sample in the learned averages.
+const learnWeight = 0.1
+
+// The bounds of a learned value, relative to its first guess.
+const (
+	minLearnedRatio = 0.1
+	maxLearnedRatio = 20.0
+)
+
+// reportHalfTrust is the age in seconds at which a report counts half.
+const reportHalfTrust = 2.0
+
+// fullCacheUse is the used share of the KV cache from which requests wait.
+const fullCacheUse = 0.9
 
 // server is what a Router knows about one backend server.
 type server struct {
 	Server
+	hash   uint64
 	usable bool
+	// group is the server's service; nil once the server was removed.
+	group *group
+	// position is the server's index in its tier.
+	tier     *tier
+	position int
 	// excluded is the number of the call of Pick that must not choose it.
 	excluded uint64
-	slots    int
-	// own counts this entry's requests in flight.
-	own int
-	// others estimates the requests of other entries when last reported.
+	// marked is the number of the call of Pick for which cached and home hold.
+	marked uint64
+	// cached is the number of prompt tokens expected in the prefix cache.
+	cached float64
+	home   bool
+
+	slots float64
+	// network is the time in seconds there and back.
+	network float64
+	// pricePerSecond is the price of the VM.
+	pricePerSecond float64
+	// gap is the time in seconds between two tokens with all slots in use;
+	// zero for application servers.
+	gap learned
+	// prefill is the time in seconds for one prompt token.
+	prefill learned
+	// residence is the time in seconds that a request holds a slot.
+	residence learned
+
+	own     int
+	history ownHistory
+	// others estimates the other entries' requests at reportedAt.
 	others     float64
+	reported   bool
 	reportedAt time.Duration
+	kvUsed     float64
 
+	ejection  ejection
 	cacheSeq  uint64
-	cacheGaps uint64
+	cacheGaps uint32
+}
+
+// learned is a moving average that starts from a guess and stays near it.
+type learned struct {
+	guess, value float64
+}
+
+// reset takes over a new guess; the learned value is kept if it is the same.
+func (l *learned) reset(guess float64) {
+	if l.guess != guess {
+		l.guess, l.value = guess, guess
+	}
+}
+
+func (l *learned) add(sample float64) {
+	sample = min(max(sample, l.guess*minLearnedRatio), l.guess*maxLearnedRatio)
+	l.value += learnWeight * (sample - l.value)
 }
 
 func newServer(config Server) *server {
@@ -28,49 +105,185 @@
 // configure takes over new configuration and keeps what was learned.
 func (s *server) configure(config Server) {
 	s.Server = config
-	s.slots = max(1, config.Slots)
+	s.hash = xxhash.Sum64String(config.Name)
+	s.slots = float64(max(1, config.Slots))
+	s.network = 2 * config.Delay.Seconds()
+	s.pricePerSecond = config.PricePerHour / time.Hour.Seconds()
+	if config.TokensPerSecond <= 0 {
+		s.gap.reset(0)
+		s.prefill.reset(0)
+		s.residence.reset(defaultResidence)
+		return
+	}
+	s.gap.reset(s.slots / config.TokensPerSecond)
+	s.prefill.reset(1 / (prefillSpeedup * config.TokensPerSecond))
+	s.residence.reset(defaultOutputTokens * s.gap.guess)
 }
 
-func (s *server) started(Load) {
+func (s *server) started(now time.Duration) {
 	s.own++
+	s.history.set(now, s.own)
 }
 
-func (s *server) finished(time.Duration, Outcome) {
+func (s *server) finished(now time.Duration, o Outcome) {
+	inFlight := s.inFlight(now)
 	s.own = max(0, s.own-1)
+	s.history.set(now, s.own)
+	switch o.Result {
+	case ResultConnectFailed:
+		s.ejection.failed(now)
+	case ResultCompleted:
+		s.ejection.succeeded()
+		s.learn(o, inFlight)
+	case ResultFailed, ResultRefused:
+		s.ejection.succeeded()
+	case ResultCancelled:
+		s.ejection.probing = false
+	}
 }
 
-func (s *server) reported(now time.Duration, report Report) {
+// learn takes over the times of a request that completed while inFlight
+// requests were in flight.
+func (s *server) learn(o Outcome, inFlight float64) {
+	elapsed := o.Elapsed.Seconds() - s.network
+	if elapsed <= 0 {
+		return
+	}
+	if s.gap.guess == 0 {
+		if inFlight <= s.slots {
+			s.residence.add(elapsed)
+		}
+		return
+	}
+	first := o.FirstToken.Seconds() - s.network
+	if o.OutputTokens > 1 && o.FirstToken > 0 && o.Elapsed > o.FirstToken {
+		gap := (o.Elapsed - o.FirstToken).Seconds() / float64(o.OutputTokens-1)
+		s.gap.add(gap / s.batchFactor(inFlight))
+	}
+	fresh := o.Load.PromptTokens - max(0, o.CachedTokens)
+	if fresh >= minPrefillSample && first > 0 && inFlight < s.slots {
+		s.prefill.add(first / float64(fresh))
+	}
+	if inFlight <= s.slots {
+		s.residence.add(elapsed)
+	}
+}
+
+// minPrefillSample is the fewest fresh prompt tokens from which the prefill
+// rate is learned.
+const minPrefillSample = 64
+
+// batchFactor is the time between two tokens with n requests in flight, as a
+// part of that with all slots in use.
+func (s *server) batchFactor(n float64) float64 {
+	used := min(1, n/s.slots)
+	return idleGapRatio + (1-idleGapRatio)*used
+}
+
+// report takes over the server's own report.
+func (s *server) report(now time.Duration, report Report) {
 	if report.Slots > 0 {
-		s.slots = report.Slots
+		s.slots = float64(report.Slots)
+	}
+	at := now - report.Age
+	others := max(0, float64(report.Running+report.Waiting-s.history.at(at)))
+	if s.group != nil {
+		s.group.noteOthers(s, others)
 	}
-	s.others = max(0, float64(report.Running+report.Waiting-s.own))
-	s.reportedAt = now - report.Age
+	s.others = others
+	s.reported = true
+	s.reportedAt = at
+	s.kvUsed = report.KVUsed
 }
 
-// expect predicts the seconds to the first token and to completion.
-func (s *server) expect(_ time.Duration, request *Request, cached int) (first, completion float64) {
-	network := 2 * s.Delay.Seconds()
-	service := 0.05
-	if s.TokensPerSecond > 0 {
-		gap := float64(s.slots) / s.TokensPerSecond
-		service = gap * (float64(request.OutputTokens) + float64(request.PromptTokens-cached)/10)
+// trust is the weight of the last report, from 1 when it is fresh to 0.
+func (s *server) trust(now time.Duration) float64 {
+	if !s.reported {
+		return 0
 	}
-	wait := max(0, float64(s.own)+s.others+1-float64(s.slots)) * service / float64(s.slots)
-	return network + wait, network + wait + service
+	age := max(0, (now - s.reportedAt).Seconds())
+	return reportHalfTrust / (reportHalfTrust + age)
 }
 
-// decision builds the Decision that picks s.
-func (s *server) decision(now time.Duration, request *Request, reason Reason) Decision {
-	first, completion := s.expect(now, request, 0)
-	return Decision{
-		Server:             s.Name,
-		ExpectedFirstToken: seconds(first),
-		ExpectedCompletion: seconds(completion),
-		Reason:             reason,
+// inFlight estimates the requests of all entries at the server. The older the
+// report, the nearer the other entries' part is to the mean of the service.
+func (s *server) inFlight(now time.Duration) float64 {
+	trust := s.trust(now)
+	var mean float64
+	if s.group != nil {
+		mean = s.group.meanOthers()
 	}
+	return float64(s.own) + trust*s.others + (1-trust)*mean
 }
 
-// seconds converts seconds to a Duration.
-func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
+// estimate predicts one request at one server. Times are in seconds.
+type estimate struct {
+	first, completion, gap float64
+	// cost is the price of the server's time that the request takes.
+	cost float64
+	// load is the estimated number of requests in flight per slot.
+	load float64
+}
+
+// expect predicts the request's times with the given number of prompt tokens
+// in the prefix cache.
+func (s *server) expect(now time.Duration, request *Request, cached float64) estimate {
+	n := s.inFlight(now)
+	wait := max(0, n+1-s.slots) * s.residence.value / s.slots
+	if s.kvUsed > fullCacheUse {
+		full := (s.kvUsed - fullCacheUse) / (1 - fullCacheUse)
+		wait += full * s.trust(now) * s.residence.value
+	}
+	e := estimate{load: n / s.slots}
+	if s.gap.guess == 0 {
+		e.completion = s.network + wait + s.residence.value
+		e.first = e.completion
+		e.cost = s.pricePerSecond * s.residence.value / s.slots
+		return e
+	}
+	prefill := max(0, float64(request.PromptTokens)-cached) * s.prefill.value
+	output := float64(request.OutputTokens)
+	e.gap = s.gap.value * s.batchFactor(n+1)
+	e.first = s.network + wait + prefill
+	e.completion = e.first + output*e.gap
+	e.cost = s.pricePerSecond * (prefill + output*s.gap.value/s.slots)
+	return e
+}
+
+// ownHistory keeps this entry's recent numbers of requests in flight.
+type ownHistory struct {
+	samples [historySamples]ownSample
+	last    int
+}
+
+// historyStep is the least time between two samples; together the samples
+// cover the age of a usual report.
+const (
+	historyStep    = 250 * time.Millisecond
+	historySamples = 16
+)
+
+type ownSample struct {
+	at    time.Duration
+	count int32
+}
+
+// set records the number in flight from now on.
+func (h *ownHistory) set(now time.Duration, count int) {
+	if now-h.samples[h.last].at >= historyStep {
+		h.last = (h.last + 1) % historySamples
+		h.samples[h.last].at = now
+	}
+	h.samples[h.last].count = int32(count)
+}
+
+// at returns the number in flight at the given time.
+func (h *ownHistory) at(t time.Duration) int {
+	for i := range historySamples {
+		sample := &h.samples[(h.last-i+historySamples)%historySamples]
+		if sample.at <= t {
+			return int(sample.count)
+		}
+	}
+	return int(h.samples[(h.last+1)%historySamples].count)
 }
