--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -181,7 +181,7 @@
 		return
 	}
 	r.firstToken = true
-	r.service.firstToken.add((now - r.admitted).Seconds())
+	r.service.class(r).firstToken.add((now - r.admitted).Seconds())
 }
 
 func (c *Controller) finished(now time.Duration, e Finished) {
@@ -192,7 +192,9 @@
 	c.firstToken(now, e.ID)
 	tokens := float64(max(1, e.Tokens))
 	class := r.service.class(r)
-	class.perToken.add((now - r.admitted).Seconds() / tokens)
+	elapsed := (now - r.admitted).Seconds()
+	class.perToken.add(elapsed / tokens)
+	class.residence.add(elapsed)
 	r.customer.correct(now, r.cost-tokens)
 	r.flow.tag += (tokens - r.cost) / r.customer.weight()
 	c.release(now, r)
--- a/internal/core/admission/estimate.go
+++ b/internal/core/admission/estimate.go
@@ -33,7 +33,7 @@
 	slots := float64(max(1, limit)) * s.classPart(c)
 	wait := work * perToken / slots
 	if free <= 0 {
-		wait += c.serviceTime(r) / slots
+		wait += s.nextRelease()
 	}
 	if most := r.customer.maxInFlight; most > 0 && r.customer.inFlight+len(r.flow.queue) >= most {
 		own := (ahead + r.cost) * perToken / float64(most)
@@ -42,6 +42,21 @@
 	return wait
 }
 
+// nextRelease predicts the time in seconds until a request in flight ends.
+func (s *service) nextRelease() float64 {
+	var rate float64
+	for i := range s.classes {
+		c := &s.classes[i]
+		if c.residence.value > 0 {
+			rate += float64(c.inFlight) / c.residence.value
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return 1 / rate
+}
+
 // workAhead returns the work in tokens that fair queueing serves before a
 // request with the given work of its own flow ahead of it.
 func (c *class) workAhead(r *request, ahead float64) float64 {
@@ -91,7 +106,10 @@
 	if late := finish - (r.Deadline - now).Seconds(); r.Deadline != 0 && late > 0 {
 		return ReasonDeadline, late
 	}
-	first := wait + s.firstToken.value
+	if wait == 0 {
+		return 0, 0
+	}
+	first := wait + s.class(r).firstToken.value
 	if late := first - (r.FirstTokenBy - now).Seconds(); r.FirstTokenBy != 0 && late > 0 {
 		return ReasonTarget, late
 	}
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -82,6 +82,10 @@
 	inFlight int
 	// perToken is the learned time in seconds per token of one request.
 	perToken average
+	// residence is the learned time in seconds of one request.
+	residence average
+	// firstToken is the time in seconds from admission to the first token.
+	firstToken quantile
 }
 
 func newClass(weight float64) class {
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -51,7 +51,7 @@
 
 // The quantile that is tracked and the relative size of a step.
 const (
-	trackedQuantile = 0.9
+	trackedQuantile = 0.75
 	quantileStep    = 0.05
 )
 
@@ -75,8 +75,6 @@
 	classes [classes]class
 	// virtual is the start tag of the class served last.
 	virtual float64
-	// firstToken is the time in seconds from admission to the first token.
-	firstToken quantile
 	// shortPeak is the decaying peak of short requests in flight or queued.
 	shortPeak   float64
 	shortPeakAt time.Duration
--- a/internal/core/routing/group.go
+++ b/internal/core/routing/group.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 )
 
 // group is the set of servers of one service.
@@ -11,13 +10,14 @@
 	servers []*server
 	// tiers holds the same servers by what they cost and how far they are.
 	tiers []*tier
-	ring  []ringPoint
 	// next is the position of round robin.
 	next int
 	// othersSum and othersCount give the mean of the reported load of the
 	// other entries.
 	othersSum   float64
 	othersCount int
+	// ownSum counts this entry's requests in flight.
+	ownSum int
 }
 
 // tier is a set of servers that differ only in load.
@@ -37,18 +37,6 @@
 	slots           int
 }
 
-// ringPoint is a point of the consistent hashing ring.
-type ringPoint struct {
-	hash   uint64
-	server *server
-}
-
-// The points per server, for rings up to and beyond smallRing servers.
-const (
-	smallRing       = 128
-	smallRingPoints = 8
-)
-
 // newGroups sorts servers into groups by service.
 func newGroups(servers []*server) map[string]*group {
 	groups := make(map[string]*group)
@@ -60,6 +48,7 @@
 		}
 		g.servers = append(g.servers, s)
 		s.group = g
+		g.ownSum += s.own
 		if s.reported {
 			g.othersSum += s.others
 			g.othersCount++
@@ -68,7 +57,6 @@
 	for _, g := range groups {
 		slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
 		g.buildTiers()
-		g.buildRing()
 	}
 	return groups
 }
@@ -128,38 +116,6 @@
 	t.servers[j].position = j
 }
 
-func (g *group) buildRing() {
-	points := 1
-	if len(g.servers) <= smallRing {
-		points = smallRingPoints
-	}
-	g.ring = make([]ringPoint, 0, points*len(g.servers))
-	for _, s := range g.servers {
-		for i := range points {
-			g.ring = append(g.ring, ringPoint{mix(s.hash + uint64(i)), s})
-		}
-	}
-	slices.SortFunc(g.ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
-}
-
-// ringStart returns the index of the ring's first point for a prefix.
-func (g *group) ringStart(prefix uint64) int {
-	hash := mix(prefix)
-	return sort.Search(len(g.ring), func(i int) bool { return g.ring[i].hash >= hash })
-}
-
-// maxHomeTries bounds the points of the ring that are looked at.
-const maxHomeTries = 16
-
-// mix spreads a hash over all bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // noteOthers keeps the mean of the reported load up to date.
 func (g *group) noteOthers(s *server, others float64) {
 	if s.reported {
@@ -177,3 +133,15 @@
 	}
 	return max(0, g.othersSum/float64(g.othersCount))
 }
+
+// othersPerOwn returns how many requests other entries have in flight for one
+// of this entry's.
+func (g *group) othersPerOwn() float64 {
+	if g.ownSum == 0 {
+		return 0
+	}
+	return min(maxOthersPerOwn, g.meanOthers()*float64(len(g.servers))/float64(g.ownSum))
+}
+
+// maxOthersPerOwn bounds othersPerOwn while this entry has little in flight.
+const maxOthersPerOwn = 16.0
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -32,10 +32,6 @@
 // is not preferred for the prefix that it holds.
 const loadBound = 1.0
 
-// homePreference is the part of a shared prefix that counts as saved at the
-// server where entries agree to put it.
-const homePreference = 0.1
-
 // roundRobin picks the next eligible server.
 func (r *Router) roundRobin(now time.Duration, g *group, request *Request) (Decision, bool) {
 	for range g.servers {
@@ -130,31 +126,23 @@
 // they save. It fills r.marked and returns the number of servers in it.
 func (r *Router) markHolders(g *group, request *Request) int {
 	e := r.prefixes.find(request.Prefix)
-	shared := e.sharedTokens(request)
+	if e == nil {
+		return 0
+	}
+	shared := e.sharedTokens(float64(request.PromptTokens), request.PrefixTokens)
 	count := 0
-	if e != nil {
-		for i := range e.holders {
-			h := &e.holders[i]
-			certainty := h.certainty()
-			if certainty < minConfidence || h.server.group != g || !r.eligible(h.server) {
-				continue
-			}
-			h.server.marked = r.pick
-			h.server.cached = certainty * shared
-			h.server.home = false
-			r.marked[count] = h.server
-			count++
+	for i := range e.holders {
+		h := &e.holders[i]
+		certainty := h.certainty()
+		if certainty < minConfidence || h.server.group != g || !r.eligible(h.server) {
+			continue
 		}
+		h.server.marked = r.pick
+		h.server.cached = certainty * shared
+		r.marked[count] = h.server
+		count++
 	}
-	home := r.homeOf(g, request.Prefix)
-	if home == nil || home.marked == r.pick {
-		return count
-	}
-	home.marked = r.pick
-	home.cached = homePreference * shared
-	home.home = true
-	r.marked[count] = home
-	return count + 1
+	return count
 }
 
 // consider compares one server with the best so far.
@@ -232,7 +220,7 @@
 	switch {
 	case s.ejection.failures >= ejectAfter:
 		return ReasonProbe
-	case s.marked == c.router.pick && !s.home && c.bestEstimate.load < loadBound:
+	case s.marked == c.router.pick && c.bestEstimate.load < loadBound:
 		return ReasonPrefix
 	case c.target > 0 && c.bestEstimate.first > c.target:
 		return ReasonEarliest
--- a/internal/core/routing/prefix.go
+++ b/internal/core/routing/prefix.go
@@ -6,8 +6,8 @@
 	confidenceSent = 0.8
 	// confidenceStored follows from a cache event or a reported cache hit.
 	confidenceStored = 1.0
-	// gapConfidence is what is left after a gap in the cache events.
-	gapConfidence = 0.5
+	// missedConfidence is what is left after one missing cache event.
+	missedConfidence = 0.9
 	// minConfidence is the least that counts.
 	minConfidence = 0.1
 )
@@ -23,8 +23,8 @@
 type holder struct {
 	server     *server
 	confidence float32
-	// gaps is the server's number of gaps when the hint came.
-	gaps uint32
+	// missed is the server's number of missing events when the hint came.
+	missed uint64
 }
 
 // prefixEntry is what is known about one prefix. The entries form a list in
@@ -127,7 +127,7 @@
 			place = h
 		}
 	}
-	*place = holder{server: s, confidence: float32(confidence), gaps: s.cacheGaps}
+	*place = holder{server: s, confidence: float32(confidence), missed: s.cacheMissed}
 }
 
 // evicted notes that a server no longer holds a prefix.
@@ -142,11 +142,7 @@
 // served takes over how much of a prompt a server took from its cache.
 func (t *prefixTable) served(load Load, s *server, cached int) {
 	e := t.find(load.Prefix)
-	if e == nil || cached < 0 {
-		return
-	}
-	if cached == 0 {
-		// The server holds the prefix from now on; before, it did not.
+	if e == nil || cached <= 0 {
 		return
 	}
 	t.hint(load.Prefix, s, confidenceStored)
@@ -166,26 +162,30 @@
 	return nil
 }
 
-// sharedTokens estimates how many of the request's prompt tokens are shared.
-func (e *prefixEntry) sharedTokens(request *Request) float64 {
-	prompt := float64(request.PromptTokens)
+// sharedTokens estimates how many of a prompt's tokens are shared; known is
+// the number that the caller gave, or zero.
+func (e *prefixEntry) sharedTokens(prompt float64, known int) float64 {
 	switch {
-	case request.PrefixTokens > 0:
-		return min(prompt, float64(request.PrefixTokens))
+	case known > 0:
+		return min(prompt, float64(known))
 	case e != nil && e.shared > 0:
 		return min(prompt, float64(e.shared))
 	}
 	return defaultSharedRatio * prompt
 }
 
-// certainty returns the confidence after the gaps since the hint.
+// maxMissed is the number of missing events after which no more confidence is
+// lost.
+const maxMissed = 24
+
+// certainty returns the confidence after the events missed since the hint.
 func (h *holder) certainty() float64 {
 	if h.server == nil || h.server.group == nil {
 		return 0
 	}
 	c := float64(h.confidence)
-	for range min(8, h.server.cacheGaps-h.gaps) {
-		c *= gapConfidence
+	for range min(maxMissed, h.server.cacheMissed-h.missed) {
+		c *= missedConfidence
 	}
 	return c
 }
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -20,7 +20,7 @@
 	// request, choice and marked are the working memory of Pick.
 	request   Request
 	choice    choice
-	marked    [maxHolders + 1]*server
+	marked    [maxHolders]*server
 	scanLimit int
 }
 
@@ -95,8 +95,9 @@
 }
 
 // Capacity returns how many requests of a service this entry may have in
-// flight: what it has, and its part of what is free. Part of the way it moves
-// to an even share, so that no entry keeps what others need.
+// flight: what it has, and its part of what is free. The less is free, the
+// nearer the result is to an even share, so that no entry keeps what others
+// need.
 func (r *Router) Capacity(now time.Duration, service string, entries int) int {
 	g := r.services[service]
 	if g == nil {
@@ -110,13 +111,26 @@
 			inFlight += s.inFlight(now)
 		}
 	}
-	even := slots / float64(max(1, entries))
-	free := max(0, slots-inFlight) / float64(max(1, entries))
-	return int(math.Ceil(even + (1-evenPull)*(own+free-even)))
+	if slots == 0 {
+		return 0
+	}
+	part := 1 / float64(max(1, entries))
+	usable := usableRatio * slots
+	free := max(0, usable-inFlight)
+	scarce := 1 - free/usable
+	even := usable * part
+	limit := own + free*part + evenPull*scarce*(even-own)
+	return max(1, int(math.Round(limit)))
 }
 
-// evenPull is how far Capacity moves to an even share.
-const evenPull = 0.5
+const (
+	// usableRatio is the part of the slots that entries fill together. The
+	// rest takes up the differences between servers, so that requests wait at
+	// the entry, where they can be refused, and not at a server.
+	usableRatio = 0.88
+	// evenPull is how far Capacity moves to an even share if nothing is free.
+	evenPull = 0.5
+)
 
 // Started records an attempt that was handed to a server.
 func (r *Router) Started(now time.Duration, name string, load Load) {
@@ -124,7 +138,7 @@
 	if s == nil {
 		return
 	}
-	s.started(now)
+	s.started(now, r.freshTokens(s, load))
 	if s.ejection.due(now) {
 		s.ejection.probing = true
 	}
@@ -133,6 +147,23 @@
 	}
 }
 
+// freshTokens estimates the prompt tokens that are not in the server's cache.
+func (r *Router) freshTokens(s *server, load Load) float64 {
+	prompt := float64(load.PromptTokens)
+	if load.Prefix == 0 {
+		return prompt
+	}
+	e := r.prefixes.find(load.Prefix)
+	if e == nil {
+		return prompt
+	}
+	h := e.holder(s)
+	if h == nil {
+		return prompt
+	}
+	return prompt - h.certainty()*e.sharedTokens(prompt, 0)
+}
+
 // Finished records the end of an attempt that Started announced.
 func (r *Router) Finished(now time.Duration, name string, outcome Outcome) {
 	s := r.servers[name]
@@ -153,14 +184,14 @@
 }
 
 // CacheEvent records a hint about a server's prefix cache. Sequence numbers
-// grow by one per server; a gap lowers the confidence in what is remembered.
+// grow by one per server; each missing one lowers the confidence in what is remembered.
 func (r *Router) CacheEvent(name string, seq uint64, kind CacheEventKind, prefix uint64) {
 	s := r.servers[name]
 	if s == nil || seq <= s.cacheSeq {
 		return
 	}
-	if s.cacheSeq != 0 && seq != s.cacheSeq+1 {
-		s.cacheGaps++
+	if s.cacheSeq != 0 {
+		s.cacheMissed += seq - s.cacheSeq - 1
 	}
 	s.cacheSeq = seq
 	switch kind {
@@ -202,18 +233,6 @@
 	r.choice.best = nil
 }
 
-// homeOf returns the eligible server at which entries put a new prefix.
-func (r *Router) homeOf(g *group, prefix uint64) *server {
-	at := g.ringStart(prefix)
-	for i := range min(len(g.ring), maxHomeTries) {
-		s := g.ring[(at+i)%len(g.ring)].server
-		if r.eligible(s) {
-			return s
-		}
-	}
-	return nil
-}
-
 // eligible reports whether a server may be picked in the current call.
 func (r *Router) eligible(s *server) bool {
 	return s.usable && s.excluded != r.pick
--- a/internal/core/routing/server.go
+++ b/internal/core/routing/server.go
@@ -1,10 +1,6 @@
 package routing
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // The model of a server before anything was learned.
 const (
@@ -30,7 +26,7 @@
 )
 
 // reportHalfTrust is the age in seconds at which a report counts half.
-const reportHalfTrust = 2.0
+const reportHalfTrust = 5.0
 
 // fullCacheUse is the used share of the KV cache from which requests wait.
 const fullCacheUse = 0.9
@@ -38,7 +34,6 @@
 // server is what a Router knows about one backend server.
 type server struct {
 	Server
-	hash   uint64
 	usable bool
 	// group is the server's service; nil once the server was removed.
 	group *group
@@ -47,11 +42,10 @@
 	position int
 	// excluded is the number of the call of Pick that must not choose it.
 	excluded uint64
-	// marked is the number of the call of Pick for which cached and home hold.
+	// marked is the number of the call of Pick for which cached holds.
 	marked uint64
 	// cached is the number of prompt tokens expected in the prefix cache.
 	cached float64
-	home   bool
 
 	slots float64
 	// network is the time in seconds there and back.
@@ -65,18 +59,25 @@
 	prefill learned
 	// residence is the time in seconds that a request holds a slot.
 	residence learned
+	// backlog is the number of prompt tokens that this entry sent and that
+	// the server is not expected to have worked through at backlogAt.
+	backlog   float64
+	backlogAt time.Duration
 
 	own     int
 	history ownHistory
 	// others estimates the other entries' requests at reportedAt.
-	others     float64
-	reported   bool
-	reportedAt time.Duration
-	kvUsed     float64
-
-	ejection  ejection
-	cacheSeq  uint64
-	cacheGaps uint32
+	others   float64
+	reported bool
+	// ownAtReport is this entry's number in flight at reportedAt.
+	ownAtReport int
+	reportedAt  time.Duration
+	kvUsed      float64
+
+	ejection ejection
+	cacheSeq uint64
+	// cacheMissed counts the cache events that were missing.
+	cacheMissed uint64
 }
 
 // learned is a moving average that starts from a guess and stays near it.
@@ -96,6 +97,18 @@
 	l.value += learnWeight * (sample - l.value)
 }
 
+// addLow is add for samples that may hold waiting as well: larger ones count
+// for less.
+func (l *learned) addLow(sample float64) {
+	if sample > l.value {
+		sample = l.value + lowSampleRatio*(min(sample, 2*l.value)-l.value)
+	}
+	l.add(sample)
+}
+
+// lowSampleRatio is the weight of samples above the learned value in addLow.
+const lowSampleRatio = 0.25
+
 func newServer(config Server) *server {
 	s := &server{usable: true}
 	s.configure(config)
@@ -105,7 +118,6 @@
 // configure takes over new configuration and keeps what was learned.
 func (s *server) configure(config Server) {
 	s.Server = config
-	s.hash = xxhash.Sum64String(config.Name)
 	s.slots = float64(max(1, config.Slots))
 	s.network = 2 * config.Delay.Seconds()
 	s.pricePerSecond = config.PricePerHour / time.Hour.Seconds()
@@ -120,14 +132,37 @@
 	s.residence.reset(defaultOutputTokens * s.gap.guess)
 }
 
-func (s *server) started(now time.Duration) {
+// started records a request with the given number of prompt tokens that are
+// not expected in the cache.
+func (s *server) started(now time.Duration, fresh float64) {
+	s.backlog = s.prefillBacklog(now) + fresh
+	s.backlogAt = now
 	s.own++
+	if s.group != nil {
+		s.group.ownSum++
+	}
 	s.history.set(now, s.own)
 }
 
+// prefillBacklog estimates the prompt tokens that are still to be worked
+// through for this entry's requests.
+func (s *server) prefillBacklog(now time.Duration) float64 {
+	if s.backlog == 0 {
+		return 0
+	}
+	done := (now - s.backlogAt).Seconds() / s.prefill.value
+	return max(0, s.backlog-done)
+}
+
 func (s *server) finished(now time.Duration, o Outcome) {
 	inFlight := s.inFlight(now)
-	s.own = max(0, s.own-1)
+	if s.own == 0 {
+		return
+	}
+	s.own--
+	if s.group != nil {
+		s.group.ownSum--
+	}
 	s.history.set(now, s.own)
 	switch o.Result {
 	case ResultConnectFailed:
@@ -162,7 +197,7 @@
 	}
 	fresh := o.Load.PromptTokens - max(0, o.CachedTokens)
 	if fresh >= minPrefillSample && first > 0 && inFlight < s.slots {
-		s.prefill.add(first / float64(fresh))
+		s.prefill.addLow(first / float64(fresh))
 	}
 	if inFlight <= s.slots {
 		s.residence.add(elapsed)
@@ -186,7 +221,8 @@
 		s.slots = float64(report.Slots)
 	}
 	at := now - report.Age
-	others := max(0, float64(report.Running+report.Waiting-s.history.at(at)))
+	s.ownAtReport = s.history.at(at)
+	others := max(0, float64(report.Running+report.Waiting-s.ownAtReport))
 	if s.group != nil {
 		s.group.noteOthers(s, others)
 	}
@@ -207,15 +243,23 @@
 
 // inFlight estimates the requests of all entries at the server. The older the
 // report, the nearer the other entries' part is to the mean of the service.
+// What this entry changed since the report is expected of the others too: they
+// saw the same report.
 func (s *server) inFlight(now time.Duration) float64 {
 	trust := s.trust(now)
-	var mean float64
+	var mean, ratio float64
 	if s.group != nil {
 		mean = s.group.meanOthers()
+		ratio = s.group.othersPerOwn()
 	}
-	return float64(s.own) + trust*s.others + (1-trust)*mean
+	since := followRatio * ratio * float64(s.own-s.ownAtReport)
+	return float64(s.own) + max(0, trust*(s.others+since)+(1-trust)*mean)
 }
 
+// followRatio is the part of this entry's changes since a report that each
+// other entry is expected to make as well.
+const followRatio = 0.4
+
 // estimate predicts one request at one server. Times are in seconds.
 type estimate struct {
 	first, completion, gap float64
@@ -229,7 +273,7 @@
 // in the prefix cache.
 func (s *server) expect(now time.Duration, request *Request, cached float64) estimate {
 	n := s.inFlight(now)
-	wait := max(0, n+1-s.slots) * s.residence.value / s.slots
+	wait := excess(n+1-s.slots) * s.residence.value / s.slots
 	if s.kvUsed > fullCacheUse {
 		full := (s.kvUsed - fullCacheUse) / (1 - fullCacheUse)
 		wait += full * s.trust(now) * s.residence.value
@@ -244,12 +288,27 @@
 	prefill := max(0, float64(request.PromptTokens)-cached) * s.prefill.value
 	output := float64(request.OutputTokens)
 	e.gap = s.gap.value * s.batchFactor(n+1)
-	e.first = s.network + wait + prefill
+	e.first = s.network + wait + prefill + s.prefillBacklog(now)*s.prefill.value
 	e.completion = e.first + output*e.gap
 	e.cost = s.pricePerSecond * (prefill + output*s.gap.value/s.slots)
 	return e
 }
 
+// slotDoubt is how many slots the estimate of requests in flight may be off.
+const slotDoubt = 3.0
+
+// excess is the expected number of requests beyond the slots when the estimate
+// says x: it rises smoothly from 0 at -slotDoubt to x at slotDoubt.
+func excess(x float64) float64 {
+	switch {
+	case x <= -slotDoubt:
+		return 0
+	case x >= slotDoubt:
+		return x
+	}
+	return (x + slotDoubt) * (x + slotDoubt) / (4 * slotDoubt)
+}
+
 // ownHistory keeps this entry's recent numbers of requests in flight.
 type ownHistory struct {
 	samples [historySamples]ownSample
