--- a/internal/backend/standin_test.go
+++ b/internal/backend/standin_test.go
@@ -38,6 +38,7 @@
 	if opts.ProgressTimeout == 0 {
 		opts.ProgressTimeout = quiet
 	}
+	opts.ControlTimeout = quiet
 	c := backend.New(opts)
 	t.Cleanup(c.Close)
 	return c
@@ -101,6 +102,12 @@
 	post(t, address, "/standin/fault", request)
 }
 
+// hold stops all streams at so many tokens; 0 lets them go on.
+func hold(t *testing.T, address string, tokens int) {
+	t.Helper()
+	fault(t, address, standin.FaultRequest{HoldAfter: &tokens})
+}
+
 func post(t *testing.T, address, path string, value any) {
 	t.Helper()
 	body, _ := json.Marshal(value)
