--- a/internal/core/state/view_test.go
+++ b/internal/core/state/view_test.go
@@ -147,7 +147,11 @@
 	deltas := replica.History(2)
 	slices.Reverse(deltas)
 	damaged := deltas[1]
-	damaged.Items = append(slices.Clone(damaged.Items), fleet.Item{Path: "zones/z1", JSON: []byte("{")})
+	damaged.Items = []fleet.Item{
+		{Path: "zones/extra", JSON: []byte(`{"name": "extra"}`)},
+		{Path: "zones/mures-d"},
+		{Path: "zones/z1", JSON: []byte("{")},
+	}
 	view := state.NewView()
 	effects := view.Step(0, state.DeltasReceived{From: "replica-1", Deltas: []state.Delta{deltas[0], damaged}, Revision: 2})
 	if effects.Err == nil || view.Revision() != 1 || effects.Config == nil {
