Bound what a change's answer and a record's retention may take

Answers to changes are kept, so an invalid configuration with thousands of faults, or a long author, could have filled a replica's memory. A retention near the largest number would have overflowed and let its record expire at once; TestLongestRetention holds that.

--- a/internal/core/state/config.go
+++ b/internal/core/state/config.go
@@ -11,8 +11,14 @@
 	"waxwingcart/internal/core/fleet"
 )
 
-// MaxChangeIDBytes bounds a change ID.
-const MaxChangeIDBytes = 128
+const (
+	// MaxChangeIDBytes bounds a change ID.
+	MaxChangeIDBytes = 128
+	// MaxAuthorBytes bounds an author's name.
+	MaxAuthorBytes = 128
+	// maxProblems bounds the faults that a change's answer lists.
+	maxProblems = 20
+)
 
 // ChangeRequest is a configuration change as an operator sends it.
 type ChangeRequest struct {
@@ -129,19 +135,23 @@
 	return fleet.Flatten(parsed)
 }
 
-// invalidError lists the faults of a configuration, one a line.
+// invalidError lists the faults of a configuration, one a line. Answers are
+// kept, so it lists the first maxProblems alone.
 type invalidError []fleet.Problem
 
 func (e invalidError) Error() string {
-	lines := make([]string, len(e))
-	for i, problem := range e {
-		lines[i] = problem.String()
+	var lines []string
+	for _, problem := range e[:min(len(e), maxProblems)] {
+		lines = append(lines, problem.String())
+	}
+	if more := len(e) - maxProblems; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(lines, "\n")
 }
 
 func (c *config) change(timeMS int64, change ChangeConfig) ChangeResult {
-	if reason := checkChangeID(change.ChangeID); reason != "" {
+	if reason := checkNames(change); reason != "" {
 		return ChangeResult{Revision: c.revision, Invalid: reason}
 	}
 	if first, ok := c.answers[change.ChangeID]; ok {
@@ -152,12 +162,15 @@
 	return result
 }
 
-func checkChangeID(id string) string {
+// checkNames returns why a change is refused without keeping an answer, or "".
+func checkNames(change ChangeConfig) string {
 	switch {
-	case id == "":
+	case change.ChangeID == "":
 		return "change_id: got nothing, expected an ID that is unique to the change"
-	case len(id) > MaxChangeIDBytes:
-		return fmt.Sprintf("change_id: got %d bytes, expected at most %d", len(id), MaxChangeIDBytes)
+	case len(change.ChangeID) > MaxChangeIDBytes:
+		return fmt.Sprintf("change_id: got %d bytes, expected at most %d", len(change.ChangeID), MaxChangeIDBytes)
+	case len(change.Author) > MaxAuthorBytes:
+		return fmt.Sprintf("author: got %d bytes, expected at most %d", len(change.Author), MaxAuthorBytes)
 	}
 	return ""
 }
--- a/internal/core/state/config_test.go
+++ b/internal/core/state/config_test.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// Answers are kept, so that they list a bounded number of faults.
+func TestInvalidAnswerIsBounded(t *testing.T) {
+	s := newScript(t, Options{})
+	zones := strings.Repeat(`{"name": "!"},`, 100)
+	got := s.send(ChangeRequest{ChangeID: "c1", JSON: []byte(`{"zones": [` + strings.TrimSuffix(zones, ",") + `]}`)})
+	if n := strings.Count(got.Invalid, "\n"); n != maxProblems || !strings.HasSuffix(got.Invalid, "and 80 more") {
+		t.Errorf("got %d line ends in %q", n, got.Invalid)
+	}
+}
+
 func TestChangeIDs(t *testing.T) {
 	s := newScript(t, Options{ChangeAnswerLimit: 2})
 	s.change("c1", 0, "ion", 1)
@@ -93,6 +103,9 @@
 			t.Errorf("ID of %d bytes: got %+v", len(id), got)
 		}
 	}
+	if got := s.change("c2", 1, strings.Repeat("x", MaxAuthorBytes+1), 2); got.Accepted || got.Invalid == "" {
+		t.Errorf("long author: got %+v", got)
+	}
 	s.change("c2", 1, "ion", 2)
 	s.change("c3", 2, "ion", 3)
 	// The answer to c1 is forgotten; its base revision keeps it from being
--- a/internal/core/state/records.go
+++ b/internal/core/state/records.go
@@ -14,6 +14,9 @@
 	// TombstoneMS is how long an expired key is remembered after its record
 	// was dropped, in milliseconds: 7 days.
 	TombstoneMS = 7 * 24 * 60 * 60 * 1_000
+	// MaxRetentionMS bounds the retention of a record, in milliseconds, as the
+	// fleet configuration does: 7 days.
+	MaxRetentionMS = 7 * 24 * 60 * 60 * 1_000
 	// expireLimit is the number of records after which one Expire stops.
 	expireLimit = 20_000
 )
@@ -139,7 +142,7 @@
 func (r *records) reserve(timeMS int64, c Reserve) ReserveResult {
 	key := hashKey(c.Key)
 	digest := [16]byte(c.Digest[:16])
-	expiry := expiryUnit(timeMS + max(0, c.RetentionMS))
+	expiry := expiryUnit(timeMS + min(max(0, c.RetentionMS), MaxRetentionMS))
 	rec := r.edit(key)
 	if rec == nil {
 		return r.reserveNew(key, digest, expiry, c)
--- a/internal/core/state/records_test.go
+++ b/internal/core/state/records_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"math"
 	"testing"
 )
 
@@ -251,3 +252,23 @@
 		t.Fatalf("record is in state %d before its retention ended", got)
 	}
 }
+
+// A retention that is out of range is bounded; it must not overflow to the
+// past.
+func TestLongestRetention(t *testing.T) {
+	s := newScript(t, Options{})
+	s.apply(Reserve{Key: booking, Owner: first, RequestID: "r1", RetentionMS: math.MaxInt64})
+	for _, step := range []struct {
+		afterMS int64
+		want    RecordState
+	}{
+		{MaxRetentionMS, RecordReserved},
+		{2 * expiryUnitMS, RecordExpired},
+	} {
+		s.timeMS += step.afterMS
+		s.expire()
+		if got := s.machine.Lookup(booking).State; got != step.want {
+			t.Fatalf("%d ms on it is in state %d, expected %d", step.afterMS, got, step.want)
+		}
+	}
+}
