Bound the text of an invalid change's answer

A field name of megabytes would have been kept with the answer, and a cut name that is no UTF-8 can't be encoded. TestInvalidAnswerIsBounded holds both.

--- a/internal/core/state/config.go
+++ b/internal/core/state/config.go
@@ -18,6 +18,8 @@
 	MaxAuthorBytes = 128
 	// maxProblems bounds the faults that a change's answer lists.
 	maxProblems = 20
+	// maxInvalidBytes bounds the text of a change's answer.
+	maxInvalidBytes = 4 << 10
 )
 
 // ChangeRequest is a configuration change as an operator sends it.
@@ -93,12 +95,17 @@
 	}}
 	items, err := flattenValid(request.JSON)
 	if err != nil {
-		parsed.change.Invalid = err.Error()
+		parsed.change.Invalid = truncate(err.Error(), maxInvalidBytes)
 	}
 	parsed.items = items
 	return parsed
 }
 
+// truncate returns at most limit bytes of valid UTF-8.
+func truncate(s string, limit int) string {
+	return strings.ToValidUTF8(s[:min(len(s), limit)], "")
+}
+
 // prepare reduces a valid change to what differs, if the machine knows the
 // base revision.
 func (c *config) prepare(parsed ParsedChange) ChangeConfig {
--- a/internal/core/state/config_test.go
+++ b/internal/core/state/config_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"waxwingcart/internal/core/fleet"
 )
@@ -90,6 +91,10 @@
 	if n := strings.Count(got.Invalid, "\n"); n != maxProblems || !strings.HasSuffix(got.Invalid, "and 80 more") {
 		t.Errorf("got %d line ends in %q", n, got.Invalid)
 	}
+	got = s.send(ChangeRequest{ChangeID: "c2", JSON: []byte(`{"` + strings.Repeat("ü", 10_000) + `": 1}`)})
+	if n := len(got.Invalid); n == 0 || n > maxInvalidBytes || !utf8.ValidString(got.Invalid) {
+		t.Errorf("got %d bytes", n)
+	}
 }
 
 func TestChangeIDs(t *testing.T) {
