--- /dev/null
+++ b/internal/e2e/config_test.go
@@ -0,0 +1,199 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"waxwingcart/internal/wire"
+)
+
+// Two operators race under one base revision through two replicas: one wins,
+// and each gets the same answer again when it resends.
+func TestOperatorsRace(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	base := uint64(1)
+	for round := range 5 {
+		answers := c.race(round, base)
+		winners := 0
+		for id, answer := range answers {
+			if !answer.Conflict {
+				winners++
+			}
+			again, err := c.apply(context.Background(), "r3", id, base)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if again.Conflict != answer.Conflict || again.Revision != answer.Revision {
+				t.Fatalf("change %s: resent got %v, first %v", id, again, answer)
+			}
+		}
+		if winners != 1 {
+			t.Fatalf("round %d: %d winners", round, winners)
+		}
+		base++
+	}
+}
+
+func (c *cluster) race(round int, base uint64) map[string]*wire.ChangeConfigResponse {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	answers := make(map[string]*wire.ChangeConfigResponse)
+	for _, through := range []string{"r1", "r2"} {
+		id := fmt.Sprintf("race-%d-%s", round, through)
+		group.Go(func() {
+			answer, err := c.apply(context.Background(), through, id, base)
+			if err != nil {
+				c.t.Errorf("change %s: %v", id, err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers[id] = answer
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+// A frozen leader that wakes believing it leads accepts nothing, and the
+// change that was accepted meanwhile stays.
+func TestFrozenLeader(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	old := c.leader("")
+	c.signal(old, syscall.SIGSTOP)
+	c.leader(old)
+	c.mustApplyExcept(old, "while-frozen", 1)
+	c.signal(old, syscall.SIGCONT)
+	answer, err := c.apply(context.Background(), old, "after-waking", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !answer.Conflict || answer.Revision != 2 || answer.WinnerChangeId != "while-frozen" {
+		t.Fatalf("the woken leader answered %v", answer)
+	}
+	c.eventually("revision 2 at the entry", func() bool {
+		d, err := c.dump("e1")
+		return err == nil && d.Entry.Config.Revision == 2
+	})
+}
+
+func (c *cluster) mustApplyExcept(except, changeID string, base uint64) {
+	c.t.Helper()
+	v := c.vms[except]
+	cmd := v.cmd
+	v.cmd = nil
+	defer func() { v.cmd = cmd }()
+	c.mustApply(changeID, base)
+}
+
+// A replica whose data folder is lost comes back as another node and joins. A
+// second voter that is killed right after loses nothing that was committed.
+func TestLostDiskThenSecondLoss(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	for revision := uint64(1); revision < 20; revision++ {
+		c.mustApply(fmt.Sprintf("change-%d", revision), revision)
+	}
+	_ = c.stop("r2", syscall.SIGKILL)
+	if err := os.RemoveAll(c.vms["r2"].dir); err != nil {
+		t.Fatal(err)
+	}
+	c.start("r2")
+	c.eventually("the new r2 is a voter", func() bool {
+		d, err := c.dump("r2")
+		return err == nil && d.Replica.Applied > 0 && len(d.Replica.Voters) == 3 && d.isVoter()
+	})
+	_ = c.stop("r3", syscall.SIGKILL)
+	answer := c.mustApply("after-losses", 20)
+	if answer.Revision != 21 {
+		t.Fatalf("revision %d after the losses, want 21", answer.Revision)
+	}
+}
+
+// isVoter tells whether this incarnation of the replica votes.
+func (d dump) isVoter() bool {
+	self := d.Replica.VM + "/" + d.Replica.Incarnation + "@"
+	return slices.ContainsFunc(d.Replica.Voters, func(voter string) bool {
+		return strings.HasPrefix(voter, self)
+	})
+}
+
+// The bootstrapping replica that lost its disk does not start a second log.
+func TestBootstrapReplicaLosesDisk(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	_ = c.stop("r1", syscall.SIGKILL)
+	if err := os.RemoveAll(c.vms["r1"].dir); err != nil {
+		t.Fatal(err)
+	}
+	c.start("r1")
+	c.eventually("r1 has joined the log again", func() bool {
+		d, err := c.dump("r1")
+		return err == nil && d.isVoter() && len(d.Replica.Voters) == 3 && d.Replica.Applied > 0
+	})
+	if answer := c.mustApply("second", 1); answer.Revision != 2 {
+		t.Fatalf("revision %d, want 2", answer.Revision)
+	}
+}
+
+// Processes that were down for 500 changes come back with the newest revision
+// and never show an older one.
+func TestBackAfterManyChanges(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	_ = c.stop("e2", syscall.SIGKILL)
+	_ = c.stop("r3", syscall.SIGKILL)
+	const changes = 500
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	for base := uint64(1); base <= changes; base++ {
+		if _, err := c.apply(ctx, "r1", fmt.Sprintf("many-%d", base), base); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.start("r3")
+	c.start("e2")
+	c.eventually("e2 is ready", func() bool {
+		d, err := c.dump("e2")
+		if err == nil && d.Entry.Ready && d.Entry.Config.Revision != changes+1 {
+			t.Fatalf("e2 is ready at revision %d of %d", d.Entry.Config.Revision, changes+1)
+		}
+		return err == nil && d.Entry.Ready
+	})
+}
+
+// An entry that starts while every replica is cut off takes the newest
+// revision that its zone has.
+func TestEntryStartsInCutOffZone(t *testing.T) {
+	c := newCluster(t, 3, 4)
+	c.mustApply("second", 1)
+	c.eventually("revision 2 at e1", func() bool {
+		d, err := c.dump("e1")
+		return err == nil && d.Entry.Config.Revision == 2
+	})
+	// e4 is in the zone of e1.
+	_ = c.stop("e4", syscall.SIGKILL)
+	for _, name := range []string{"r1", "r2", "r3"} {
+		c.signal(name, syscall.SIGSTOP)
+	}
+	c.start("e4")
+	c.waitReady("e4")
+	d, err := c.dump("e4")
+	if err != nil || d.Entry.Config.Revision != 2 {
+		t.Fatalf("e4 is at revision %d, %v; want 2", d.Entry.Config.Revision, err)
+	}
+	answer, err := c.call("e4", "GET", "/services/desk/records/7", "", "")
+	if err != nil || answer.status != 200 {
+		t.Fatalf("lookup in the cut-off zone: %v, %v", answer, err)
+	}
+	refused, err := c.call("e4", "POST", "/services/desk/bookings", "key-1", "{}")
+	if err != nil || refused.outcome != "not-run" || refused.header.Get("Retry-After") == "" {
+		t.Fatalf("booking in the cut-off zone: %+v, %v", refused, err)
+	}
+	if runs := c.totalRuns("a1"); runs != 0 {
+		t.Fatalf("%d runs after not-run", runs)
+	}
+}
