Tell the attempts of a booking apart; wait only where Retry-After says so

Cause: in a trial with an application that ran bookings and dropped the answers, the load tool called 6 truthful not-run answers lies, for another attempt under the same key had run with outcome unknown; and it waited for the key of an unknown booking 5,953 times, as every 409 counted as in flight. Change: a booking's body proves a lie only if no attempt of it may have run; a refusal is followed by a retry only if it gives Retry-After, and keeps its own reason. Tests: TestAttemptsOfABookingAreToldApart.

--- a/internal/load/collect.go
+++ b/internal/load/collect.go
@@ -6,9 +6,11 @@
 	"sync"
 )
 
-// booked is what callers were told about one booking.
+// booked is what callers were told about one booking by all its attempts.
 type booked struct {
 	answered bool
+	// mayRun is set if an attempt was answered, or not said to be not-run.
+	mayRun bool
 }
 
 // collector gathers outcomes.
@@ -89,6 +91,10 @@
 		c.bookings[o.request.digest] = b
 	}
 	b.answered = b.answered || o.ending == endFull
+	b.mayRun = b.mayRun || o.ending != endRefused
+	for _, made := range o.claims {
+		b.mayRun = b.mayRun || !made.notRun
+	}
 }
 
 // notSent counts a request for which no connection was free.
@@ -133,7 +139,6 @@
 func (c *collector) checkRuns(runs standinRuns) {
 	r := &c.result
 	complete := len(r.Unaudited) == 0
-	answeredOnly := make(map[string]bool)
 	for body, b := range c.bookings {
 		count := runs.Bodies[body]
 		if count > 1 {
@@ -143,23 +148,22 @@
 		if b.answered && count == 0 && complete {
 			r.Missing++
 		}
-		answeredOnly[body] = b.answered
 	}
-	for _, claim := range c.claims {
-		if claim.notRun && ran(claim, runs, answeredOnly) {
+	for _, made := range c.claims {
+		if made.notRun && c.ran(made, runs) {
 			r.Lies++
 		}
 	}
 }
 
-// ran reports whether the request of a claim ran. A booking that was also
-// answered may have run under a later attempt, and is told apart by its
-// request ID alone.
-func ran(made claim, runs standinRuns, answered map[string]bool) bool {
+// ran reports whether the request of a claim ran. A booking is known by its
+// body if no other attempt of it may have run.
+func (c *collector) ran(made claim, runs standinRuns) bool {
 	if made.requestID != "" && runs.Runs[made.requestID] > 0 {
 		return true
 	}
-	return made.body != "" && !answered[made.body] && runs.Bodies[made.body] > 0
+	b := c.bookings[made.body]
+	return b != nil && !b.mayRun && runs.Bodies[made.body] > 0
 }
 
 // compareTokens compares computed tokens with delivered ones.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -108,6 +108,14 @@
 	case key != "" && e.fault == "lie":
 		refuse(w, id)
 		return
+	case key != "" && e.fault == "unknown, then refused":
+		if known {
+			refuse(w, id)
+			return
+		}
+		w.Header().Set("Waxwingcart-Outcome", "unknown")
+		w.WriteHeader(http.StatusBadGateway)
+		return
 	case key != "" && e.fault == "other answer" && known:
 		answer = bytes.Replace(answer, []byte(`"id":"`), []byte(`"id":"other-`), 1)
 	}
@@ -252,6 +260,15 @@
 	}
 }
 
+// Of two attempts of a booking, one may have run and the other not.
+func TestAttemptsOfABookingAreToldApart(t *testing.T) {
+	r, _ := run(t, "unknown, then refused", func(o *load.Options) { o.Duplicates = 1 })
+	bookings := r.Classes[load.ClassBooking].Sent
+	if bookings == 0 || r.Classes[load.ClassBooking].Refused != bookings || r.Faults() != 0 || r.Retries != 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
 // Requests beyond the bound are counted, and entries that are gone are passed
 // over.
 func TestBoundsAndLostEntries(t *testing.T) {
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -17,7 +17,8 @@
 	endAbandoned
 )
 
-// claim is one answer that said whether its request ran.
+// claim is what one attempt told its caller about its request having run. An
+// attempt that broke told nothing.
 type claim struct {
 	requestID string
 	body      string // digest of a booking's body
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -27,8 +27,6 @@
 	maxRetryAfter = 30 * time.Second
 	// outcomeUnstated is that of a refusal that does not state it.
 	outcomeUnstated = "unstated"
-	// reasonConflict is a booking whose key is in flight.
-	reasonConflict = "status-409"
 )
 
 // sender sends requests to entries, one after the other in turn.
@@ -58,6 +56,9 @@
 	lastID    string
 	lastToken time.Time
 	position  int // in the right answer
+	// status and retryHelps are those of the last refusal.
+	status     int
+	retryHelps bool
 }
 
 // verdict tells what an attempt means for its request.
@@ -100,8 +101,10 @@
 		}
 		return true, max(resendPause, retryAfter)
 	case verdictRefused:
-		inFlight := p.request.key != "" && p.reason == reasonConflict
-		if p.retries >= s.opts.Retries && !inFlight {
+		// Without Retry-After, a retry can't help. A key in flight is waited
+		// for, as callers do.
+		inFlight := p.request.key != "" && p.status == http.StatusConflict
+		if !p.retryHelps || p.retries >= s.opts.Retries && !inFlight {
 			return false, 0
 		}
 		p.retries++
@@ -199,13 +202,15 @@
 	_ = json.Unmarshal(text, &body)
 	p.ending = endRefused
 	p.reason = body.Error.Reason
-	if p.reason == "" || response.StatusCode == http.StatusConflict {
+	if p.reason == "" {
 		p.reason = "status-" + strconv.Itoa(response.StatusCode)
 	}
 	p.state(response.Header.Get("Waxwingcart-Outcome"), body.Error.RequestID)
-	retryHelps := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
-	if retryHelps && response.Header.Get("Retry-After") == "" {
-		p.noRetryAfter = true
+	p.first = time.Since(p.due)
+	p.status = response.StatusCode
+	p.retryHelps = response.Header.Get("Retry-After") != ""
+	if p.status == http.StatusTooManyRequests || p.status == http.StatusServiceUnavailable {
+		p.noRetryAfter = p.noRetryAfter || !p.retryHelps
 	}
 	return verdictRefused
 }
@@ -215,9 +220,12 @@
 	p.stated = stated
 	if stated != "not-run" && stated != "unknown" {
 		p.stated = outcomeUnstated
-		return
 	}
-	made := claim{requestID: requestID, notRun: stated == "not-run"}
+	p.claim(claim{requestID: requestID, notRun: stated == "not-run"})
+}
+
+// claim notes what callers were told; a booking is known by its body as well.
+func (p *progress) claim(made claim) {
 	if p.request.class == ClassBooking {
 		made.body = p.request.digest
 	}
@@ -227,6 +235,7 @@
 func (p *progress) broken(err error) verdict {
 	p.ending = endBroken
 	p.reason = "connection"
+	p.claim(claim{})
 	if errors.Is(err, context.DeadlineExceeded) {
 		p.reason = "timeout"
 	}
