Never wait for one replica longer than a call

Cause: a frozen process accepts connections, so the change's one long call hung at the old leader until its context ended (TestFrozenLeader, 60 s). Ruled out: a shorter context alone, which would also cut the wait for zones. Change: the commit is a short call; the wait for zones is made of short calls that send the change again, which gives the first answer.

--- /dev/null
+++ b/internal/e2e/engine_test.go
@@ -0,0 +1,21 @@
+package e2e
+
+import (
+	"net/http"
+	"testing"
+)
+
+const briefingBody = `{"model": "briefing-70b", "max_tokens": 12, "messages": [{"role": "user", "content": "Checkpoints"}]}`
+
+// An engine that refuses before running costs no caller its answer while
+// another one is healthy.
+func TestRefusingEngine(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.fault("m1", `{"refuse": true}`)
+	for range 20 {
+		answer, err := c.call("e1", http.MethodPost, "/v1/chat/completions", "", briefingBody)
+		if err != nil || answer.status != http.StatusOK {
+			t.Fatalf("%+v, %v", answer, err)
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,8 @@
 const (
 	changeTimeout = 5 * time.Second
 	readTimeout   = 3 * time.Second
+	// changeWaitPart is the longest wait for zones within one call.
+	changeWaitPart = 500 * time.Millisecond
 )
 
 // defaultHistory is the number of changes listed if none is given.
@@ -36,13 +38,35 @@
 	Replicas *rpc.Replicas
 }
 
-// ApplyConfig commits a change at the leader.
+// ApplyConfig commits a change at the leader and waits until it is in force in
+// every zone, or until the wait is over. The change is sent again for each
+// part of the wait, which gives the first answer, so that a leader that goes
+// silent holds nothing up.
 func (s *Service) ApplyConfig(ctx context.Context, req *wire.ChangeConfigRequest) (*wire.ChangeConfigResponse, error) {
 	wait := time.Duration(req.WaitMs) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout+wait)
 	defer cancel()
-	return rpc.CallSlow(ctx, s.Replicas, "change config", func(ctx context.Context, stub wire.Replica) (*wire.ChangeConfigResponse, error) {
-		return stub.ChangeConfig(ctx, req)
+	response, err := s.change(ctx, req, 0)
+	for end := time.Now().Add(wait); err == nil && len(response.ZonesPending) > 0; {
+		left := time.Until(end)
+		if left <= 0 {
+			break
+		}
+		response, err = s.change(ctx, req, min(left, changeWaitPart))
+	}
+	return response, err
+}
+
+func (s *Service) change(ctx context.Context, req *wire.ChangeConfigRequest, wait time.Duration) (*wire.ChangeConfigResponse, error) {
+	part := &wire.ChangeConfigRequest{
+		ChangeId:     req.ChangeId,
+		BaseRevision: req.BaseRevision,
+		Author:       req.Author,
+		ConfigJson:   req.ConfigJson,
+		WaitMs:       wait.Milliseconds(),
+	}
+	return rpc.Call(ctx, s.Replicas, "change config", func(ctx context.Context, stub wire.Replica) (*wire.ChangeConfigResponse, error) {
+		return stub.ChangeConfig(ctx, part)
 	})
 }
 
--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -83,25 +83,13 @@
 }
 
 // Call makes a call at the leader, looking for it until the context ends. A
-// call in doubt is repeated, so the call must be idempotent.
+// call in doubt is repeated, so the call must be idempotent. No single try may
+// take longer than callTimeout, for a frozen process accepts connections.
 func Call[Response any](ctx context.Context, r *Replicas, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
-	return callWithin(ctx, r, step, callTimeout, call)
-}
-
-// CallSlow is Call for calls that may take as long as the context allows.
-func CallSlow[Response any](ctx context.Context, r *Replicas, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
-	timeout := callTimeout
-	if deadline, ok := ctx.Deadline(); ok {
-		timeout = max(time.Until(deadline), callTimeout)
-	}
-	return callWithin(ctx, r, step, timeout, call)
-}
-
-func callWithin[Response any](ctx context.Context, r *Replicas, step string, timeout time.Duration, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
 	var last error = ErrNoLeader
 	for {
 		for _, address := range r.candidates() {
-			response, next, err := try(ctx, r, address, timeout, call)
+			response, next, err := try(ctx, r, address, call)
 			if err == nil {
 				r.setLeader(address)
 				return response, nil
@@ -133,8 +121,8 @@
 }
 
 // try makes the call at one address and returns the leader it was told of.
-func try[Response any](ctx context.Context, r *Replicas, address string, timeout time.Duration, call func(context.Context, wire.Replica) (Response, error)) (Response, string, error) {
-	attempt, cancel := context.WithTimeout(ctx, timeout)
+func try[Response any](ctx context.Context, r *Replicas, address string, call func(context.Context, wire.Replica) (Response, error)) (Response, string, error) {
+	attempt, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	response, err := call(attempt, r.At(address))
 	if err == nil {
