Confirm the configuration by a quorum only, and keep it across restarts

Cause: any replica's answer counted as confirmation, so a cut-off zone's dump claimed it; and an entry that restarted while nobody could be asked had no configuration at all, or a peer's older one. Ruled out: asking peers harder: an entry alone in its zone has none. Change: FetchConfig says whether a linearizable read went through; an entry with a data folder saves the configuration, synced, before it is in force. Parsing a change no longer holds up the replica's loop.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -298,7 +298,8 @@
 	Entry struct {
 		Ready  bool `json:"ready"`
 		Config struct {
-			Revision uint64 `json:"revision"`
+			Revision     uint64  `json:"revision"`
+			UnconfirmedS float64 `json:"unconfirmed_s"`
 		} `json:"config"`
 	} `json:"entry"`
 }
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -197,3 +197,24 @@
 		t.Fatalf("%d runs after not-run", runs)
 	}
 }
+
+// An entry that restarts while nobody can be asked has the revision in force
+// that it had before, and says that no quorum confirms it.
+func TestEntryRestartsAlone(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.mustApply("second", 1)
+	c.eventually("revision 2 at e1", func() bool {
+		d, err := c.dump("e1")
+		return err == nil && d.Entry.Config.Revision == 2
+	})
+	for _, name := range []string{"r1", "r2", "r3"} {
+		c.signal(name, syscall.SIGSTOP)
+	}
+	_ = c.stop("e1", syscall.SIGKILL)
+	c.start("e1")
+	c.waitReady("e1")
+	d, err := c.dump("e1")
+	if err != nil || d.Entry.Config.Revision != 2 || d.Entry.Config.UnconfirmedS != -1 {
+		t.Fatalf("e1 is at %+v, %v; want revision 2, never confirmed", d.Entry.Config, err)
+	}
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -101,7 +101,9 @@
 }
 
 func newConfigHolder(e *Entry) *configHolder {
-	return &configHolder{entry: e, view: state.NewView()}
+	h := &configHolder{entry: e, view: state.NewView()}
+	h.load()
+	return h
 }
 
 // inForce returns the configuration in force, or nil.
@@ -141,7 +143,7 @@
 		response, err := h.entry.replicas.At(address).FetchConfig(call, request)
 		cancel()
 		if err == nil {
-			h.receive(address, response, true)
+			h.receive(address, response)
 			return true
 		}
 		h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
@@ -204,24 +206,20 @@
 }
 
 // receive takes deltas in and puts the newest in force.
-func (h *configHolder) receive(from string, response *wire.FetchConfigResponse, committed bool) {
-	h.step(from, response, committed)
+func (h *configHolder) receive(from string, response *wire.FetchConfigResponse) {
+	h.hold(from, response)
 	h.publish()
 }
 
 // hold takes deltas in without putting them in force yet.
 func (h *configHolder) hold(from string, response *wire.FetchConfigResponse) {
-	h.step(from, response, false)
-}
-
-func (h *configHolder) step(from string, response *wire.FetchConfigResponse, committed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	effects := h.view.Step(h.entry.now(), state.DeltasReceived{
 		From:      from,
 		Deltas:    codec.DeltasFromWire(response.Deltas),
 		Revision:  response.Revision,
-		Committed: committed,
+		Committed: response.Confirmed,
 	})
 	if effects.Err != nil {
 		h.entry.logger.Error().Str("step", "apply config").Str("peer", from).Err(effects.Err).Msg("configuration refused")
@@ -236,6 +234,7 @@
 	if h.view.Config() == nil || (current != nil && current.revision >= h.view.Revision()) {
 		return
 	}
+	h.save()
 	next := newConfiguration(h.view.Config(), h.view.Revision())
 	h.entry.policy.configure(next)
 	h.current.Store(next)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,9 @@
 	Peers []Peer
 	// Replicas lists the replicas' peer addresses.
 	Replicas []string
+	// DataDir is the folder for the configuration in force, or empty if the VM
+	// has no disk.
+	DataDir string
 	// Platform is the platform's address, or empty.
 	Platform string
 	// PeerSecret authenticates event IDs across entries.
--- /dev/null
+++ b/internal/entry/saved.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/state"
+)
+
+// savedName is the file that holds the configuration in force.
+const savedName = "config"
+
+func (h *configHolder) savedPath() string {
+	return filepath.Join(h.entry.opts.DataDir, "entry", savedName)
+}
+
+// load takes the configuration that was in force before a restart, so that a
+// restarted entry never goes back to an older one. A damaged file is left out:
+// the replicas and the zone's entries still answer.
+func (h *configHolder) load() {
+	if h.entry.opts.DataDir == "" {
+		return
+	}
+	data, err := os.ReadFile(h.savedPath())
+	if errors.Is(err, fs.ErrNotExist) {
+		return
+	}
+	var delta state.Delta
+	if err == nil {
+		delta, err = decodeSaved(data)
+	}
+	if err != nil {
+		h.entry.logger.Error().Str("step", "load config").Str("peer", h.savedPath()).Err(err).Msg("saved configuration not used")
+		return
+	}
+	h.view.Step(0, state.DeltasReceived{From: h.savedPath(), Deltas: []state.Delta{delta}, Revision: delta.Revision})
+}
+
+// save writes the view's configuration before it is put in force. The caller
+// holds mu. Without the copy the entry goes on; only its restart in a cut-off
+// zone depends on it.
+func (h *configHolder) save() {
+	if h.entry.opts.DataDir == "" {
+		return
+	}
+	for _, delta := range h.view.Deltas(0) {
+		data, err := encodeSaved(delta)
+		if err == nil {
+			err = writeSynced(h.savedPath(), data)
+		}
+		if err != nil {
+			h.entry.logger.Error().Str("step", "save config").Str("peer", h.savedPath()).Err(err).Msg("configuration not saved")
+		}
+	}
+}
+
+var errChecksum = errors.New("checksum does not match")
+
+// encodeSaved returns the file's content: a checksum of 8 bytes, then the
+// encoded delta.
+func encodeSaved(delta state.Delta) ([]byte, error) {
+	data, err := codec.EncodeDelta(delta)
+	if err != nil {
+		return nil, err
+	}
+	return append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(data)), data...), nil
+}
+
+func decodeSaved(data []byte) (state.Delta, error) {
+	const checksumBytes = 8
+	if len(data) < checksumBytes || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[checksumBytes:]) {
+		return state.Delta{}, errChecksum
+	}
+	return codec.DecodeDelta(data[checksumBytes:])
+}
+
+// savedMode lets only the owner read the file.
+const savedMode = 0o600
+
+// writeSynced replaces a file as a whole: it syncs a new file, renames it, and
+// syncs the folder.
+func writeSynced(path string, data []byte) error {
+	folder := filepath.Dir(path)
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return fmt.Errorf("create folder: %w", err)
+	}
+	temporary := path + ".new"
+	if err := writeFileSynced(temporary, data); err != nil {
+		return err
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return fmt.Errorf("rename: %w", err)
+	}
+	return syncFolder(folder)
+}
+
+func writeFileSynced(path string, data []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, savedMode)
+	if err != nil {
+		return fmt.Errorf("open: %w", err)
+	}
+	defer file.Close()
+	if _, err := file.Write(data); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("sync: %w", err)
+	}
+	return nil
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open folder: %w", err)
+	}
+	defer folder.Close()
+	if err := folder.Sync(); err != nil {
+		return fmt.Errorf("sync folder: %w", err)
+	}
+	return nil
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -147,6 +147,7 @@
 		Zone:         process.Zone,
 		PeerAddress:  process.Listen.Peers,
 		Replicas:     addresses(process.Replicas),
+		DataDir:      process.DataDir,
 		Platform:     process.Platform,
 		PeerSecret:   keys.Peer,
 		BodyTimeout:  milliseconds(process.Timeouts.ReadBodyMS),
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -17,6 +17,8 @@
 const (
 	maxFetchWait  = 20 * time.Second
 	maxChangeWait = 30 * time.Second
+	// confirmTimeout bounds asking the quorum during a fetch.
+	confirmTimeout = 500 * time.Millisecond
 )
 
 // Service serves the calls between processes. It implements wire.Replica.
@@ -97,8 +99,9 @@
 	if request.ChangeID == "" || len(request.ChangeID) > state.MaxChangeIDBytes {
 		return nil, twirp.InvalidArgumentError("change_id", "must not be empty or too long")
 	}
+	parsed := state.ParseChange(request)
 	var prepared state.ChangeConfig
-	if err := s.replica.do(ctx, func() { prepared = s.replica.machine.Prepare(request) }); err != nil {
+	if err := s.replica.do(ctx, func() { prepared = s.replica.machine.PrepareParsed(parsed) }); err != nil {
 		return nil, err
 	}
 	applied, err := s.replica.propose(ctx, prepared)
@@ -120,7 +123,7 @@
 // all of them for a bounded time.
 func (s *Service) awaitZones(ctx context.Context, response *wire.ChangeConfigResponse, wait time.Duration) {
 	var zones []string
-	if err := s.replica.do(ctx, func() { zones = s.replica.zones() }); err != nil {
+	if err := s.replica.do(ctx, func() { zones = s.replica.machine.Zones() }); err != nil {
 		return
 	}
 	timer := time.NewTimer(min(wait, maxChangeWait))
@@ -141,19 +144,6 @@
 	}
 }
 
-// zones lists the zones of the committed configuration.
-func (r *Replica) zones() []string {
-	config, err := fleet.Assemble(r.machine.Items())
-	if err != nil {
-		return nil
-	}
-	var names []string
-	for _, zone := range config.Zones {
-		names = append(names, zone.Name)
-	}
-	return names
-}
-
 // FetchConfig returns the committed changes that the caller lacks.
 func (s *Service) FetchConfig(ctx context.Context, req *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
 	s.replica.acks.put(req.Process, req.Zone, req.HaveRevision, time.Now())
@@ -181,7 +171,7 @@
 
 func (s *Service) fetch(ctx context.Context, have uint64) (*wire.FetchConfigResponse, <-chan struct{}, error) {
 	r := s.replica
-	response := &wire.FetchConfigResponse{}
+	response := &wire.FetchConfigResponse{Confirmed: s.confirm(ctx)}
 	var revised <-chan struct{}
 	err := r.do(ctx, func() {
 		deltas, _ := r.machine.DeltasSince(have)
@@ -194,6 +184,15 @@
 	return response, revised, err
 }
 
+// confirm reports whether a quorum confirms that what is applied here after the
+// call is the newest. Only the leader can tell.
+func (s *Service) confirm(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	_, err := s.replica.await(call, replication.Read{})
+	return err == nil
+}
+
 // Probe tells whether this replica's disk holds state of a log.
 func (s *Service) Probe(context.Context, *wire.ProbeRequest) (*wire.ProbeResponse, error) {
 	return &wire.ProbeResponse{Used: !s.replica.log.Empty()}, nil
