Follow the other entries in admission's capacity; count work in one unit

Cause: the entry gave admission all slots of a service, as did every other entry; it estimated work as prompt plus answer tokens but reported the answer alone, so that the learned time per token was too long by prompt/answer; a restarted engine's cache events were taken for old ones; engines that do not say what they took from the cache made affinity weak. Change: Router.Capacity four times a second, admission.Work on both sides, Router.CacheReset at a new incarnation; a shared prefix counts as 0.8 of the prompt until servers report it; a flood is seen from a tenth above the share, by demand over 20 s.

--- a/internal/core/admission/types.go
+++ b/internal/core/admission/types.go
@@ -14,6 +14,18 @@
 	"waxwingcart/internal/core/fleet"
 )
 
+// promptTokensPerOutput is how many prompt tokens take as long as one token of
+// the answer.
+const promptTokensPerOutput = 10
+
+// Work returns a request's work in tokens of the answer: a prompt token is
+// worked through about ten times as fast. Limits, queues and estimates count in
+// this unit.
+func Work(promptTokens, outputTokens int) int {
+	prompt := (max(0, promptTokens) + promptTokensPerOutput - 1) / promptTokensPerOutput
+	return prompt + max(0, outputTokens)
+}
+
 // Event is something that happened. The types below implement it.
 type Event interface{ isEvent() }
 
@@ -25,8 +37,8 @@
 	Service  string
 	// Short marks requests that must not wait behind long ones.
 	Short bool
-	// EstimatedTokens is the estimated work, prompt and answer together. It
-	// counts as at least one.
+	// EstimatedTokens is the estimated work as Work gives it. It counts as at
+	// least one.
 	EstimatedTokens int
 	// FirstTokenBy is when the first token is due for the latency target, or
 	// the whole answer of an application service; zero means no target.
@@ -40,7 +52,8 @@
 // FirstToken says that an admitted request delivered its first token.
 type FirstToken struct{ ID uint64 }
 
-// Finished says that an admitted request ended after the given work.
+// Finished says that an admitted request ended after the given work, as Work
+// gives it.
 type Finished struct {
 	ID     uint64
 	Tokens int
--- a/internal/core/admission/usage.go
+++ b/internal/core/admission/usage.go
@@ -6,14 +6,14 @@
 )
 
 // demandTime is the time constant of a customer's learned demand.
-const demandTime = 10 * time.Second
+const demandTime = 20 * time.Second
 
 // minDemand is the demand below which nothing is kept for a customer.
 const minDemand = 0.05
 
 // floodRatio is how far a customer's demand must exceed its share before it
 // leaves slots free for others.
-const floodRatio = 1.25
+const floodRatio = 1.1
 
 // usage is what one customer uses of one service.
 type usage struct {
--- a/internal/core/routing/prefix.go
+++ b/internal/core/routing/prefix.go
@@ -14,7 +14,7 @@
 
 // defaultSharedRatio is the part of a prompt that is assumed to be shared with
 // other requests of the same prefix, until servers report it.
-const defaultSharedRatio = 0.5
+const defaultSharedRatio = 0.8
 
 // maxHolders bounds the servers remembered per prefix.
 const maxHolders = 4
@@ -174,8 +174,8 @@
 	return defaultSharedRatio * prompt
 }
 
-// maxMissed is the number of missing events after which no more confidence is
-// lost.
+// maxMissed is the number of missing events after which a hint counts for
+// nothing.
 const maxMissed = 24
 
 // certainty returns the confidence after the events missed since the hint.
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -97,22 +97,24 @@
 // Capacity returns how many requests of a service this entry may have in
 // flight: what it has, and its part of what is free. The less is free, the
 // nearer the result is to an even share, so that no entry keeps what others
-// need.
-func (r *Router) Capacity(now time.Duration, service string, entries int) int {
+// need. It also returns the tokens per second of that many requests, zero if
+// that is not known. It takes time in proportion to the service's servers.
+func (r *Router) Capacity(now time.Duration, service string, entries int) (requests int, tokensPerSecond float64) {
 	g := r.services[service]
 	if g == nil {
-		return 0
+		return 0, 0
 	}
-	var slots, own, inFlight float64
+	var slots, own, inFlight, rate float64
 	for _, s := range g.servers {
 		if s.usable {
 			slots += s.slots
 			own += float64(s.own)
 			inFlight += s.inFlight(now)
+			rate += s.TokensPerSecond
 		}
 	}
 	if slots == 0 {
-		return 0
+		return 0, 0
 	}
 	part := 1 / float64(max(1, entries))
 	usable := usableRatio * slots
@@ -120,7 +122,8 @@
 	scarce := 1 - free/usable
 	even := usable * part
 	limit := own + free*part + evenPull*scarce*(even-own)
-	return max(1, int(math.Round(limit)))
+	requests = max(1, int(math.Round(limit)))
+	return requests, rate / slots * float64(requests)
 }
 
 const (
@@ -202,6 +205,15 @@
 	}
 }
 
+// CacheReset says that a server started anew: its cache is empty and its cache
+// events count from the beginning.
+func (r *Router) CacheReset(name string) {
+	if s := r.servers[name]; s != nil {
+		s.cacheSeq = 0
+		s.cacheMissed += maxMissed
+	}
+}
+
 // Pick chooses a server for an attempt. It returns false, with the reason, if
 // there is none.
 func (r *Router) Pick(now time.Duration, request Request) (Decision, bool) {
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -15,6 +15,10 @@
 // policyTick is the interval at which queued requests are looked at.
 const policyTick = 10 * time.Millisecond
 
+// capacityInterval is the interval at which this entry's part of the servers is
+// worked out anew.
+const capacityInterval = 250 * time.Millisecond
+
 // retryAfterNoServer is told to a caller when no backend server is usable.
 const retryAfterNoServer = 2 * time.Second
 
@@ -29,6 +33,8 @@
 	// waiting holds the requests that were handed to admission.
 	waiting map[uint64]*run
 	nextID  uint64
+	// entries is the number of entries that share the limits.
+	entries int
 }
 
 func newPolicy(e *Entry) *policy {
@@ -60,10 +66,11 @@
 	}
 }
 
-// setCapacity tells admission what the usable servers can take.
+// setCapacity tells admission what this entry may use of the servers.
 func (p *policy) setCapacity(now time.Duration, config *configuration) {
 	for _, service := range config.Services {
-		capacity := admission.Capacity{Service: service.Name, Slots: p.router.Slots(service.Name)}
+		requests, rate := p.router.Capacity(now, service.Name, p.entries)
+		capacity := admission.Capacity{Service: service.Name, Slots: requests, TokensPerSecond: rate}
 		p.carryOut(p.admission.Step(now, capacity))
 	}
 }
@@ -86,6 +93,7 @@
 func (p *policy) setEntries(live admission.LiveEntries) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.entries = live.Entries
 	p.carryOut(p.admission.Step(p.entry.now(), live))
 }
 
@@ -101,7 +109,7 @@
 		Customer:        r.customer.Name,
 		Service:         r.service.Name,
 		Short:           r.service.Short,
-		EstimatedTokens: r.load.PromptTokens + r.load.OutputTokens,
+		EstimatedTokens: admission.Work(r.load.PromptTokens, r.load.OutputTokens),
 		FirstTokenBy:    r.firstTokenBy,
 		Deadline:        r.deadline,
 		QueueLimit:      r.policy.QueueLimit,
@@ -121,7 +129,7 @@
 	defer p.mu.Unlock()
 	delete(p.waiting, r.admissionID)
 	if finished {
-		p.carryOut(p.admission.Step(p.entry.now(), admission.Finished{ID: r.admissionID, Tokens: tokens}))
+		p.carryOut(p.admission.Step(p.entry.now(), admission.Finished{ID: r.admissionID, Tokens: admission.Work(r.load.PromptTokens, tokens)}))
 		return
 	}
 	p.carryOut(p.admission.Step(p.entry.now(), admission.Cancelled{ID: r.admissionID}))
@@ -147,18 +155,37 @@
 func (p *policy) runTicks(ctx context.Context) {
 	ticker := time.NewTicker(policyTick)
 	defer ticker.Stop()
+	capacity := time.NewTicker(capacityInterval)
+	defer capacity.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.mu.Lock()
-			p.carryOut(p.admission.Step(p.entry.now(), admission.Tick{}))
-			p.mu.Unlock()
+			p.tick()
+		case <-capacity.C:
+			p.adaptCapacity()
 		}
 	}
 }
 
+func (p *policy) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.carryOut(p.admission.Step(p.entry.now(), admission.Tick{}))
+}
+
+// adaptCapacity follows what the other entries use.
+func (p *policy) adaptCapacity() {
+	config := p.entry.config.inForce()
+	if config == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setCapacity(p.entry.now(), config)
+}
+
 // pick chooses a server and counts the attempt there.
 func (p *policy) pick(r *run, exclude []string) request.Event {
 	p.mu.Lock()
@@ -206,6 +233,13 @@
 	p.router.CacheEvent(server, seq, kind, prefix)
 }
 
+// cacheReset forgets the cache of a server that started anew.
+func (p *policy) cacheReset(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.CacheReset(server)
+}
+
 // success fills the retry budget.
 func (p *policy) success(service string, policy *fleet.Policy) {
 	p.mu.Lock()
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -89,11 +89,15 @@
 
 func (e *Entry) takeReport(server *fleet.BackendServer, report backend.Report) {
 	e.reports.mu.Lock()
-	if e.reports.incarnations[server.Name] != report.Incarnation {
+	restarted := e.reports.incarnations[server.Name] != report.Incarnation
+	if restarted {
 		e.reports.incarnations[server.Name] = report.Incarnation
 		delete(e.reports.cacheSeq, server.Name)
 	}
 	e.reports.mu.Unlock()
+	if restarted {
+		e.policy.cacheReset(server.Name)
+	}
 	e.policy.report(server.Name, routing.Report{
 		Running: report.Running,
 		Waiting: report.Waiting,
