--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -8,7 +8,9 @@
 	// firstIndex is the entry that opened the term. Until it is committed, the
 	// leader neither changes the membership nor serves reads.
 	firstIndex uint64
-	peers      map[NodeID]*progress
+	// others and peers hold the other members and their progress.
+	others []Member
+	peers  map[NodeID]*progress
 
 	round         uint64
 	rounds        []roundStart
@@ -28,9 +30,9 @@
 	n.lead = &leadership{
 		electedAt:  n.now,
 		firstIndex: n.log.lastIndex() + 1,
-		peers:      make(map[NodeID]*progress),
 	}
 	n.append(Entry{Kind: EntryNoop})
+	n.syncPeers()
 	n.startRound()
 }
 
@@ -39,27 +41,24 @@
 	e.Index = n.log.lastIndex() + 1
 	e.Term = n.term
 	n.log.push(e)
-	n.syncPeers()
+	if e.Kind == EntryMembership {
+		n.syncPeers()
+	}
 	return e.Index
 }
 
 // syncPeers keeps one progress for each other member.
 func (n *Node) syncPeers() {
 	l := n.lead
-	others := n.others()
-	for _, member := range others {
-		if l.peers[member.ID] == nil {
-			l.peers[member.ID] = newProgress(n.log.stable+1, n.now)
-		}
-	}
-	if len(l.peers) == len(others) {
-		return
-	}
-	membership := n.log.membership()
-	for id := range l.peers {
-		if !membership.Contains(id) {
-			delete(l.peers, id)
+	former := l.peers
+	l.others = n.others()
+	l.peers = make(map[NodeID]*progress, len(l.others))
+	for _, member := range l.others {
+		p := former[member.ID]
+		if p == nil {
+			p = newProgress(n.log.stable+1, n.now)
 		}
+		l.peers[member.ID] = p
 	}
 }
 
@@ -121,7 +120,7 @@
 // replicate sends each member what it lacks and may take now. Only synced
 // entries are sent.
 func (n *Node) replicate() {
-	for _, member := range n.others() {
+	for _, member := range n.lead.others {
 		n.sendNext(member.ID, n.lead.peers[member.ID])
 	}
 }
--- a/internal/core/replication/lease.go
+++ b/internal/core/replication/lease.go
@@ -26,7 +26,7 @@
 		l.rounds = l.rounds[1:]
 	}
 	l.nextHeartbeat = n.now + n.opts.HeartbeatInterval
-	for _, member := range n.others() {
+	for _, member := range n.lead.others {
 		p := l.peers[member.ID]
 		n.send(Message{
 			Kind:   MessageHeartbeat,
--- a/internal/core/replication/network_test.go
+++ b/internal/core/replication/network_test.go
@@ -77,7 +77,6 @@
 	crashIn int
 	applied uint64
 	digest  uint64
-	term    map[uint64]uint64
 }
 
 type packet struct {
--- a/internal/core/replication/progress.go
+++ b/internal/core/replication/progress.go
@@ -129,12 +129,16 @@
 	p.probe(max(p.match, min(hint, prev-1)) + 1)
 }
 
+// usualVoters is the number of voters up to which counting needs no allocation.
+const usualVoters = 8
+
 // quorumValue returns the largest value that a quorum of voters has reached.
 // The leader counts with own if it is a voter itself; peers that lost acknowledged
 // entries count with the zero value.
 func quorumValue[T cmp.Ordered](n *Node, own T, of func(*progress) T) T {
 	voters := n.log.membership().Voters
-	values := make([]T, 0, len(voters))
+	var buffer [usualVoters]T
+	values := buffer[:0]
 	for _, voter := range voters {
 		var value T
 		p := n.lead.peers[voter.ID]
--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -45,7 +45,8 @@
 	}
 	if len(membership.Voters) > n.opts.TargetVoters {
 		if voter := n.superfluousVoter(); voter != nil {
-			return membership.without(voter.ID), true
+			next := membership.without(voter.ID)
+			return next, n.liveVoters(&next) >= next.Quorum()
 		}
 		return Membership{}, false
 	}
@@ -186,7 +187,7 @@
 
 // hasSuccessor is true if another incarnation of the node's VM is live.
 func (n *Node) hasSuccessor(id NodeID) bool {
-	for _, other := range n.others() {
+	for _, other := range n.lead.others {
 		same := other.ID.VM == id.VM && other.ID != id
 		if same && n.lead.peers[other.ID].acked && n.isLive(other.ID) {
 			return true
--- a/internal/core/replication/status.go
+++ b/internal/core/replication/status.go
@@ -62,7 +62,7 @@
 	if n.lead == nil {
 		return s
 	}
-	for _, member := range n.others() {
+	for _, member := range n.lead.others {
 		p := n.lead.peers[member.ID]
 		s.Peers = append(s.Peers, PeerStatus{
 			Member:        member,
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -18,6 +18,7 @@
 // fileSystem is what the package needs of the operating system. Tests replace
 // it by one that fails or loses what was not synced.
 type fileSystem interface {
+	// MkdirAll creates a folder with its parents and syncs their entries.
 	MkdirAll(path string) error
 	// Create makes a new file; it fails if the file exists.
 	Create(path string) (file, error)
@@ -40,7 +41,21 @@
 	folderPermissions = 0o700
 )
 
-func (osFileSystem) MkdirAll(path string) error { return os.MkdirAll(path, folderPermissions) }
+func (s osFileSystem) MkdirAll(path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+	parent := filepath.Dir(path)
+	if parent != path {
+		if err := s.MkdirAll(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(path, folderPermissions); err != nil && !os.IsExist(err) {
+		return err
+	}
+	return s.SyncDir(parent)
+}
 
 func (osFileSystem) Create(path string) (file, error) {
 	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, filePermissions)
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -65,9 +65,6 @@
 	if err := l.files.MkdirAll(dir); err != nil {
 		return nil, fmt.Errorf("storage: create data folder: %w", err)
 	}
-	if err := l.files.SyncDir(filepath.Dir(dir)); err != nil {
-		return nil, fmt.Errorf("storage: sync parent of data folder: %w", err)
-	}
 	lock, err := l.files.Lock(filepath.Join(dir, "lock"))
 	if err != nil {
 		return nil, fmt.Errorf("storage: lock data folder %s: %w", dir, err)
--- /dev/null
+++ b/internal/storage/memory_test.go
@@ -0,0 +1,168 @@
+package storage
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+var errInjected = errors.New("injected failure")
+
+// inode is a file's content, and the part of it that is synced.
+type inode struct{ data, synced []byte }
+
+// memoryFiles is a file system that fails from a given operation on and can
+// lose what was not synced.
+type memoryFiles struct {
+	entries map[string]*inode
+	synced  map[string]*inode
+	// failIn counts the changing operations until one fails; 0 is never.
+	failIn int
+	// recovers makes only that one operation fail.
+	recovers bool
+	failed   bool
+	rand     *rand.Rand
+}
+
+func newMemoryFiles(seed uint64) *memoryFiles {
+	return &memoryFiles{
+		entries: make(map[string]*inode),
+		synced:  make(map[string]*inode),
+		rand:    rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+func (m *memoryFiles) change() error {
+	if m.failed && !m.recovers {
+		return errInjected
+	}
+	m.failIn--
+	if m.failIn == 0 {
+		m.failed = true
+		return errInjected
+	}
+	return nil
+}
+
+// crash returns the file system after a power failure: of what was not synced,
+// any part may be there.
+func (m *memoryFiles) crash() *memoryFiles {
+	after := newMemoryFiles(m.rand.Uint64())
+	names := maps.Clone(m.entries)
+	maps.Copy(names, m.synced)
+	for name := range names {
+		node := m.synced[name]
+		if m.rand.IntN(2) == 0 {
+			node = m.entries[name]
+		}
+		if node == nil {
+			continue
+		}
+		data := slices.Clone(node.synced)
+		if extra := len(node.data) - len(data); extra > 0 {
+			data = append(data, node.data[len(data):][:m.rand.IntN(extra+1)]...)
+		}
+		if n := len(data); n > len(node.synced) && m.rand.IntN(2) == 0 {
+			data[n-1] ^= 0x55
+		}
+		after.entries[name] = &inode{data, slices.Clone(data)}
+	}
+	after.synced = maps.Clone(after.entries)
+	return after
+}
+
+type memoryFile struct {
+	files *memoryFiles
+	node  *inode
+}
+
+func (f memoryFile) Write(p []byte) (int, error) {
+	if err := f.files.change(); err != nil {
+		f.node.data = append(f.node.data, p[:len(p)/2]...)
+		return len(p) / 2, err
+	}
+	f.node.data = append(f.node.data, p...)
+	return len(p), nil
+}
+
+func (f memoryFile) Sync() error {
+	if err := f.files.change(); err != nil {
+		return err
+	}
+	f.node.synced = slices.Clone(f.node.data)
+	return nil
+}
+
+func (f memoryFile) Truncate(size int64) error {
+	f.node.data = f.node.data[:size]
+	return f.files.change()
+}
+
+func (memoryFile) Close() error { return nil }
+
+func (m *memoryFiles) MkdirAll(string) error { return nil }
+
+func (m *memoryFiles) Create(path string) (file, error) {
+	if m.entries[path] != nil {
+		return nil, fs.ErrExist
+	}
+	if err := m.change(); err != nil {
+		return nil, err
+	}
+	m.entries[path] = &inode{}
+	return memoryFile{m, m.entries[path]}, nil
+}
+
+func (m *memoryFiles) OpenAppend(path string) (file, error) {
+	return memoryFile{m, m.entries[path]}, nil
+}
+
+func (m *memoryFiles) ReadFile(path string) ([]byte, error) {
+	if m.entries[path] == nil {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(m.entries[path].data), nil
+}
+
+func (m *memoryFiles) ReadDir(dir string) ([]string, error) {
+	var names []string
+	for path := range m.entries {
+		if strings.HasPrefix(path, dir) {
+			names = append(names, filepath.Base(path))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (m *memoryFiles) Rename(from, to string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
+	m.entries[to] = m.entries[from]
+	delete(m.entries, from)
+	return nil
+}
+
+func (m *memoryFiles) Remove(path string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
+	delete(m.entries, path)
+	return nil
+}
+
+func (m *memoryFiles) SyncDir(string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
+	m.synced = maps.Clone(m.entries)
+	return nil
+}
+
+func (m *memoryFiles) Lock(string) (io.Closer, error) { return memoryFile{}, nil }
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -128,12 +128,29 @@
 			return err
 		}
 	}
-	restored, err := r.restored(l.snapshot)
+	restored, replaced, err := r.restored(l.snapshot)
 	if err != nil {
 		return &CorruptionError{Path: l.dir, Reason: err.Error()}
 	}
 	l.restored = restored
-	return l.openLast()
+	if err := l.openLast(); err != nil {
+		return err
+	}
+	if replaced {
+		return l.finishInstall()
+	}
+	return nil
+}
+
+// finishInstall writes the record of an installed snapshot that a crash kept
+// from being written. Without it the entries to come would not follow the log.
+func (l *Log) finishInstall() error {
+	err := l.write(&replication.Persist{HardState: l.restored.HardState, Snapshot: l.snapshot})
+	if err != nil {
+		l.active.Close()
+		return fmt.Errorf("storage: write log: %w", err)
+	}
+	return nil
 }
 
 // loadSegment replays one segment. Only the last one may have a torn tail.
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -48,29 +48,31 @@
 	return nil
 }
 
-// restored joins the log with the newest snapshot.
-func (r *replay) restored(s *replication.Snapshot) (replication.Restored, error) {
+// restored joins the log with the newest snapshot. It returns replaced if the
+// snapshot takes the place of records that no record marks as replaced.
+func (r *replay) restored(s *replication.Snapshot) (_ replication.Restored, replaced bool, _ error) {
 	restored := replication.Restored{HardState: r.hardState, Snapshot: s}
 	var index, term uint64
 	if s != nil {
 		index, term = s.Index, s.Term
 	}
 	if r.installed > index {
-		return restored, fmt.Errorf("snapshot %d is missing", r.installed)
+		return restored, false, fmt.Errorf("snapshot %d is missing", r.installed)
 	}
 	if r.known && r.base > index {
-		return restored, fmt.Errorf("entries %d to %d are missing", index+1, r.base)
+		return restored, false, fmt.Errorf("entries %d to %d are missing", index+1, r.base)
 	}
 	restored.HardState.Commit = max(restored.HardState.Commit, index)
 	last := r.base + uint64(len(r.entries))
-	if last <= index {
-		return restored, nil
-	}
-	// A snapshot that was received in place of a conflicting log was synced
-	// before the record that says so.
-	if index > r.base && r.entries[index-r.base-1].Term != term {
-		return restored, nil
+	if !r.known || last < index || r.conflicts(index, term) {
+		return restored, r.known, nil
 	}
 	restored.Entries = r.entries[index-r.base:]
-	return restored, nil
+	return restored, false, nil
+}
+
+// conflicts is true if the log holds another entry where the snapshot ends. A
+// received snapshot is synced before the record that replaces such a log.
+func (r *replay) conflicts(index, term uint64) bool {
+	return index > r.base && r.entries[index-r.base-1].Term != term
 }
--- a/internal/storage/segments.go
+++ b/internal/storage/segments.go
@@ -57,7 +57,8 @@
 // removeOld removes what a synced snapshot at index replaces: the leading
 // segments that hold no later entry, and older snapshots.
 func (l *Log) removeOld(index uint64) error {
-	for len(l.segments) > 1 && l.segments[0].lastIndex <= index {
+	// The last segment must hold a record, since each carries the hard state.
+	for len(l.segments) > 1 && l.last().size > segmentHeaderBytes && l.segments[0].lastIndex <= index {
 		if err := l.files.Remove(l.segments[0].path); err != nil {
 			return l.fail(fmt.Errorf("storage: remove old segment: %w", err))
 		}
