--- a/internal/codec/replication.go
+++ b/internal/codec/replication.go
@@ -48,6 +48,8 @@
 		Index:     m.Index,
 		Round:     m.Round,
 		Snapshot:  snapshotToWire(m.Snapshot),
+		Offset:    m.Offset,
+		Size:      m.Size,
 	}
 }
 
@@ -65,8 +67,10 @@
 		Index:     w.GetIndex(),
 		Round:     w.GetRound(),
 		Snapshot:  snapshotFromWire(w.GetSnapshot()),
+		Offset:    w.GetOffset(),
+		Size:      w.GetSize(),
 	}
-	if w.GetKind() < uint32(replication.MessagePreVote) || w.GetKind() > uint32(replication.MessageResign) {
+	if w.GetKind() < uint32(replication.MessagePreVote) || w.GetKind() > uint32(replication.MessageSnapshotReply) {
 		return m, fmt.Errorf("unknown kind %d", w.GetKind())
 	}
 	if m.From.IsZero() || m.To.IsZero() {
--- a/internal/core/replication/follower.go
+++ b/internal/core/replication/follower.go
@@ -35,6 +35,8 @@
 		}
 	case MessageAppendReply:
 		n.receiveAppendReply(m)
+	case MessageSnapshotReply:
+		n.receiveSnapshotReply(m)
 	case MessageHeartbeatReply:
 		n.receiveHeartbeatReply(m)
 	case MessageResign:
@@ -134,26 +136,3 @@
 		Index: n.log.lastIndex(),
 	})
 }
-
-func (n *Node) receiveSnapshot(m *Message) {
-	s := m.Snapshot
-	if s == nil {
-		return
-	}
-	if s.Index > n.log.commit {
-		n.install(s)
-	}
-	n.sendSynced(Message{Kind: MessageAppendReply, To: m.From, Index: max(s.Index, n.log.commit)})
-}
-
-// install replaces the log by a snapshot, unless the log holds what the
-// snapshot covers.
-func (n *Node) install(s *Snapshot) {
-	if term, ok := n.log.termAt(s.Index); ok && term == s.Term {
-		n.commitTo(s.Index)
-		return
-	}
-	n.log.reset(s)
-	n.writes.snapshot = s
-	n.writes.lastIndex = 0
-}
--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -126,10 +126,14 @@
 }
 
 func (n *Node) sendNext(to NodeID, p *progress) {
-	p.retry(n.now, n.opts.HeartbeatInterval, n.opts.ElectionTimeout)
+	if p.state == progressSnapshot {
+		n.retrySnapshot(to, p)
+		return
+	}
+	p.retry(n.now, retryHeartbeats*n.opts.HeartbeatInterval)
 	for p.mayAppend(n.log.stable, n.opts.MaxInflight) {
 		if p.next <= n.log.baseIndex {
-			n.sendSnapshot(to, p)
+			n.startSnapshot(to, p)
 			return
 		}
 		n.sendAppend(to, p)
@@ -151,12 +155,6 @@
 	p.sent(prev+uint64(len(entries)), n.now)
 }
 
-func (n *Node) sendSnapshot(to NodeID, p *progress) {
-	n.send(Message{Kind: MessageSnapshot, To: to, Snapshot: n.log.snapshot})
-	p.state = progressSnapshot
-	p.sentAt = n.now
-}
-
 func (n *Node) receiveAppendReply(m *Message) {
 	p := n.peer(m.From)
 	if p == nil {
--- a/internal/core/replication/network_scenarios_test.go
+++ b/internal/core/replication/network_scenarios_test.go
@@ -34,7 +34,7 @@
 var actionKinds = []string{
 	"propose", "propose", "propose", "read", "read", "compact", "run",
 	"stop", "crash", "start", "start", "wipe", "freeze", "isolate", "mute", "deafen",
-	"lossy", "slow", "heal", "resign",
+	"lossy", "slow", "slow disk", "power", "heal", "resign",
 }
 
 func drawAction(t *rapid.T) action {
@@ -84,6 +84,15 @@
 		w.loss = float64(a.count) / 40
 	case "slow":
 		w.slow = float64(a.count) / 40
+	case "slow disk":
+		w.syncTime = time.Duration(a.count) * 8 * quantum
+	case "power":
+		for _, h := range w.hosts {
+			w.stop(h)
+		}
+		for _, h := range w.hosts {
+			w.start(h)
+		}
 	case "heal":
 		w.heal()
 	case "resign":
@@ -158,7 +167,12 @@
 			t.Fatalf("%v applied %d of %d after healing", h.self.ID, h.applied, len(w.chain)-1)
 		}
 	}
-	if voters := len(leader.node.log.membership().Voters); voters != w.opts.TargetVoters {
-		t.Fatalf("%d voters after healing, want %d", voters, w.opts.TargetVoters)
+	zones := make(map[string]bool)
+	voters := leader.node.log.membership().Voters
+	for _, voter := range voters {
+		zones[voter.Zone] = true
+	}
+	if len(voters) != w.opts.TargetVoters || len(zones) < min(len(voters), testZones) {
+		t.Fatalf("%d voters in %d zones after healing", len(voters), len(zones))
 	}
 }
--- a/internal/core/replication/network_test.go
+++ b/internal/core/replication/network_test.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
@@ -9,7 +10,12 @@
 	"time"
 )
 
-const quantum = 5 * time.Millisecond
+const (
+	quantum = 5 * time.Millisecond
+	// snapshotPadding makes a snapshot span several messages.
+	snapshotPadding = 500
+	testZones       = 4
+)
 
 func testOptions() Options {
 	return Options{
@@ -55,6 +61,35 @@
 	}
 }
 
+func (d *disk) last() uint64 { return d.base() + uint64(len(d.entries)) }
+
+func (d *disk) holds(e Entry) bool {
+	return e.Index <= d.base() || e.Index <= d.last() && d.entries[e.Index-d.base()-1].Term == e.Term
+}
+
+// covers reports whether what a message says of its sender is synced.
+func (d *disk) covers(m *Message) bool {
+	switch m.Kind {
+	case MessagePreVote:
+		return true
+	case MessagePreVoteReply:
+		return m.Granted || d.hard.Term >= m.Term
+	case MessageVote:
+		return d.hard.Term > m.Term || d.hard.Term == m.Term && d.hard.Vote == m.From
+	case MessageVoteReply:
+		return d.hard.Term > m.Term || d.hard.Term == m.Term && (!m.Granted || d.hard.Vote == m.To)
+	case MessageAppendReply:
+		return d.hard.Term >= m.Term && (m.Rejected || d.last() >= m.Index)
+	case MessageAppend:
+		for _, e := range m.Entries {
+			if !d.holds(e) {
+				return false
+			}
+		}
+	}
+	return d.hard.Term >= m.Term
+}
+
 func (d *disk) save(s *Snapshot) {
 	d.entries = slices.Clone(d.entries[s.Index-d.base():])
 	d.snapshot = s
@@ -73,6 +108,7 @@
 	rate        float64
 	offset      time.Duration
 	frozenUntil time.Duration
+	electedAt   time.Duration
 	// crashIn counts the effects until a crash; 0 is never.
 	crashIn int
 	applied uint64
@@ -96,6 +132,8 @@
 	cut     map[[2]string]bool
 	loss    float64
 	slow    float64
+	// syncTime is the longest time of a write.
+	syncTime time.Duration
 	// keepName makes a lost disk come back under its old incarnation, which is
 	// wrong.
 	keepName bool
@@ -117,17 +155,18 @@
 
 func newNetwork(seed uint64, size int, opts Options) *network {
 	w := &network{
-		rand:    rand.New(rand.NewPCG(seed, 1)),
-		opts:    opts,
-		cut:     make(map[[2]string]bool),
-		chain:   []uint64{0},
-		entries: make(map[[2]uint64]uint64),
-		leaders: make(map[uint64]NodeID),
-		reads:   make(map[uint64]pendingCheck),
+		rand:     rand.New(rand.NewPCG(seed, 1)),
+		opts:     opts,
+		syncTime: 4 * quantum,
+		cut:      make(map[[2]string]bool),
+		chain:    []uint64{0},
+		entries:  make(map[[2]uint64]uint64),
+		leaders:  make(map[uint64]NodeID),
+		reads:    make(map[uint64]pendingCheck),
 	}
 	for i := range size {
 		h := &host{
-			self: Member{ID: NodeID{VM: fmt.Sprint("vm-", i)}, Zone: fmt.Sprint("zone-", i%4)},
+			self: Member{ID: NodeID{VM: fmt.Sprint("vm-", i)}, Zone: fmt.Sprint("zone-", i%testZones)},
 			rate: 1 + opts.MaxClockDrift*(2*w.rand.Float64()-1),
 		}
 		h.offset = time.Duration(w.rand.Int64N(int64(time.Hour)))
@@ -221,13 +260,16 @@
 			w.violate("%v has two writes under way", h.self.ID)
 		}
 		h.writing = effects.Persist
-		h.written = w.now + time.Duration(w.rand.Int64N(int64(4*quantum)))
+		h.written = w.now + time.Duration(w.rand.Int64N(int64(w.syncTime)))
 		w.checkEntries(h, effects.Persist.Entries)
 	}
 	for _, m := range effects.Send {
 		if !w.counted(h) {
 			return
 		}
+		if !w.lying && !h.disk.covers(&m) {
+			w.violate("%v sent what was not synced: %+v", h.self.ID, m)
+		}
 		w.transmit(m)
 	}
 	if effects.Install != nil {
@@ -264,8 +306,11 @@
 func (w *network) load(h *host, s *Snapshot) {
 	h.applied = s.Index
 	h.digest = 0
-	if len(s.Data) == 8 {
-		h.digest = binary.LittleEndian.Uint64(s.Data)
+	if s.Index > 0 {
+		h.digest = binary.LittleEndian.Uint64(s.Data[snapshotPadding:])
+		if bytes.Count(s.Data[:snapshotPadding], s.Data[:1]) != snapshotPadding {
+			w.violate("%v mixed two snapshots", h.self.ID)
+		}
 	}
 	if s.Index >= uint64(len(w.chain)) || w.chain[s.Index] != h.digest {
 		w.violate("%v installed a snapshot at %d that was never committed", h.self.ID, s.Index)
@@ -286,6 +331,9 @@
 	if e.Index != h.applied+1 {
 		w.violate("%v applied %d after %d", h.self.ID, e.Index, h.applied)
 	}
+	if !h.disk.holds(e) {
+		w.violate("%v applied %d before it was synced", h.self.ID, e.Index)
+	}
 	h.applied = e.Index
 	h.digest = digest(h.digest, e)
 	switch {
@@ -304,6 +352,7 @@
 		w.violate("term %d has leaders %v and %v", term, other, h.self.ID)
 	}
 	w.leaders[term] = h.self.ID
+	h.electedAt = w.now
 	if last := uint64(len(w.chain)) - 1; h.node.log.lastIndex() < last {
 		w.violate("leader %v of term %d lacks committed entry %d", h.self.ID, term, last)
 	}
@@ -325,8 +374,13 @@
 func (w *network) checkLeases() {
 	holders := 0
 	for _, h := range w.hosts {
-		if h.node != nil && h.node.MayOrder(h.clock(w.now), 0) {
-			holders++
+		if h.node == nil || !h.node.MayOrder(h.clock(w.now), 0) {
+			continue
+		}
+		holders++
+		waited := time.Duration(float64(w.now-h.electedAt) * h.rate)
+		if waited < w.opts.LeaseDuration && !w.forgetful {
+			w.violate("%v holds a lease %v after its election", h.self.ID, waited)
 		}
 	}
 	if holders > 1 {
@@ -414,7 +468,7 @@
 
 func (w *network) heal() {
 	clear(w.cut)
-	w.loss, w.slow = 0, 0
+	w.loss, w.slow, w.syncTime = 0, 0, 4*quantum
 	for _, h := range w.hosts {
 		h.frozenUntil, h.crashIn = 0, 0
 		if h.node == nil {
@@ -435,10 +489,12 @@
 }
 
 func (w *network) compact(h *host) {
-	if h.node == nil || h.applied <= h.disk.base() || h.applied > h.disk.base()+uint64(len(h.disk.entries)) {
+	if h.node == nil || h.applied <= h.disk.base() || h.applied > h.disk.last() {
 		return
 	}
-	data := binary.LittleEndian.AppendUint64(nil, h.digest)
+	// Two hosts may encode the same state in different ways.
+	padding := bytes.Repeat([]byte{byte(h.self.ID.Incarnation)}, snapshotPadding)
+	data := binary.LittleEndian.AppendUint64(padding, h.digest)
 	if s, ok := h.node.SnapshotAt(h.applied, data); ok {
 		h.disk.save(&s)
 		w.step(h, Compacted{Snapshot: s})
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -33,6 +33,7 @@
 	// lead is set while the node leads.
 	lead *leadership
 
+	incoming *incoming
 	writes   writes
 	emitted  uint64
 	applied  uint64
--- a/internal/core/replication/progress.go
+++ b/internal/core/replication/progress.go
@@ -14,13 +14,13 @@
 	progressProbe progressState = iota
 	// progressReplicate sends up to a window of appends ahead.
 	progressReplicate
-	// progressSnapshot waits for a snapshot to be installed.
+	// progressSnapshot sends a snapshot in parts.
 	progressSnapshot
 )
 
-// snapshotRetryFactor is the time to wait for a snapshot's acknowledgement, in
-// election timeouts.
-const snapshotRetryFactor = 10
+// retryHeartbeats is the time to wait for an append's acknowledgement, in
+// heartbeat intervals.
+const retryHeartbeats = 2
 
 // progress is what a leader knows of a peer. Invariant: match < next.
 type progress struct {
@@ -39,6 +39,9 @@
 	ackedRound uint64
 	ackedAt    time.Duration
 	acked      bool
+	// snapshot is the one under way, offset where its last sent part starts.
+	snapshot *Snapshot
+	offset   uint64
 	// lost is true once the peer no longer holds what it acknowledged. It does
 	// not count for any quorum.
 	lost bool
@@ -71,13 +74,9 @@
 	p.inflight = append(p.inflight, index)
 }
 
-// retry goes back to probing if an append or snapshot seems to be lost.
-func (p *progress) retry(now, appendWait, electionTimeout time.Duration) {
-	wait := 2 * appendWait
-	if p.state == progressSnapshot {
-		wait = snapshotRetryFactor * electionTimeout
-	}
-	waiting := p.probing || len(p.inflight) > 0 || p.state == progressSnapshot
+// retry goes back to probing if an append seems to be lost.
+func (p *progress) retry(now, wait time.Duration) {
+	waiting := p.probing || len(p.inflight) > 0
 	if waiting && now-p.sentAt >= wait {
 		p.probe(p.match + 1)
 	}
@@ -88,6 +87,7 @@
 	p.next = next
 	p.inflight = nil
 	p.probing = false
+	p.snapshot = nil
 }
 
 // matched notes that the peer has synced up to index. It returns true if that
--- a/internal/core/replication/scenarios_test.go
+++ b/internal/core/replication/scenarios_test.go
@@ -76,9 +76,76 @@
 	if len(effects.Appended) > 0 || len(effects.Rejected) != 1 {
 		t.Fatalf("accepted a proposal without a lease: %+v", effects)
 	}
-	effects = h.node.Step(now, Read{Token: 1<<40 + 1})
-	if len(effects.Reads) > 0 {
-		t.Fatal("answered a read without a lease")
+	for _, ev := range []Event{Read{Token: 1<<40 + 1}, Tick{}, Tick{}} {
+		if effects := h.node.Step(now, ev); len(effects.Reads) > 0 {
+			t.Fatal("answered a read without a lease")
+		}
+	}
+}
+
+// TestCutFollower: a follower that hears no leader disturbs nobody while the
+// other voters hear one.
+func TestCutFollower(t *testing.T) {
+	for seed := range uint64(10) {
+		w, leader, followers := settled(t, seed, 3)
+		term := leader.node.term
+		w.cut[[2]string{leader.self.ID.VM, followers[0].self.ID.VM}] = true
+		w.cut[[2]string{followers[0].self.ID.VM, leader.self.ID.VM}] = seed%2 == 0
+		for range 60 {
+			w.run(50 * time.Millisecond)
+			if !leader.node.MayOrder(leader.clock(w.now), 0) || leader.node.term != term {
+				t.Fatalf("seed %d: the leader lost its lease", seed)
+			}
+		}
+		w.expectSound(t)
+	}
+}
+
+// TestCommitOfOlderTerm: entries of older terms are committed only together
+// with one of the leader's own, since another leader could still replace them.
+func TestCommitOfOlderTerm(t *testing.T) {
+	w, _, followers := settled(t, 1, 3)
+	n := followers[0].node
+	n.heard = false
+	n.log.push(Entry{Index: n.log.lastIndex() + 1, Term: n.term, Kind: EntryNoop})
+	older := n.log.lastIndex()
+	n.log.handed, n.log.stable = older, older
+	n.term++
+	n.becomeLeader()
+	n.writes.stableTerm = n.term
+	reply := Message{Kind: MessageAppendReply, From: followers[1].self.ID, To: n.self(), Term: n.term, Index: older}
+	n.Step(followers[0].clock(w.now), Receive{Message: reply})
+	if n.log.commit >= older {
+		t.Fatal("an entry of an older term was committed alone")
+	}
+	n.Step(followers[0].clock(w.now), Persisted{Sequence: n.writes.issued})
+	reply.Index++
+	n.Step(followers[0].clock(w.now), Receive{Message: reply})
+	if n.log.commit != older+1 {
+		t.Fatalf("committed up to %d, want %d", n.log.commit, older+1)
+	}
+}
+
+// TestSnapshotOfTwoLeaders: the parts that one leader sent are not joined with
+// those of another, whose encoding of the same state may differ.
+func TestSnapshotOfTwoLeaders(t *testing.T) {
+	w := newNetwork(1, 3, testOptions())
+	n := w.hosts[2].node
+	part := func(from int, term, offset uint64) Effects {
+		return n.Step(n.now, Receive{Message: Message{
+			Kind: MessageSnapshot, From: w.hosts[from].self.ID, To: n.self(), Term: term,
+			Snapshot: &Snapshot{Index: 9, Term: 1, Data: []byte("half")}, Offset: offset, Size: 8,
+		}})
+	}
+	part(0, 1, 0)
+	n.Step(n.now, Persisted{Sequence: n.writes.issued})
+	if part(1, 2, 4); n.writes.snapshot != nil || n.writes.installing != nil {
+		t.Fatal("joined the parts of two leaders")
+	}
+	n.Step(n.now, Persisted{Sequence: n.writes.issued})
+	part(1, 2, 0)
+	if effects := part(1, 2, 4); effects.Persist == nil || string(effects.Persist.Snapshot.Data) != "halfhalf" {
+		t.Fatalf("did not install the second leader's snapshot: %+v", effects)
 	}
 }
 
@@ -199,6 +266,24 @@
 	}
 }
 
+// TestOlderDisk: a voter whose disk comes back older than what it acknowledged
+// is found out and replaced.
+func TestOlderDisk(t *testing.T) {
+	w, leader, followers := settled(t, 1, 4)
+	older := followers[0].disk
+	for range 20 {
+		w.propose(leader)
+	}
+	w.run(time.Second)
+	w.stop(followers[0])
+	followers[0].disk = older
+	w.start(followers[0])
+	w.runUntil(t, 10*time.Second, func() bool { return !leader.node.log.membership().IsVoter(followers[0].self.ID) })
+	w.run(10 * time.Second)
+	w.checkProgress(t)
+	w.expectSound(t)
+}
+
 // lostDisk commits an entry on the leader and one follower, takes away that
 // follower's disk, and leaves it alone with the follower that lacks the entry.
 func lostDisk(t *testing.T, keepName bool) *network {
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -278,6 +278,8 @@
 	MessageSnapshot
 	// MessageResign says that the leader of Term gave up its lease and role.
 	MessageResign
+	// MessageSnapshotReply asks for the snapshot's data from Offset on.
+	MessageSnapshotReply
 )
 
 // Message travels between two nodes. It may be lost, repeated, delayed and
@@ -300,6 +302,10 @@
 	// Rejected; the last index of the log in a heartbeat's reply.
 	Index uint64
 	// Round numbers heartbeats, for leases and reads.
-	Round    uint64
+	Round uint64
+	// Snapshot holds the part of the snapshot's data that starts at Offset;
+	// Size is that of the whole, in bytes.
 	Snapshot *Snapshot
+	Offset   uint64
+	Size     uint64
 }
