--- a/internal/core/state/config.go
+++ b/internal/core/state/config.go
@@ -11,8 +11,16 @@
 	"waxwingcart/internal/core/fleet"
 )
 
-// MaxChangeIDBytes bounds a change ID.
-const MaxChangeIDBytes = 128
+const (
+	// MaxChangeIDBytes bounds a change ID.
+	MaxChangeIDBytes = 128
+	// MaxAuthorBytes bounds an author's name.
+	MaxAuthorBytes = 128
+	// maxProblems bounds the faults that a change's answer lists.
+	maxProblems = 20
+	// maxInvalidBytes bounds the text of a change's answer.
+	maxInvalidBytes = 4 << 10
+)
 
 // ChangeRequest is a configuration change as an operator sends it.
 type ChangeRequest struct {
@@ -87,12 +95,17 @@
 	}}
 	items, err := flattenValid(request.JSON)
 	if err != nil {
-		parsed.change.Invalid = err.Error()
+		parsed.change.Invalid = truncate(err.Error(), maxInvalidBytes)
 	}
 	parsed.items = items
 	return parsed
 }
 
+// truncate returns at most limit bytes of valid UTF-8.
+func truncate(s string, limit int) string {
+	return strings.ToValidUTF8(s[:min(len(s), limit)], "")
+}
+
 // prepare reduces a valid change to what differs, if the machine knows the
 // base revision.
 func (c *config) prepare(parsed ParsedChange) ChangeConfig {
@@ -108,14 +121,11 @@
 	return change
 }
 
+// digest covers the content alone: an operator who sends a change again after
+// a lost answer may not know the base revision that it had.
 func (r ChangeRequest) digest() uint64 {
-	hash := sha256.New()
-	writeLengthPrefixed(hash, r.Author)
-	var base [8]byte
-	binary.BigEndian.PutUint64(base[:], r.BaseRevision)
-	hash.Write(base[:])
-	hash.Write(r.JSON)
-	return binary.BigEndian.Uint64(hash.Sum(nil))
+	sum := sha256.Sum256(r.JSON)
+	return binary.BigEndian.Uint64(sum[:])
 }
 
 func flattenValid(json []byte) (map[string][]byte, error) {
@@ -129,19 +139,23 @@
 	return fleet.Flatten(parsed)
 }
 
-// invalidError lists the faults of a configuration, one a line.
+// invalidError lists the faults of a configuration, one a line. Answers are
+// kept, so it lists the first maxProblems alone.
 type invalidError []fleet.Problem
 
 func (e invalidError) Error() string {
-	lines := make([]string, len(e))
-	for i, problem := range e {
-		lines[i] = problem.String()
+	var lines []string
+	for _, problem := range e[:min(len(e), maxProblems)] {
+		lines = append(lines, problem.String())
+	}
+	if more := len(e) - maxProblems; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(lines, "\n")
 }
 
 func (c *config) change(timeMS int64, change ChangeConfig) ChangeResult {
-	if reason := checkChangeID(change.ChangeID); reason != "" {
+	if reason := checkNames(change); reason != "" {
 		return ChangeResult{Revision: c.revision, Invalid: reason}
 	}
 	if first, ok := c.answers[change.ChangeID]; ok {
@@ -152,12 +166,15 @@
 	return result
 }
 
-func checkChangeID(id string) string {
+// checkNames returns why a change is refused without keeping an answer, or "".
+func checkNames(change ChangeConfig) string {
 	switch {
-	case id == "":
+	case change.ChangeID == "":
 		return "change_id: got nothing, expected an ID that is unique to the change"
-	case len(id) > MaxChangeIDBytes:
-		return fmt.Sprintf("change_id: got %d bytes, expected at most %d", len(id), MaxChangeIDBytes)
+	case len(change.ChangeID) > MaxChangeIDBytes:
+		return fmt.Sprintf("change_id: got %d bytes, expected at most %d", len(change.ChangeID), MaxChangeIDBytes)
+	case len(change.Author) > MaxAuthorBytes:
+		return fmt.Sprintf("author: got %d bytes, expected at most %d", len(change.Author), MaxAuthorBytes)
 	}
 	return ""
 }
--- a/internal/core/state/config_test.go
+++ b/internal/core/state/config_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"waxwingcart/internal/core/fleet"
 )
@@ -52,8 +53,11 @@
 	if got := s.change("c1", 1, "anjali", 2); got != winner {
 		t.Fatalf("first again: got %+v, expected %+v", got, winner)
 	}
-	if got := s.change("c2", 1, "ion", 3); got != loser {
-		t.Fatalf("second again: got %+v, expected %+v", got, loser)
+	// Whoever lost the answer may not know the base revision either.
+	for _, base := range []uint64{1, 3} {
+		if got := s.change("c2", base, "ion", 3); got != loser {
+			t.Fatalf("second again on %d: got %+v, expected %+v", base, got, loser)
+		}
 	}
 	if got := s.assembled().Defaults.QueueLimit; got != 4 {
 		t.Fatalf("queue limit is %d, expected 4", got)
@@ -82,6 +86,20 @@
 	}
 }
 
+// Answers are kept, so that they list a bounded number of faults.
+func TestInvalidAnswerIsBounded(t *testing.T) {
+	s := newScript(t, Options{})
+	zones := strings.Repeat(`{"name": "!"},`, 100)
+	got := s.send(ChangeRequest{ChangeID: "c1", JSON: []byte(`{"zones": [` + strings.TrimSuffix(zones, ",") + `]}`)})
+	if n := strings.Count(got.Invalid, "\n"); n != maxProblems || !strings.HasSuffix(got.Invalid, "and 80 more") {
+		t.Errorf("got %d line ends in %q", n, got.Invalid)
+	}
+	got = s.send(ChangeRequest{ChangeID: "c2", JSON: []byte(`{"` + strings.Repeat("ü", 10_000) + `": 1}`)})
+	if n := len(got.Invalid); n == 0 || n > maxInvalidBytes || !utf8.ValidString(got.Invalid) {
+		t.Errorf("got %d bytes", n)
+	}
+}
+
 func TestChangeIDs(t *testing.T) {
 	s := newScript(t, Options{ChangeAnswerLimit: 2})
 	s.change("c1", 0, "ion", 1)
@@ -93,6 +111,9 @@
 			t.Errorf("ID of %d bytes: got %+v", len(id), got)
 		}
 	}
+	if got := s.change("c2", 1, strings.Repeat("x", MaxAuthorBytes+1), 2); got.Accepted || got.Invalid == "" {
+		t.Errorf("long author: got %+v", got)
+	}
 	s.change("c2", 1, "ion", 2)
 	s.change("c3", 2, "ion", 3)
 	// The answer to c1 is forgotten; its base revision keeps it from being
