Compare routing policies on the example deployments over real processes

Cause: the queueing model knows one entry's view; what seven entries do together is to be seen in real processes. Change: scripts/compare.sh runs an example with its settings on loopback, seven entries, five replicas, stand-ins for each server, and the same seeded load for each policy. The demo and it share scripts/lib.sh.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,77 +7,10 @@
 
 binary=$PWD/bin/waxwingcart
 work=$(mktemp -d "${TMPDIR:-/tmp}/waxwingcart-demo.XXXXXX")
-declare -A pids=()
-
-finish() {
-  status=$?
-  trap - EXIT INT TERM
-  for name in "${!pids[@]}"; do
-    kill -TERM "${pids[$name]}" 2>/dev/null || true
-  done
-  for _ in $(seq 50); do
-    running=0
-    for name in "${!pids[@]}"; do
-      kill -0 "${pids[$name]}" 2>/dev/null && running=1
-    done
-    [ "$running" = 0 ] && break
-    sleep 0.1
-  done
-  for name in "${!pids[@]}"; do
-    kill -KILL "${pids[$name]}" 2>/dev/null || true
-  done
-  if [ "$status" = 0 ]; then
-    rm -rf "$work"
-  else
-    echo "demo failed; logs are in $work" >&2
-  fi
-  exit "$status"
-}
+. scripts/lib.sh
 trap finish EXIT
 trap 'exit 130' INT TERM
 
-# free_port finds a loopback port on which nothing listens, below those that the
-# kernel gives to outgoing connections.
-next_port=$((10000 + RANDOM % 20000))
-free_port() {
-  while :; do
-    next_port=$((next_port + 1))
-    if ! (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null; then
-      port=$next_port
-      return
-    fi
-  done
-}
-
-# start runs the binary in the background under a name.
-start() {
-  local name=$1
-  shift
-  "$binary" "$@" >"$work/$name.log" 2>&1 &
-  pids[$name]=$!
-}
-
-# stop ends a process with a signal and waits until it is gone.
-stop() {
-  local name=$1 signal=$2
-  kill "-$signal" "${pids[$name]}"
-  wait "${pids[$name]}" 2>/dev/null || true
-  unset "pids[$name]"
-}
-
-until_ready() {
-  local what=$1
-  shift
-  for _ in $(seq 150); do
-    if "$@" >/dev/null 2>&1; then
-      return
-    fi
-    sleep 0.1
-  done
-  echo "timed out: $what" >&2
-  exit 1
-}
-
 check() {
   local what=$1 got=$2 want=$3
   printf '  %-52s %s\n' "$what" "$got"
