--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -41,15 +41,24 @@
     "$file" >"$work/$name.json"
 done
 
-standins=()
-while read -r name service address vendor; do
-  kind=model
-  [ "$vendor" = gamma ] && kind=app
-  start "$name" standin --listen "$address" --kind "$kind" --vendor "$vendor" --name "$name" \
-    --slots 4 --tokens-per-second 112 --prefill-tokens-per-second 8000 --kv-tokens 16384
-  standins+=(--standin "$address")
-done < <(tr -d '\n' <"$work/fleet.json" | grep -oE '\{"name": "[^"]*", "vm"[^}]*\}' |
+# The stand-ins start anew for each policy, so that none finds the prefix caches
+# of the one before.
+servers=$(tr -d '\n' <"$work/fleet.json" | grep -oE '\{"name": "[^"]*", "vm"[^}]*\}' |
   sed -E 's/.*"name": "([^"]*)", "vm".*"service": "([^"]*)".*"address": "([^"]*)".*"vendor": "([^"]*)".*/\1 \2 \3 \4/')
+standins=()
+start_servers() {
+  local name service address vendor kind
+  standins=()
+  while read -r name service address vendor; do
+    [ -n "${pids[$name]:-}" ] && stop "$name" KILL
+    kind=model
+    [ "$vendor" = gamma ] && kind=app
+    start "$name" standin --listen "$address" --kind "$kind" --vendor "$vendor" --name "$name" \
+      --slots 4 --tokens-per-second 112 --prefill-tokens-per-second 8000 --kv-tokens 16384
+    standins+=(--standin "$address")
+  done <<<"$servers"
+}
+start_servers
 
 entries=()
 for i in 1 2 3 4 5 6 7; do
@@ -71,6 +80,11 @@
   flags+=(--customer "$customer=example-key-$customer")
 done
 
+# p95 CLASS PERCENTILES prints a class's 95th percentile in milliseconds.
+p95() {
+  grep -A60 "\"$1\": {" "$work/load.json" | grep -A4 -m1 "\"$2\": {" | grep -oE '"p95_ms": [0-9.]+' | cut -d' ' -f2
+}
+
 # field NAME prints the first number of that name in a load result.
 field() { grep -m1 -oE "\"$1\": [0-9.]+" "$work/load.json" | cut -d' ' -f2; }
 
@@ -79,17 +93,18 @@
   "$binary" load "${flags[@]}" "${standins[@]}" --json --fleet "$work/fleet.json" --seed 7 \
     --rate "$rate" --duration "${seconds}s" --model "$long" --answer-model "$short" --app "$app" \
     --mix "briefing=3;answer=4;booking=1;lookup=2" >"$work/load.json" 2>>"$work/load.log" || echo "load reported faults for $label at $rate/s"
-  printf '%-24s %5s/s %6s sent %6s full %7.3f of accepted %7.3f of sent  first p95 %7.1f ms  refusal p95 %6.1f ms  price/1000 %8.4f  repeated %7s\n' \
+  printf '%-20s %4s/s %5s sent, %5s full, inside target %.3f of accepted %.3f of sent; p95 ms: briefing %7.1f answer %6.1f booking %6.1f refusal %6.1f; price/1000 %8.4f; prompt tokens computed %7s repeated %6s\n' \
     "$label" "$rate" "$(field sent)" "$(field full)" "$(field inside_of_accepted)" "$(field inside_of_sent)" \
-    "$(grep -A9 -m1 '"first_token"' "$work/load.json" | grep -m1 -oE '"p95_ms": [0-9.]+' | cut -d' ' -f2)" \
-    "$(grep -A9 -m1 '"refusal"' "$work/load.json" | grep -m1 -oE '"p95_ms": [0-9.]+' | cut -d' ' -f2)" \
-    "$(field price_per_1000_inside)" "$(field prefill_repeated)"
+    "$(p95 briefing first_token)" "$(p95 answer first_token)" "$(p95 booking first_token)" "$(p95 all refusal)" \
+    "$(field price_per_1000_inside)" "$(field prefill)" "$(field prefill_repeated)"
 }
 
 policy() {
   local label=$1 expression=$2 rate
   sed -e "$expression" "$work/fleet.json" >"$work/fleet-now.json"
   ctl apply "$work/fleet-now.json" >/dev/null
+  start_servers
+  sleep 4
   for rate in "${rates[@]}"; do
     measure "$label" "$rate"
   done
@@ -97,6 +112,9 @@
 
 policy "expected-completion" ""
 [ -n "${KEEP:-}" ] && cp "$work/load.json" "$KEEP"
+if [ -n "${ONLY_DEFAULT:-}" ]; then
+  exit 0
+fi
 policy "no-affinity" 's/"prefix_affinity": true/"prefix_affinity": false/'
 policy "least-in-flight" 's/"routing": "expected-completion"/"routing": "least-in-flight"/'
 policy "round-robin" 's/"routing": "expected-completion"/"routing": "round-robin"/'
