Add Promela models of the core protocol with mutations

Failed first: a set membership test stored in one bit let only node 0 campaign, so that three mutations were not found; the check on a new leader's log also counted entries that a later term committed, which is allowed.

--- /dev/null
+++ b/spec/election.pml
@@ -0,0 +1,468 @@
+/*
+ * Elections, log replication and changes of the voters.
+ *
+ * A node is one incarnation of a replica: a VM that loses its disk comes back
+ * as another node. Nodes 0 to 2 are the first voters, node 3 is the learner
+ * that replaces a lost one.
+ *
+ * The log of the leader of each term is kept for good, so that any prefix of
+ * it may reach a follower at any later time, again and out of order. A vote or
+ * an acknowledgement counts from the moment at which it is synced.
+ *
+ * The first voters are alike, so that node 0 is the first to lose its disk and
+ * node 1 the second.
+ *
+ * Checked: at most one leader a term; a committed entry is in the log of every
+ * later leader, and is never replaced by another one.
+ *
+ * Mutations, each of which must be found:
+ *   EMPTY_DISK_VOTES  a node that lost its disk goes on as the same voter
+ *   VOTE_FORGOTTEN    a restarted node has forgotten its vote
+ *   SWAP_VOTER        one change replaces a voter, so that quorums need not meet
+ *   TWO_CHANGES       a second change starts before the first is committed
+ *   OLDER_LOG_WINS    votes do not compare the logs
+ */
+#define NODES 4
+#define FIRST_CONFIG 7
+#ifndef TERMS
+#define TERMS 3
+#endif
+#ifndef SLOTS
+#define SLOTS 2
+#endif
+#ifndef LOSSES
+#define LOSSES 1
+#endif
+
+#define FOLLOWER 0
+#define CANDIDATE 1
+#define LEADER 2
+#define LOST 3
+
+#define NOBODY 7
+#define BIT(n) (1 << (n))
+#define COUNT(m) (((m) & 1) + (((m) >> 1) & 1) + (((m) >> 2) & 1) + (((m) >> 3) & 1))
+
+/* Hard state and log of each node. An entry is its term and, if it changes the
+   voters, their new set; zero otherwise. */
+byte role[NODES];
+byte term[NODES];
+byte vote[NODES];
+byte votes[NODES];
+byte length[NODES];
+byte logTerm[NODES * SLOTS];
+byte logConfig[NODES * SLOTS];
+
+/* The log that the leader of each term has sent, and what was acknowledged. */
+byte leaderOf[TERMS + 1];
+byte sentLen[TERMS + 1];
+byte sentTerm[(TERMS + 1) * SLOTS];
+byte sentConfig[(TERMS + 1) * SLOTS];
+byte match[(TERMS + 1) * NODES];
+byte commit[TERMS + 1];
+
+/* What was ever committed, and the first term whose leader committed it. */
+byte committedLen;
+byte committedTerm[SLOTS];
+byte committedConfig[SLOTS];
+byte committedIn[SLOTS];
+
+byte losses;
+byte restarts;
+
+/* Scratch variables, cleared after each use. */
+byte i, n, m, t, c, k;
+bool ok;
+
+inline config_of(node, result) {
+  result = FIRST_CONFIG;
+  i = 0;
+  do
+  :: i < length[node] ->
+     if
+     :: logConfig[node * SLOTS + i] != 0 -> result = logConfig[node * SLOTS + i]
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0
+}
+
+inline last_term(node, result) {
+  if
+  :: length[node] == 0 -> result = 0
+  :: else -> result = logTerm[node * SLOTS + length[node] - 1]
+  fi
+}
+
+inline select_node(result) {
+  if
+  :: result = 0
+  :: result = 1
+  :: result = 2
+  :: result = 3
+  fi
+}
+
+inline select_term(result) {
+  result = 1;
+  do
+  :: result < TERMS -> result++
+  :: break
+  od
+}
+
+/* A restarted node has its term, vote and log, and follows. */
+inline restart(node) {
+  role[node] = FOLLOWER;
+  votes[node] = 0
+}
+
+/* A node campaigns in the next term. */
+inline campaign(node) {
+  term[node]++;
+  role[node] = CANDIDATE;
+  vote[node] = node;
+  votes[node] = BIT(node)
+}
+
+/* up_to_date tells whether the candidate's log is no older than the voter's. */
+inline up_to_date(candidate, voter, result) {
+  last_term(candidate, t);
+  last_term(voter, c);
+  result = (t > c) || (t == c && length[candidate] >= length[voter]);
+#ifdef OLDER_LOG_WINS
+  result = true;
+#endif
+  t = 0;
+  c = 0
+}
+
+inline grant(candidate, voter) {
+  if
+  :: term[voter] < term[candidate] ->
+     term[voter] = term[candidate];
+     role[voter] = FOLLOWER;
+     vote[voter] = NOBODY;
+     votes[voter] = 0
+  :: else
+  fi;
+  up_to_date(candidate, voter, ok);
+  if
+  :: ok && (vote[voter] == NOBODY || vote[voter] == candidate) ->
+     vote[voter] = candidate;
+     votes[candidate] = votes[candidate] | BIT(voter)
+  :: else
+  fi;
+  ok = false
+}
+
+/* A candidate with a quorum of its latest configuration leads. */
+inline win(node) {
+  assert(leaderOf[term[node]] == NOBODY);
+  leaderOf[term[node]] = node;
+  role[node] = LEADER;
+  i = 0;
+  do
+  :: i < committedLen ->
+     if
+     :: committedIn[i] < term[node] ->
+        assert(i < length[node]);
+        assert(logTerm[node * SLOTS + i] == committedTerm[i]);
+        assert(logConfig[node * SLOTS + i] == committedConfig[i])
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0;
+  publish(node)
+}
+
+/* A leader's log may reach any follower from now on. */
+inline publish(node) {
+  t = term[node];
+  sentLen[t] = length[node];
+  i = 0;
+  do
+  :: i < length[node] ->
+     sentTerm[t * SLOTS + i] = logTerm[node * SLOTS + i];
+     sentConfig[t * SLOTS + i] = logConfig[node * SLOTS + i];
+     i++
+  :: else -> break
+  od;
+  match[t * NODES + node] = length[node];
+  i = 0;
+  t = 0
+}
+
+inline append(node, config) {
+  logTerm[node * SLOTS + length[node]] = term[node];
+  logConfig[node * SLOTS + length[node]] = config;
+  length[node]++;
+  publish(node)
+}
+
+/* A follower takes the first k entries that the leader of term t sent. */
+inline receive(node) {
+  if
+  :: term[node] < t ->
+     term[node] = t;
+     vote[node] = NOBODY
+  :: else
+  fi;
+  role[node] = FOLLOWER;
+  votes[node] = 0;
+  ok = (length[node] >= k);
+  i = 0;
+  do
+  :: i < k ->
+     if
+     :: i >= length[node] || logTerm[node * SLOTS + i] != sentTerm[t * SLOTS + i] -> ok = false
+     :: else
+     fi;
+     logTerm[node * SLOTS + i] = sentTerm[t * SLOTS + i];
+     logConfig[node * SLOTS + i] = sentConfig[t * SLOTS + i];
+     i++
+  :: else -> break
+  od;
+  if
+  :: ok
+  :: else -> truncate(node, k)
+  fi;
+  if
+  :: match[t * NODES + node] < k -> match[t * NODES + node] = k
+  :: else
+  fi;
+  i = 0;
+  ok = false
+}
+
+inline truncate(node, size) {
+  length[node] = size;
+  i = size;
+  do
+  :: i < SLOTS ->
+     logTerm[node * SLOTS + i] = 0;
+     logConfig[node * SLOTS + i] = 0;
+     i++
+  :: else -> break
+  od
+}
+
+/* acknowledged counts the voters of a set that hold k entries of a term. */
+inline acknowledged(set, result) {
+  result = 0;
+  i = 0;
+  do
+  :: i < NODES ->
+     if
+     :: (set & BIT(i)) && match[t * NODES + i] >= k -> result++
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0
+}
+
+/* A leader commits its first k entries; the last one is of its own term. */
+inline commit_prefix() {
+  commit[t] = k;
+  i = 0;
+  do
+  :: i < k ->
+     if
+     :: i < committedLen ->
+        assert(committedTerm[i] == sentTerm[t * SLOTS + i]);
+        assert(committedConfig[i] == sentConfig[t * SLOTS + i]);
+        if
+        :: t < committedIn[i] -> committedIn[i] = t
+        :: else
+        fi
+     :: else ->
+        committedTerm[i] = sentTerm[t * SLOTS + i];
+        committedConfig[i] = sentConfig[t * SLOTS + i];
+        committedIn[i] = t;
+        committedLen++
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0
+}
+
+inline lose_disk(node) {
+  losses++;
+  truncate(node, 0);
+  votes[node] = 0;
+#ifdef EMPTY_DISK_VOTES
+  term[node] = 0;
+  vote[node] = NOBODY;
+  role[node] = FOLLOWER;
+#else
+  term[node] = 0;
+  vote[node] = 0;
+  role[node] = LOST;
+#endif
+  i = 0
+}
+
+/* next_config sets c to the configuration that the leader n would propose:
+   add the learner first, then remove a lost voter. */
+inline next_config() {
+  config_of(n, c);
+#ifdef SWAP_VOTER
+  if
+  :: !(c & BIT(3)) && role[0] == LOST -> c = (c | BIT(3)) & ~BIT(0)
+  :: !(c & BIT(3)) && role[1] == LOST -> c = (c | BIT(3)) & ~BIT(1)
+  :: !(c & BIT(3)) && role[2] == LOST -> c = (c | BIT(3)) & ~BIT(2)
+  :: else -> c = 0
+  fi
+#else
+  if
+  :: !(c & BIT(3)) -> c = c | BIT(3)
+  :: (c & BIT(3)) && (c & BIT(0)) && n != 0 -> c = c & ~BIT(0)
+  :: (c & BIT(3)) && (c & BIT(1)) && n != 1 -> c = c & ~BIT(1)
+  :: (c & BIT(3)) && (c & BIT(2)) && n != 2 -> c = c & ~BIT(2)
+  :: else -> c = 0
+  fi
+#endif
+}
+
+/* change_allowed tells whether the leader n may change the voters: something
+   of its own term is committed and no earlier change is pending. */
+inline change_allowed(result) {
+  t = term[n];
+  result = (commit[t] > 0);
+#ifndef TWO_CHANGES
+  i = commit[t];
+  do
+  :: i < length[n] ->
+     if
+     :: logConfig[n * SLOTS + i] != 0 -> result = false
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0;
+#endif
+  t = 0
+}
+
+init {
+  d_step {
+    i = 0;
+    do
+    :: i < NODES -> vote[i] = NOBODY; i++
+    :: else -> break
+    od;
+    i = 0;
+    do
+    :: i <= TERMS -> leaderOf[i] = NOBODY; i++
+    :: else -> break
+    od;
+    i = 0
+  };
+end:
+  do
+  :: atomic {
+       select_node(n);
+       if
+       :: role[n] != LOST && role[n] != LEADER && term[n] < TERMS ->
+          d_step {
+            config_of(n, c);
+            ok = (c & BIT(n)) != 0;
+            c = 0;
+            if
+            :: ok -> campaign(n)
+            :: else
+            fi;
+            ok = false; n = 0
+          }
+       :: role[n] == CANDIDATE ->
+          select_node(m);
+          if
+          :: m != n && role[m] != LOST && term[m] <= term[n] ->
+             d_step { grant(n, m); n = 0; m = 0 }
+          :: else -> d_step { n = 0; m = 0 }
+          fi
+       :: role[n] == CANDIDATE ->
+          d_step {
+            config_of(n, c);
+            ok = (2 * COUNT(votes[n] & c) > COUNT(c));
+            c = 0;
+            if
+            :: ok -> win(n)
+            :: else
+            fi;
+            ok = false; n = 0
+          }
+       :: role[n] == LEADER && length[n] < SLOTS ->
+          d_step { append(n, 0); n = 0 }
+       :: role[n] == LEADER && length[n] < SLOTS ->
+          change_allowed(ok);
+          if
+          :: ok ->
+             next_config();
+             if
+             :: c != 0 -> d_step { append(n, c) }
+             :: else
+             fi
+          :: else
+          fi;
+          d_step { c = 0; ok = false; n = 0 }
+       :: role[n] != LOST ->
+          select_term(t);
+          if
+          :: t >= term[n] && leaderOf[t] != NOBODY && leaderOf[t] != n && sentLen[t] > 0 ->
+             k = 1;
+             do
+             :: k < sentLen[t] -> k++
+             :: break
+             od;
+             skip;
+             d_step { receive(n); k = 0; t = 0; n = 0 }
+          :: else -> d_step { t = 0; n = 0 }
+          fi
+       :: role[n] == LEADER && commit[term[n]] < length[n] ->
+          d_step {
+            t = term[n];
+            k = length[n];
+            ok = false;
+            do
+            :: k > commit[t] && !ok ->
+               if
+               :: sentTerm[t * SLOTS + k - 1] == t ->
+                  config_of(n, c);
+                  acknowledged(c, m);
+                  ok = (2 * m > COUNT(c))
+               :: else
+               fi;
+               if
+               :: !ok -> k--
+               :: else
+               fi
+            :: else -> break
+            od;
+            if
+            :: ok -> commit_prefix()
+            :: else
+            fi;
+            ok = false; k = 0; t = 0; m = 0; c = 0; n = 0
+          }
+       :: role[n] != LOST && losses < LOSSES && n == losses ->
+          d_step { lose_disk(n); n = 0 }
+       :: role[n] == LEADER || role[n] == CANDIDATE ->
+          d_step { restart(n); n = 0 }
+#ifdef VOTE_FORGOTTEN
+       :: role[n] == FOLLOWER && restarts == 0 ->
+          d_step { restarts = 1; vote[n] = NOBODY; n = 0 }
+#endif
+       :: else -> n = 0
+       fi
+     }
+  od
+}
