--- a/internal/core/state/config.go
+++ b/internal/core/state/config.go
@@ -11,8 +11,16 @@
 	"waxwingcart/internal/core/fleet"
 )
 
-// MaxChangeIDBytes bounds a change ID.
-const MaxChangeIDBytes = 128
+const (
+	// MaxChangeIDBytes bounds a change ID.
+	MaxChangeIDBytes = 128
+	// MaxAuthorBytes bounds an author's name.
+	MaxAuthorBytes = 128
+	// maxProblems bounds the faults that a change's answer lists.
+	maxProblems = 20
+	// maxInvalidBytes bounds the text of a change's answer.
+	maxInvalidBytes = 4 << 10
+)
 
 // ChangeRequest is a configuration change as an operator sends it.
 type ChangeRequest struct {
@@ -47,9 +55,14 @@
 	options  Options
 	revision uint64
 	items    map[string][]byte
+	// itemBytes is the size of items.
+	itemBytes int
+	// whole is the configuration as one delta, nil until it is asked for.
+	whole *Delta
 	// last is the newest change without its items.
 	last Delta
-	// history holds deltas without a gap, up to revision.
+	// history holds deltas without a gap, up to revision. Snapshots share its
+	// elements, so they are not overwritten.
 	history      []Delta
 	historyBytes int
 	answers      map[string]ChangeAnswer
@@ -65,34 +78,54 @@
 	}
 }
 
-func (c *config) prepare(request ChangeRequest) ChangeConfig {
-	change := ChangeConfig{
+// ParsedChange is a ChangeRequest whose configuration was parsed and checked.
+type ParsedChange struct {
+	change ChangeConfig
+	items  map[string][]byte
+}
+
+// ParseChange does the part of preparing a change that takes long and needs no
+// machine. It may run in any goroutine.
+func ParseChange(request ChangeRequest) ParsedChange {
+	parsed := ParsedChange{change: ChangeConfig{
 		ChangeID:     request.ChangeID,
 		BaseRevision: request.BaseRevision,
 		Author:       request.Author,
 		Digest:       request.digest(),
-	}
+	}}
 	items, err := flattenValid(request.JSON)
+	if err != nil {
+		parsed.change.Invalid = truncate(err.Error(), maxInvalidBytes)
+	}
+	parsed.items = items
+	return parsed
+}
+
+// truncate returns at most limit bytes of valid UTF-8.
+func truncate(s string, limit int) string {
+	return strings.ToValidUTF8(s[:min(len(s), limit)], "")
+}
+
+// prepare reduces a valid change to what differs, if the machine knows the
+// base revision.
+func (c *config) prepare(parsed ParsedChange) ChangeConfig {
+	change := parsed.change
 	switch {
-	case err != nil:
-		change.Invalid = err.Error()
-	case request.BaseRevision == c.revision:
-		change.Items = fleet.Diff(c.items, items)
+	case change.Invalid != "":
+	case change.BaseRevision == c.revision:
+		change.Items = fleet.Diff(c.items, parsed.items)
 	default:
-		change.Items = fleet.Diff(nil, items)
+		change.Items = fleet.Diff(nil, parsed.items)
 		change.Complete = true
 	}
 	return change
 }
 
+// digest covers the content alone: an operator who sends a change again after
+// a lost answer may not know the base revision that it had.
 func (r ChangeRequest) digest() uint64 {
-	hash := sha256.New()
-	writeLengthPrefixed(hash, r.Author)
-	var base [8]byte
-	binary.BigEndian.PutUint64(base[:], r.BaseRevision)
-	hash.Write(base[:])
-	hash.Write(r.JSON)
-	return binary.BigEndian.Uint64(hash.Sum(nil))
+	sum := sha256.Sum256(r.JSON)
+	return binary.BigEndian.Uint64(sum[:])
 }
 
 func flattenValid(json []byte) (map[string][]byte, error) {
@@ -106,19 +139,23 @@
 	return fleet.Flatten(parsed)
 }
 
-// invalidError lists the faults of a configuration, one a line.
+// invalidError lists the faults of a configuration, one a line. Answers are
+// kept, so it lists the first maxProblems alone.
 type invalidError []fleet.Problem
 
 func (e invalidError) Error() string {
-	lines := make([]string, len(e))
-	for i, problem := range e {
-		lines[i] = problem.String()
+	var lines []string
+	for _, problem := range e[:min(len(e), maxProblems)] {
+		lines = append(lines, problem.String())
+	}
+	if more := len(e) - maxProblems; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(lines, "\n")
 }
 
 func (c *config) change(timeMS int64, change ChangeConfig) ChangeResult {
-	if reason := checkChangeID(change.ChangeID); reason != "" {
+	if reason := checkNames(change); reason != "" {
 		return ChangeResult{Revision: c.revision, Invalid: reason}
 	}
 	if first, ok := c.answers[change.ChangeID]; ok {
@@ -129,12 +166,15 @@
 	return result
 }
 
-func checkChangeID(id string) string {
+// checkNames returns why a change is refused without keeping an answer, or "".
+func checkNames(change ChangeConfig) string {
 	switch {
-	case id == "":
+	case change.ChangeID == "":
 		return "change_id: got nothing, expected an ID that is unique to the change"
-	case len(id) > MaxChangeIDBytes:
-		return fmt.Sprintf("change_id: got %d bytes, expected at most %d", len(id), MaxChangeIDBytes)
+	case len(change.ChangeID) > MaxChangeIDBytes:
+		return fmt.Sprintf("change_id: got %d bytes, expected at most %d", len(change.ChangeID), MaxChangeIDBytes)
+	case len(change.Author) > MaxAuthorBytes:
+		return fmt.Sprintf("author: got %d bytes, expected at most %d", len(change.Author), MaxAuthorBytes)
 	}
 	return ""
 }
@@ -188,12 +228,9 @@
 
 func (c *config) accept(delta Delta) {
 	for _, item := range delta.Items {
-		if len(item.JSON) == 0 {
-			delete(c.items, item.Path)
-			continue
-		}
-		c.items[item.Path] = item.JSON
+		c.put(item)
 	}
+	c.whole = nil
 	c.revision = delta.Revision
 	c.last = delta
 	c.last.Items = nil
@@ -202,10 +239,20 @@
 	c.trimHistory()
 }
 
+func (c *config) put(item fleet.Item) {
+	if before, ok := c.items[item.Path]; ok {
+		c.itemBytes -= len(item.Path) + len(before)
+		delete(c.items, item.Path)
+	}
+	if len(item.JSON) > 0 {
+		c.itemBytes += len(item.Path) + len(item.JSON)
+		c.items[item.Path] = item.JSON
+	}
+}
+
 func (c *config) trimHistory() {
 	for len(c.history) > 0 && (len(c.history) > c.options.HistoryLimit || c.historyBytes > c.options.HistoryBytes) {
 		c.historyBytes -= deltaBytes(c.history[0])
-		c.history[0] = Delta{}
 		c.history = c.history[1:]
 	}
 }
@@ -239,18 +286,34 @@
 	if revision >= c.revision {
 		return nil, false
 	}
-	if i := c.historyIndex(revision + 1); i >= 0 {
-		return slices.Clone(c.history[i:]), false
+	i := c.historyIndex(revision + 1)
+	if i < 0 || c.exceedsWhole(c.history[i:]) {
+		return []Delta{c.complete()}, true
+	}
+	return slices.Clone(c.history[i:]), false
+}
+
+// exceedsWhole reports whether deltas are larger than the configuration.
+func (c *config) exceedsWhole(deltas []Delta) bool {
+	n := 0
+	for _, delta := range deltas {
+		n += deltaBytes(delta)
+		if n > c.itemBytes {
+			return true
+		}
 	}
-	return []Delta{c.complete()}, true
+	return false
 }
 
 // complete returns the whole configuration as one delta.
 func (c *config) complete() Delta {
-	delta := c.last
-	delta.Complete = true
-	delta.Items = fleet.Diff(nil, c.items)
-	return delta
+	if c.whole == nil {
+		delta := c.last
+		delta.Complete = true
+		delta.Items = fleet.Diff(nil, c.items)
+		c.whole = &delta
+	}
+	return *c.whole
 }
 
 func (c *config) newest(n int) []Delta {
@@ -260,6 +323,17 @@
 	return deltas
 }
 
+func (c *config) zones() []string {
+	var names []string
+	for path := range c.items {
+		if name, ok := fleet.ZoneOf(path); ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (c *config) copyItems() map[string][]byte { return maps.Clone(c.items) }
 
 func itemMap(items []fleet.Item) map[string][]byte {
--- a/internal/core/state/machine.go
+++ b/internal/core/state/machine.go
@@ -107,12 +107,15 @@
 // Revision returns the configuration's revision, 0 before the first change.
 func (m *Machine) Revision() uint64 { return m.config.revision }
 
+// Zones lists the zones of the configuration, in order of name.
+func (m *Machine) Zones() []string { return m.config.zones() }
+
 // Items returns the configuration by item. The values must not be changed.
 func (m *Machine) Items() map[string][]byte { return m.config.copyItems() }
 
 // DeltasSince returns what a process with the given revision lacks, in
 // ascending order. If complete is true, the one delta holds the whole
-// configuration. A process that lacks nothing, or is ahead, gets none.
+// configuration, as the history is too short or larger than that. A process that lacks nothing, or is ahead, gets none.
 func (m *Machine) DeltasSince(revision uint64) (deltas []Delta, complete bool) {
 	return m.config.deltasSince(revision)
 }
@@ -123,5 +126,10 @@
 // Prepare turns an operator's request into the command to propose: it parses,
 // validates and flattens the configuration.
 func (m *Machine) Prepare(request ChangeRequest) ChangeConfig {
-	return m.config.prepare(request)
+	return m.PrepareParsed(ParseChange(request))
+}
+
+// PrepareParsed is the part of Prepare that needs the machine.
+func (m *Machine) PrepareParsed(parsed ParsedChange) ChangeConfig {
+	return m.config.prepare(parsed)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"waxwingcart/internal/backend"
+	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/rpc"
 )
 
@@ -35,6 +36,9 @@
 	Peers []Peer
 	// Replicas lists the replicas' peer addresses.
 	Replicas []string
+	// DataDir is the folder for the configuration in force, or empty if the VM
+	// has no disk.
+	DataDir string
 	// Platform is the platform's address, or empty.
 	Platform string
 	// PeerSecret authenticates event IDs across entries.
@@ -57,6 +61,9 @@
 	DefaultWriteTimeout = 10 * time.Second
 )
 
+// warmUp is the time until a new entry has a share of the customers' limits.
+const warmUp = admission.DefaultGrowAfter + 10*policyTick
+
 // Entry is one running entry.
 type Entry struct {
 	opts        Options
@@ -146,9 +153,10 @@
 	e.backends.Close()
 }
 
-// Ready reports whether a balancer should send requests here.
+// Ready reports whether a balancer should send requests here. A new entry has
+// no share of the customers' limits until the others have made room for it.
 func (e *Entry) Ready() bool {
-	return !e.draining.Load() && e.config.inForce() != nil
+	return !e.draining.Load() && e.config.inForce() != nil && e.now() > warmUp
 }
 
 // Incarnation is the random number of this run of the entry.
--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"waxwingcart/internal/wire"
 )
 
@@ -81,7 +83,8 @@
 }
 
 // Call makes a call at the leader, looking for it until the context ends. A
-// call in doubt is repeated, so the call must be idempotent.
+// call in doubt is repeated, so the call must be idempotent. No single try may
+// take longer than callTimeout, for a frozen process accepts connections.
 func Call[Response any](ctx context.Context, r *Replicas, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
 	var last error = ErrNoLeader
 	for {
@@ -92,6 +95,9 @@
 				return response, nil
 			}
 			last = Wrap(step, address, err)
+			if final(err) {
+				return response, last
+			}
 			if next != "" && next != address {
 				r.setLeader(next)
 				break
@@ -104,6 +110,16 @@
 	}
 }
 
+// final reports whether asking again gives the same error.
+func final(err error) bool {
+	var twerr twirp.Error
+	if !errors.As(err, &twerr) {
+		return false
+	}
+	code := twerr.Code()
+	return code == twirp.InvalidArgument || code == twirp.Unauthenticated
+}
+
 // try makes the call at one address and returns the leader it was told of.
 func try[Response any](ctx context.Context, r *Replicas, address string, call func(context.Context, wire.Replica) (Response, error)) (Response, string, error) {
 	attempt, cancel := context.WithTimeout(ctx, callTimeout)
