--- /dev/null
+++ b/internal/core/migration/migration_test.go
@@ -0,0 +1,106 @@
+package migration
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func drawStreams(t *rapid.T) []Stream {
+	streams := make([]Stream, rapid.IntRange(0, 12).Draw(t, "n"))
+	for i := range streams {
+		streams[i] = Stream{
+			ID:              fmt.Sprint("s", i),
+			PromptTokens:    rapid.IntRange(0, 8000).Draw(t, "prompt"),
+			DoneTokens:      rapid.IntRange(0, 2000).Draw(t, "done"),
+			TokensLeft:      rapid.IntRange(0, 3000).Draw(t, "left"),
+			TokensPerSecond: rapid.Float64Range(0, 60).Draw(t, "rate"),
+			ExportBytes:     rapid.Int64Range(0, 4<<30).Draw(t, "bytes"),
+			Pinned:          rapid.IntRange(0, 9).Draw(t, "pinned") == 0,
+		}
+	}
+	return streams
+}
+
+func TestPlanFitsAndIsNoWorseThanBaseline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		streams := drawStreams(t)
+		options := Options{
+			Left:                 time.Duration(rapid.IntRange(-1, 60_000).Draw(t, "ms")) * time.Millisecond,
+			ExportBytesPerSecond: rapid.Float64Range(0, 1<<30).Draw(t, "link"),
+			ExportOverhead:       time.Duration(rapid.IntRange(0, 500).Draw(t, "overhead")) * time.Millisecond,
+			Disabled:             rapid.Bool().Draw(t, "disabled"),
+		}
+		plan := Make(streams, options)
+		if len(plan.Decisions) != len(streams) {
+			t.Fatalf("%d decisions for %d streams", len(plan.Decisions), len(streams))
+		}
+		byID := map[string]Stream{}
+		for _, stream := range streams {
+			byID[stream.ID] = stream
+		}
+		end := time.Duration(0)
+		for _, d := range plan.Decisions {
+			stream, ok := byID[d.Stream]
+			if !ok {
+				t.Fatalf("stream %s is decided twice or unknown", d.Stream)
+			}
+			delete(byID, d.Stream)
+			if d.Action == Recompute {
+				continue
+			}
+			need := time.Duration(float64(stream.TokensLeft) / stream.TokensPerSecond * 1e9)
+			if d.Action == Export {
+				need = options.ExportOverhead + time.Duration(float64(stream.ExportBytes)/options.ExportBytesPerSecond*1e9)
+			}
+			if stream.TokensLeft == 0 && d.Action == Finish {
+				need = 0
+			}
+			if d.End-d.Start < need || d.End > max(0, options.Left) {
+				t.Fatalf("%+v does not fit into %v", d, options.Left)
+			}
+			if d.Action == Export && (d.Start < end || stream.Pinned || options.Disabled) {
+				t.Fatalf("export not allowed or overlapping: %+v", d)
+			}
+			if d.Action == Export {
+				end = d.End
+			}
+		}
+		options.Disabled = true
+		baseline := Make(streams, options)
+		if plan.RecomputedTokens > baseline.RecomputedTokens || plan.BaselineTokens != baseline.RecomputedTokens {
+			t.Fatalf("recomputes %d, baseline %d, stated %d", plan.RecomputedTokens, baseline.RecomputedTokens, plan.BaselineTokens)
+		}
+	})
+}
+
+// One long export must not push out several that save more together, nor the
+// other way round.
+func TestOrderOfExports(t *testing.T) {
+	stream := func(id string, prompt int, megabytes int64) Stream {
+		return Stream{ID: id, PromptTokens: prompt, TokensLeft: 10_000, TokensPerSecond: 20, ExportBytes: megabytes << 20}
+	}
+	options := Options{Left: 10 * time.Second, ExportBytesPerSecond: 100 << 20}
+	for _, c := range []struct {
+		streams []Stream
+		want    int
+	}{
+		{[]Stream{stream("long", 5000, 800), stream("a", 3000, 300), stream("b", 3000, 300)}, 5000},
+		{[]Stream{stream("long", 9000, 800), stream("small", 100, 1)}, 100},
+	} {
+		if plan := Make(c.streams, options); plan.RecomputedTokens != c.want {
+			t.Errorf("recomputes %d tokens, want %d: %+v", plan.RecomputedTokens, c.want, plan.Decisions)
+		}
+	}
+}
