Let a duplicate wait for its owner; explain requests; go elsewhere after a barren resumption

Cause: a duplicate of a booking in flight was answered 409 at once, so a caller who sent twice paid a Retry-After of a second. It now asks the owner to wait for the end (AttemptRequest.wait_ms, one second a call, so that an owner that stopped is noticed) and reads the record again. While the key is known to be another request's, no way to end says not-run. An owner that the entries hold for dead leaves unknown instead of in-flight for as long as the record lives.

A resumption that gave no token is not repeated at the same engine. An error answer 502, 503 or 504 to a repeatable application request is tried elsewhere within the budget, and handed over when nothing better comes. A recorded answer that was too long to be kept says that the request ran, with status and header. A draining entry says Retry-After: 0 and closes the connection. The dial timeout is the policy's; events that an engine repeats are counted; what libraries log is in the process's format. Traces tell admission, reservation, attempts, retries and their reasons, also of requests that were refused before they ran.

--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -43,8 +43,18 @@
 	// verified is true once the current attempt's tokens before
 	// position.Next are known to equal those already forwarded.
 	verified bool
-	exclude  []string
-	reserved bool
+	// resumed is true if the current attempt continues an engine's stream.
+	resumed bool
+	// progressed is true once the current attempt gave a token that the
+	// caller lacked.
+	progressed bool
+	exclude    []string
+	reserved   bool
+	// duplicate is true while another request is known to own the key.
+	duplicate bool
+	// answerHeld is true if a server's own error answer can be handed over
+	// when no later attempt gives a better one.
+	answerHeld bool
 	// handedOver is true if an attempt may have run.
 	handedOver  bool
 	abandoned   bool
@@ -99,6 +109,8 @@
 		return r.admitted()
 	case Refused:
 		return r.refused(ev)
+	case Duplicate:
+		return r.duplicated()
 	case Reserved:
 		return r.reservation(ev)
 	case Picked:
@@ -169,6 +181,14 @@
 	return r.finish(Outcome{Kind: r.refusalKind(), Reason: ev.Reason, Step: "admission", RetryAfter: ev.RetryAfter})
 }
 
+// duplicated notes that another request owns the key and may run it.
+func (r *Request) duplicated() []Effect {
+	if r.state == stateReserving {
+		r.duplicate = true
+	}
+	return nil
+}
+
 // reservation handles the answer of the replicas. A grant that arrives after
 // the owner abandoned the attempt is not used.
 func (r *Request) reservation(ev Reserved) []Effect {
@@ -179,6 +199,7 @@
 	switch ev.Result {
 	case ReserveGranted:
 		r.reserved = true
+		r.duplicate = false
 		if r.abandoned {
 			outcome.Kind, outcome.Reason = OutcomeNotRun, ReasonAbandoned
 			return r.finish(outcome)
@@ -192,10 +213,12 @@
 		outcome.Kind, outcome.Reason = OutcomeNotRun, ReasonMismatch
 	case ReserveUnknown:
 		outcome.Kind, outcome.Reason = OutcomeUnknown, ReasonKeyUnknown
+	case ReserveNotKept:
+		outcome.Kind, outcome.Reason = OutcomeUnknown, ReasonNotKept
 	case ReserveExpired:
 		outcome.Kind, outcome.Reason = OutcomeUnknown, ReasonKeyExpired
 	case ReserveFailed:
-		outcome.Kind, outcome.Reason = OutcomeNotRun, ReasonReservation
+		outcome.Kind, outcome.Reason = r.refusalKind(), ReasonReservation
 	}
 	return r.finish(outcome)
 }
@@ -211,6 +234,7 @@
 	}
 	r.state = stateRunning
 	r.attempt++
+	r.resumed, r.progressed = false, false
 	r.position.Server = ev.Server
 	r.position.Stream = ""
 	r.verified = r.position.Next == 0
@@ -228,73 +252,6 @@
 	return r.giveUp(outcome)
 }
 
-// resume continues the stream at its engine without recomputing.
-func (r *Request) resume() []Effect {
-	r.state = stateRunning
-	r.attempt++
-	r.verified = true
-	return []Effect{ResumeStream{Attempt: r.attempt, Position: r.position}}
-}
-
-func (r *Request) opened(ev Opened) []Effect {
-	if !r.current(ev.Attempt) {
-		return nil
-	}
-	r.handedOver = true
-	if ev.Stream != "" {
-		r.position.Stream = ev.Stream
-	}
-	return nil
-}
-
-// token forwards a token exactly once and in order. Tokens that the caller
-// already has are only compared; an attempt whose tokens differ is not spliced
-// to the answer.
-func (r *Request) token(ev Token) []Effect {
-	if !r.current(ev.Attempt) {
-		return nil
-	}
-	if ev.Offset < r.position.Next {
-		return r.repeatedToken(ev)
-	}
-	if ev.Offset > r.position.Next || !r.verified {
-		return r.diverged()
-	}
-	r.position.Next++
-	r.position.Sum = ev.Sum
-	return []Effect{Forward{Offset: ev.Offset}}
-}
-
-func (r *Request) repeatedToken(ev Token) []Effect {
-	r.recomputed++
-	if ev.Offset < r.position.Next-1 {
-		return nil
-	}
-	if ev.Sum != r.position.Sum {
-		return r.diverged()
-	}
-	r.verified = true
-	return nil
-}
-
-func (r *Request) diverged() []Effect {
-	return r.giveUp(Outcome{Reason: ReasonDiverged, Step: "splice", Peer: r.position.Server})
-}
-
-func (r *Request) completed(ev Completed) []Effect {
-	if !r.current(ev.Attempt) {
-		return nil
-	}
-	if !r.verified {
-		return r.diverged()
-	}
-	if r.reserved {
-		r.state = stateRecording
-		return []Effect{Record{Kind: OutcomeAnswered, Await: true}}
-	}
-	return r.finish(Outcome{Kind: OutcomeAnswered})
-}
-
 // recorded answers the caller. The caller gets the real answer even if the
 // outcome could not be committed.
 func (r *Request) recorded() []Effect {
@@ -304,100 +261,6 @@
 	return r.finish(Outcome{Kind: OutcomeAnswered})
 }
 
-func (r *Request) failed(now time.Duration, ev Failed) []Effect {
-	if !r.current(ev.Attempt) {
-		return nil
-	}
-	r.lastFailure = ev.Failure
-	if ev.Failure.Phase == PhaseHandedOver {
-		r.handedOver = true
-	}
-	if r.mayTryAgain(ev.Failure) {
-		if delay, ok := r.retrier.Retry(now, ev.Failure, r.attempt, r.handedOver); ok && now+delay < r.spec.Deadline {
-			r.noteFailedServer(ev.Failure)
-			r.state = stateBackoff
-			return []Effect{Backoff{Delay: delay}}
-		}
-	}
-	return r.giveUp(Outcome{
-		Reason:     ReasonAttempt,
-		Step:       ev.Failure.Step,
-		Peer:       ev.Failure.Peer,
-		RetryAfter: DefaultRetryAfter,
-		Status:     ev.Failure.Status,
-	})
-}
-
-// mayTryAgain tells whether another attempt could not run the request twice.
-func (r *Request) mayTryAgain(f Failure) bool {
-	if f.Permanent || r.callerGone || r.attempt >= r.spec.MaxAttempts {
-		return false
-	}
-	return r.spec.Repeatable || !r.handedOver
-}
-
-// noteFailedServer keeps a stream that its engine still holds for a
-// resumption; otherwise the next attempt goes to another server.
-func (r *Request) noteFailedServer(f Failure) {
-	if r.canResume(f) {
-		return
-	}
-	r.excludeServer(r.position.Server)
-	r.position.Stream = ""
-}
-
-// excludeServer keeps later attempts off a server.
-func (r *Request) excludeServer(server string) {
-	if server != "" && !slices.Contains(r.exclude, server) {
-		r.exclude = append(r.exclude, server)
-	}
-}
-
-func (r *Request) canResume(f Failure) bool {
-	return r.spec.Kind == KindModel && r.position.Stream != "" && !f.StreamGone && f.Phase == PhaseHandedOver
-}
-
-func (r *Request) backoffOver() []Effect {
-	if r.state != stateBackoff {
-		return nil
-	}
-	if r.position.Stream != "" {
-		return r.resume()
-	}
-	return r.pick()
-}
-
-func (r *Request) move(ev Move) []Effect {
-	if r.state != stateRunning || r.spec.Kind != KindModel || r.position.Server != ev.Server {
-		return nil
-	}
-	r.handedOver = true
-	if ev.Export && r.position.Stream != "" {
-		r.state = stateMoving
-		return []Effect{
-			DropAttempt{Attempt: r.attempt},
-			MoveKV{Attempt: r.attempt, From: r.position, Target: ev.Target},
-		}
-	}
-	cancel := CancelAttempt{Attempt: r.attempt, Server: r.position.Server, Stream: r.position.Stream}
-	r.excludeServer(ev.Server)
-	return append([]Effect{cancel}, r.pick()...)
-}
-
-func (r *Request) moved(ev Moved) []Effect {
-	if r.state != stateMoving || ev.Attempt != r.attempt {
-		r.late++
-		return nil
-	}
-	if ev.Stream == "" {
-		r.excludeServer(r.position.Server)
-		return r.pick()
-	}
-	r.position.Server = ev.Server
-	r.position.Stream = ev.Stream
-	return r.resume()
-}
-
 // abandon gives up a reserved request that was not dispatched.
 func (r *Request) abandon() []Effect {
 	if r.attempt > 0 {
@@ -407,7 +270,7 @@
 	if r.state == stateReserving {
 		return nil
 	}
-	return r.finish(Outcome{Kind: OutcomeNotRun, Reason: ReasonAbandoned, Step: "abandon"})
+	return r.finish(Outcome{Kind: OutcomeNotRun, Reason: ReasonAbandoned, Step: "abandon", RetryAfter: DefaultRetryAfter})
 }
 
 // callerLeft cancels what nobody waits for. A dispatched request that must not
@@ -421,7 +284,7 @@
 }
 
 // drain ends a stream so that the caller can resume it at another entry. The
-// engine goes on with it.
+// engine goes on with it. Another entry can be asked at once.
 func (r *Request) drain() []Effect {
 	if r.spec.Kind != KindModel {
 		return nil
@@ -431,7 +294,7 @@
 		outcome := Outcome{Kind: OutcomeResumable, Reason: ReasonDraining, Step: "drain"}
 		return append([]Effect{drop}, r.finish(outcome)...)
 	}
-	return r.giveUp(Outcome{Reason: ReasonDraining, Step: "drain", RetryAfter: DefaultRetryAfter})
+	return r.giveUp(Outcome{Reason: ReasonDraining, Step: "drain"})
 }
 
 // giveUp ends the request with what is true of it: not run if no attempt was
@@ -443,6 +306,9 @@
 		cancel := CancelAttempt{Attempt: r.attempt, Server: r.position.Server, Stream: r.position.Stream}
 		effects = append(effects, cancel)
 	}
+	if r.answerHeld && !r.callerGone {
+		return append(effects, r.finish(Outcome{Kind: OutcomeAnswered})...)
+	}
 	outcome.Kind = r.refusalKind()
 	return append(effects, r.finish(outcome)...)
 }
@@ -457,7 +323,7 @@
 }
 
 func (r *Request) refusalKind() OutcomeKind {
-	if r.handedOver {
+	if r.handedOver || r.duplicate {
 		return OutcomeUnknown
 	}
 	return OutcomeNotRun
--- a/internal/core/request/request_test.go
+++ b/internal/core/request/request_test.go
@@ -78,6 +78,9 @@
 		h.queue(rapid.SampledFrom([]Event{Admitted{}, Admitted{}, Admitted{}, Refused{Reason: ReasonAdmission}}).Draw(h.t, "admission"))
 	case Reserve:
 		results := []ReserveResult{ReserveGranted, ReserveGranted, ReserveAnswered, ReserveInFlight, ReserveFailed, ReserveUnknown}
+		if rapid.Bool().Draw(h.t, "duplicate") {
+			h.queue(Duplicate{})
+		}
 		h.queue(Reserved{Result: rapid.SampledFrom(results).Draw(h.t, "reservation")})
 	case Pick:
 		server := fmt.Sprintf("e%d", len(e.Exclude))
@@ -166,6 +169,7 @@
 	if rapid.IntRange(0, 11).Draw(h.t, "break") == 0 {
 		r.ended = true
 		failure := Failure{Phase: PhaseHandedOver, Step: "read", StreamGone: rapid.Bool().Draw(h.t, "gone")}
+		failure.Answered = h.spec.Kind == KindApp && h.spec.Repeatable && rapid.Bool().Draw(h.t, "answered")
 		h.step(Failed{Attempt: r.attempt, Failure: failure})
 		return
 	}
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -69,6 +69,9 @@
 	Permanent bool
 	// Silent is true if no progress was made for too long.
 	Silent bool
+	// Answered is true if the server gave an error answer of its own that the
+	// caller can have if nothing better comes.
+	Answered bool
 	// Status is the HTTP status of a refusal, or 0.
 	Status int
 	// Step and Peer say where the failure arose.
@@ -88,6 +91,7 @@
 	ReasonInFlight    Reason = "in-flight"
 	ReasonMismatch    Reason = "key-reused"
 	ReasonKeyUnknown  Reason = "key-outcome-unknown"
+	ReasonNotKept     Reason = "answer-not-kept"
 	ReasonKeyExpired  Reason = "key-expired"
 	ReasonAbandoned   Reason = "abandoned"
 	ReasonAttempt     Reason = "attempt-failed"
@@ -137,6 +141,9 @@
 	ReserveInFlight
 	ReserveMismatch
 	ReserveUnknown
+	// ReserveNotKept means that the request ran and was answered, but that
+	// its answer was too long to be kept.
+	ReserveNotKept
 	ReserveExpired
 	// ReserveFailed means that no quorum was reached; the reservation may
 	// or may not be committed.
@@ -158,6 +165,9 @@
 	RetryAfter time.Duration
 }
 
+// Duplicate reports that another request owns the key, before Reserved comes.
+type Duplicate struct{}
+
 // Reserved reports the answer to Reserve.
 type Reserved struct {
 	Result     ReserveResult
@@ -231,6 +241,7 @@
 func (Start) isEvent()       {}
 func (Admitted) isEvent()    {}
 func (Refused) isEvent()     {}
+func (Duplicate) isEvent()   {}
 func (Reserved) isEvent()    {}
 func (Picked) isEvent()      {}
 func (NoServer) isEvent()    {}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -90,7 +90,7 @@
 	a := &attempt{run: r, number: number, server: server, cancel: cancel, started: r.entry.now()}
 	r.attempt = a
 	r.entry.policy.started(server.Name, r.load)
-	r.trace.add(time.Now(), "attempt %d at %s (%s)", number, server.Name, server.Address)
+	r.explain("attempt %d at %s (%s)", number, server.Name, server.Address)
 	go work(ctx, a)
 }
 
@@ -167,6 +167,7 @@
 		RequestID:       r.id,
 		Attempt:         a.number,
 		Priority:        priority,
+		DialTimeout:     milliseconds(r.policy.DialTimeoutMS),
 		ProgressTimeout: a.progressTimeout(),
 	}
 }
@@ -200,7 +201,10 @@
 		a.fail(ctx, err)
 		return
 	}
-	defer stream.Close()
+	defer func() {
+		stream.Close()
+		a.run.entry.metrics.late.Add(float64(stream.Late()))
+	}()
 	a.post(ctx, streamEvent{event: request.Opened{Attempt: a.number, Stream: stream.ID}})
 	for {
 		ev, err := stream.Next()
@@ -250,9 +254,25 @@
 		return
 	}
 	whole := &answer{status: response.Status, header: response.Header, body: body}
+	if a.run.spec.Repeatable && serverBusy[response.Status] {
+		failure := request.Failure{
+			Phase: request.PhaseHandedOver, Answered: true, Status: response.Status,
+			Step: "answer", Peer: a.server.Address,
+		}
+		a.post(ctx, streamEvent{event: request.Failed{Attempt: a.number, Failure: failure}, answer: whole})
+		return
+	}
 	a.post(ctx, streamEvent{event: request.Completed{Attempt: a.number}, answer: whole})
 }
 
+// serverBusy lists the statuses with which another server may do better. Only
+// repeatable requests are sent on.
+var serverBusy = map[int]bool{
+	http.StatusBadGateway:         true,
+	http.StatusServiceUnavailable: true,
+	http.StatusGatewayTimeout:     true,
+}
+
 var errAnswerTooLarge = errors.New("answer is too large")
 
 // fail posts how the attempt failed.
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -72,8 +72,16 @@
 	if errors.As(err, &call) {
 		outcome.Reason, outcome.Step = call.reason, call.message
 	}
+	if outcome.Reason == request.ReasonDraining {
+		// Another entry can take the request at once.
+		outcome.RetryAfter = 0
+		w.Header().Set("Connection", "close")
+	}
 	e.metrics.outcomes.WithLabelValues("", outcomeNotRun, string(outcome.Reason)).Inc()
-	writeRefusal(w, requestID, outcome)
+	refused := &trace{id: requestID, arrived: time.Now(), refused: true}
+	refused.end(refused.arrived, "refused before it was admitted: %s: %s", outcome.Reason, outcome.Step)
+	e.history.put(refused)
+	writeRefusal(w, requestID, outcome, nil)
 }
 
 // prepared is a request that passed the checks of the HTTP layer.
--- a/internal/entry/history.go
+++ b/internal/entry/history.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
-
-	"waxwingcart/internal/core/request"
 )
 
-// historyLength bounds the requests that are remembered after their end.
-const historyLength = 4096
+// The bounds on what is remembered of requests after their end. Requests that
+// were refused before they had a run have a bound of their own, so that a flood
+// of them leaves the others to be explained.
+const (
+	historyLength = 4096
+	refusedLength = 1024
+)
 
 // maxTraceSteps bounds the steps that are remembered of one request.
 const maxTraceSteps = 64
@@ -20,45 +24,105 @@
 	customer string
 	service  string
 	arrived  time.Time
-	steps    []string
-	outcome  *request.Outcome
-	// dispatched is true if an attempt was handed to a server.
+	// dispatched is true if an attempt was handed to a server. It is set before
+	// the request ends.
 	dispatched bool
+	// refused is true if the request ended before it had a run.
+	refused bool
+
+	mu    sync.Mutex
+	steps []string
+	lost  int
 }
 
 func (t *trace) add(now time.Time, format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if len(t.steps) >= maxTraceSteps {
+		t.lost++
 		return
 	}
+	t.steps = append(t.steps, t.line(now, format, args...))
+}
+
+// end adds the last step, whatever the bound.
+func (t *trace) end(now time.Time, format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lost > 0 {
+		t.steps = append(t.steps, fmt.Sprintf("(%d steps are not kept)", t.lost))
+	}
+	t.steps = append(t.steps, t.line(now, format, args...))
+}
+
+func (t *trace) line(now time.Time, format string, args ...any) string {
 	offset := now.Sub(t.arrived).Round(100 * time.Microsecond)
-	t.steps = append(t.steps, fmt.Sprintf("+%s %s", offset, fmt.Sprintf(format, args...)))
+	return fmt.Sprintf("+%s %s", offset, fmt.Sprintf(format, args...))
+}
+
+// lines returns the steps under a heading.
+func (t *trace) lines() []string {
+	head := "request " + t.id
+	if t.customer != "" {
+		head += " of customer " + t.customer
+	}
+	if t.service != "" {
+		head += " to service " + t.service
+	}
+	head += " arrived " + t.arrived.UTC().Format(time.RFC3339Nano)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]string{head}, slices.Clone(t.steps)...)
 }
 
 // history remembers the latest ended requests.
 type history struct {
-	mu    sync.Mutex
+	mu      sync.Mutex
+	ended   traces
+	refused traces
+}
+
+// traces remembers a bounded number of traces by request ID.
+type traces struct {
+	limit int
 	byID  map[string]*trace
 	order []string
 }
 
 func newHistory() *history {
-	return &history{byID: make(map[string]*trace)}
+	return &history{ended: newTraces(historyLength), refused: newTraces(refusedLength)}
+}
+
+func newTraces(limit int) traces {
+	return traces{limit: limit, byID: make(map[string]*trace)}
 }
 
-// put stores an ended request and drops the oldest beyond the bound.
+// put stores a trace and drops the oldest beyond the bound.
+func (t *traces) put(added *trace) {
+	t.byID[added.id] = added
+	t.order = append(t.order, added.id)
+	if len(t.order) > t.limit {
+		delete(t.byID, t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+// put stores an ended request.
 func (h *history) put(t *trace) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.byID[t.id] = t
-	h.order = append(h.order, t.id)
-	if len(h.order) > historyLength {
-		delete(h.byID, h.order[0])
-		h.order = h.order[1:]
+	if t.refused {
+		h.refused.put(t)
+		return
 	}
+	h.ended.put(t)
 }
 
 func (h *history) get(id string) *trace {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.byID[id]
+	if t := h.ended.byID[id]; t != nil {
+		return t
+	}
+	return h.refused.byID[id]
 }
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -37,7 +37,16 @@
 	Peer         string `json:"peer,omitempty"`
 	RequestID    string `json:"request_id,omitempty"`
 	Outcome      string `json:"outcome"`
-	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	RetryAfterMS *int64 `json:"retry_after_ms,omitempty"`
+	// Answered is what is known of an answer whose body was not kept.
+	Answered *answeredDetail `json:"answered,omitempty"`
+}
+
+// answeredDetail is the status and the header of an answer that a backend
+// server gave earlier.
+type answeredDetail struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
 }
 
 // Reasons that arise in the HTTP layer, before a request exists.
@@ -63,6 +72,7 @@
 	request.ReasonMismatch:    http.StatusUnprocessableEntity,
 	request.ReasonKeyExpired:  http.StatusConflict,
 	request.ReasonKeyUnknown:  http.StatusConflict,
+	request.ReasonNotKept:     http.StatusConflict,
 	request.ReasonAttempt:     http.StatusBadGateway,
 	request.ReasonDiverged:    http.StatusBadGateway,
 	request.ReasonDeadline:    http.StatusGatewayTimeout,
@@ -70,6 +80,14 @@
 	request.ReasonReservation: http.StatusServiceUnavailable,
 }
 
+// reasonMessage explains reasons whose name alone could be misread.
+var reasonMessage = map[request.Reason]string{
+	request.ReasonInFlight:   "another request with this key has not ended; send it again for its answer",
+	request.ReasonKeyUnknown: "it will never be known whether the request with this key ran; it is not run again",
+	request.ReasonNotKept:    "the request with this key ran once and was answered, but the answer was too long to be kept; it is not run again",
+	request.ReasonKeyExpired: "the record of this key has expired; whether its request ran is no longer known",
+}
+
 // noRetry lists the reasons for which sending the same request again does not
 // help.
 var noRetry = map[request.Reason]bool{
@@ -81,6 +99,7 @@
 	request.ReasonMismatch:   true,
 	request.ReasonKeyExpired: true,
 	request.ReasonKeyUnknown: true,
+	request.ReasonNotKept:    true,
 }
 
 func outcomeName(kind request.OutcomeKind) string {
@@ -104,14 +123,19 @@
 		RequestID: requestID,
 		Outcome:   outcomeName(outcome.Kind),
 	}
+	if message, ok := reasonMessage[outcome.Reason]; ok {
+		detail.Message = message
+	}
 	if !noRetry[outcome.Reason] {
-		detail.RetryAfterMS = max(outcome.RetryAfter, time.Millisecond).Milliseconds()
+		delay := outcome.RetryAfter.Milliseconds()
+		detail.RetryAfterMS = &delay
 	}
 	return detail
 }
 
-// writeRefusal answers a request whose response has not begun.
-func writeRefusal(w http.ResponseWriter, requestID string, outcome request.Outcome) {
+// writeRefusal answers a request whose response has not begun. Recorded is an
+// earlier answer whose body was not kept, or nil.
+func writeRefusal(w http.ResponseWriter, requestID string, outcome request.Outcome, recorded *answer) {
 	status, ok := reasonStatus[outcome.Reason]
 	if !ok {
 		status = http.StatusServiceUnavailable
@@ -124,15 +148,17 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(headerOutcome, detail.Outcome)
 	header.Set(headerRequestID, requestID)
-	if detail.RetryAfterMS > 0 {
+	if recorded != nil {
+		detail.Answered = &answeredDetail{Status: recorded.status, Header: recorded.header}
+	}
+	if detail.RetryAfterMS != nil {
 		header.Set(headerRetryAfter, retryAfterSeconds(outcome.RetryAfter))
 	}
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(errorBody{Error: detail})
 }
 
-// retryAfterSeconds rounds up to whole seconds, at least one.
+// retryAfterSeconds rounds up to whole seconds. Zero means at once.
 func retryAfterSeconds(delay time.Duration) string {
-	seconds := math.Ceil(delay.Seconds())
-	return strconv.Itoa(int(max(seconds, 1)))
+	return strconv.Itoa(int(math.Ceil(delay.Seconds())))
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,8 +14,12 @@
 // PeerService returns the entry's calls for other entries.
 func (e *Entry) PeerService() *PeerService { return &PeerService{entry: e} }
 
-// Attempt tells how far an owner got. An owner that has not dispatched and
-// still waits goes on, unless it is asked to abandon.
+// maxAttemptWait bounds the wait for the end of a request.
+const maxAttemptWait = 10 * time.Second
+
+// Attempt tells how far an owner got, and waits for the end of a request in
+// flight if it is asked to. An owner that has not dispatched and still waits
+// goes on, unless it is asked to abandon.
 func (s *PeerService) Attempt(ctx context.Context, req *wire.AttemptRequest) (*wire.AttemptResponse, error) {
 	response := &wire.AttemptResponse{
 		Owner: &wire.NodeID{Vm: s.entry.opts.VM, Incarnation: s.entry.incarnation},
@@ -24,6 +28,7 @@
 		if req.Abandon {
 			r.abandon(ctx)
 		}
+		r.await(ctx, time.Duration(req.WaitMs)*time.Millisecond)
 		response.State = runState(r)
 		return response, nil
 	}
@@ -46,21 +51,34 @@
 	}
 }
 
-func runState(r *run) wire.AttemptState {
-	if r.dispatched.Load() {
-		return wire.AttemptState_ATTEMPT_STATE_DISPATCHED
+// await waits for the end of the request.
+func (r *run) await(ctx context.Context, limit time.Duration) {
+	if limit <= 0 {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, min(limit, maxAttemptWait))
+	defer cancel()
 	select {
 	case <-r.ended:
-		return wire.AttemptState_ATTEMPT_STATE_ABANDONED
+	case <-ctx.Done():
+	}
+}
+
+func runState(r *run) wire.AttemptState {
+	select {
+	case <-r.ended:
+		return endedState(r.trace)
 	default:
-		return wire.AttemptState_ATTEMPT_STATE_WAITING
 	}
+	if r.dispatched.Load() {
+		return wire.AttemptState_ATTEMPT_STATE_DISPATCHED
+	}
+	return wire.AttemptState_ATTEMPT_STATE_WAITING
 }
 
 func endedState(t *trace) wire.AttemptState {
 	switch {
-	case t == nil:
+	case t == nil || t.refused:
 		return wire.AttemptState_ATTEMPT_STATE_ABSENT
 	case t.dispatched:
 		return wire.AttemptState_ATTEMPT_STATE_FINISHED
@@ -82,11 +100,11 @@
 
 // Explain returns the steps of a request that this entry serves or served.
 func (e *Entry) Explain(requestID string) ([]string, bool) {
-	t := e.history.get(requestID)
-	if t == nil {
-		return nil, false
+	if r := e.find(requestID); r != nil {
+		return r.trace.lines(), true
+	}
+	if t := e.history.get(requestID); t != nil {
+		return t.lines(), true
 	}
-	head := "request " + t.id + " of customer " + t.customer + " to service " + t.service +
-		" arrived " + t.arrived.UTC().Format(time.RFC3339Nano)
-	return append([]string{head}, t.steps...), true
+	return nil, false
 }
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -216,11 +216,10 @@
 }
 
 // decideRetry asks the retry core about a failed attempt.
-func (p *policy) decideRetry(attempt retry.Attempt) (time.Duration, bool) {
+func (p *policy) decideRetry(attempt retry.Attempt) retry.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	decision := p.retry.Decide(p.entry.now(), attempt)
-	return decision.Delay, decision.Retry
+	return p.retry.Decide(p.entry.now(), attempt)
 }
 
 // limits is the policy's part of the dump.
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"waxwingcart/internal/core/membership"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
@@ -16,6 +17,7 @@
 	recordTimeout   = 3 * time.Second
 	recordRetryTime = time.Minute
 	attemptTimeout  = time.Second
+	ownerWait       = time.Second
 	inFlightRetry   = time.Second
 )
 
@@ -46,7 +48,7 @@
 // reserve commits the reservation and posts the answer. It never dispatches:
 // the request does so only if the grant reaches it in time.
 func (r *run) reserve() {
-	ctx, cancel := context.WithTimeout(context.Background(), min(reserveTimeout, max(r.deadline-r.entry.now(), time.Millisecond)))
+	ctx, cancel := context.WithTimeout(r.caller, max(r.deadline-r.entry.now(), time.Millisecond))
 	defer cancel()
 	began := time.Now()
 	result := r.tryReserve(ctx)
@@ -54,35 +56,38 @@
 	r.post(result)
 }
 
+// tryReserve takes the key or reads its outcome. While another request owns
+// the key it waits for that request's end, and then reads the record again.
 func (r *run) tryReserve(ctx context.Context) request.Reserved {
-	response, err := r.callReserve(ctx)
-	if err != nil {
-		r.entry.logger.Warn().Str("step", "reserve").Str("request", r.id).Err(err).Msg("no reservation")
-		return request.Reserved{Result: request.ReserveFailed, RetryAfter: request.DefaultRetryAfter}
-	}
-	if response.State != wire.RecordState_RECORD_STATE_RESERVED || response.Granted || response.Mismatch {
-		return r.reserved(response)
-	}
-	if r.resolveOwner(ctx, response) != ownerAbandoned {
-		return r.afterOwner(ctx)
-	}
-	again, err := r.callReserve(ctx)
-	if err != nil {
-		return request.Reserved{Result: request.ReserveFailed, RetryAfter: request.DefaultRetryAfter}
+	asked := ""
+	for {
+		response, err := r.callReserve(ctx)
+		if err != nil {
+			r.entry.logger.Warn().Str("step", "reserve").Str("request", r.id).Err(err).Msg("no reservation")
+			return request.Reserved{Result: request.ReserveFailed, RetryAfter: request.DefaultRetryAfter}
+		}
+		if !ownedElsewhere(response) {
+			return r.reserved(response)
+		}
+		r.post(request.Duplicate{})
+		if response.RequestId == asked {
+			return request.Reserved{Result: request.ReserveInFlight, RetryAfter: inFlightRetry}
+		}
+		asked = response.RequestId
+		r.trace.add(time.Now(), "the key is reserved by request %s at %s", response.RequestId, response.Owner.GetVm())
+		state := r.resolveOwner(ctx, response)
+		r.trace.add(time.Now(), "the owner of the key is %s", state)
 	}
-	return r.reserved(again)
 }
 
-// afterOwner reads the record again, for its owner may have ended meanwhile.
-func (r *run) afterOwner(ctx context.Context) request.Reserved {
-	response, err := r.callReserve(ctx)
-	if err != nil {
-		return request.Reserved{Result: request.ReserveInFlight, RetryAfter: inFlightRetry}
-	}
-	return r.reserved(response)
+// ownedElsewhere tells whether another request holds the reservation.
+func ownedElsewhere(response *wire.ReserveResponse) bool {
+	return response.State == wire.RecordState_RECORD_STATE_RESERVED && !response.Granted && !response.Mismatch
 }
 
 func (r *run) callReserve(ctx context.Context) (*wire.ReserveResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
 	return rpc.Call(ctx, r.entry.replicas, "reserve", func(ctx context.Context, stub wire.Replica) (*wire.ReserveResponse, error) {
 		return stub.Reserve(ctx, r.reservation.request)
 	})
@@ -99,7 +104,7 @@
 	case wire.RecordState_RECORD_STATE_ANSWERED:
 		r.replay = answerFromWire(response.Answer)
 		if response.Answer.GetTruncated() {
-			return request.Reserved{Result: request.ReserveUnknown}
+			return request.Reserved{Result: request.ReserveNotKept}
 		}
 		return request.Reserved{Result: request.ReserveAnswered}
 	case wire.RecordState_RECORD_STATE_UNKNOWN:
@@ -123,6 +128,8 @@
 		return "mismatch"
 	case request.ReserveUnknown:
 		return "unknown"
+	case request.ReserveNotKept:
+		return "not-kept"
 	case request.ReserveExpired:
 		return "expired"
 	default:
@@ -136,16 +143,32 @@
 const (
 	// ownerBusy: the owner still works on it, or can't be reached.
 	ownerBusy ownerState = iota
+	// ownerEnded: the request ended at its owner, which records the outcome.
+	ownerEnded
 	// ownerAbandoned: the owner never dispatched and never will.
 	ownerAbandoned
 	// ownerGone: the owner's process ended, or forgot the request.
 	ownerGone
 )
 
-// resolveOwner asks the owner of a reservation how far it got, and records
-// what that settles.
+// String names the state as it is told to operators.
+func (s ownerState) String() string {
+	switch s {
+	case ownerEnded:
+		return "done with it"
+	case ownerAbandoned:
+		return "done without having dispatched it"
+	case ownerGone:
+		return "gone"
+	default:
+		return "busy or out of reach"
+	}
+}
+
+// resolveOwner waits for the end of the request that holds the reservation,
+// and records what the owner will not.
 func (r *run) resolveOwner(ctx context.Context, response *wire.ReserveResponse) ownerState {
-	state := r.askOwner(ctx, response)
+	state := r.awaitOwner(ctx, response)
 	record := &wire.RecordRequest{Key: r.reservation.key, Owner: response.Owner, RequestId: response.RequestId}
 	switch state {
 	case ownerAbandoned:
@@ -155,30 +178,50 @@
 	default:
 		return state
 	}
-	if _, err := r.entry.callRecord(ctx, record); err != nil {
+	call, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	if _, err := r.entry.callRecord(call, record); err != nil {
 		return ownerBusy
 	}
 	return state
 }
 
-func (r *run) askOwner(ctx context.Context, response *wire.ReserveResponse) ownerState {
-	call, cancel := context.WithTimeout(ctx, attemptTimeout)
+// awaitOwner asks the owner again until the request ended there or the context
+// ends. No single call waits long, so that an owner that stopped is noticed.
+func (r *run) awaitOwner(ctx context.Context, response *wire.ReserveResponse) ownerState {
+	for ctx.Err() == nil {
+		attempt, err := r.askOwner(ctx, response)
+		if err != nil {
+			return r.unreachableOwner(response.Owner)
+		}
+		if state := stateOfOwner(attempt, response.Owner); state != ownerBusy {
+			return state
+		}
+	}
+	return ownerBusy
+}
+
+func (r *run) askOwner(ctx context.Context, response *wire.ReserveResponse) (*wire.AttemptResponse, error) {
+	call, cancel := context.WithTimeout(ctx, ownerWait+attemptTimeout)
 	defer cancel()
-	ask := &wire.AttemptRequest{Key: r.reservation.key, RequestId: response.RequestId}
 	stub := wire.NewPeerProtobufClient("http://"+response.OwnerAddress, r.entry.opts.Client)
-	attempt, err := stub.Attempt(call, ask)
-	if err != nil {
-		return ownerBusy
-	}
-	if attempt.Owner.GetVm() != response.Owner.GetVm() {
-		return ownerBusy
-	}
-	if attempt.Owner.GetIncarnation() != response.Owner.GetIncarnation() {
+	return stub.Attempt(call, &wire.AttemptRequest{
+		Key:       r.reservation.key,
+		RequestId: response.RequestId,
+		WaitMs:    ownerWait.Milliseconds(),
+	})
+}
+
+// stateOfOwner reads the answer of the process at the owner's address.
+func stateOfOwner(attempt *wire.AttemptResponse, owner *wire.NodeID) ownerState {
+	if attempt.Owner.GetVm() != owner.GetVm() || attempt.Owner.GetIncarnation() != owner.GetIncarnation() {
 		return ownerGone
 	}
 	switch attempt.State {
 	case wire.AttemptState_ATTEMPT_STATE_ABANDONED:
 		return ownerAbandoned
+	case wire.AttemptState_ATTEMPT_STATE_FINISHED:
+		return ownerEnded
 	case wire.AttemptState_ATTEMPT_STATE_ABSENT:
 		return ownerGone
 	default:
@@ -186,6 +229,24 @@
 	}
 }
 
+// unreachableOwner takes an owner as gone once the entries hold its VM for
+// dead. If it lives after all, the key's outcome stays unknown, which never
+// lets the request run twice.
+func (r *run) unreachableOwner(owner *wire.NodeID) ownerState {
+	for _, member := range r.entry.memberList() {
+		if member.Kind == membership.KindEntry && member.VM == owner.GetVm() && member.State == membership.StateDead {
+			return ownerGone
+		}
+	}
+	return ownerBusy
+}
+
+func (e *Entry) memberList() []membership.Member {
+	e.members.mu.Lock()
+	defer e.members.mu.Unlock()
+	return e.members.table.Members()
+}
+
 // record commits the outcome. A success is answered only after the commit, but
 // the caller is not kept waiting for a quorum that can't be had.
 func (r *run) record(e request.Record) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -144,7 +144,6 @@
 		}
 	case request.Failed:
 		if r.attempt != nil && r.attempt.number == ev.Attempt {
-			r.trace.add(time.Now(), "attempt %d failed at %s: %s", ev.Attempt, ev.Failure.Peer, ev.Failure.Step)
 			r.endAttempt(resultOf(ev.Failure))
 		}
 	}
@@ -167,6 +166,7 @@
 	for len(r.queue) > 0 {
 		next := r.queue[0]
 		r.queue = r.queue[1:]
+		r.explainEvent(next)
 		for _, effect := range r.req.Step(r.entry.now(), next) {
 			r.carryOut(effect)
 		}
@@ -174,6 +174,7 @@
 }
 
 func (r *run) carryOut(effect request.Effect) {
+	r.explainEffect(effect)
 	switch e := effect.(type) {
 	case request.Admit:
 		r.entry.policy.arrive(r)
@@ -226,27 +227,39 @@
 	case request.OutcomeReplay:
 		r.sink.complete(r.replay)
 	default:
-		r.sink.refuse(outcome)
+		r.sink.refuse(outcome, r.recorded(outcome))
 	}
 }
 
+// recorded returns what is known of an answer that was not kept, or nil.
+func (r *run) recorded(outcome request.Outcome) *answer {
+	if outcome.Reason != request.ReasonNotKept {
+		return nil
+	}
+	return r.replay
+}
+
 // finish gives back what the request holds and counts its outcome.
 func (r *run) finish() {
 	answered := r.outcome.Kind == request.OutcomeAnswered
 	r.endAttempt(routing.ResultCancelled)
 	r.entry.policy.leave(r, answered, r.tokens)
-	if answered {
+	if answered && !r.serverFailed() {
 		r.entry.policy.success(r.service.Name, &r.policy)
 	}
 	r.count(answered)
-	r.trace.outcome = r.outcome
 	r.trace.dispatched = r.req.Dispatched()
-	r.trace.add(time.Now(), "ended: %s %s", kindName(r.outcome.Kind), r.outcome.Reason)
+	r.trace.end(time.Now(), "%s", endText(r))
 	r.entry.history.put(r.trace)
 	close(r.ended)
 	r.entry.remove(r)
 }
 
+// serverFailed tells whether the answer says that the server failed.
+func (r *run) serverFailed() bool {
+	return r.answer != nil && r.answer.status >= http.StatusInternalServerError
+}
+
 func (r *run) count(answered bool) {
 	m := r.entry.metrics
 	service := r.service.Name
@@ -280,7 +293,7 @@
 
 // Retry implements request.Retrier with the entry's budget.
 func (r *run) Retry(_ time.Duration, failure request.Failure, attempts int, handedOver bool) (time.Duration, bool) {
-	return r.entry.policy.decideRetry(retry.Attempt{
+	decision := r.entry.policy.decideRetry(retry.Attempt{
 		Service:    r.service.Name,
 		Error:      errorClass(failure),
 		Repeatable: r.spec.Repeatable,
@@ -289,6 +302,10 @@
 		Deadline:   r.deadline,
 		Policy:     &r.policy,
 	})
+	if !decision.Retry {
+		r.trace.add(time.Now(), "not tried again: %s", decision.Reason)
+	}
+	return decision.Delay, decision.Retry
 }
 
 func errorClass(failure request.Failure) retry.ErrorClass {
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -17,8 +17,9 @@
 	token(data []byte, position request.Position)
 	// complete ends the whole answer.
 	complete(a *answer)
-	// refuse ends with an outcome that is not the whole answer.
-	refuse(outcome request.Outcome)
+	// refuse ends with an outcome that is not the whole answer. Recorded is an
+	// earlier answer whose body was not kept, or nil.
+	refuse(outcome request.Outcome, recorded *answer)
 }
 
 // appSink writes an application's answer.
@@ -46,8 +47,8 @@
 	})
 }
 
-func (s *appSink) refuse(outcome request.Outcome) {
-	writeRefusal(s.w, s.requestID, outcome)
+func (s *appSink) refuse(outcome request.Outcome, recorded *answer) {
+	writeRefusal(s.w, s.requestID, outcome, recorded)
 }
 
 // hopByHop lists the headers that belong to one connection.
@@ -136,9 +137,9 @@
 
 // refuse ends a stream that has begun with an error event and no [DONE], so
 // that a cut answer never looks complete.
-func (s *streamSink) refuse(outcome request.Outcome) {
+func (s *streamSink) refuse(outcome request.Outcome, _ *answer) {
 	if !s.begun {
-		writeRefusal(s.w, s.requestID, outcome)
+		writeRefusal(s.w, s.requestID, outcome, nil)
 		return
 	}
 	data, _ := json.Marshal(errorBody{Error: detailOf(s.requestID, outcome)})
@@ -226,6 +227,6 @@
 	})
 }
 
-func (s *wholeSink) refuse(outcome request.Outcome) {
-	writeRefusal(s.w, s.requestID, outcome)
+func (s *wholeSink) refuse(outcome request.Outcome, _ *answer) {
+	writeRefusal(s.w, s.requestID, outcome, nil)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,9 +7,11 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,7 +66,24 @@
 }
 
 func newLogger(process *settings.Process) *log.Logger {
-	return observe.NewLogger(os.Stderr, process.Log.Level, process.Name, process.Zone)
+	logger := observe.NewLogger(os.Stderr, process.Log.Level, process.Name, process.Zone)
+	// Libraries that log by themselves use the standard logger.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(standardLogger(logger, "").Writer())
+	return logger
+}
+
+// standardLogger writes a library's own messages as warnings to the process's
+// log.
+func standardLogger(logger *log.Logger, listener string) *stdlog.Logger {
+	library := *logger
+	library.Level = max(log.WarnLevel, logger.Level)
+	context := log.NewContext(slices.Clone(logger.Context)).Str("step", "library")
+	if listener != "" {
+		context = context.Str("listener", listener)
+	}
+	library.Context = context.Value()
+	return library.Std("", 0)
 }
 
 func readKeys(process *settings.Process) (Keys, error) {
@@ -258,7 +277,7 @@
 		ReadHeaderTimeout: milliseconds(p.Process.Timeouts.ReadHeaderMS),
 		IdleTimeout:       milliseconds(p.Process.Timeouts.IdleMS),
 		MaxHeaderBytes:    p.Process.Limits.HeaderBytes,
-		ErrorLog:          nil,
+		ErrorLog:          standardLogger(p.Logger, name),
 	}
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return start(p, name, address, server) },
