--- /dev/null
+++ b/internal/e2e/bookings_test.go
@@ -0,0 +1,247 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"waxwingcart/internal/standin"
+)
+
+const bookingPath = "/services/desk/bookings"
+
+// booking is one booking with every answer that its callers got.
+type booking struct {
+	key, body string
+
+	mu      sync.Mutex
+	replies []reply
+}
+
+func newBookings(label string, count int) []*booking {
+	var list []*booking
+	for i := range count {
+		key := fmt.Sprintf("%s-%d", label, i)
+		list = append(list, &booking{key: key, body: `{"slot": "` + key + `"}`})
+	}
+	return list
+}
+
+// send books through an entry and keeps the answer. A caller whose entry died
+// has none.
+func (b *booking) send(c *cluster, entry string) (reply, error) {
+	answer, err := c.call(entry, http.MethodPost, bookingPath, b.key, b.body)
+	if err != nil {
+		return answer, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.replies = append(b.replies, answer)
+	return answer, nil
+}
+
+// settle sends the booking again until its answer is final.
+func (b *booking) settle(c *cluster, entry string) reply {
+	c.t.Helper()
+	var last reply
+	c.eventually("a final answer for "+b.key, func() bool {
+		answer, err := b.send(c, entry)
+		last = answer
+		return err == nil && answer.header.Get("Retry-After") == ""
+	})
+	return last
+}
+
+func (b *booking) told(outcome string) bool {
+	for _, answer := range b.replies {
+		if answer.outcome == outcome {
+			return true
+		}
+	}
+	return false
+}
+
+// bodyRuns returns the runs started at a stand-in by the digest of their body.
+func (c *cluster) bodyRuns(server string) map[string]int {
+	c.t.Helper()
+	response, err := http.Get("http://" + c.servers[server] + "/standin/runs")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var result struct {
+		Bodies map[string]int `json:"bodies"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
+		c.t.Fatal(err)
+	}
+	return result.Bodies
+}
+
+// checkRuns checks what a server ran against what the callers were told: once
+// at most, never after "not run", and the same answer for everyone.
+func (c *cluster) checkRuns(when string, list []*booking, firstRound bool) {
+	c.t.Helper()
+	runs := c.bodyRuns("a1")
+	for _, b := range list {
+		digest := standin.BodyDigest([]byte(b.body))
+		if runs[digest] > 1 {
+			c.t.Errorf("%s: %s ran %d times", when, b.key, runs[digest])
+		}
+		if firstRound && b.told("not-run") && runs[digest] > 0 {
+			c.t.Errorf("%s: %s ran although its caller was told not-run", when, b.key)
+		}
+		answered := ""
+		for _, answer := range b.replies {
+			if answer.outcome != "" {
+				continue
+			}
+			if answer.status != http.StatusCreated || (answered != "" && answer.body != answered) {
+				c.t.Errorf("%s: %s got %d %q, before %q", when, b.key, answer.status, answer.body, answered)
+			}
+			answered = answer.body
+		}
+		if answered != "" && runs[digest] != 1 {
+			c.t.Errorf("%s: %s was answered after %d runs", when, b.key, runs[digest])
+		}
+	}
+}
+
+// sendTwice sends each booking through two entries at once, the bookings
+// spread over a time, and returns when every caller has its answer or lost its
+// connection.
+func (c *cluster) sendTwice(random *rand.Rand, list []*booking, first, second string, spread time.Duration) *sync.WaitGroup {
+	group := &sync.WaitGroup{}
+	for _, b := range list {
+		delay := time.Duration(random.Int64N(int64(spread)))
+		for _, entry := range []string{first, second} {
+			group.Go(func() {
+				time.Sleep(delay)
+				_, _ = b.send(c, entry)
+			})
+		}
+	}
+	return group
+}
+
+// restartApp replaces the app server by one whose runs take a while.
+func (c *cluster) restartApp(flags ...string) {
+	c.t.Helper()
+	_ = c.stop("a1", syscall.SIGKILL)
+	c.startServer("a1", append([]string{"--kind", "app", "--vendor", "gamma", "--slots", "64"}, flags...)...)
+	c.eventually("a1 answers", func() bool {
+		response, err := http.Get("http://" + c.servers["a1"] + "/status")
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil
+	})
+}
+
+// The same booking is sent through two entries in two zones at once while one
+// of them is killed. Kills are spread over a booking's life: before its
+// reservation, before its dispatch, before its outcome, and after it.
+func TestBookingsWhileOwnersDie(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	c.restartApp("--run-time", "25ms")
+	random := rand.New(rand.NewPCG(4, 5))
+	kills := []time.Duration{8 * time.Millisecond, 30 * time.Millisecond, 55 * time.Millisecond, 90 * time.Millisecond}
+	var all []*booking
+	ran := 0
+	for round, kill := range kills {
+		owner := fmt.Sprintf("e%d", round+1)
+		c.fault("a1", fmt.Sprintf(`{"delay_ms": 20, "drop_after_run": %t}`, round == 2))
+		list := newBookings(owner, 16)
+		callers := c.sendTwice(random, list, owner, "e5", 60*time.Millisecond)
+		time.Sleep(kill)
+		_ = c.stop(owner, syscall.SIGKILL)
+		callers.Wait()
+		c.checkRuns(fmt.Sprintf("round %d, before sending again", round), list, true)
+		all = append(all, list...)
+	}
+	c.fault("a1", `{"delay_ms": 0, "drop_after_run": false}`)
+	for _, b := range all {
+		b.settle(c, "e6")
+	}
+	c.checkRuns("after sending again", all, false)
+	unknown := 0
+	for _, b := range all {
+		first, again := b.settle(c, "e6"), b.settle(c, "e5")
+		if first.status != again.status || first.outcome != again.outcome {
+			t.Errorf("%s: %d %s at one entry, %d %s at another", b.key, first.status, first.outcome, again.status, again.outcome)
+		}
+		if first.outcome == "unknown" {
+			unknown++
+		}
+	}
+	c.checkRuns("after the last answers", all, false)
+	for _, count := range c.bodyRuns("a1") {
+		ran += count
+	}
+	t.Logf("%d bookings, %d runs, %d with unknown outcome", len(all), ran, unknown)
+	if ran == 0 || ran-unknown < len(all)/4 {
+		t.Errorf("only %d of %d bookings ran to an answer", ran-unknown, len(all))
+	}
+}
+
+// A booking sent through two entries is answered to both without a wait for a
+// retry.
+func TestDuplicateGetsTheAnswer(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.restartApp("--run-time", "150ms")
+	list := newBookings("twice", 12)
+	c.sendTwice(rand.New(rand.NewPCG(1, 1)), list, "e1", "e2", 50*time.Millisecond).Wait()
+	c.checkRuns("sent twice", list, true)
+	for _, b := range list {
+		if len(b.replies) != 2 {
+			t.Fatalf("%s: %d answers", b.key, len(b.replies))
+		}
+		for _, answer := range b.replies {
+			if answer.status != http.StatusCreated {
+				t.Errorf("%s: %d %s %s", b.key, answer.status, answer.outcome, answer.body)
+			}
+		}
+	}
+}
+
+// A recorded answer that is too long to be kept is told as having run.
+func TestAnswerNotKept(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	limit := int64(0)
+	c.fleet.Defaults.AnswerLimitBytes = limit
+	c.mustApply("short-answers", 1)
+	c.eventually("revision 2 at e1", func() bool {
+		d, err := c.dump("e1")
+		return err == nil && d.Entry.Config.Revision == 2
+	})
+	b := newBookings("long", 1)[0]
+	if answer, err := b.send(c, "e1"); err != nil || answer.status != http.StatusCreated {
+		t.Fatalf("%+v, %v", answer, err)
+	}
+	again, err := c.call("e1", http.MethodPost, bookingPath, b.key, b.body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var body struct {
+		Error struct {
+			Reason   string `json:"reason"`
+			Answered struct {
+				Status int `json:"status"`
+			} `json:"answered"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal([]byte(again.body), &body); err != nil {
+		t.Fatal(err)
+	}
+	if again.status != http.StatusConflict || body.Error.Reason != "answer-not-kept" || body.Error.Answered.Status != http.StatusCreated {
+		t.Fatalf("%d %s", again.status, again.body)
+	}
+	if runs := c.totalRuns("a1"); runs != 1 {
+		t.Fatalf("%d runs", runs)
+	}
+}
