Charge the retry budget only for runs that gave nothing

Cause: an engine that died took 2 retries a stream out of the budget, one to resume and one to go elsewhere, and a service without successes has 4. Of 8 streams 4 ended in attempt-failed while the other engine was healthy; with connections that went silent, 4 of 8 were cancelled and generated again (480 tokens decoded for 320); with a frozen engine 2 of 6 were cut off. Ruled out: more attempts (the budget, not max_attempts, ended them) and a larger floor (it would also let through retries of runs that never gave a token). Change: an attempt that resumes a stream makes nothing run, and one that replaces a run that had given tokens has been earned; both are free. At most one free run follows each run with tokens, and max_attempts holds as before. After: no caller of the same tests notices, and 320 of 320 tokens are decoded.

Tests (real processes, go test ./internal/e2e): TestStreamsOutliveTheirEngine, TestSilentConnections and TestFrozenEngine failed before and pass now; TestStreamsOutliveTheirEntry, TestTruncatedAnswer, TestCallerGone, TestNoWorkForLeavingServer and TestGracefulShutdown passed from the start.

--- a/internal/core/request/attempts.go
+++ b/internal/core/request/attempts.go
@@ -15,7 +15,7 @@
 	}
 	r.answerHeld = r.answerHeld || ev.Failure.Answered
 	if r.mayTryAgain(ev.Failure) {
-		if delay, ok := r.retrier.Retry(now, ev.Failure, r.attempt, r.handedOver); ok && now+delay < r.spec.Deadline {
+		if delay, ok := r.retrier.Retry(now, r.failedAttempt(ev.Failure)); ok && now+delay < r.spec.Deadline {
 			r.noteFailedServer(ev.Failure)
 			r.state = stateBackoff
 			return []Effect{Backoff{Delay: delay}}
@@ -30,6 +30,15 @@
 	})
 }
 
+func (r *Request) failedAttempt(f Failure) FailedAttempt {
+	return FailedAttempt{
+		Failure:    f,
+		Attempts:   r.attempt,
+		HandedOver: r.handedOver,
+		Free:       r.canResume(f) || r.earned,
+	}
+}
+
 // mayTryAgain tells whether another attempt could not run the request twice.
 func (r *Request) mayTryAgain(f Failure) bool {
 	if f.Permanent || r.callerGone || r.attempt >= r.spec.MaxAttempts {
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -8,9 +8,20 @@
 // Retrier decides whether a failed attempt may be followed by another.
 type Retrier interface {
 	// Retry returns the delay before the next attempt, and false if there
-	// may be none. It takes from the budget when it allows one. HandedOver
-	// is true if this or an earlier attempt may have run.
-	Retry(now time.Duration, failure Failure, attempts int, handedOver bool) (time.Duration, bool)
+	// may be none. It takes from the budget when it allows one.
+	Retry(now time.Duration, failed FailedAttempt) (time.Duration, bool)
+}
+
+// FailedAttempt is what a Retrier decides about.
+type FailedAttempt struct {
+	Failure Failure
+	// Attempts counts the attempts so far.
+	Attempts int
+	// HandedOver is true if this or an earlier attempt may have run.
+	HandedOver bool
+	// Free is true if another attempt needs no budget: it makes nothing run,
+	// or it replaces a run that had given the caller tokens.
+	Free bool
 }
 
 type state uint8
@@ -48,8 +59,10 @@
 	// progressed is true once the current attempt gave a token that the
 	// caller lacked.
 	progressed bool
-	exclude    []string
-	reserved   bool
+	// earned is true if the latest run gave the caller tokens.
+	earned   bool
+	exclude  []string
+	reserved bool
 	// duplicate is true while another request is known to own the key.
 	duplicate bool
 	// answerHeld is true if a server's own error answer can be handed over
@@ -71,6 +84,7 @@
 		r.position = *spec.Resume
 		// The stream was dispatched by the entry that issued the position.
 		r.handedOver = true
+		r.earned = true
 	}
 	return r
 }
@@ -234,7 +248,7 @@
 	}
 	r.state = stateRunning
 	r.attempt++
-	r.resumed, r.progressed = false, false
+	r.resumed, r.progressed, r.earned = false, false, false
 	r.position.Server = ev.Server
 	r.position.Stream = ""
 	r.verified = r.position.Next == 0
--- a/internal/core/request/request_test.go
+++ b/internal/core/request/request_test.go
@@ -21,7 +21,7 @@
 
 type fixedRetrier struct{ left int }
 
-func (f *fixedRetrier) Retry(time.Duration, Failure, int, bool) (time.Duration, bool) {
+func (f *fixedRetrier) Retry(time.Duration, FailedAttempt) (time.Duration, bool) {
 	if f.left == 0 {
 		return 0, false
 	}
--- a/internal/core/request/stream.go
+++ b/internal/core/request/stream.go
@@ -33,7 +33,7 @@
 	if ev.Offset > r.position.Next || !r.verified {
 		return r.diverged()
 	}
-	r.progressed = true
+	r.progressed, r.earned = true, true
 	r.position.Next++
 	r.position.Sum = ev.Sum
 	return []Effect{Forward{Offset: ev.Offset}}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -43,6 +43,9 @@
 	HandedOver bool
 	// Attempts counts the attempts made so far, this one included.
 	Attempts int
+	// Free is true if another attempt takes nothing from the budget, as one
+	// that resumes a stream without a new run.
+	Free bool
 	// Deadline is when the caller gives up; zero means no deadline.
 	Deadline time.Duration
 	// Expected is the time that another attempt needs at least.
@@ -185,7 +188,7 @@
 		d.Reason = ReasonDeadline
 		return d
 	}
-	if !c.spend(now, a.Service) {
+	if !a.Free && !c.spend(now, a.Service) {
 		d.Reason = ReasonBudget
 		return d
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -292,13 +292,14 @@
 }
 
 // Retry implements request.Retrier with the entry's budget.
-func (r *run) Retry(_ time.Duration, failure request.Failure, attempts int, handedOver bool) (time.Duration, bool) {
+func (r *run) Retry(_ time.Duration, failed request.FailedAttempt) (time.Duration, bool) {
 	decision := r.entry.policy.decideRetry(retry.Attempt{
 		Service:    r.service.Name,
-		Error:      errorClass(failure),
+		Error:      errorClass(failed.Failure),
 		Repeatable: r.spec.Repeatable,
-		HandedOver: handedOver,
-		Attempts:   attempts,
+		HandedOver: failed.HandedOver,
+		Attempts:   failed.Attempts,
+		Free:       failed.Free,
 		Deadline:   r.deadline,
 		Policy:     &r.policy,
 	})
