Join again when replaced while away or moved to another address

Cause: a voter that was away long enough to be replaced still finds itself in its own log's membership, hears no leader, and never asked to come back; a member under a new address kept its old one. Change: replicas ask to join while they hear no leader or are listed otherwise; the leader takes over a new address or zone. Tests for a conflicting append during a write, the rule of one voter at a time, refused options, and a moved voter. Ruled out: telling a removed node of its removal, since the message can be lost and the node may be down. The replica's part has no test of its own yet.

--- a/internal/core/replication/membership.go
+++ b/internal/core/replication/membership.go
@@ -73,6 +73,13 @@
 	return next
 }
 
+// withChanged returns a copy in which the member has another address or zone.
+func (m *Membership) withChanged(member Member) Membership {
+	next := m.clone()
+	*next.Find(member.ID) = member
+	return next
+}
+
 // without returns a copy that lacks the node.
 func (m *Membership) without(id NodeID) Membership {
 	same := func(member Member) bool { return member.ID == id }
--- /dev/null
+++ b/internal/core/replication/node_test.go
@@ -0,0 +1,85 @@
+package replication
+
+import (
+	"testing"
+	"time"
+)
+
+func member(vm string) Member { return Member{ID: NodeID{VM: vm, Incarnation: 1}} }
+
+// TestConflictDuringWrite: a write that was under way when a new leader
+// replaced its entries does not make their successors count as synced.
+func TestConflictDuringWrite(t *testing.T) {
+	n, err := New(Options{Self: member("a")}, Bootstrap([]Member{member("a"), member("b"), member("c")}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries := func(term uint64, count int) Event {
+		m := Message{Kind: MessageAppend, From: member("b").ID, To: n.self(), Term: term}
+		for i := range count {
+			m.Entries = append(m.Entries, Entry{Index: uint64(i + 1), Term: term, Kind: EntryCommand})
+		}
+		return Receive{Message: m}
+	}
+	first := n.Step(0, entries(1, 4)).Persist
+	n.Step(0, entries(2, 2))
+	second := n.Step(0, Persisted{Sequence: first.Sequence})
+	if n.log.stable != 0 || len(second.Send) > 0 {
+		t.Fatalf("%d entries count as synced, sent %+v", n.log.stable, second.Send)
+	}
+	last := n.Step(0, Persisted{Sequence: second.Persist.Sequence})
+	if n.log.stable != 2 || len(last.Send) != 1 || last.Send[0].Index != 2 {
+		t.Fatalf("%d entries count as synced, sent %+v", n.log.stable, last.Send)
+	}
+}
+
+func TestCheckChange(t *testing.T) {
+	members := func(vms string) (list []Member) {
+		for _, vm := range vms {
+			list = append(list, member(string(vm)))
+		}
+		return list
+	}
+	for _, c := range []struct {
+		voters, nextVoters, nextLearners string
+		ok                               bool
+	}{
+		{"abc", "abc", "d", true},
+		{"abc", "abcd", "", true},
+		{"abc", "ab", "c", true},
+		{"abc", "abd", "", false},
+		{"abc", "abcde", "", false},
+		{"a", "", "a", false},
+		{"abc", "abc", "c", false},
+		{"abc", "abcc", "", false},
+	} {
+		old := Membership{Voters: members(c.voters)}
+		next := Membership{Voters: members(c.nextVoters), Learners: members(c.nextLearners)}
+		if err := old.checkChange(&next); (err == nil) != c.ok {
+			t.Errorf("%s to %s and learners %s: %v", c.voters, c.nextVoters, c.nextLearners, err)
+		}
+	}
+}
+
+// TestInvalid: options and restored states that can't be sound are refused.
+func TestInvalid(t *testing.T) {
+	self := member("a")
+	for name, opts := range map[string]Options{
+		"no incarnation":         {Self: Member{ID: NodeID{VM: "a"}}},
+		"lease outlives timeout": {Self: self, ElectionTimeout: time.Second, LeaseDuration: time.Second},
+		"heartbeats too rare":    {Self: self, HeartbeatInterval: time.Second},
+		"clocks out of bounds":   {Self: self, MaxClockDrift: 0.5},
+	} {
+		if _, err := New(opts, Restored{}); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	for name, restored := range map[string]Restored{
+		"gap":               {Entries: []Entry{{Index: 2}}},
+		"commit beyond log": {HardState: HardState{Commit: 1}},
+	} {
+		if _, err := New(Options{Self: self}, restored); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -6,14 +6,19 @@
 // to count as caught up.
 const catchUpSlack = 64
 
-// join takes a node in as a learner.
+// join takes a node in as a learner, or takes over its new address or zone.
 func (n *Node) join(j Join) {
 	if n.lead == nil {
 		n.reject(j.Token, RejectNotLeader)
 		return
 	}
 	membership := n.log.membership()
-	if membership.Contains(j.Member.ID) {
+	known := membership.Find(j.Member.ID)
+	if known != nil && *known != j.Member {
+		n.proposeMembership(j.Token, membership.withChanged(j.Member))
+		return
+	}
+	if known != nil {
 		placed := AppendedProposal{Token: j.Token, Index: n.log.membershipIndex(), Term: n.term}
 		n.effects.Appended = append(n.effects.Appended, placed)
 		return
--- a/internal/core/replication/scenarios_test.go
+++ b/internal/core/replication/scenarios_test.go
@@ -266,6 +266,21 @@
 	}
 }
 
+// TestNewAddress: a voter that comes back under another address stays a voter.
+func TestNewAddress(t *testing.T) {
+	w, leader, followers := settled(t, 1, 3)
+	followers[0].self.Address = "127.0.0.2:7000"
+	w.step(leader, Join{Member: followers[0].self})
+	w.run(time.Second)
+	for _, h := range w.hosts {
+		m := h.node.log.membership()
+		if got := m.Find(followers[0].self.ID); *got != followers[0].self || !m.IsVoter(got.ID) {
+			t.Fatalf("%v knows %+v", h.self.ID, got)
+		}
+	}
+	w.expectSound(t)
+}
+
 // TestOlderDisk: a voter whose disk comes back older than what it acknowledged
 // is found out and replaced.
 func TestOlderDisk(t *testing.T) {
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -97,8 +97,9 @@
 	}
 }
 
-// runJoin asks to be taken in for as long as this node is not a member. A node
-// that was replaced, or whose disk is new, comes back this way.
+// runJoin asks to be taken in for as long as this node is not a member under
+// its address, or hears no leader: one that was replaced while it was away does
+// not learn so from its own log. A node whose disk is new comes in this way too.
 func (r *Replica) runJoin(ctx context.Context) {
 	addresses := make([]string, 0, len(r.opts.Peers))
 	for _, peer := range r.opts.Peers {
@@ -119,8 +120,10 @@
 
 func (r *Replica) joinOnce(ctx context.Context, replicas *rpc.Replicas) {
 	self := r.self()
-	membership := r.status().Membership
-	if membership.Contains(self.ID) || len(replicas.Addresses()) == 0 {
+	status := r.status()
+	known := status.Membership.Find(self.ID)
+	settled := known != nil && *known == self && status.Leader != nil
+	if settled || len(replicas.Addresses()) == 0 {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, 2*time.Second)
