Resign when the leader's disk hangs

Cause: a leader whose sync never returns went on sending heartbeats, so nobody else could lead and nothing was committed. Change: a leader whose write takes longer than three election timeouts resigns; a node in that state does not campaign. Ruled out: failing the process, since a slow sync may still succeed. Conclusion: TestHungDisk.

--- a/internal/core/replication/election.go
+++ b/internal/core/replication/election.go
@@ -57,7 +57,7 @@
 // preCampaign asks whether an election could be won, without a new term.
 func (n *Node) preCampaign() {
 	n.postponeElection()
-	if n.refusesVotes() {
+	if n.refusesVotes() || n.stalled() {
 		return
 	}
 	n.role = RolePreCandidate
--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -111,6 +111,10 @@
 }
 
 func (n *Node) tickLeader() {
+	if n.stalled() {
+		n.resign()
+		return
+	}
 	if n.now >= n.lead.nextHeartbeat {
 		n.startRound()
 	}
--- a/internal/core/replication/scenarios_test.go
+++ b/internal/core/replication/scenarios_test.go
@@ -266,6 +266,28 @@
 	}
 }
 
+// TestHungDisk: a leader whose disk hangs makes room for another one.
+func TestHungDisk(t *testing.T) {
+	w, leader, _ := settled(t, 1, 3)
+	w.propose(leader)
+	leader.written = w.now + time.Hour
+	w.run(3 * time.Second)
+	other := w.leader()
+	if other == nil || other == leader {
+		t.Fatal("no other leader")
+	}
+	before := len(w.chain)
+	w.propose(other)
+	w.run(time.Second)
+	if len(w.chain) == before {
+		t.Fatal("no progress without the hung disk")
+	}
+	leader.written = w.now
+	w.run(time.Second)
+	w.checkProgress(t)
+	w.expectSound(t)
+}
+
 // TestNewAddress: a voter that comes back under another address stays a voter.
 func TestNewAddress(t *testing.T) {
 	w, leader, followers := settled(t, 1, 3)
--- a/internal/core/replication/writes.go
+++ b/internal/core/replication/writes.go
@@ -1,11 +1,15 @@
 package replication
 
+import "time"
+
 // writes tracks what is handed out to be synced. One write is outstanding at a
 // time; what comes up meanwhile goes into the next one, so that many entries
 // share one sync.
 type writes struct {
 	issued uint64
 	acked  uint64
+	// issuedAt is when the last write was handed out.
+	issuedAt time.Duration
 	// hardDirty is true if term or vote changed since the last write.
 	hardDirty bool
 	// snapshot is a received one that is not yet handed out.
@@ -81,6 +85,7 @@
 	last := n.log.lastIndex()
 	first := n.log.handed - n.log.baseIndex
 	w.issued++
+	w.issuedAt = n.now
 	w.lastIndex = last
 	w.term = n.term
 	w.installing = w.snapshot
@@ -95,6 +100,16 @@
 	n.log.handed = last
 }
 
+// stallTimeouts is how long a leader's write may take, in election timeouts.
+const stallTimeouts = 3
+
+// stalled is true if the disk seems to hang: nothing can be committed here,
+// although heartbeats go on.
+func (n *Node) stalled() bool {
+	w := &n.writes
+	return w.issued != w.acked && n.now-w.issuedAt >= stallTimeouts*n.opts.ElectionTimeout
+}
+
 // persisted takes note of a synced write and releases what waited for it.
 func (n *Node) persisted(sequence uint64) {
 	w := &n.writes
