Give backend servers their orders from the leader, fenced and leased

Cause: the orders core stood alone; no process gave an order. Change: the leading replica orders each engine its service's model, reads back and corrects; for servers that ignore fencing numbers only inside the lease, with a bound worked out from the clock at the time of the call. A freeze between the check and the write stays open for servers that ignore fencing numbers; the models show it (FREEZE_BEFORE_SEND).

--- a/internal/replica/dump.go
+++ b/internal/replica/dump.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"waxwingcart/internal/core/orders"
 	"waxwingcart/internal/core/replication"
 )
 
@@ -25,6 +26,7 @@
 	Records     int                 `json:"idempotency_records"`
 	Acks        map[string]AckState `json:"acknowledged_revisions"`
 	Peers       []PeerState         `json:"peers,omitempty"`
+	Orders      orders.State        `json:"orders"`
 }
 
 // PeerState is the leader's view of another replica.
@@ -63,6 +65,7 @@
 		Snapshot:    v.status.SnapshotIndex,
 		Records:     v.records,
 		Acks:        r.acks.state(time.Now()),
+		Orders:      r.orders.state(),
 	}
 	if v.status.Leader != nil {
 		s.Leader = v.status.Leader.ID.String()
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -13,6 +13,7 @@
 	applied      prometheus.Gauge
 	records      prometheus.Gauge
 	reservations *prometheus.CounterVec
+	orders       *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -32,7 +33,11 @@
 			Help: "Reservations answered by this replica as leader, by result.",
 		}, []string{"result"}),
 	}
-	registry.MustRegister(m.reservations)
+	m.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "waxwingcart", Subsystem: "replica", Name: "orders_total",
+		Help: "Orders to backend servers given by this replica as leader, by result.",
+	}, []string{"result"})
+	registry.MustRegister(m.reservations, m.orders)
 	return m
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -80,6 +80,7 @@
 	stop        context.CancelFunc
 	stopped     sync.WaitGroup
 	acks        *acks
+	orders      *orderer
 
 	// The loop alone uses what follows.
 	node        *replication.Node
@@ -135,6 +136,7 @@
 		addresses:   make(map[replication.NodeID]string),
 		revised:     make(chan struct{}),
 	}
+	r.orders = newOrderer(r)
 	if err := r.restore(); err != nil {
 		_ = store.Close()
 		return nil, err
@@ -214,6 +216,7 @@
 	}
 	r.spawn(func() { r.runJoin(ctx) })
 	r.spawn(func() { r.runExpiry(ctx) })
+	r.spawn(func() { r.orders.run(ctx) })
 }
 
 func (r *Replica) spawn(run func()) {
