--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -6,14 +6,19 @@
 // to count as caught up.
 const catchUpSlack = 64
 
-// join takes a node in as a learner.
+// join takes a node in as a learner, or takes over its new address or zone.
 func (n *Node) join(j Join) {
 	if n.lead == nil {
 		n.reject(j.Token, RejectNotLeader)
 		return
 	}
 	membership := n.log.membership()
-	if membership.Contains(j.Member.ID) {
+	known := membership.Find(j.Member.ID)
+	if known != nil && *known != j.Member {
+		n.proposeMembership(j.Token, membership.withChanged(j.Member))
+		return
+	}
+	if known != nil {
 		placed := AppendedProposal{Token: j.Token, Index: n.log.membershipIndex(), Term: n.term}
 		n.effects.Appended = append(n.effects.Appended, placed)
 		return
@@ -45,7 +50,8 @@
 	}
 	if len(membership.Voters) > n.opts.TargetVoters {
 		if voter := n.superfluousVoter(); voter != nil {
-			return membership.without(voter.ID), true
+			next := membership.without(voter.ID)
+			return next, n.liveVoters(&next) >= next.Quorum()
 		}
 		return Membership{}, false
 	}
@@ -186,7 +192,7 @@
 
 // hasSuccessor is true if another incarnation of the node's VM is live.
 func (n *Node) hasSuccessor(id NodeID) bool {
-	for _, other := range n.others() {
+	for _, other := range n.lead.others {
 		same := other.ID.VM == id.VM && other.ID != id
 		if same && n.lead.peers[other.ID].acked && n.isLive(other.ID) {
 			return true
