Bound the cost of queue reviews and of unchanged configurations

Cause: each tick looked at every queued request, each time summing over all customers; each change of the configuration rebuilt all servers. Change: shares are summed once per change, reviews come every 50 ms, equal servers are left alone.

--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -313,8 +313,11 @@
 	}
 	for _, s := range c.order {
 		s.decayShort(now)
-		s.tickUsage(now)
-		c.review(now, s)
+		if now >= s.reviewAt {
+			s.reviewAt = now + reviewInterval
+			s.tickUsage(now)
+			c.review(now, s)
+		}
 		c.dispatch(now, s)
 		for kind := range s.classes {
 			s.classes[kind].prune()
@@ -322,6 +325,10 @@
 	}
 }
 
+// reviewInterval is how often the queue is looked through for requests that can
+// no longer make it. Ticks in between only admit.
+const reviewInterval = 50 * time.Millisecond
+
 // review refuses the queued requests that can no longer make it.
 func (c *Controller) review(now time.Duration, s *service) {
 	for kind := range s.classes {
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -76,6 +76,11 @@
 	// usage holds what each customer uses; users lists the same.
 	usage map[*customer]*usage
 	users []*usage
+	// shares sums up usage; it is worked out anew if sharesStale.
+	shares      shares
+	sharesStale bool
+	// reviewAt is when the queue is to be looked through again.
+	reviewAt time.Duration
 	// virtual is the start tag of the class served last.
 	virtual float64
 	// shortPeak is the decaying peak of short requests in flight or queued.
@@ -93,6 +98,7 @@
 // configure sets the capacity.
 func (s *service) configure(e Capacity) {
 	s.slots = max(0, e.Slots)
+	s.sharesStale = true
 	if e.TokensPerSecond <= 0 || s.slots == 0 {
 		return
 	}
--- a/internal/core/admission/usage.go
+++ b/internal/core/admission/usage.go
@@ -56,8 +56,9 @@
 	return max(0, min(share, likely)-float64(u.inFlight))
 }
 
-// usageOf returns the customer's usage of the service.
+// usageOf returns the customer's usage of the service, in order to change it.
 func (s *service) usageOf(c *customer) *usage {
+	s.sharesStale = true
 	u := s.usage[c]
 	if u == nil {
 		u = &usage{customer: c}
@@ -67,36 +68,57 @@
 	return u
 }
 
-// kept returns the number of free slots that a customer leaves to others: what
-// they are likely to need if it goes on asking for much more than its share by
-// weight, else none.
-func (s *service) kept(c *customer) int {
-	own := s.usage[c]
-	if own == nil || own.inFlight == 0 {
-		return 0
+// shares sums up the usage of a service.
+type shares struct {
+	// perWeight is the number of slots for a weight of one.
+	perWeight float64
+	// need is the number of slots that customers are likely to need soon.
+	need float64
+}
+
+// sharesNow returns the shares, worked out anew after a change.
+func (s *service) sharesNow() shares {
+	if !s.sharesStale {
+		return s.shares
 	}
 	var weights float64
 	for _, u := range s.users {
-		if u == own || u.active() {
+		if u.active() {
 			weights += u.customer.weight()
 		}
 	}
-	perWeight := float64(s.slots) / weights
-	share := perWeight * c.weight()
-	if float64(own.inFlight) < share || own.demand < floodRatio*share {
-		return 0
+	s.shares = shares{}
+	if weights > 0 {
+		s.shares.perWeight = float64(s.slots) / weights
 	}
-	var need float64
 	for _, u := range s.users {
-		if u != own && u.active() {
-			need += u.need(perWeight * u.customer.weight())
+		if u.active() {
+			s.shares.need += u.need(s.shares.perWeight * u.customer.weight())
 		}
 	}
-	return int(math.Round(need))
+	s.sharesStale = false
+	return s.shares
+}
+
+// kept returns the number of free slots that a customer leaves to others: what
+// they are likely to need if it goes on asking for more than its share by
+// weight, else none. A customer above its share has no need of its own.
+func (s *service) kept(c *customer) int {
+	own := s.usage[c]
+	if own == nil || own.inFlight == 0 {
+		return 0
+	}
+	now := s.sharesNow()
+	share := now.perWeight * c.weight()
+	if float64(own.inFlight) < share || own.demand < floodRatio*share {
+		return 0
+	}
+	return int(math.Round(now.need))
 }
 
 // tickUsage brings all demand up to now and forgets idle customers.
 func (s *service) tickUsage(now time.Duration) {
+	s.sharesStale = true
 	active := s.users[:0]
 	for _, u := range s.users {
 		u.update(now)
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"waxwingcart/internal/core/fleet"
@@ -10,11 +11,13 @@
 
 // Router places the attempts of one entry.
 type Router struct {
-	options  Options
-	random   *rand.Rand
-	servers  map[string]*server
-	services map[string]*group
-	prefixes *prefixTable
+	options Options
+	random  *rand.Rand
+	// configured is the last argument of SetServers.
+	configured []Server
+	servers    map[string]*server
+	services   map[string]*group
+	prefixes   *prefixTable
 	// pick numbers the calls of Pick; it marks excluded servers.
 	pick uint64
 	// request, choice and marked are the working memory of Pick.
@@ -42,6 +45,10 @@
 // SetServers replaces the set of servers. What is known about servers that
 // stay is kept.
 func (r *Router) SetServers(servers []Server) {
+	if len(servers) > 0 && slices.Equal(servers, r.configured) {
+		return
+	}
+	r.configured = slices.Clone(servers)
 	old := r.servers
 	r.servers = make(map[string]*server, len(servers))
 	list := make([]*server, 0, len(servers))
