Keep requests at the holder of their prefix unless it is loaded

Change: holders and two random servers first; all of them, or a sample per tier, only if none meets the target at three quarters of its slots. A saved prompt counts three times its own time.

--- a/internal/core/admission/estimate.go
+++ b/internal/core/admission/estimate.go
@@ -9,7 +9,7 @@
 // exceed its prediction without making it late. Releases are taken as random
 // and independent. A request that was let into the queue is given up only when
 // the prediction itself is late.
-const arrivalDoubt = 3.0
+const arrivalDoubt = 4.0
 
 // perToken returns the time in seconds that one request needs per token.
 func (c *class) perTokenOrDefault() float64 {
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// scanLimit is the number of servers up to which all are compared. Beyond it
-// tierSample servers of each tier are, from the cheapest tier on.
+// A decision looks at the servers that hold the prefix and at firstTries random
+// ones. If none of them meets the target at a load of goodLoad per slot or less,
+// it compares all servers of a service with up to scanLimit, and else tierSample
+// servers of each tier, from the cheapest tier on.
 const (
+	firstTries = 2
+	goodLoad   = 0.75
 	scanLimit  = 32
 	tierSample = 2
 	// maxTiers bounds the tiers that are looked at while the target is met.
@@ -32,6 +36,11 @@
 // is not preferred for the prefix that it holds.
 const loadBound = 1.0
 
+// holderPreference is how much more than its own time a prompt that need not be
+// worked through again is worth, as a multiple: it leaves the server's time and
+// cache to others.
+const holderPreference = 2.0
+
 // roundRobin picks the next eligible server.
 func (r *Router) roundRobin(now time.Duration, g *group, request *Request) (Decision, bool) {
 	for range g.servers {
@@ -87,10 +96,11 @@
 	if request.Policy.PrefixAffinity && request.Prefix != 0 {
 		holders = r.markHolders(g, request)
 	}
-	if len(g.servers) <= r.scanLimit {
+	switch {
+	case c.tryFew(g.servers, r.marked[:holders], r.random):
+	case len(g.servers) <= r.scanLimit:
 		c.scan(g.servers, r.random)
-	} else {
-		c.considerMarked(r.marked[:holders])
+	default:
 		c.sample(g, r.random)
 	}
 	if c.best == nil || c.bestScore >= ejectedPenalty {
@@ -156,9 +166,13 @@
 	}
 	e := s.expect(c.now, c.request, cached)
 	if cached > 0 && e.load >= loadBound {
+		cached = 0
 		e = s.expect(c.now, c.request, 0)
 	}
 	score := c.score(s, &e)
+	if c.target == 0 || e.first <= c.target {
+		score -= holderPreference * cached * s.prefill.value * c.timeScale
+	}
 	if c.best == nil || score < c.bestScore {
 		c.best, c.bestScore, c.bestEstimate = s, score, e
 	}
@@ -190,10 +204,16 @@
 	}
 }
 
-func (c *choice) considerMarked(servers []*server) {
-	for _, s := range servers {
+// tryFew considers the holders of the prefix and a few random servers. It
+// returns whether one of them will do.
+func (c *choice) tryFew(servers, holders []*server, random *rand.Rand) bool {
+	for _, s := range holders {
 		c.consider(s)
 	}
+	for range firstTries {
+		c.consider(servers[random.IntN(len(servers))])
+	}
+	return c.best != nil && c.bestScore < missPenalty && c.bestEstimate.load <= goodLoad
 }
 
 // sample considers a few usable servers of each tier, cheapest tiers first. It
