Move streams off reclaimed engines; tie listings to incarnations

Cause: the migration core stood alone; the platform's incarnations were compared with the engines' own, which number differently, so that a late listing could take back a leaving state or hit a VM's successor; an entry that started read notices of long ago as new ones. Ruled out: the replicas' known revision as a safe start for an entry without a disk; the model shows it going down (QUORUM_OF_KNOWN). Change: on a notice each entry plans its streams; exports run one after the other over its share of the link. Listings bind to the incarnation that reported first under their text. Notices whose time is over are left out. An entry without a saved configuration waits up to 10 s for a confirmed one.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -48,6 +48,11 @@
 	TokensPerSecond float64 `json:"tokens_per_second"`
 	// Slots is the number of requests that one VM runs at the same time.
 	Slots int `json:"slots"`
+	// KVBytesPerToken is the size of a token's exported KV cache.
+	KVBytesPerToken int `json:"kv_bytes_per_token,omitempty"`
+	// ExportBytesPerSecond is the rate of a VM's link for exports of KV
+	// cache. Zero means that its engines export none.
+	ExportBytesPerSecond float64 `json:"export_bytes_per_second,omitempty"`
 }
 
 // ServiceKind tells model services from plain application services.
--- a/internal/core/fleet/ranges.go
+++ b/internal/core/fleet/ranges.go
@@ -45,6 +45,8 @@
 	priceRange          = Range{Min: 0, Max: 1e6}
 	classTokensRange    = Range{Min: 0, Max: 1e7, Unit: "tokens/s"}
 	slotsRange          = Range{Min: 1, Max: 100_000}
+	kvBytesRange        = Range{Min: 0, Max: 1 << 24, Unit: "bytes"}
+	exportRateRange     = Range{Min: 0, Max: 1e12, Unit: "bytes/s"}
 	rateRange           = Range{Min: 0, Max: 1e6, Unit: "requests/s"}
 	meanTokensRange     = Range{Min: 0, Max: 1e6, Unit: "tokens"}
 	weightRange         = Range{Min: 0, Max: 1_000, Above: true}
--- a/internal/core/fleet/validate.go
+++ b/internal/core/fleet/validate.go
@@ -137,6 +137,8 @@
 		}
 		v.number(path+".tokens_per_second", class.TokensPerSecond, classTokensRange)
 		v.number(path+".slots", float64(class.Slots), slotsRange)
+		v.number(path+".kv_bytes_per_token", float64(class.KVBytesPerToken), kvBytesRange)
+		v.number(path+".export_bytes_per_second", class.ExportBytesPerSecond, exportRateRange)
 	}
 }
 
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -106,7 +106,7 @@
 	for i := range entries {
 		c.addVM(fmt.Sprintf("e%d", i+1), zones[i%len(zones)])
 	}
-	for _, name := range []string{"m1", "m2", "a1"} {
+	for _, name := range []string{"m1", "m2", "a1", "p1"} {
 		c.servers[name] = freeAddress(t)
 	}
 	for _, v := range c.vms {
@@ -116,6 +116,8 @@
 	c.startServer("m1", "--kind", "model", "--vendor", "alpha")
 	c.startServer("m2", "--kind", "model", "--vendor", "beta")
 	c.startServer("a1", "--kind", "app", "--vendor", "gamma")
+	c.startServer("p1", "--kind", "platform",
+		"--vm", "m1,kochi-a,spot,"+c.servers["m1"], "--vm", "m2,kochi-b,spot,"+c.servers["m2"])
 	for name := range c.vms {
 		if name[0] == 'r' || name[0] == 'e' {
 			c.start(name)
@@ -173,6 +175,7 @@
 	process.Bootstrap = v.name == "r1"
 	process.PeerKeyFile = filepath.Join(c.dir, "peer.key")
 	process.OperatorKeyFile = filepath.Join(c.dir, "operator.key")
+	process.Platform = c.servers["p1"]
 	process.DrainS = 30
 	data, err := json.Marshal(process)
 	if err != nil {
@@ -196,7 +199,8 @@
 		config.Zones = append(config.Zones, fleet.Zone{Name: zone})
 		prices[zone] = 0.4
 	}
-	config.Classes = []fleet.MachineClass{{Name: "spot", Reclaimable: true, PricesPerHour: prices, TokensPerSecond: 1600, Slots: 8}}
+	config.Classes = []fleet.MachineClass{{Name: "spot", Reclaimable: true, PricesPerHour: prices, TokensPerSecond: 1600, Slots: 8,
+		KVBytesPerToken: 64, ExportBytesPerSecond: 1 << 24}}
 	config.Services = []fleet.Service{
 		{Name: "briefings", Kind: fleet.ServiceModel, Model: "briefing-70b"},
 		{Name: "desk", Kind: fleet.ServiceApp},
@@ -446,6 +450,20 @@
 	}
 }
 
+// reclaim lets the platform announce that it takes a VM back.
+func (c *cluster) reclaim(vm string, seconds int) {
+	c.t.Helper()
+	body := fmt.Sprintf(`{"vm": %q, "seconds": %d}`, vm, seconds)
+	response, err := http.Post("http://"+c.servers["p1"]+"/standin/reclaim", "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		c.t.Fatalf("reclaim: %s", response.Status)
+	}
+}
+
 // runs returns the runs started at a stand-in by request ID.
 func (c *cluster) runs(server string) map[string]int {
 	c.t.Helper()
--- /dev/null
+++ b/internal/e2e/reclaim_test.go
@@ -0,0 +1,38 @@
+package e2e
+
+import (
+	"syscall"
+	"testing"
+)
+
+// An engine is reclaimed on short notice: its streams go on at the other
+// engine with their KV cache, no token is generated twice, and the engine can
+// be killed afterwards without a caller noticing.
+func TestReclaimedEngineMovesStreams(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.fault("m1", `{"hold_after": 10}`)
+	c.fault("m2", `{"hold_after": 10}`)
+	const streams, tokens = 8, 600
+	list, group := c.startListeners(streams, tokens, "e1")
+	before, moving := c.stats("m2"), int64(c.totalRuns("m1"))
+	c.reclaim("m1", 2)
+	c.eventually("m1 is left by its streams", func() bool {
+		return c.stats("m1")["exported"] == moving && c.stats("m2")["imported"] == moving
+	})
+	c.fault("m2", `{"hold_after": 0}`)
+	_ = c.stop("m1", syscall.SIGKILL)
+	group.Wait()
+	checkAll(t, list)
+	for _, l := range list {
+		if l.resumed > 0 {
+			t.Errorf("%q: its caller had to resume: %v", l.question.prompt, l.failures)
+		}
+	}
+	after := c.stats("m2")
+	if again := after["prefill_tokens"] - before["prefill_tokens"]; again != 0 {
+		t.Errorf("%d prompt tokens were computed again", again)
+	}
+	if decoded := after["decoded_tokens"]; decoded != streams*tokens-10*moving {
+		t.Errorf("m2 decoded %d tokens, want %d", decoded, streams*tokens-10*moving)
+	}
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -24,6 +24,9 @@
 	// firstFetchTimeout bounds the wait for all replicas and zone peers before
 	// the first configuration is put in force.
 	firstFetchTimeout = 2 * time.Second
+	// confirmPatience is how long an entry without a saved configuration
+	// waits for a quorum's confirmation.
+	confirmPatience = 10 * time.Second
 )
 
 // configuration is what is in force, with its look-up tables. It is never
@@ -98,6 +101,8 @@
 
 	mu   sync.Mutex
 	view *state.View
+	// saved is true if the view began with a copy from the disk.
+	saved bool
 }
 
 func newConfigHolder(e *Entry) *configHolder {
@@ -112,7 +117,7 @@
 // run fetches the first configuration from everyone who can be reached, and
 // then follows the replicas.
 func (h *configHolder) run(ctx context.Context) {
-	h.fetchFromAll(ctx)
+	h.fetchFirst(ctx)
 	for ctx.Err() == nil {
 		if h.follow(ctx) {
 			continue
@@ -162,8 +167,32 @@
 	}
 }
 
-// fetchFromAll asks every replica and every entry of the zone at once, so that
-// a process that starts does not take an old configuration for the newest.
+// fetchFirst puts the first configuration in force. The revision that replicas
+// know lags behind what this entry may have had in force before it restarted,
+// so without a saved copy it waits for a quorum's confirmation. In a cut-off
+// zone none comes; after a bounded time the entry goes on with the newest
+// revision that anyone reachable has.
+func (h *configHolder) fetchFirst(ctx context.Context) {
+	end := time.Now().Add(confirmPatience)
+	for {
+		h.fetchFromAll(ctx)
+		if h.trusted() || ctx.Err() != nil || time.Now().After(end) {
+			h.publish()
+			return
+		}
+		wait(ctx, fetchRetry)
+	}
+}
+
+// trusted reports whether the view can't be older than what was in force here.
+func (h *configHolder) trusted() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, confirmed := h.view.ConfirmedAt()
+	return confirmed || h.saved
+}
+
+// fetchFromAll asks every replica and every entry of the settings at once.
 func (h *configHolder) fetchFromAll(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, firstFetchTimeout)
 	defer cancel()
@@ -180,7 +209,6 @@
 		group.Go(func() { h.fetchFromPeer(call, peer) })
 	}
 	group.Wait()
-	h.publish()
 }
 
 // fetchFromPeers asks the entries of the own zone while no replica answers.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,7 @@
 	config      *configHolder
 	history     *history
 	members     *members
+	listed      listedVMs
 	reports     reportState
 
 	nextID   atomic.Uint64
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -185,7 +185,11 @@
 		return after
 	}
 	for _, notice := range notices {
-		e.takeNotice(notice)
+		// A notice whose time is over is about a VM that has gone; another may
+		// have its name by now.
+		if notice.Left > 0 {
+			e.takeNotice(notice)
+		}
 	}
 	return last
 }
@@ -218,12 +222,56 @@
 		listed = append(listed, membership.ListedVM{
 			VM:          vm.Name,
 			Zone:        vm.Zone,
-			Incarnation: membership.ParseIncarnation(vm.Incarnation),
+			Incarnation: e.listed.bind(vm.Name, vm.Incarnation, e.members.incarnation(vm.Name)),
 			Leaving:     vm.State == backend.VMLeaving,
 		})
 	}
 	e.learn(membership.PlatformList{VMs: listed})
 }
 
-// moveStreams moves the streams off a leaving VM.
-func (e *Entry) moveStreams(string) {}
+// listedVMs ties the platform's names of VM incarnations to those that the VMs
+// report themselves: the two number differently, and the list lags. Only the
+// goroutine that reads the list uses it.
+type listedVMs struct {
+	bound map[string]listedVM
+}
+
+type listedVM struct {
+	text        string
+	incarnation uint64
+}
+
+// bind returns the incarnation that a listing speaks of, or zero if it is not
+// known. What the list calls by one text stays the incarnation that reported
+// first under it, so that a late "leaving" does not hit a VM's successor.
+func (l *listedVMs) bind(vm, text string, reported uint64) uint64 {
+	if l.bound == nil {
+		l.bound = make(map[string]listedVM)
+	}
+	known, ok := l.bound[vm]
+	if ok && known.text == text {
+		if known.incarnation == 0 {
+			known.incarnation = reported
+			l.bound[vm] = known
+		}
+		return known.incarnation
+	}
+	next := listedVM{text: text}
+	if reported != known.incarnation {
+		next.incarnation = reported
+	}
+	l.bound[vm] = next
+	return next.incarnation
+}
+
+// incarnation returns the incarnation that is known of a VM, or zero.
+func (m *members) incarnation(vm string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, member := range m.table.Members() {
+		if member.VM == vm {
+			return member.Incarnation
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/entry/moves.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"time"
+
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/membership"
+	"waxwingcart/internal/core/migration"
+	"waxwingcart/internal/core/request"
+)
+
+// assumedNotice is the time until a leaving VM is gone if nobody gave one.
+const assumedNotice = 20 * time.Second
+
+// exportOverhead is the time that an export takes besides its bytes.
+const exportOverhead = 50 * time.Millisecond
+
+// moveStreams decides for each stream at a leaving VM whether it finishes,
+// moves with its KV cache, or is generated again elsewhere.
+func (e *Entry) moveStreams(vm string) {
+	config := e.config.inForce()
+	if config == nil {
+		return
+	}
+	left := e.timeLeft(vm)
+	for i := range config.BackendServers {
+		server := &config.BackendServers[i]
+		service := config.services[server.Service]
+		if server.VM == vm && service != nil && service.Kind == fleet.ServiceModel {
+			e.moveServer(config, server, left)
+		}
+	}
+}
+
+// timeLeft is the time until a VM is reclaimed.
+func (e *Entry) timeLeft(vm string) time.Duration {
+	e.members.mu.Lock()
+	defer e.members.mu.Unlock()
+	for _, member := range e.members.table.Members() {
+		if member.VM == vm && member.Kind == membership.KindBackend && member.DeadlineMS > 0 {
+			return max(time.Until(time.UnixMilli(member.DeadlineMS)), 0)
+		}
+	}
+	return assumedNotice
+}
+
+// moveServer plans the streams of one engine and starts what was planned.
+func (e *Entry) moveServer(config *configuration, server *fleet.BackendServer, left time.Duration) {
+	class := classOf(config, server.Class)
+	runs := make(map[string]*run)
+	var streams []migration.Stream
+	e.each(func(r *run) {
+		place := r.place.Load()
+		if place == nil || place.Server != server.Name || r.service.Kind != fleet.ServiceModel {
+			return
+		}
+		runs[r.id] = r
+		streams = append(streams, r.migrationStream(class))
+	})
+	if len(streams) == 0 {
+		return
+	}
+	policy := config.PolicyFor(server.Service, "", e.opts.Zone)
+	plan := migration.Make(streams, migration.Options{
+		Left:                 left,
+		ExportBytesPerSecond: e.exportShare(class),
+		ExportOverhead:       exportOverhead,
+		Disabled:             !policy.Migration,
+	})
+	e.logger.Info().Str("step", "migrate").Str("peer", server.Address).Int("streams", len(streams)).Dur("left", left).
+		Int("recomputed_tokens", plan.RecomputedTokens).Int("baseline_tokens", plan.BaselineTokens).Msg("streams planned")
+	for _, decision := range plan.Decisions {
+		runs[decision.Stream].startMove(server.Name, decision)
+	}
+}
+
+func classOf(config *configuration, name string) *fleet.MachineClass {
+	for i := range config.Classes {
+		if config.Classes[i].Name == name {
+			return &config.Classes[i]
+		}
+	}
+	return &fleet.MachineClass{}
+}
+
+// exportShare is this entry's part of an engine's export link: the other
+// entries move their streams over it at the same time.
+func (e *Entry) exportShare(class *fleet.MachineClass) float64 {
+	e.members.mu.Lock()
+	defer e.members.mu.Unlock()
+	return class.ExportBytesPerSecond / float64(max(len(e.members.table.Entries("")), 1))
+}
+
+// migrationStream describes the request's stream for the plan.
+func (r *run) migrationStream(class *fleet.MachineClass) migration.Stream {
+	done := int(r.delivered.Load())
+	rate := class.TokensPerSecond / float64(max(class.Slots, 1))
+	if elapsed := (r.entry.now() - r.arrived).Seconds(); done > 1 && elapsed > 0 {
+		rate = float64(done) / elapsed
+	}
+	return migration.Stream{
+		ID:              r.id,
+		PromptTokens:    r.load.PromptTokens,
+		DoneTokens:      done,
+		TokensLeft:      max(r.load.OutputTokens-done, 0),
+		TokensPerSecond: rate,
+		ExportBytes:     int64(class.KVBytesPerToken) * int64(r.load.PromptTokens+done),
+	}
+}
+
+// startMove carries out one decision of a plan when its time comes.
+func (r *run) startMove(server string, decision migration.Decision) {
+	r.entry.metrics.moves.WithLabelValues(string(decision.Action)).Inc()
+	if decision.Action == migration.Finish {
+		return
+	}
+	time.AfterFunc(decision.Start, func() {
+		move := request.Move{Server: server, Export: decision.Action == migration.Export}
+		if move.Export {
+			target, ok := r.entry.policy.choose(r, []string{server})
+			move.Export, move.Target = ok, target.Server
+		}
+		r.post(move)
+	})
+}
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -159,12 +159,21 @@
 	}
 }
 
-// pick chooses a server and counts the attempt there.
+// pick chooses a server for the next attempt.
 func (p *policy) pick(r *run, exclude []string) request.Event {
+	decision, ok := p.choose(r, exclude)
+	if !ok {
+		return request.NoServer{RetryAfter: retryAfterNoServer}
+	}
+	r.trace.add(time.Now(), "picked %s: %s, first token expected in %s", decision.Server, decision.Reason, decision.ExpectedFirstToken.Round(time.Millisecond))
+	return request.Picked{Server: decision.Server}
+}
+
+// choose asks the router for a server. Any goroutine may call it.
+func (p *policy) choose(r *run, exclude []string) (routing.Decision, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.entry.now()
-	decision, ok := p.router.Pick(now, routing.Request{
+	return p.router.Pick(p.entry.now(), routing.Request{
 		Service:      r.service.Name,
 		PromptTokens: r.load.PromptTokens,
 		OutputTokens: r.load.OutputTokens,
@@ -172,11 +181,6 @@
 		Policy:       &r.policy,
 		Exclude:      exclude,
 	})
-	if !ok {
-		return request.NoServer{RetryAfter: retryAfterNoServer}
-	}
-	r.trace.add(time.Now(), "picked %s: %s, first token expected in %s", decision.Server, decision.Reason, decision.ExpectedFirstToken.Round(time.Millisecond))
-	return request.Picked{Server: decision.Server}
 }
 
 // started counts an attempt at a server.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -68,7 +68,10 @@
 	caller   context.Context
 	// dispatched is true once an attempt was handed to a server.
 	dispatched atomic.Bool
-	ended      chan struct{}
+	// place is where the answer's stream is; delivered counts its tokens.
+	place     atomic.Pointer[request.Position]
+	delivered atomic.Int64
+	ended     chan struct{}
 
 	// The loop alone uses what follows.
 	queue        []request.Event
@@ -133,6 +136,10 @@
 	}
 	r.noteEnd(ev.event)
 	r.step(ev.event)
+	if _, ok := ev.event.(request.Opened); ok {
+		place := r.req.Position()
+		r.place.Store(&place)
+	}
 }
 
 // noteEnd counts how the current attempt ended.
@@ -215,6 +222,7 @@
 	}
 	r.lastToken = now
 	r.tokens++
+	r.delivered.Store(int64(r.tokens))
 	r.attempt.token(now)
 	r.sink.token(r.token, r.req.Position())
 }
