Commit reservations and outcomes in batches

Cause: each reservation was a call of its own; at 256 in flight the calls, not the disk, set the rate: 23,191/s with one replica and 18,195/s with three, 2.4 and 2.0 times bare sync (go test -bench Reserve, 3,000 each, shared machine). Ruled out: the loop alone; handed over directly it did 81,582/s and 46,768/s. Change: entries gather what is asked for at the same time into one Commit call; the leader hands a batch to its loop at once, and does not decode again what it proposed itself.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,7 @@
 	started     time.Time
 	backends    *backend.Client
 	replicas    *rpc.Replicas
+	batcher     *rpc.Batcher
 	policy      *policy
 	config      *configHolder
 	history     *history
@@ -132,6 +133,7 @@
 func (e *Entry) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.ctx, e.stop = ctx, cancel
+	e.batcher = rpc.NewBatcher(ctx, e.replicas)
 	e.shareLimits()
 	e.spawn(func() { e.config.run(ctx) })
 	e.spawn(func() { e.runReports(ctx) })
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -7,7 +7,6 @@
 
 	"waxwingcart/internal/core/membership"
 	"waxwingcart/internal/core/request"
-	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
 
@@ -88,9 +87,7 @@
 func (r *run) callReserve(ctx context.Context) (*wire.ReserveResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	return rpc.Call(ctx, r.entry.replicas, "reserve", func(ctx context.Context, stub wire.Replica) (*wire.ReserveResponse, error) {
-		return stub.Reserve(ctx, r.reservation.request)
-	})
+	return r.entry.batcher.Reserve(ctx, r.reservation.request)
 }
 
 func (r *run) reserved(response *wire.ReserveResponse) request.Reserved {
@@ -282,9 +279,7 @@
 }
 
 func (e *Entry) callRecord(ctx context.Context, record *wire.RecordRequest) (*wire.RecordResponse, error) {
-	return rpc.Call(ctx, e.replicas, "record", func(ctx context.Context, stub wire.Replica) (*wire.RecordResponse, error) {
-		return stub.Record(ctx, record)
-	})
+	return e.batcher.Record(ctx, record)
 }
 
 func answerToWire(a *answer, limit int64) *wire.Answer {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -26,35 +26,50 @@
 // proposed it. A proposal whose index was taken by another term's entry was
 // lost.
 func (r *Replica) apply(entry replication.Entry) {
+	own, ours := r.takeAppended(entry)
 	var applied state.Result
 	if entry.Kind == replication.EntryCommand {
-		applied = r.applyCommand(entry)
+		applied = r.applyCommand(entry, r.waiting[own.token].command)
 	}
 	r.applied = entry.Index
 	if entry.Kind == replication.EntryMembership {
 		r.membershipChanged()
 	}
-	waiting, ok := r.appended[entry.Index]
-	if ok {
-		delete(r.appended, entry.Index)
-		outcome := result{applied: applied}
-		if waiting.term != entry.Term {
-			outcome = result{err: errLost}
-		}
-		r.answer(waiting.token, outcome)
+	if ours {
+		r.answer(own.token, result{applied: applied})
 	}
 	r.finishReads()
 }
 
-func (r *Replica) applyCommand(entry replication.Entry) state.Result {
-	command, err := codec.DecodeCommand(entry.Data)
-	if err != nil {
-		// Every replica finds the same bytes, so all skip the same entry.
-		r.logger.Error().Str("step", "decode command").Uint64("index", entry.Index).Err(err).Msg("entry skipped")
-		return nil
+// takeAppended returns the proposal that an entry came from. It answers one
+// whose place another term's entry has taken.
+func (r *Replica) takeAppended(entry replication.Entry) (pending, bool) {
+	own, ok := r.appended[entry.Index]
+	if !ok {
+		return pending{}, false
+	}
+	delete(r.appended, entry.Index)
+	if own.term != entry.Term {
+		r.answer(own.token, result{err: errLost})
+		return pending{}, false
+	}
+	return own, true
+}
+
+// applyCommand applies an entry. Command is what its data encodes, if this
+// replica proposed it, and nil otherwise.
+func (r *Replica) applyCommand(entry replication.Entry, command *state.Command) state.Result {
+	if command == nil {
+		decoded, err := codec.DecodeCommand(entry.Data)
+		if err != nil {
+			// Every replica finds the same bytes, so all skip the same entry.
+			r.logger.Error().Str("step", "decode command").Uint64("index", entry.Index).Err(err).Msg("entry skipped")
+			return nil
+		}
+		command = &decoded
 	}
 	before := r.machine.Revision()
-	applied := r.machine.Apply(entry.Index, entry.Term, command)
+	applied := r.machine.Apply(entry.Index, entry.Term, *command)
 	if r.machine.Revision() != before {
 		r.revisionChanged()
 	}
@@ -106,12 +121,13 @@
 }
 
 func (r *Replica) answer(token uint64, outcome result) {
-	done, ok := r.waiting[token]
+	waiting, ok := r.waiting[token]
 	if !ok {
 		return
 	}
 	delete(r.waiting, token)
-	done <- outcome
+	outcome.item = waiting.item
+	waiting.done <- outcome
 }
 
 // finishRead answers a read once the state machine has caught up with it.
--- /dev/null
+++ b/internal/replica/bench_test.go
@@ -0,0 +1,152 @@
+package replica
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/observe"
+	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/wire"
+)
+
+// startReplicas runs replicas that talk over loopback, and returns the one that
+// leads.
+func startReplicas(tb testing.TB, count int) *Replica {
+	tb.Helper()
+	listeners := make([]net.Listener, count)
+	peers := make([]Peer, count)
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		listeners[i] = listener
+		peers[i] = Peer{VM: fmt.Sprintf("r%d", i), Zone: fmt.Sprintf("z%d", i), Address: listener.Addr().String()}
+	}
+	replicas := make([]*Replica, count)
+	for i := range count {
+		replicas[i] = startReplica(tb, peers, i, listeners[i])
+	}
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		status := replicas[0].status()
+		if status.Lease.Valid && len(status.Membership.Voters) == count {
+			return replicas[0]
+		}
+	}
+	tb.Fatal("no leader with all voters")
+	return nil
+}
+
+func startReplica(tb testing.TB, peers []Peer, i int, listener net.Listener) *Replica {
+	tb.Helper()
+	opts := Options{
+		Self:      peers[i],
+		DataDir:   tb.TempDir(),
+		Bootstrap: i == 0,
+		Client:    rpc.NewClient("secret"),
+		Logger:    observe.NewLogger(io.Discard, "error", peers[i].VM, peers[i].Zone),
+		Registry:  prometheus.NewRegistry(),
+	}
+	for j, peer := range peers {
+		if j != i {
+			opts.Peers = append(opts.Peers, peer)
+		}
+	}
+	r, err := New(opts)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	service := wire.NewReplicaServer(r.Service())
+	server := &http.Server{Handler: rpc.Require(rpc.NewKey("secret"), service)}
+	go func() { _ = server.Serve(listener) }()
+	r.Start()
+	tb.Cleanup(func() {
+		_ = r.Stop(context.Background())
+		_ = server.Close()
+	})
+	return r
+}
+
+// bareSyncs measures appends of one record with one sync each.
+func bareSyncs(tb testing.TB, record []byte) float64 {
+	tb.Helper()
+	const count = 200
+	file, err := os.Create(filepath.Join(tb.TempDir(), "bare"))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer file.Close()
+	began := time.Now()
+	for range count {
+		if _, err := file.Write(record); err != nil {
+			tb.Fatal(err)
+		}
+		if err := file.Sync(); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return count / time.Since(began).Seconds()
+}
+
+func reserveRequest(i uint64) *wire.ReserveRequest {
+	digest := sha256.Sum256([]byte("body"))
+	return &wire.ReserveRequest{
+		Key:         &wire.RecordKey{Customer: "heirs", Service: "desk", Key: fmt.Sprint("key-", i)},
+		Digest:      digest[:],
+		Owner:       &wire.NodeID{Vm: "e1", Incarnation: 1},
+		RequestId:   fmt.Sprint("r-", i),
+		RetentionMs: 3_600_000,
+	}
+}
+
+// BenchmarkReserve measures committed reservations through the replicas'
+// client against one bare sync per record on the same disk.
+func BenchmarkReserve(b *testing.B) {
+	for _, replicas := range []int{1, 3} {
+		for _, inFlight := range []int{1, 16, 256} {
+			b.Run(fmt.Sprintf("replicas=%d/inflight=%d", replicas, inFlight), func(b *testing.B) {
+				benchmarkReserve(b, replicas, inFlight)
+			})
+		}
+	}
+}
+
+func benchmarkReserve(b *testing.B, replicas, inFlight int) {
+	leader := startReplicas(b, replicas)
+	bare := bareSyncs(b, make([]byte, 256))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	batcher := rpc.NewBatcher(ctx, rpc.NewReplicas(rpc.NewClient("secret"), []string{leader.opts.Self.Address}))
+	var next atomic.Uint64
+	var group sync.WaitGroup
+	b.ResetTimer()
+	for range inFlight {
+		group.Go(func() {
+			for i := next.Add(1); i <= uint64(b.N); i = next.Add(1) {
+				response, err := batcher.Reserve(ctx, reserveRequest(i))
+				if err != nil || !response.Granted {
+					b.Errorf("reservation %d: %v, %v", i, response, err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	b.StopTimer()
+	rate := float64(b.N) / b.Elapsed().Seconds()
+	b.ReportMetric(rate, "reservations/s")
+	b.ReportMetric(rate/bare, "x-bare-sync")
+	b.ReportMetric(b.Elapsed().Seconds()*1000*float64(inFlight)/float64(b.N), "ms-latency")
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -27,10 +27,23 @@
 	call func()
 	// done, if set, receives the result of a proposal or read.
 	done chan result
+	// command is what a proposal's data encodes.
+	command *state.Command
+	// item is returned with the result.
+	item int
+}
+
+// waiter waits for the result of a proposal or read.
+type waiter struct {
+	done    chan result
+	command *state.Command
+	item    int
 }
 
 // result ends a proposal or a read.
 type result struct {
+	// item is the proposal's place in its batch.
+	item int
 	// applied is the state machine's result of a proposal.
 	applied any
 	err     error
@@ -98,7 +111,7 @@
 		return
 	}
 	r.token++
-	r.waiting[r.token] = w.done
+	r.waiting[r.token] = waiter{done: w.done, command: w.command, item: w.item}
 	switch ev := w.event.(type) {
 	case replication.Propose:
 		ev.Token = r.token
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("command", err.Error())
 	}
-	outcome, err := r.await(ctx, replication.Propose{Data: data})
+	outcome, err := r.awaitWork(ctx, work{event: replication.Propose{Data: data}, command: &command})
 	if err != nil {
 		return nil, err
 	}
@@ -41,9 +41,14 @@
 
 // await hands an event to the loop and waits for its result.
 func (r *Replica) await(ctx context.Context, ev replication.Event) (result, error) {
+	return r.awaitWork(ctx, work{event: ev})
+}
+
+func (r *Replica) awaitWork(ctx context.Context, w work) (result, error) {
 	done := make(chan result, 1)
+	w.done = done
 	select {
-	case r.inbox <- work{event: ev, done: done}:
+	case r.inbox <- w:
 	case <-ctx.Done():
 		return result{}, twirp.NewError(twirp.ResourceExhausted, "replica is overloaded")
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -86,7 +86,7 @@
 	node        *replication.Node
 	machine     *state.Machine
 	token       uint64
-	waiting     map[uint64]chan result
+	waiting     map[uint64]waiter
 	appended    map[uint64]pending
 	reads       []replication.ReadResult
 	senders     map[string]*sender
@@ -130,7 +130,7 @@
 		writeFailed: make(chan error, 2),
 		acks:        newAcks(),
 		machine:     state.New(state.Options{}),
-		waiting:     make(map[uint64]chan result),
+		waiting:     make(map[uint64]waiter),
 		appended:    make(map[uint64]pending),
 		senders:     make(map[string]*sender),
 		addresses:   make(map[replication.NodeID]string),
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -53,6 +53,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return s.reserved(applied)
+}
+
+// reserved translates the result of a reservation.
+func (s *Service) reserved(applied state.Result) (*wire.ReserveResponse, error) {
 	reserved, ok := applied.(state.ReserveResult)
 	if !ok {
 		return nil, twirp.InternalError("reserve was not applied")
@@ -86,11 +91,16 @@
 	if err != nil {
 		return nil, err
 	}
-	recorded, ok := applied.(state.RecordResult)
+	return recorded(applied)
+}
+
+// recorded translates the result of a recorded outcome.
+func recorded(applied state.Result) (*wire.RecordResponse, error) {
+	result, ok := applied.(state.RecordResult)
 	if !ok {
 		return nil, twirp.InternalError("record was not applied")
 	}
-	return codec.RecordResultToWire(recorded), nil
+	return codec.RecordResultToWire(result), nil
 }
 
 // ChangeConfig commits a configuration change and tells where it is in force.
