Replace a voter that is about to go before it is gone

Cause: after a reclaim notice a voter counted until it was lost, and was replaced only after ReplaceAfter. Change: event Leave: the leader replaces the member while it still counts and says when it may go; a leaving leader resigns and campaigns after the others. Ruled out: removing it at once, which leaves one voter less until a learner is promoted. Conclusion: TestLeave, and random leaving in TestFaults. Not yet called by the replica.

--- a/internal/core/replication/election.go
+++ b/internal/core/replication/election.go
@@ -9,10 +9,16 @@
 	n.postponeElection()
 }
 
+// leavingTimeouts is how much longer a leaving node waits, in election timeouts.
+const leavingTimeouts = 2
+
 // postponeElection draws a timeout in [1, 2) times the election timeout.
 func (n *Node) postponeElection() {
 	jitter := time.Duration(n.rand.Int64N(int64(n.opts.ElectionTimeout)))
 	n.electionAt = n.now + n.opts.ElectionTimeout + jitter
+	if n.leaving {
+		n.electionAt += leavingTimeouts * n.opts.ElectionTimeout
+	}
 }
 
 // refusesVotes is true while a leader may hold a lease that counts on this
@@ -172,7 +178,9 @@
 	}
 	n.leader = NodeID{}
 	n.heard = false
-	n.electionAt = n.now + time.Duration(n.rand.Int64N(int64(n.opts.HeartbeatInterval)))
+	if !n.leaving {
+		n.electionAt = n.now + time.Duration(n.rand.Int64N(int64(n.opts.HeartbeatInterval)))
+	}
 }
 
 // others returns all members but the node itself, voters first.
--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -11,6 +11,8 @@
 	// others and peers hold the other members and their progress.
 	others []Member
 	peers  map[NodeID]*progress
+	// leaving holds the members that are about to go.
+	leaving map[NodeID]bool
 
 	round         uint64
 	rounds        []roundStart
@@ -30,6 +32,7 @@
 	n.lead = &leadership{
 		electedAt:  n.now,
 		firstIndex: n.log.lastIndex() + 1,
+		leaving:    make(map[NodeID]bool),
 	}
 	n.append(Entry{Kind: EntryNoop})
 	n.syncPeers()
--- a/internal/core/replication/network_scenarios_test.go
+++ b/internal/core/replication/network_scenarios_test.go
@@ -34,7 +34,7 @@
 var actionKinds = []string{
 	"propose", "propose", "propose", "read", "read", "compact", "run",
 	"stop", "crash", "start", "start", "wipe", "freeze", "isolate", "mute", "deafen",
-	"lossy", "slow", "slow disk", "power", "heal", "resign",
+	"lossy", "slow", "slow disk", "power", "heal", "resign", "leave",
 }
 
 func drawAction(t *rapid.T) action {
@@ -95,6 +95,10 @@
 		}
 	case "heal":
 		w.heal()
+	case "leave":
+		for _, other := range w.hosts {
+			w.step(other, Leave{ID: h.self.ID})
+		}
 	case "resign":
 		w.step(h, Resign{})
 	}
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -29,6 +29,8 @@
 	heardAt    time.Duration
 	electionAt time.Duration
 	votes      map[NodeID]bool
+	// leaving is true once the node is about to go.
+	leaving bool
 
 	// lead is set while the node leads.
 	lead *leadership
@@ -154,6 +156,8 @@
 		n.proposeMembership(ev.Token, ev.Membership)
 	case Join:
 		n.join(ev)
+	case Leave:
+		n.leave(ev)
 	case Resign:
 		n.resign()
 	case Read:
--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -12,6 +12,7 @@
 		n.reject(j.Token, RejectNotLeader)
 		return
 	}
+	delete(n.lead.leaving, j.Member.ID)
 	membership := n.log.membership()
 	known := membership.Find(j.Member.ID)
 	if known != nil && *known != j.Member {
@@ -26,6 +27,25 @@
 	n.proposeMembership(j.Token, membership.withLearner(j.Member))
 }
 
+// leave replaces a member that is about to go.
+func (n *Node) leave(l Leave) {
+	if l.ID == n.self() {
+		n.leaving = true
+		n.resign()
+	}
+	if n.lead == nil {
+		n.reject(l.Token, RejectNotLeader)
+		return
+	}
+	if n.log.membership().IsVoter(l.ID) || n.log.commit < n.log.membershipIndex() {
+		n.lead.leaving[l.ID] = true
+		n.reject(l.Token, RejectMembership)
+		return
+	}
+	placed := AppendedProposal{Token: l.Token, Index: n.log.membershipIndex(), Term: n.term}
+	n.effects.Appended = append(n.effects.Appended, placed)
+}
+
 // repair takes the next step towards the target number of live voters, spread
 // over zones. One change is under way at a time; a voter is added before the
 // one that it replaces is removed, so that a node that was only silent can
@@ -128,7 +148,7 @@
 	var best *Member
 	for i := range membership.Learners {
 		learner := &membership.Learners[i]
-		if !n.isCaughtUp(learner.ID) {
+		if !n.isCaughtUp(learner.ID) || n.isGone(*learner) {
 			continue
 		}
 		if best == nil || zones[learner.Zone] < zones[best.Zone] {
@@ -176,15 +196,15 @@
 	return 0
 }
 
-// isGone is true for a member that is to be replaced: it was silent for too
-// long, it no longer holds what it acknowledged, or its VM is back with another
+// isGone is true for a member that is to be replaced: it is about to go, was
+// silent for too long, no longer holds what it acknowledged, or its VM is back with another
 // incarnation.
 func (n *Node) isGone(member Member) bool {
 	p := n.lead.peers[member.ID]
 	if p == nil {
 		return false
 	}
-	if p.lost || n.silence(member.ID) >= n.opts.ReplaceAfter {
+	if p.lost || n.lead.leaving[member.ID] || n.silence(member.ID) >= n.opts.ReplaceAfter {
 		return true
 	}
 	return !n.isLive(member.ID) && n.hasSuccessor(member.ID)
--- a/internal/core/replication/scenarios_test.go
+++ b/internal/core/replication/scenarios_test.go
@@ -266,6 +266,37 @@
 	}
 }
 
+// TestLeave: a voter that is about to go, the leader too, is replaced while it
+// still counts; then it may go.
+func TestLeave(t *testing.T) {
+	for seed := range uint64(10) {
+		w, leader, followers := settled(t, seed, 4)
+		going := followers[0]
+		if seed%2 == 0 {
+			going = leader
+			w.step(going, Leave{ID: going.self.ID})
+		}
+		w.runUntil(t, 5*time.Second, func() bool {
+			h := w.leader()
+			if h == nil || h == going {
+				return false
+			}
+			effects := h.node.Step(h.clock(w.now), Leave{Token: 1 << 40, ID: going.self.ID})
+			w.carryOut(h, effects)
+			return len(effects.Appended) == 1
+		})
+		w.stop(going)
+		w.run(100 * time.Millisecond)
+		if h := w.leader(); len(h.node.log.membership().Voters) != 3 {
+			t.Fatalf("seed %d: %d voters", seed, len(h.node.log.membership().Voters))
+		}
+		w.heal()
+		w.run(10 * time.Second)
+		w.checkProgress(t)
+		w.expectSound(t)
+	}
+}
+
 // TestHungDisk: a leader whose disk hangs makes room for another one.
 func TestHungDisk(t *testing.T) {
 	w, leader, _ := settled(t, 1, 3)
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -150,6 +150,16 @@
 	Member Member
 }
 
+// Leave says that a node is about to go, as after a reclaim notice. The leader
+// replaces it as if it were lost, while it still counts. It is answered under
+// its token by Appended once the node does not vote and may go, and by
+// Rejected otherwise; the caller asks again. A node that is told of its own
+// leaving resigns and campaigns only after the others. A later Join takes it back.
+type Leave struct {
+	Token uint64
+	ID    NodeID
+}
+
 // Resign makes a leader give up its lease and its role at once and lets the
 // others elect a leader without waiting for a timeout.
 type Resign struct{}
@@ -171,6 +181,7 @@
 func (Propose) isEvent()           {}
 func (ProposeMembership) isEvent() {}
 func (Join) isEvent()              {}
+func (Leave) isEvent()             {}
 func (Resign) isEvent()            {}
 func (Read) isEvent()              {}
 func (Applied) isEvent()           {}
