--- a/internal/storage/log_test.go
+++ b/internal/storage/log_test.go
@@ -78,3 +78,48 @@
 	}
 	return commands
 }
+
+// TestSnapshotDuringWrites saves snapshots while another goroutine writes.
+func TestSnapshotDuringWrites(t *testing.T) {
+	const total = 300
+	dir := t.TempDir()
+	l, err := Open(dir, Options{SegmentBytes: 500})
+	if err != nil {
+		t.Fatal(err)
+	}
+	written := make(chan uint64, total)
+	go func() {
+		defer close(written)
+		for i := uint64(1); i <= total; i++ {
+			p := &replication.Persist{
+				HardState: replication.HardState{Term: 1, Commit: i - 1},
+				Entries:   makeEntries(i, i, 1),
+			}
+			if err := l.Write(p); err != nil {
+				t.Error(err)
+				return
+			}
+			written <- i
+		}
+	}()
+	for i := range written {
+		if i%20 != 0 {
+			continue
+		}
+		if err := l.SaveSnapshot(replication.Snapshot{Index: i, Term: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Close()
+	l, err = Open(dir, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := l.Restored()
+	if r.Snapshot.Index != total || len(r.Entries) != 0 || r.HardState.Commit != total {
+		t.Fatalf("restored %+v", r)
+	}
+	if len(l.segments) > 2 {
+		t.Fatalf("%d segments are left", len(l.segments))
+	}
+}
