Refuse a request whose body is not all there without waiting for the rest

Cause: after a body timed out, its read deadline was taken off before the refusal was written, and net/http then waited for the rest of the body without end. A caller who stopped in the middle of a body of known length got no answer and held its connection (TestSlowCallers, 'half a body': kept for 60 s). Ruled out: chunked bodies, whose reader keeps its error. Change: the deadline holds from the start until the whole body was read, and a refusal before that closes the connection, so that the caller has it at once.

Tests: e2e TestSlowCallers (failed before) and TestWrongRequests (passed).

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -174,6 +174,7 @@
 	process.PeerKeyFile = filepath.Join(c.dir, "peer.key")
 	process.OperatorKeyFile = filepath.Join(c.dir, "operator.key")
 	process.DrainS = 30
+	process.Timeouts.ReadHeaderMS, process.Timeouts.ReadBodyMS = 2_000, 2_000
 	data, err := json.Marshal(process)
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -91,8 +91,25 @@
 	body     []byte
 }
 
-// prepare authenticates the caller and reads the body within its bounds.
+// prepare authenticates the caller and reads the body within its bounds. If it
+// fails, the connection is closed after the answer, and what is left of the
+// body is awaited no longer than the body's time limit.
 func (e *Entry) prepare(w http.ResponseWriter, req *http.Request) (prepared, error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
+	call, err := e.authenticate(req)
+	if err == nil {
+		call.body, err = e.readBody(w, req, call.config.Defaults.BodyLimitBytes)
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return prepared{}, err
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	return call, nil
+}
+
+func (e *Entry) authenticate(req *http.Request) (prepared, error) {
 	config := e.config.inForce()
 	if config == nil {
 		return prepared{}, refusal(reasonNotReady, "no configuration is in force yet")
@@ -101,14 +118,11 @@
 	if customer == nil {
 		return prepared{}, refusal(reasonUnauthorized, "the bearer key belongs to no customer")
 	}
-	body, err := e.readBody(w, req, config.Defaults.BodyLimitBytes)
-	return prepared{config: config, customer: customer, body: body}, err
+	return prepared{config: config, customer: customer}, nil
 }
 
 func (e *Entry) readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
