Test the entry's pieces without processes; bound max_tokens; check the deadline header

Found by the tests: max_tokens near 2^63 made the token estimate negative, so that a request counted for nothing in its customer's limits (now refused above 2^24); Waxwingcart-Deadline-Ms of 1e300 or Inf overflowed to a deadline in the past, and one that is no number was ignored (now clipped, or a clear error); a service name that was escaped in the path was sent on within the path.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -154,7 +155,11 @@
 		e.refuseCall(w, id, refusal(reasonNoService, "no service has the model %q", parsed.model))
 		return
 	}
-	r := e.newRun(id, req, call, service)
+	r, err := e.newRun(id, req, call, service)
+	if err != nil {
+		e.refuseCall(w, id, err)
+		return
+	}
 	r.spec.Kind = request.KindModel
 	r.spec.Repeatable = true
 	r.load = routing.Load{PromptTokens: parsed.promptTokens, OutputTokens: parsed.outputTokens, Prefix: parsed.prefix}
@@ -218,12 +223,13 @@
 		e.refuseCall(w, id, refusal(reasonBadRequest, "%s: got %d bytes, expected at most %d", headerIdempotencyKey, len(key), maxKeyBytes))
 		return
 	}
-	r := e.newRun(id, req, call, service)
-	r.spec.Kind = request.KindApp
-	path := "/" + strings.TrimPrefix(req.URL.EscapedPath(), "/services/"+name+"/")
-	if req.URL.RawQuery != "" {
-		path += "?" + req.URL.RawQuery
+	r, err := e.newRun(id, req, call, service)
+	if err != nil {
+		e.refuseCall(w, id, err)
+		return
 	}
+	r.spec.Kind = request.KindApp
+	path := servicePath(req.URL)
 	r.spec.Repeatable = repeatable(service, req.Method, path)
 	r.spec.Keyed = key != "" && !r.spec.Repeatable
 	r.load = routing.Load{PromptTokens: 1, OutputTokens: 1}
@@ -235,6 +241,18 @@
 	e.serve(w, r)
 }
 
+// servicePath returns the path and query that the service sees: what follows
+// /services/{service}, as the caller escaped it.
+func servicePath(u *url.URL) string {
+	const partsBefore = 3
+	parts := strings.SplitN(u.EscapedPath(), "/", partsBefore+1)
+	path := "/" + parts[len(parts)-1]
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return path
+}
+
 // repeatable reports whether running the request twice does no harm.
 func repeatable(service *fleet.Service, method, path string) bool {
 	if method == http.MethodGet || method == http.MethodHead {
@@ -278,9 +296,13 @@
 	return key[:]
 }
 
-func (e *Entry) newRun(id string, req *http.Request, call prepared, service *fleet.Service) *run {
+func (e *Entry) newRun(id string, req *http.Request, call prepared, service *fleet.Service) (*run, error) {
 	now := e.now()
 	policy := call.config.PolicyFor(service.Name, call.customer.Name, e.opts.Zone)
+	allowed, err := deadlineOf(req, policy)
+	if err != nil {
+		return nil, err
+	}
 	r := &run{
 		entry:        e,
 		id:           id,
@@ -289,7 +311,7 @@
 		policy:       policy,
 		config:       call.config,
 		arrived:      now,
-		deadline:     now + deadlineOf(req, policy),
+		deadline:     now + allowed,
 		firstTokenBy: now + milliseconds(policy.FirstTokenTargetMS),
 		controls:     make(chan control, controlQueue),
 		stream:       make(chan streamEvent, streamQueue),
@@ -300,17 +322,20 @@
 	r.spec.ID = id
 	r.spec.Deadline = r.deadline
 	r.spec.MaxAttempts = policy.MaxAttempts
-	return r
+	return r, nil
 }
 
 // deadlineOf is the policy's deadline, or the caller's if it is earlier.
-func deadlineOf(req *http.Request, policy fleet.Policy) time.Duration {
-	deadline := milliseconds(policy.DeadlineMS)
-	asked, err := strconv.ParseFloat(req.Header.Get(headerDeadline), 64)
-	if err == nil && asked > 0 {
-		deadline = min(deadline, milliseconds(asked))
+func deadlineOf(req *http.Request, policy fleet.Policy) (time.Duration, error) {
+	text := req.Header.Get(headerDeadline)
+	if text == "" {
+		return milliseconds(policy.DeadlineMS), nil
+	}
+	asked, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(asked > 0) {
+		return 0, refusal(reasonBadRequest, "%s: got %.40q, expected a positive number of milliseconds", headerDeadline, text)
 	}
-	return deadline
+	return milliseconds(min(asked, policy.DeadlineMS)), nil
 }
 
 // serve takes the request in and runs it to its outcome.
--- /dev/null
+++ b/internal/entry/caller_test.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/standin"
+)
+
+func TestRepeatable(t *testing.T) {
+	service := &fleet.Service{Repeatable: []string{"POST /searches", "PUT /drafts/"}}
+	tests := []struct {
+		method, path string
+		want         bool
+	}{
+		{"GET", "/bookings", true}, {"HEAD", "/bookings", true},
+		{"POST", "/searches", true}, {"POST", "/searches?q=1", true},
+		{"POST", "/bookings", false}, {"PUT", "/searches", false},
+		{"PUT", "/drafts/7", true}, {"PUT", "/drafts", false},
+		{"DELETE", "/drafts/7", false}, {"get", "/bookings", false},
+	}
+	for _, test := range tests {
+		if got := repeatable(service, test.method, test.path); got != test.want {
+			t.Errorf("%s %s: got %t", test.method, test.path, got)
+		}
+	}
+}
+
+func TestServicePath(t *testing.T) {
+	tests := map[string]string{
+		"/services/desk/bookings":         "/bookings",
+		"/services/desk/":                 "/",
+		"/services/desk/a%2Fb?q=%20":      "/a%2Fb?q=%20",
+		"/services/%64esk/bookings":       "/bookings",
+		"/services/desk/services/desk/my": "/services/desk/my",
+	}
+	for text, want := range tests {
+		u, err := url.Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := servicePath(u); got != want {
+			t.Errorf("%s: got %s, want %s", text, got, want)
+		}
+	}
+}
+
+func TestDeadlineOf(t *testing.T) {
+	policy := fleet.Policy{DeadlineMS: 1000}
+	tests := map[string]time.Duration{
+		"": time.Second, "250": 250 * time.Millisecond, "9000": time.Second, "1e300": time.Second, "Inf": time.Second,
+		"NaN": -1, "-1": -1, "0": -1, "soon": -1,
+	}
+	for text, want := range tests {
+		req := httptest.NewRequest(http.MethodPost, "/", nil)
+		req.Header.Set(headerDeadline, text)
+		got, err := deadlineOf(req, policy)
+		if (err != nil) != (want < 0) || err == nil && got != want {
+			t.Errorf("%q: got %s, %v", text, got, err)
+		}
+	}
+}
+
+// Requests that are refused before they have a run are explained afterwards.
+func TestRefusalsAreExplained(t *testing.T) {
+	e, address := newTestEntry(t, newTestEngine(t))
+	tests := []struct {
+		key, path, body string
+		status          int
+		reason          request.Reason
+	}{
+		{"other", chatPath, "{}", http.StatusUnauthorized, reasonUnauthorized},
+		{heirsKey, chatPath, "[", http.StatusBadRequest, reasonBadRequest},
+		{heirsKey, chatPath, `{"model": "x"}`, http.StatusNotFound, reasonNoService},
+		{heirsKey, "/services/briefings/x", "", http.StatusNotFound, reasonNoService},
+		{heirsKey, chatPath, strings.Repeat(" ", 5_000), http.StatusRequestEntityTooLarge, reasonTooLarge},
+	}
+	for _, test := range tests {
+		response, body := call(t, http.MethodPost, address+test.path, test.key, test.body)
+		if response.StatusCode != test.status || response.Header.Get(headerOutcome) != outcomeNotRun || !strings.Contains(body, string(test.reason)) {
+			t.Errorf("%s: got %d %q", test.reason, response.StatusCode, body)
+		}
+		steps, found := e.Explain(response.Header.Get(headerRequestID))
+		if text := strings.Join(steps, "\n"); !found || !strings.Contains(text, string(test.reason)) {
+			t.Errorf("%s: explained as %q", test.reason, text)
+		}
+	}
+}
+
+// A trace tells which server was chosen and why, what failed, and what was
+// tried instead.
+func TestExplainRetry(t *testing.T) {
+	var calls atomic.Int32
+	busyOnce := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/records/") && calls.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	e, address := newTestEntry(t, testServer{"desk", busyOnce}, testServer{"desk", busyOnce})
+	response, body := call(t, http.MethodGet, address+"/services/desk/records/7", heirsKey, "")
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("%d %s", response.StatusCode, body)
+	}
+	text := explained(t, e, response.Header.Get(headerRequestID))
+	for _, want := range []string{"customer heirs", "admitted", "picked", "attempt 1 at", "status 503", "tries again in", "left out because they failed", "attempt 2 at", "ended: answered"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in\n%s", want, text)
+		}
+	}
+}
+
+// explained returns the trace of a request that has been answered, once it has
+// ended.
+func explained(t *testing.T, e *Entry, requestID string) string {
+	t.Helper()
+	for range 1000 {
+		steps, _ := e.Explain(requestID)
+		if text := strings.Join(steps, "\n"); strings.Contains(text, "ended:") {
+			return text
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("request %s has not ended", requestID)
+	return ""
+}
+
+// A server's own error answer is sent on once for a request that may not be
+// repeated, and for one that may only if no server does better.
+func TestBusyServer(t *testing.T) {
+	for path, want := range map[string]int32{"/services/desk/bookings": 1, "/services/desk/searches": 2} {
+		var calls atomic.Int32
+		busy := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				calls.Add(1)
+			}
+			w.Header().Set("X-Own", "yes")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		_, address := newTestEntry(t, testServer{"desk", busy}, testServer{"desk", busy})
+		response, _ := call(t, http.MethodPost, address+path, heirsKey, "{}")
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("X-Own") != "yes" {
+			t.Errorf("%s: got %d, header %v", path, response.StatusCode, response.Header)
+		}
+		if got := calls.Load(); got != want {
+			t.Errorf("%s: sent %d times, want %d", path, got, want)
+		}
+	}
+}
+
+// An event ID resumes its stream for the same customer and request, and for
+// nobody else.
+func TestEventIDs(t *testing.T) {
+	_, address := newTestEntry(t, newTestEngine(t))
+	body := `{"model": "briefing-70b", "stream": true, "max_tokens": 6, "messages": [{"role": "user", "content": "Pass"}]}`
+	_, whole := call(t, http.MethodPost, address+chatPath, heirsKey, body)
+	events := strings.Split(strings.TrimSpace(whole), "\n\n")
+	if len(events) != 7 || events[6] != "data: [DONE]" {
+		t.Fatalf("%d events: %q", len(events), whole)
+	}
+	id := strings.TrimPrefix(strings.Split(events[2], "\n")[0], "id: ")
+	response, rest := call(t, http.MethodPost, address+chatPath, heirsKey, body, headerLastEventID, id)
+	if response.StatusCode != http.StatusOK || strings.Count(rest, "id: ") != 3 || !strings.HasSuffix(rest, "[DONE]\n\n") {
+		t.Fatalf("resumed: %d %q", response.StatusCode, rest)
+	}
+	for i := 3; i < 6; i++ {
+		if token := standin.Token(standin.PromptKey("Pass"), i); !strings.Contains(rest, token) {
+			t.Errorf("token %q is not in the resumed stream %q", token, rest)
+		}
+	}
+	forged := id[:len(id)-2] + "AA"
+	other := strings.Replace(body, "Pass", "Fee", 1)
+	for name, sent := range map[string][3]string{
+		"another customer": {clerksKey, body, id}, "another request": {heirsKey, other, id},
+		"a forged ID": {heirsKey, body, forged}, "no ID": {heirsKey, body, "7"}, "a long ID": {heirsKey, body, strings.Repeat("A", 5000)},
+	} {
+		response, text := call(t, http.MethodPost, address+chatPath, sent[0], sent[1], headerLastEventID, sent[2])
+		if response.StatusCode != http.StatusBadRequest || !strings.Contains(text, string(reasonBadEventID)) {
+			t.Errorf("%s: got %d %q", name, response.StatusCode, text)
+		}
+	}
+}
+
+// Traces of refused requests do not push out those of requests that ran, and
+// neither grow without bound.
+func TestHistoryBounds(t *testing.T) {
+	h := newHistory()
+	h.put(&trace{id: "ran"})
+	for i := range 3 * historyLength {
+		h.put(&trace{id: fmt.Sprint("refused-", i), refused: true})
+	}
+	if h.get("ran") == nil || h.get("refused-0") != nil || len(h.refused.order) != refusedLength {
+		t.Fatalf("%d refused requests are kept", len(h.refused.order))
+	}
+	added := &trace{id: "long"}
+	for i := range 5 * maxTraceSteps {
+		added.add(time.Time{}, "step %d", i)
+	}
+	added.end(time.Time{}, "ended")
+	if lines := added.lines(); len(lines) != maxTraceSteps+3 || !strings.Contains(lines[len(lines)-1], "ended") {
+		t.Fatalf("%d lines", len(lines))
+	}
+}
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/observe"
+	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/standin"
+)
+
+// testKeys are the bearer keys of the customers heirs and clerks.
+const (
+	heirsKey  = "heirs-key"
+	clerksKey = "clerks-key"
+)
+
+// testServer is a backend server of a test's configuration.
+type testServer struct {
+	service string
+	handler http.Handler
+}
+
+// newTestEntry runs an entry without replicas before backend servers, and
+// returns it with its callers' address.
+func newTestEntry(t *testing.T, servers ...testServer) (*Entry, string) {
+	t.Helper()
+	e := New(Options{
+		VM: "e1", Zone: "kochi-a", PeerAddress: "127.0.0.1:1", PeerSecret: "secret",
+		BodyTimeout: 200 * time.Millisecond,
+		Client:      rpc.NewClient("secret"),
+		Logger:      observe.NewLogger(io.Discard, "error", "e1", "kochi-a"),
+		Registry:    prometheus.NewRegistry(),
+	})
+	config := testConfig(t, servers)
+	// A new entry has no share of the customers' limits until its warm-up is
+	// over.
+	e.shareLimits()
+	e.started = e.started.Add(-time.Minute)
+	e.Start()
+	t.Cleanup(e.Stop)
+	e.policy.configure(config)
+	e.config.current.Store(config)
+	e.applyUsable()
+	router := mux.NewRouter()
+	e.Routes(router)
+	server := httptest.NewServer(router)
+	t.Cleanup(server.Close)
+	return e, server.URL
+}
+
+func testConfig(t *testing.T, servers []testServer) *configuration {
+	policy := fleet.DefaultPolicy()
+	policy.DeadlineMS, policy.RetryBudgetRatio, policy.BodyLimitBytes = 5_000, 1, 4_096
+	config := &fleet.Config{
+		Defaults: policy,
+		Zones:    []fleet.Zone{{Name: "kochi-a"}},
+		Classes:  []fleet.MachineClass{{Name: "spot", PricesPerHour: map[string]float64{"kochi-a": 1}, TokensPerSecond: 1000, Slots: 8}},
+		Services: []fleet.Service{
+			{Name: "briefings", Kind: fleet.ServiceModel, Model: "briefing-70b"},
+			{Name: "desk", Kind: fleet.ServiceApp, Repeatable: []string{"POST /searches"}},
+		},
+	}
+	for i, key := range []string{heirsKey, clerksKey} {
+		hash := sha256.Sum256([]byte(key))
+		config.Customers = append(config.Customers, fleet.Customer{
+			Name: []string{"heirs", "clerks"}[i], KeyHashes: []string{hex.EncodeToString(hash[:])},
+			Weight: 1, RequestsPerSecond: 1000, TokensPerSecond: 1e6, MaxInFlight: 100,
+		})
+	}
+	for i, s := range servers {
+		server := httptest.NewServer(s.handler)
+		t.Cleanup(server.Close)
+		name := string(rune('a'+i)) + "1"
+		config.BackendServers = append(config.BackendServers, fleet.BackendServer{
+			Name: name, VM: name, Service: s.service, Zone: "kochi-a", Class: "spot",
+			Address: strings.TrimPrefix(server.URL, "http://"), Vendor: "alpha", Fencing: fleet.FencingChecked,
+		})
+	}
+	return newConfiguration(config, 1)
+}
+
+// newTestEngine returns a stand-in model engine.
+func newTestEngine(t *testing.T) testServer {
+	t.Helper()
+	engine, err := standin.New(standin.DefaultOptions(standin.KindModel, standin.VendorAlpha))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return testServer{"briefings", engine.Handler()}
+}
+
+// call sends a request and returns the answer with its body. Headers are
+// given as pairs.
+func call(t *testing.T, method, url, key, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(data)
+}
--- a/internal/entry/prompt.go
+++ b/internal/entry/prompt.go
@@ -14,6 +14,10 @@
 // defaultMaxTokens is the estimate for a request that names no limit.
 const defaultMaxTokens = 256
 
+// maxOutputTokens bounds what a request may ask for, so that estimates can be
+// added up.
+const maxOutputTokens = 1 << 24
+
 // prefixBytes is the length of the prompt's start that identifies its prefix.
 const prefixBytes = 1024
 
@@ -50,8 +54,8 @@
 	if parsed.Model == "" {
 		return modelRequest{}, fmt.Errorf("model: got nothing, expected the name of a model")
 	}
-	if parsed.MaxTokens < 0 {
-		return modelRequest{}, fmt.Errorf("max_tokens: got %d, expected a positive number", parsed.MaxTokens)
+	if parsed.MaxTokens < 0 || parsed.MaxTokens > maxOutputTokens {
+		return modelRequest{}, fmt.Errorf("max_tokens: got %d, expected 1 to %d", parsed.MaxTokens, maxOutputTokens)
 	}
 	prompt := promptText(parsed)
 	forward, err := withStream(body)
--- /dev/null
+++ b/internal/entry/prompt_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// Whatever a caller sends, a request that is taken keeps its fields but for
+// "stream", and its estimates are positive.
+func FuzzParseModelRequest(f *testing.F) {
+	for _, seed := range []string{
+		`{"model": "briefing-70b", "prompt": "Rules", "max_tokens": 3}`,
+		`{"model": "m", "stream": false, "messages": [{"role": "user", "content": "Hi"}]}`,
+		`{"model": "m", "messages": [{"content": [{"type": "text", "text": "parts"}]}], "max_tokens": 9223372036854775807}`,
+		`{"model": "m", "max_tokens": -1}`, `{"model": "m", "max_tokens": 1e3}`, `{"model": "m", "model": "n"}`,
+		`{"MODEL": "m", "Stream": true}`, `null`, `[]`, `{"model": null}`, `{"model": "\ud800"}`, "\x00", `{"model":"m"} {}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		parsed, err := parseModelRequest(body)
+		if err != nil {
+			return
+		}
+		if parsed.model == "" || parsed.promptTokens < 1 || parsed.outputTokens < 1 || parsed.outputTokens > maxOutputTokens {
+			t.Fatalf("%q: %+v", body, parsed)
+		}
+		var sent, got map[string]json.RawMessage
+		if err := json.Unmarshal(body, &sent); err != nil {
+			t.Fatalf("%q was taken: %v", body, err)
+		}
+		if err := json.Unmarshal(parsed.forward, &got); err != nil || string(got["stream"]) != "true" {
+			t.Fatalf("%q becomes %q: %v", body, parsed.forward, err)
+		}
+		again, err := parseModelRequest(parsed.forward)
+		if err != nil || again.model != parsed.model || !again.stream {
+			t.Fatalf("%q becomes %q: %+v, %v", body, parsed.forward, again, err)
+		}
+	})
+}
