Bound bodies by their own service's policy and by the process's limit

Cause: the body's limit was read from the defaults alone, so that an exception for a service or a customer and limits.body_bytes of the process settings had no effect. Change: the body is read up to the largest limit that one of the services has for the customer, and then checked against its own service's. Tests: entry TestBodyLimits (did not pass before: 4096 bytes for all), TestCallerWhoDoesNotRead.

--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+
+	"waxwingcart/internal/core/fleet"
+)
+
+// readBody reads a caller's body within a limit in bytes.
+func (e *Entry) readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, tooLargeError(limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal(reasonSlowBody, "body took longer than %s", e.opts.BodyTimeout)
+	default:
+		return nil, refusal(reasonBadRequest, "body could not be read: %v", err)
+	}
+}
+
+func tooLargeError(limit int64) error {
+	return refusal(reasonTooLarge, "body is over %d bytes", limit)
+}
+
+// bodyLimit is the limit for a service's requests. The process's own limit
+// holds whatever the policy says.
+func (e *Entry) bodyLimit(policy *fleet.Policy) int64 {
+	if e.opts.BodyLimit > 0 {
+		return min(policy.BodyLimitBytes, e.opts.BodyLimit)
+	}
+	return policy.BodyLimitBytes
+}
+
+// readLimit bounds the body of a request whose service the body itself may
+// name: the largest limit that one of the services has for the customer.
+func (e *Entry) readLimit(config *configuration, customer *fleet.Customer, kind fleet.ServiceKind) int64 {
+	limit := int64(0)
+	for i := range config.Services {
+		service := &config.Services[i]
+		if service.Kind != kind {
+			continue
+		}
+		policy := config.PolicyFor(service.Name, customer.Name, e.opts.Zone)
+		limit = max(limit, e.bodyLimit(&policy))
+	}
+	return limit
+}
+
+// checkBody checks a body against its own service's limit.
+func (e *Entry) checkBody(body []byte, policy *fleet.Policy) error {
+	if limit := e.bodyLimit(policy); int64(len(body)) > limit {
+		return tooLargeError(limit)
+	}
+	return nil
+}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -95,12 +94,12 @@
 // prepare authenticates the caller and reads the body within its bounds. If it
 // fails, the connection is closed after the answer, and what is left of the
 // body is awaited no longer than the body's time limit.
-func (e *Entry) prepare(w http.ResponseWriter, req *http.Request) (prepared, error) {
+func (e *Entry) prepare(w http.ResponseWriter, req *http.Request, kind fleet.ServiceKind) (prepared, error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
 	call, err := e.authenticate(req)
 	if err == nil {
-		call.body, err = e.readBody(w, req, call.config.Defaults.BodyLimitBytes)
+		call.body, err = e.readBody(w, req, e.readLimit(call.config, call.customer, kind))
 	}
 	if err != nil {
 		w.Header().Set("Connection", "close")
@@ -122,25 +121,10 @@
 	return prepared{config: config, customer: customer}, nil
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, refusal(reasonTooLarge, "body is over %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, refusal(reasonSlowBody, "body took longer than %s", e.opts.BodyTimeout)
-	default:
-		return nil, refusal(reasonBadRequest, "body could not be read: %v", err)
-	}
-}
-
 // serveModel serves a chat or completion request.
 func (e *Entry) serveModel(w http.ResponseWriter, req *http.Request) {
 	id := e.newRequestID()
-	call, err := e.prepare(w, req)
+	call, err := e.prepare(w, req, fleet.ServiceModel)
 	if err != nil {
 		e.refuseCall(w, id, err)
 		return
@@ -207,7 +191,7 @@
 // serveApp passes a request on to an application service.
 func (e *Entry) serveApp(w http.ResponseWriter, req *http.Request) {
 	id := e.newRequestID()
-	call, err := e.prepare(w, req)
+	call, err := e.prepare(w, req, fleet.ServiceApp)
 	if err != nil {
 		e.refuseCall(w, id, err)
 		return
@@ -299,6 +283,9 @@
 func (e *Entry) newRun(id string, req *http.Request, call prepared, service *fleet.Service) (*run, error) {
 	now := e.now()
 	policy := call.config.PolicyFor(service.Name, call.customer.Name, e.opts.Zone)
+	if err := e.checkBody(call.body, &policy); err != nil {
+		return nil, err
+	}
 	allowed, err := deadlineOf(req, policy)
 	if err != nil {
 		return nil, err
--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -208,3 +209,62 @@
 		t.Fatalf("%d lines", len(lines))
 	}
 }
+
+// Bodies are bounded by the policy of their service and customer, and by the
+// process.
+func TestBodyLimits(t *testing.T) {
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	_, address := newTestEntry(t, newTestEngine(t), testServer{"desk", ok})
+	tests := []struct {
+		key, path   string
+		bytes, want int
+	}{
+		{heirsKey, "/services/desk/bookings", 2_048, http.StatusOK},
+		{heirsKey, "/services/desk/bookings", 2_049, http.StatusRequestEntityTooLarge},
+		{heirsKey, chatPath, 4_096, http.StatusOK},
+		{heirsKey, chatPath, 4_097, http.StatusRequestEntityTooLarge},
+		{clerksKey, chatPath, 8_192, http.StatusOK},
+		{clerksKey, chatPath, 8_193, http.StatusRequestEntityTooLarge},
+	}
+	for _, test := range tests {
+		body := `{"model": "briefing-70b", "max_tokens": 1, "prompt": "` + strings.Repeat("p", test.bytes-56) + `"}`
+		response, text := call(t, http.MethodPost, address+test.path, test.key, body)
+		if len(body) != test.bytes || response.StatusCode != test.want {
+			t.Errorf("%s with %d bytes (%d): got %d %.200q", test.path, test.bytes, len(body), response.StatusCode, text)
+		}
+	}
+}
+
+// A caller who does not read its stream is cut off, and its stream ends at the
+// engine.
+func TestCallerWhoDoesNotRead(t *testing.T) {
+	ended := make(chan struct{})
+	flood := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != chatPath {
+			return
+		}
+		defer close(ended)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("X-Stream-Id", "s1")
+		text := strings.Repeat("x", 32<<10)
+		for i := 0; r.Context().Err() == nil; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"text\":%q}]}\n\n", i, text)
+		}
+	})
+	_, address := newTestEntry(t, testServer{"briefings", flood})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(address, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	body := `{"model": "briefing-70b", "stream": true, "prompt": "Unread"}`
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: e1\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", chatPath, heirsKey, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Minute):
+		t.Fatal("the stream goes on at the engine")
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,9 @@
 	PeerSecret string
 	// MaxRequests bounds the requests that this entry holds.
 	MaxRequests int
+	// BodyLimit bounds a caller's body in bytes, whatever its policy says. Zero
+	// leaves it to the policy.
+	BodyLimit int64
 	// BodyTimeout bounds reading a caller's body, WriteTimeout one write to a
 	// caller.
 	BodyTimeout  time.Duration
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,10 +38,10 @@
 	t.Helper()
 	e := New(Options{
 		VM: "e1", Zone: "kochi-a", PeerAddress: "127.0.0.1:1", PeerSecret: "secret",
-		BodyTimeout: 200 * time.Millisecond,
-		Client:      rpc.NewClient("secret"),
-		Logger:      observe.NewLogger(io.Discard, "error", "e1", "kochi-a"),
-		Registry:    prometheus.NewRegistry(),
+		BodyTimeout: 200 * time.Millisecond, WriteTimeout: 200 * time.Millisecond, BodyLimit: 8_192,
+		Client:   rpc.NewClient("secret"),
+		Logger:   observe.NewLogger(io.Discard, "error", "e1", "kochi-a"),
+		Registry: prometheus.NewRegistry(),
 	})
 	config := testConfig(t, servers)
 	// A new entry has no share of the customers' limits until its warm-up is
@@ -72,6 +72,11 @@
 			{Name: "desk", Kind: fleet.ServiceApp, Repeatable: []string{"POST /searches"}},
 		},
 	}
+	tight, wide := int64(2_048), int64(1<<20)
+	config.Exceptions = []fleet.Exception{
+		{Service: "desk", Reason: "small forms", Set: fleet.PolicyOverride{BodyLimitBytes: &tight}},
+		{Customer: "clerks", Service: "briefings", Reason: "long rulebooks", Set: fleet.PolicyOverride{BodyLimitBytes: &wide}},
+	}
 	for i, key := range []string{heirsKey, clerksKey} {
 		hash := sha256.Sum256([]byte(key))
 		config.Customers = append(config.Customers, fleet.Customer{
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -82,10 +82,11 @@
 
 // reasonMessage explains reasons whose name alone could be misread.
 var reasonMessage = map[request.Reason]string{
-	request.ReasonInFlight:   "another request with this key has not ended; send it again for its answer",
-	request.ReasonKeyUnknown: "it will never be known whether the request with this key ran; it is not run again",
-	request.ReasonNotKept:    "the request with this key ran once and was answered, but the answer was too long to be kept; it is not run again",
-	request.ReasonKeyExpired: "the record of this key has expired; whether its request ran is no longer known",
+	request.ReasonInFlight:    "another request with this key has not ended; send it again for its answer",
+	request.ReasonKeyUnknown:  "it will never be known whether the request with this key ran; it is not run again",
+	request.ReasonNotKept:     "the request with this key ran once and was answered, but the answer was too long to be kept; it is not run again",
+	request.ReasonReservation: "the key can't be reserved here now, and nothing was run for this request; if the key was sent before, that earlier request may have run",
+	request.ReasonKeyExpired:  "the record of this key has expired; whether its request ran is no longer known",
 }
 
 // noRetry lists the reasons for which sending the same request again does not
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -18,6 +18,7 @@
 	recordRetryTime = time.Minute
 	attemptTimeout  = time.Second
 	ownerWait       = time.Second
+	ownerPause      = 10 * time.Millisecond
 	inFlightRetry   = time.Second
 )
 
@@ -197,6 +198,7 @@
 		if state := stateOfOwner(attempt, response.Owner); state != ownerBusy {
 			return state
 		}
+		wait(ctx, ownerPause)
 	}
 	return ownerBusy
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -169,6 +169,7 @@
 		DataDir:      process.DataDir,
 		Platform:     process.Platform,
 		PeerSecret:   keys.Peer,
+		BodyLimit:    process.Limits.BodyBytes,
 		BodyTimeout:  milliseconds(process.Timeouts.ReadBodyMS),
 		WriteTimeout: milliseconds(process.Timeouts.WriteMS),
 		Client:       client,
