--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -177,6 +177,7 @@
 	process.OperatorKeyFile = filepath.Join(c.dir, "operator.key")
 	process.Platform = c.servers["p1"]
 	process.DrainS = 30
+	process.Timeouts.ReadHeaderMS, process.Timeouts.ReadBodyMS = 2_000, 2_000
 	data, err := json.Marshal(process)
 	if err != nil {
 		c.t.Fatal(err)
