--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -68,7 +68,10 @@
 	caller   context.Context
 	// dispatched is true once an attempt was handed to a server.
 	dispatched atomic.Bool
-	ended      chan struct{}
+	// place is where the answer's stream is; delivered counts its tokens.
+	place     atomic.Pointer[request.Position]
+	delivered atomic.Int64
+	ended     chan struct{}
 
 	// The loop alone uses what follows.
 	queue        []request.Event
@@ -133,6 +136,10 @@
 	}
 	r.noteEnd(ev.event)
 	r.step(ev.event)
+	if _, ok := ev.event.(request.Opened); ok {
+		place := r.req.Position()
+		r.place.Store(&place)
+	}
 }
 
 // noteEnd counts how the current attempt ended.
@@ -144,7 +151,6 @@
 		}
 	case request.Failed:
 		if r.attempt != nil && r.attempt.number == ev.Attempt {
-			r.trace.add(time.Now(), "attempt %d failed at %s: %s", ev.Attempt, ev.Failure.Peer, ev.Failure.Step)
 			r.endAttempt(resultOf(ev.Failure))
 		}
 	}
@@ -167,6 +173,7 @@
 	for len(r.queue) > 0 {
 		next := r.queue[0]
 		r.queue = r.queue[1:]
+		r.explainEvent(next)
 		for _, effect := range r.req.Step(r.entry.now(), next) {
 			r.carryOut(effect)
 		}
@@ -174,6 +181,7 @@
 }
 
 func (r *run) carryOut(effect request.Effect) {
+	r.explainEffect(effect)
 	switch e := effect.(type) {
 	case request.Admit:
 		r.entry.policy.arrive(r)
@@ -214,6 +222,7 @@
 	}
 	r.lastToken = now
 	r.tokens++
+	r.delivered.Store(int64(r.tokens))
 	r.attempt.token(now)
 	r.sink.token(r.token, r.req.Position())
 }
@@ -226,8 +235,16 @@
 	case request.OutcomeReplay:
 		r.sink.complete(r.replay)
 	default:
-		r.sink.refuse(outcome)
+		r.sink.refuse(outcome, r.recorded(outcome))
+	}
+}
+
+// recorded returns what is known of an answer that was not kept, or nil.
+func (r *run) recorded(outcome request.Outcome) *answer {
+	if outcome.Reason != request.ReasonNotKept {
+		return nil
 	}
+	return r.replay
 }
 
 // finish gives back what the request holds and counts its outcome.
@@ -235,18 +252,22 @@
 	answered := r.outcome.Kind == request.OutcomeAnswered
 	r.endAttempt(routing.ResultCancelled)
 	r.entry.policy.leave(r, answered, r.tokens)
-	if answered {
+	if answered && !r.serverFailed() {
 		r.entry.policy.success(r.service.Name, &r.policy)
 	}
 	r.count(answered)
-	r.trace.outcome = r.outcome
 	r.trace.dispatched = r.req.Dispatched()
-	r.trace.add(time.Now(), "ended: %s %s", kindName(r.outcome.Kind), r.outcome.Reason)
+	r.trace.end(time.Now(), "%s", endText(r))
 	r.entry.history.put(r.trace)
 	close(r.ended)
 	r.entry.remove(r)
 }
 
+// serverFailed tells whether the answer says that the server failed.
+func (r *run) serverFailed() bool {
+	return r.answer != nil && r.answer.status >= http.StatusInternalServerError
+}
+
 func (r *run) count(answered bool) {
 	m := r.entry.metrics
 	service := r.service.Name
@@ -279,16 +300,21 @@
 }
 
 // Retry implements request.Retrier with the entry's budget.
-func (r *run) Retry(_ time.Duration, failure request.Failure, attempts int, handedOver bool) (time.Duration, bool) {
-	return r.entry.policy.decideRetry(retry.Attempt{
+func (r *run) Retry(_ time.Duration, failed request.FailedAttempt) (time.Duration, bool) {
+	decision := r.entry.policy.decideRetry(retry.Attempt{
 		Service:    r.service.Name,
-		Error:      errorClass(failure),
+		Error:      errorClass(failed.Failure),
 		Repeatable: r.spec.Repeatable,
-		HandedOver: handedOver,
-		Attempts:   attempts,
+		HandedOver: failed.HandedOver,
+		Attempts:   failed.Attempts,
+		Free:       failed.Free,
 		Deadline:   r.deadline,
 		Policy:     &r.policy,
 	})
+	if !decision.Retry {
+		r.trace.add(time.Now(), "not tried again: %s", decision.Reason)
+	}
+	return decision.Delay, decision.Retry
 }
 
 func errorClass(failure request.Failure) retry.ErrorClass {
