Membership: track the platform's and the process's incarnations as texts

Vendors give incarnations as texts without order, and the platform's for a VM is not the server's for its process. Read as numbers, nearly all of them were unknown, so that a VM that left stayed leaving under its next incarnation.

A table now keeps both apart: an instance that left stays so whatever lagging source speaks later; a process restarted on a leaving VM does not make it stay; the list's next instance does. Ruled out: ordering the texts, which a random boot text breaks silently.

Trial: with a flag that expires, the rapid test fails.

--- a/internal/core/membership/events.go
+++ b/internal/core/membership/events.go
@@ -10,25 +10,29 @@
 
 // ListedVM is one VM of the platform's list.
 type ListedVM struct {
-	VM          string
-	Zone        string
-	Incarnation uint64
+	VM   string
+	Zone string
+	// Incarnation is the platform's text for this start of the VM.
+	Incarnation string
 	Leaving     bool
 }
 
 // Notice is a reclaim notice for a VM, which may be this entry's own.
 type Notice struct {
 	VM string
-	// Incarnation is zero if the platform does not give it.
-	Incarnation uint64
+	// Incarnation is empty if the platform does not give it. The notice then
+	// is for the one that the list shows.
+	Incarnation string
 	// Left is the time until the VM is reclaimed.
 	Left time.Duration
 }
 
 // Report is a backend server's own report.
 type Report struct {
-	VM          string
-	Incarnation uint64
+	VM string
+	// Incarnation is the server's text for this start of its process, which
+	// need not be the platform's for the VM.
+	Incarnation string
 	Leaving     bool
 }
 
@@ -116,12 +120,15 @@
 	// pushed to all of them at once and peers are chosen regardless of their
 	// zone. Default 46.
 	FullMeshLimit int
-	// Fanout is the number of random peers of the own zone in one round.
-	// Default 4.
+	// Fanout is the number of random peers of the own zone that fresh news is
+	// sent to in one round. Default 4.
 	Fanout int
-	// Bridges is the number of random peers of other zones in one round.
-	// Default 2.
+	// Bridges is the number of random peers of other zones that fresh news is
+	// sent to in one round. Default 2.
 	Bridges int
+	// Probes is the number of random peers that are probed in one interval,
+	// one of them in another zone. Default 3.
+	Probes int
 	// ProbeInterval is the time between two rounds of probes. Default 1 s.
 	ProbeInterval time.Duration
 	// ProbeTimeout is the longest wait for an answer. Default 500 ms.
@@ -143,6 +150,10 @@
 	// SilentAfter is how long a VM that left the platform's list stays usable
 	// without a report or a successful call. Default 10 s.
 	SilentAfter time.Duration
+	// HoldAfter is how long a notice counts for an incarnation of a VM that
+	// this entry's list does not show yet. It must be above the list's lag.
+	// Default 1 min.
+	HoldAfter time.Duration
 	// ForgetAfter is how long a VM is kept without any news of it. It must be
 	// far above the lag of every source. Default 1 h.
 	ForgetAfter time.Duration
@@ -165,7 +176,9 @@
 	defaultFailures       = 3
 	defaultRetryAfter     = 2 * time.Second
 	defaultSilentAfter    = 10 * time.Second
+	defaultHoldAfter      = time.Minute
 	defaultForgetAfter    = time.Hour
+	defaultProbes         = 3
 	defaultMaxRecords     = 256
 )
 
@@ -181,7 +194,9 @@
 	setDefault(&o.FailuresUntilUnusable, defaultFailures)
 	setDefault(&o.RetryAfter, defaultRetryAfter)
 	setDefault(&o.SilentAfter, defaultSilentAfter)
+	setDefault(&o.HoldAfter, defaultHoldAfter)
 	setDefault(&o.ForgetAfter, defaultForgetAfter)
+	setDefault(&o.Probes, defaultProbes)
 	setDefault(&o.MaxRecords, defaultMaxRecords)
 }
 
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -84,7 +84,7 @@
 // missed the last one. Each entry is still probed by several others in an
 // interval, and the cost does not grow with the deployment.
 func (t *Table) probe() {
-	targets := t.sample(t.options.Fanout, t.options.Bridges, "")
+	targets := t.sample(t.options.Probes-1, 1, "")
 	targets = t.addDoubtful(targets)
 	if gone := t.randomDead(); gone != nil {
 		targets = append(targets, gone)
@@ -179,6 +179,10 @@
 
 // news returns the record to send of a member.
 func (m *member) news() Record {
+	if latest, ok := m.instances.latest(); ok {
+		latest.Zone = m.record.Zone
+		return latest
+	}
 	if m.unbound != nil {
 		return *m.unbound
 	}
@@ -225,7 +229,7 @@
 	for range min(windowRecords, len(t.ordered)) {
 		t.cursor = (t.cursor + 1) % len(t.ordered)
 		if m := t.ordered[t.cursor]; t.repeated(m) {
-			records = append(records, m.record)
+			records = append(records, m.news())
 		}
 	}
 	return records
@@ -246,7 +250,7 @@
 	records := []Record{t.self.record}
 	for _, m := range t.ordered {
 		if t.repeated(m) {
-			records = append(records, m.record)
+			records = append(records, m.news())
 		}
 	}
 	return records
@@ -256,10 +260,8 @@
 // It ends long before anyone forgets the member, so that no entry brings back
 // what the others have forgotten.
 func (t *Table) repeated(m *member) bool {
-	if m.record.Incarnation == 0 || !gossiped(m) {
-		return false
-	}
-	return m.static || t.now-m.touched < t.options.ForgetAfter/2
+	known := m.record.Incarnation != 0 || len(m.instances.left) > 0
+	return known && (m.static || t.now-m.touched < t.options.ForgetAfter/2)
 }
 
 // resends returns how many messages carry a fresh record.
--- a/internal/core/membership/record.go
+++ b/internal/core/membership/record.go
@@ -1,9 +1,6 @@
 package membership
 
-import (
-	"cmp"
-	"strconv"
-)
+import "cmp"
 
 // Kind tells what a VM runs.
 type Kind string
@@ -25,14 +22,19 @@
 )
 
 // Record is what is known about one VM, in the form that entries exchange.
-// Records of one VM form a join semilattice under Join.
+// Records of one entry, and records of one instance of a backend server's VM,
+// form a join semilattice under Join.
 type Record struct {
 	Kind    Kind   `json:"kind"`
 	VM      string `json:"vm"`
 	Zone    string `json:"zone,omitempty"`
 	Address string `json:"address,omitempty"`
-	// Incarnation grows with each start of the VM. Zero means unknown.
-	Incarnation uint64 `json:"incarnation"`
+	// Incarnation grows with each start of an entry. Zero means unknown, and
+	// is the value of all backend servers.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Instance is the platform's incarnation of a backend server's VM, a text
+	// without order. It is empty if unknown, and for entries.
+	Instance string `json:"instance,omitempty"`
 	// Leaving is never taken back within one incarnation.
 	Leaving bool `json:"leaving,omitempty"`
 	// DeadlineMS is when the VM is reclaimed, in milliseconds since 1970.
@@ -44,7 +46,7 @@
 	Health  Health `json:"health,omitempty"`
 }
 
-// Join merges two records of the same kind and VM. A higher incarnation
+// Join merges two records of the same kind, VM and instance. A higher incarnation
 // replaces a lower one. Join is commutative, idempotent and associative.
 func Join(a, b Record) Record {
 	if a.Incarnation > b.Incarnation {
@@ -96,17 +98,3 @@
 	}
 	return StateLive
 }
-
-// ParseIncarnation reads an incarnation that a source gives as text, a whole
-// or decimal number that grows with each start. Any other text gives zero,
-// for unknown.
-func ParseIncarnation(text string) uint64 {
-	if whole, err := strconv.ParseUint(text, 10, 64); err == nil {
-		return whole
-	}
-	decimal, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(decimal > 0) || decimal >= 1<<63 {
-		return 0
-	}
-	return uint64(decimal * 1000)
-}
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -23,8 +23,10 @@
 // member is one VM with this entry's local knowledge.
 type member struct {
 	record Record
-	// unbound is set while the VM is leaving but its incarnation is unknown.
+	// unbound is set while an entry is leaving but its incarnation is unknown.
 	unbound *Record
+	// instances is used for backend servers only.
+	instances instances
 	// static members come from the settings and are never forgotten.
 	static bool
 	// heard and seen tell from which sources there was word, and when last.
@@ -34,10 +36,6 @@
 	touched time.Duration
 	// unlisted tells that the VM disappeared from the platform's list.
 	unlisted bool
-	// listedIncarnation is the highest one that the platform's list gave.
-	listedIncarnation uint64
-	// replacedUntil is the reclaim deadline of an earlier incarnation.
-	replacedUntil time.Duration
 
 	failures int
 	retryAt  time.Duration
@@ -71,6 +69,8 @@
 	cursor     int
 	nextProbe  time.Duration
 	nextGossip time.Duration
+	// nextFull is when an entry that returns may next be sent all records.
+	nextFull time.Duration
 
 	effects Effects
 	urgent  []*member
@@ -125,123 +125,7 @@
 	return t.effects
 }
 
-func (t *Table) stepList(list PlatformList) {
-	for _, m := range t.ordered {
-		if m.record.Kind == KindBackend && m.heard[SourceList] {
-			m.unlisted = true
-		}
-	}
-	for _, vm := range list.VMs {
-		if _, entry := t.members[key{KindEntry, vm.VM}]; entry {
-			continue
-		}
-		m := t.member(KindBackend, vm.VM)
-		m.unlisted = false
-		m.listedIncarnation = max(m.listedIncarnation, vm.Incarnation)
-		t.learn(m, Record{Zone: vm.Zone, Incarnation: vm.Incarnation, Leaving: vm.Leaving}, SourceList)
-	}
-}
-
-func (t *Table) stepNotice(notice Notice) {
-	kind := KindBackend
-	if _, entry := t.members[key{KindEntry, notice.VM}]; entry {
-		kind = KindEntry
-	}
-	m := t.member(kind, notice.VM)
-	deadline := t.wall(t.now + notice.Left)
-	t.learn(m, Record{Incarnation: notice.Incarnation, Leaving: true, DeadlineMS: deadline}, SourceNotice)
-}
-
-func (t *Table) stepReport(report Report) {
-	m := t.member(KindBackend, report.VM)
-	t.learn(m, Record{Incarnation: report.Incarnation, Leaving: report.Leaving}, SourceReport)
-}
-
-func (t *Table) stepContact(contact Contact) {
-	if contact.Kind == KindEntry {
-		t.stepEntryContact(contact)
-		return
-	}
-	m := t.member(KindBackend, contact.VM)
-	if contact.OK {
-		t.learn(m, Record{}, SourceContact)
-		m.failures = 0
-		return
-	}
-	m.failures++
-	if m.failures >= t.options.FailuresUntilUnusable {
-		m.retryAt = t.now + t.options.RetryAfter
-	}
-}
-
-func (t *Table) stepEntryContact(contact Contact) {
-	m, ok := t.members[key{KindEntry, contact.VM}]
-	if !ok || m == t.self {
-		return
-	}
-	if contact.OK {
-		t.answered(m, SourceContact)
-		return
-	}
-	t.missed(m)
-}
-
-func (t *Table) stepNews(news News) {
-	m, known := t.members[key{KindEntry, news.From}]
-	returning := !known || m.record.Health == Dead || !m.heard[SourceNews]
-	for _, record := range news.Records {
-		t.takeRecord(record)
-	}
-	if m, known = t.members[key{KindEntry, news.From}]; known && m != t.self {
-		t.answered(m, SourceNews)
-	}
-	if !news.Request {
-		return
-	}
-	t.effects.Reply = t.payload()
-	if returning {
-		t.effects.Reply = t.everything()
-	}
-}
-
-// takeRecord merges a record of another entry. Without an incarnation only
-// its notice counts, for the incarnation that is known here.
-func (t *Table) takeRecord(record Record) {
-	if record.VM == "" || (record.Kind != KindEntry && record.Kind != KindBackend) || record.Health > Dead {
-		return
-	}
-	if record.Incarnation == 0 {
-		record = Record{Kind: record.Kind, VM: record.VM, Leaving: record.Leaving, DeadlineMS: record.DeadlineMS}
-		if !record.Leaving {
-			return
-		}
-	}
-	m := t.member(record.Kind, record.VM)
-	if m == t.self {
-		t.refute(record)
-		return
-	}
-	t.learn(m, record, SourceNews)
-}
-
-// refute answers a record about this entry itself.
-func (t *Table) refute(record Record) {
-	self := &t.self.record
-	if record.Leaving && (record.Incarnation == 0 || record.Incarnation == self.Incarnation) {
-		t.learn(t.self, record, SourceNews)
-	}
-	if record.Incarnation > self.Incarnation {
-		self.Incarnation = record.Incarnation + 1
-		t.spread(t.self)
-		return
-	}
-	if record.Incarnation == self.Incarnation && record.Health > Alive && record.Version >= self.Version {
-		self.Version = record.Version + 1
-		t.requeue(t.self)
-	}
-}
-
-// learn merges what a source says of a member.
+// learn merges what a source says of an entry.
 func (t *Table) learn(m *member, record Record, source Source) {
 	before := t.state(m)
 	m.heard[source] = true
@@ -253,7 +137,7 @@
 	t.note(m, before)
 }
 
-// merge joins a record into a member's and queues the result for others.
+// merge joins a record into an entry's and queues the result for others.
 func (t *Table) merge(m *member, record Record) {
 	old := m.record
 	record.Kind, record.VM = old.Kind, old.VM
@@ -270,8 +154,9 @@
 	}
 	m.record = Join(old, record)
 	t.bind(m)
-	if old.Incarnation != 0 && m.record.Incarnation > old.Incarnation {
-		t.replaced(m, old)
+	if m.record.Incarnation > old.Incarnation {
+		m.misses = 0
+		m.probing = false
 	}
 	if m.record.Health == Suspect && old.Health != Suspect {
 		m.suspectSince = t.now
@@ -305,22 +190,8 @@
 	m.unbound = nil
 }
 
-// replaced resets the local view for a new incarnation. Until the earlier
-// one's reclaim deadline the new one may be a restart on the leaving VM.
-func (t *Table) replaced(m *member, old Record) {
-	m.failures, m.misses = 0, 0
-	m.probing = false
-	if old.Leaving && old.DeadlineMS != 0 {
-		m.replacedUntil = time.Duration(old.DeadlineMS-t.options.EpochMS) * time.Millisecond
-	}
-}
-
-// passOn queues a changed record for other entries if they need it: news of
-// entries, and backend servers that are leaving.
+// passOn queues a changed record of an entry for the others.
 func (t *Table) passOn(m *member, old Record) {
-	if !gossiped(m) {
-		return
-	}
 	if m.record.Incarnation == 0 {
 		return
 	}
@@ -332,11 +203,6 @@
 	}
 }
 
-// gossiped tells whether other entries are told of a member.
-func gossiped(m *member) bool {
-	return m.record.Kind == KindEntry || m.record.Leaving || m.unbound != nil
-}
-
 // spread pushes a member's record at once and in the next rounds.
 func (t *Table) spread(m *member) {
 	t.requeue(m)
@@ -364,9 +230,14 @@
 	t.effects.Changes = append(t.effects.Changes, Change{Kind: m.record.Kind, VM: m.record.VM, From: before, To: after})
 }
 
+// leaving tells whether a member is leaving.
+func (t *Table) leaving(m *member) bool {
+	return m.record.Leaving || m.unbound != nil || m.instances.leaving(t.now, t.options.HoldAfter)
+}
+
 // state returns a member's state with the local knowledge taken in.
 func (t *Table) state(m *member) State {
-	if m.unbound != nil {
+	if m.record.Health != Dead && t.leaving(m) {
 		return StateLeaving
 	}
 	silent := m.heard == [sourceCount]bool{}
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -23,7 +23,7 @@
 func (t *Table) Leaving(vm string) bool {
 	for _, kind := range []Kind{KindBackend, KindEntry} {
 		m, ok := t.members[key{kind, vm}]
-		if ok && (m.record.Leaving || m.unbound != nil) {
+		if ok && t.leaving(m) {
 			return true
 		}
 	}
@@ -41,25 +41,15 @@
 }
 
 func (t *Table) usable(m *member) bool {
-	if m.record.Leaving || m.unbound != nil || m.record.Health == Dead {
+	if t.leaving(m) {
 		return false
 	}
 	if m.failures >= t.options.FailuresUntilUnusable && t.now < m.retryAt {
 		return false
 	}
-	if t.now < m.replacedUntil && !m.confirmed() {
-		return false
-	}
 	return !m.unlisted || t.heardDirectly(m)
 }
 
-// confirmed tells whether the platform's list has shown the VM since its
-// incarnation became known; a report alone may come from a process that was
-// restarted on the leaving VM.
-func (m *member) confirmed() bool {
-	return m.listedIncarnation == m.record.Incarnation
-}
-
 func (t *Table) heardDirectly(m *member) bool {
 	for _, source := range []Source{SourceReport, SourceContact} {
 		if m.heard[source] && t.now-m.seen[source] <= t.options.SilentAfter {
@@ -79,19 +69,19 @@
 // dead, a leaving one does not count.
 func (t *Table) Entries(zone string) []Member {
 	var entries []Member
-	if live(t.self) && (zone == "" || zone == t.self.record.Zone) {
+	if t.live(t.self) && (zone == "" || zone == t.self.record.Zone) {
 		entries = append(entries, t.view(t.self))
 	}
 	for _, m := range t.entries {
-		if live(m) && (zone == "" || zone == m.record.Zone) {
+		if t.live(m) && (zone == "" || zone == m.record.Zone) {
 			entries = append(entries, t.view(m))
 		}
 	}
 	return entries
 }
 
-func live(m *member) bool {
-	return m.record.Health != Dead && !m.record.Leaving && m.unbound == nil
+func (t *Table) live(m *member) bool {
+	return m.record.Health != Dead && !t.leaving(m)
 }
 
 // Members returns all known VMs, this entry first, then by name.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -218,7 +218,7 @@
 		listed = append(listed, membership.ListedVM{
 			VM:          vm.Name,
 			Zone:        vm.Zone,
-			Incarnation: membership.ParseIncarnation(vm.Incarnation),
+			Incarnation: vm.Incarnation,
 			Leaving:     vm.State == backend.VMLeaving,
 		})
 	}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -103,7 +103,7 @@
 	})
 	e.learn(membership.Report{
 		VM:          server.VM,
-		Incarnation: membership.ParseIncarnation(report.Incarnation),
+		Incarnation: report.Incarnation,
 		Leaving:     report.Leaving,
 	})
 }
