--- a/internal/core/membership/backend.go
+++ b/internal/core/membership/backend.go
@@ -30,6 +30,23 @@
 type leftInstance struct {
 	record  Record
 	learned time.Duration
+	// processes are those that reported before the deadline, or the first one
+	// to report at all.
+	processes []string
+}
+
+// meet notes a process that ran on the instance.
+func (l *leftInstance) meet(process string) {
+	if process != "" && !slices.Contains(l.processes, process) {
+		l.processes = remember(l.processes, process)
+	}
+}
+
+// reclaimed tells whether a VM that the list does not name has been replaced:
+// its deadline has passed and a process reports that did not before.
+func (l leftInstance) reclaimed(process string, wallMS int64) bool {
+	passed := l.record.DeadlineMS != 0 && wallMS > l.record.DeadlineMS
+	return passed && process != "" && !slices.Contains(l.processes, process)
 }
 
 // show notes the instance that the platform's list shows. The first one that
@@ -64,13 +81,20 @@
 			return false
 		}
 	}
-	i.left = remember(i.left, leftInstance{record: record, learned: now})
+	left := leftInstance{record: record, learned: now}
+	left.meet(i.process)
+	i.left = remember(i.left, left)
 	return true
 }
 
 // report notes a report of the server's process.
-func (i *instances) report(process string, leaving bool) {
+func (i *instances) report(process string, leaving bool, wallMS int64) {
 	i.process = process
+	for n := range i.left {
+		if left := &i.left[n]; len(left.processes) == 0 || !left.reclaimed(process, wallMS) {
+			left.meet(process)
+		}
+	}
 	if leaving && !slices.Contains(i.leftProcesses, process) {
 		i.leftProcesses = remember(i.leftProcesses, process)
 	}
@@ -78,16 +102,19 @@
 
 // leaving tells whether the VM is leaving. An instance that the list has not
 // shown yet counts for a time, as the list lags; after that the list counts.
-func (i *instances) leaving(now, hold time.Duration) bool {
+func (i *instances) leaving(now, hold time.Duration, wallMS int64) bool {
 	if slices.Contains(i.leftProcesses, i.process) {
 		return true
 	}
 	for _, left := range i.left {
 		instance := left.record.Instance
-		if instance == i.current {
+		if instance == i.current && instance != "" {
+			return true
+		}
+		if i.current == "" && !left.reclaimed(i.process, wallMS) {
 			return true
 		}
-		if !slices.Contains(i.shown, instance) && (i.current == "" || now-left.learned < hold) {
+		if i.current != "" && !slices.Contains(i.shown, instance) && now-left.learned < hold {
 			return true
 		}
 	}
--- a/internal/core/membership/steps.go
+++ b/internal/core/membership/steps.go
@@ -37,7 +37,7 @@
 func (t *Table) stepReport(report Report) {
 	m := t.member(KindBackend, report.VM)
 	t.observe(m, SourceReport, func() {
-		m.instances.report(report.Incarnation, report.Leaving)
+		m.instances.report(report.Incarnation, report.Leaving, t.wall(t.now))
 	})
 }
 
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -232,7 +232,7 @@
 
 // leaving tells whether a member is leaving.
 func (t *Table) leaving(m *member) bool {
-	return m.record.Leaving || m.unbound != nil || m.instances.leaving(t.now, t.options.HoldAfter)
+	return m.record.Leaving || m.unbound != nil || m.instances.leaving(t.now, t.options.HoldAfter, t.wall(t.now))
 }
 
 // state returns a member's state with the local knowledge taken in.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -185,7 +185,11 @@
 		return after
 	}
 	for _, notice := range notices {
-		e.takeNotice(notice)
+		// A notice whose time is over is about a VM that has gone; another may
+		// have its name by now.
+		if notice.Left > 0 {
+			e.takeNotice(notice)
+		}
 	}
 	return last
 }
@@ -224,6 +228,3 @@
 	}
 	e.learn(membership.PlatformList{VMs: listed})
 }
-
-// moveStreams moves the streams off a leaving VM.
-func (e *Entry) moveStreams(string) {}
