--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,7 +81,6 @@
 	config      *configHolder
 	history     *history
 	members     *members
-	listed      listedVMs
 	reports     reportState
 
 	nextID   atomic.Uint64
