--- a/internal/core/replication/log.go
+++ b/internal/core/replication/log.go
@@ -14,6 +14,8 @@
 	baseIndex uint64
 	baseTerm  uint64
 	entries   []Entry
+	// bytes is the size of the entries in memory.
+	bytes int
 	// stable is the last synced index, handed the last index that was handed
 	// out to be synced.
 	stable uint64
@@ -45,6 +47,7 @@
 	l.baseIndex = s.Index
 	l.baseTerm = s.Term
 	l.entries = nil
+	l.bytes = 0
 	l.stable = 0
 	l.handed = s.Index
 	l.commit = s.Index
@@ -96,8 +99,16 @@
 	return len(e.Data) + entryOverheadBytes
 }
 
+func totalBytes(entries []Entry) (bytes int) {
+	for i := range entries {
+		bytes += entryBytes(&entries[i])
+	}
+	return bytes
+}
+
 func (l *entryLog) push(e Entry) {
 	l.entries = append(l.entries, e)
+	l.bytes += entryBytes(&e)
 	if e.Kind == EntryMembership && e.Membership != nil {
 		l.memberships = append(l.memberships, placedMembership{e.Index, *e.Membership})
 	}
@@ -107,6 +118,7 @@
 // is copied, since messages and writes may still refer to the old entries.
 func (l *entryLog) truncate(index uint64) {
 	kept := l.entries[:index-l.baseIndex-1]
+	l.bytes -= totalBytes(l.entries[len(kept):])
 	l.entries = append(make([]Entry, 0, len(kept)+1), kept...)
 	l.stable = min(l.stable, index-1)
 	l.handed = min(l.handed, index-1)
@@ -156,15 +168,15 @@
 
 // compact notes a synced snapshot and drops the entries that are older than
 // the retained tail before it.
-func (l *entryLog) compact(s *Snapshot, retain uint64) {
+func (l *entryLog) compact(s *Snapshot, retain uint64, retainBytes int) {
 	if s.Index > l.commit || (l.snapshot != nil && s.Index <= l.snapshot.Index) {
 		return
 	}
 	l.snapshot = s
-	if s.Index <= l.baseIndex+retain {
+	base := l.retainedBase(s.Index, retain, retainBytes)
+	if base <= l.baseIndex {
 		return
 	}
-	base := s.Index - retain
 	term, _ := l.termAt(base)
 	membership := l.membershipAt(base)
 	later := []placedMembership{{index: base, membership: membership}}
@@ -173,12 +185,28 @@
 			later = append(later, p)
 		}
 	}
-	l.entries = append([]Entry(nil), l.entries[base-l.baseIndex:]...)
+	dropped := base - l.baseIndex
+	l.bytes -= totalBytes(l.entries[:dropped])
+	l.entries = append([]Entry(nil), l.entries[dropped:]...)
 	l.memberships = later
 	l.baseIndex = base
 	l.baseTerm = term
 }
 
+// retainedBase returns the index before the tail that is kept in front of a
+// snapshot at index.
+func (l *entryLog) retainedBase(index, retain uint64, retainBytes int) uint64 {
+	base := index
+	for base > l.baseIndex && index-base < retain {
+		retainBytes -= entryBytes(&l.entries[base-l.baseIndex-1])
+		if retainBytes < 0 {
+			break
+		}
+		base--
+	}
+	return base
+}
+
 // upToDate tells whether a log that ends with the given entry holds everything
 // that this one may have helped to commit.
 func (l *entryLog) upToDate(lastIndex, lastTerm uint64) bool {
--- a/internal/core/replication/network_test.go
+++ b/internal/core/replication/network_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -31,70 +30,6 @@
 	}
 }
 
-// disk is what survives a crash.
-type disk struct {
-	hard     HardState
-	snapshot *Snapshot
-	entries  []Entry
-}
-
-func (d *disk) restored() Restored {
-	return Restored{HardState: d.hard, Snapshot: d.snapshot, Entries: slices.Clone(d.entries)}
-}
-
-func (d *disk) base() uint64 {
-	if d.snapshot == nil {
-		return 0
-	}
-	return d.snapshot.Index
-}
-
-func (d *disk) write(p *Persist) {
-	d.hard = p.HardState
-	if p.Snapshot != nil {
-		d.snapshot, d.entries = p.Snapshot, nil
-	}
-	for _, e := range p.Entries {
-		if e.Index > d.base() {
-			d.entries = append(d.entries[:e.Index-d.base()-1:e.Index-d.base()-1], e)
-		}
-	}
-}
-
-func (d *disk) last() uint64 { return d.base() + uint64(len(d.entries)) }
-
-func (d *disk) holds(e Entry) bool {
-	return e.Index <= d.base() || e.Index <= d.last() && d.entries[e.Index-d.base()-1].Term == e.Term
-}
-
-// covers reports whether what a message says of its sender is synced.
-func (d *disk) covers(m *Message) bool {
-	switch m.Kind {
-	case MessagePreVote:
-		return true
-	case MessagePreVoteReply:
-		return m.Granted || d.hard.Term >= m.Term
-	case MessageVote:
-		return d.hard.Term > m.Term || d.hard.Term == m.Term && d.hard.Vote == m.From
-	case MessageVoteReply:
-		return d.hard.Term > m.Term || d.hard.Term == m.Term && (!m.Granted || d.hard.Vote == m.To)
-	case MessageAppendReply:
-		return d.hard.Term >= m.Term && (m.Rejected || d.last() >= m.Index)
-	case MessageAppend:
-		for _, e := range m.Entries {
-			if !d.holds(e) {
-				return false
-			}
-		}
-	}
-	return d.hard.Term >= m.Term
-}
-
-func (d *disk) save(s *Snapshot) {
-	d.entries = slices.Clone(d.entries[s.Index-d.base():])
-	d.snapshot = s
-}
-
 // host is a VM with a replica.
 type host struct {
 	self    Member
@@ -317,15 +252,6 @@
 	}
 }
 
-func digest(before uint64, e Entry) uint64 {
-	sum := fnv.New64a()
-	fmt.Fprint(sum, before, e.Index, e.Term, e.Kind, string(e.Data))
-	if e.Membership != nil {
-		fmt.Fprint(sum, *e.Membership)
-	}
-	return sum.Sum64()
-}
-
 // apply checks that every node applies the same entries in the same order.
 func (w *network) apply(h *host, e Entry) {
 	if e.Index != h.applied+1 {
@@ -345,49 +271,6 @@
 	w.step(h, Applied{Index: e.Index})
 }
 
-// checkLeader checks that a term has one leader and that it holds all
-// committed entries.
-func (w *network) checkLeader(h *host, term uint64) {
-	if other, ok := w.leaders[term]; ok && other != h.self.ID {
-		w.violate("term %d has leaders %v and %v", term, other, h.self.ID)
-	}
-	w.leaders[term] = h.self.ID
-	h.electedAt = w.now
-	if last := uint64(len(w.chain)) - 1; h.node.log.lastIndex() < last {
-		w.violate("leader %v of term %d lacks committed entry %d", h.self.ID, term, last)
-	}
-}
-
-// checkEntries checks that equal index and term mean equal logs.
-func (w *network) checkEntries(h *host, entries []Entry) {
-	for _, e := range entries {
-		prevTerm, _ := h.node.log.termAt(e.Index - 1)
-		sum := digest(prevTerm, e)
-		key := [2]uint64{e.Index, e.Term}
-		if seen, ok := w.entries[key]; ok && seen != sum {
-			w.violate("%v holds another entry %d of term %d", h.self.ID, e.Index, e.Term)
-		}
-		w.entries[key] = sum
-	}
-}
-
-func (w *network) checkLeases() {
-	holders := 0
-	for _, h := range w.hosts {
-		if h.node == nil || !h.node.MayOrder(h.clock(w.now), 0) {
-			continue
-		}
-		holders++
-		waited := time.Duration(float64(w.now-h.electedAt) * h.rate)
-		if waited < w.opts.LeaseDuration && !w.forgetful {
-			w.violate("%v holds a lease %v after its election", h.self.ID, waited)
-		}
-	}
-	if holders > 1 {
-		w.violate("%d nodes hold a lease", holders)
-	}
-}
-
 // run lets true time pass.
 func (w *network) run(d time.Duration) {
 	for end := w.now + d; w.now < end; {
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -54,6 +54,7 @@
 	DefaultMaxInflight       = 64
 	DefaultMaxPendingBytes   = 64 << 20
 	DefaultRetainEntries     = 4096
+	DefaultRetainBytes       = 8 << 20
 )
 
 func (o Options) withDefaults() Options {
@@ -65,6 +66,7 @@
 	setDefault(&o.MaxInflight, DefaultMaxInflight)
 	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&o.RetainEntries, DefaultRetainEntries)
+	setDefault(&o.RetainBytes, DefaultRetainBytes)
 	return o
 }
 
@@ -218,7 +220,7 @@
 
 func (n *Node) compact(s *Snapshot) {
 	if s.Index <= n.emitted {
-		n.log.compact(s, n.opts.RetainEntries)
+		n.log.compact(s, n.opts.RetainEntries, n.opts.RetainBytes)
 	}
 }
 
--- a/internal/core/replication/node_test.go
+++ b/internal/core/replication/node_test.go
@@ -33,6 +33,31 @@
 	}
 }
 
+func TestCompactRetains(t *testing.T) {
+	for _, c := range []struct {
+		retain      uint64
+		retainBytes int
+		wantBase    uint64
+	}{
+		{3, 1 << 20, 4},
+		{100, 1 << 20, 0},
+		{100, 2 * (10 + entryOverheadBytes), 5},
+		{100, 1, 7},
+	} {
+		l := newEntryLog(Bootstrap([]Member{member("a")}))
+		for i := range uint64(9) {
+			l.push(Entry{Index: i + 1, Term: 1, Data: make([]byte, 10)})
+		}
+		l.truncate(9)
+		l.commit = 7
+		l.compact(&Snapshot{Index: 7, Term: 1}, c.retain, c.retainBytes)
+		want := int(8-c.wantBase) * (10 + entryOverheadBytes)
+		if l.baseIndex != c.wantBase || l.lastIndex() != 8 || l.bytes != want {
+			t.Errorf("%+v: base %d, last %d, %d bytes", c, l.baseIndex, l.lastIndex(), l.bytes)
+		}
+	}
+}
+
 func TestCheckChange(t *testing.T) {
 	members := func(vms string) (list []Member) {
 		for _, vm := range vms {
--- a/internal/core/replication/status.go
+++ b/internal/core/replication/status.go
@@ -15,6 +15,9 @@
 	LastIndex       uint64
 	StableIndex     uint64
 	SnapshotIndex   uint64
+	// LogBytes is the size of the entries held in memory. It shrinks with
+	// each snapshot.
+	LogBytes int
 	// Peers is set on a leader.
 	Peers []PeerStatus
 	Lease LeaseStatus
@@ -54,6 +57,7 @@
 		Applied:         n.applied,
 		LastIndex:       n.log.lastIndex(),
 		StableIndex:     n.log.stable,
+		LogBytes:        n.log.bytes,
 	}
 	if n.log.snapshot != nil {
 		s.SnapshotIndex = n.log.snapshot.Index
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -90,9 +90,10 @@
 	// MaxPendingBytes bounds the data of proposals that are appended but not
 	// yet committed; beyond it proposals are rejected with RejectBusy.
 	MaxPendingBytes int
-	// RetainEntries is how many entries before a snapshot are kept in memory
-	// for peers that lag.
+	// RetainEntries and RetainBytes bound the entries before a snapshot that
+	// are kept in memory for peers that lag.
 	RetainEntries uint64
+	RetainBytes   int
 	// TargetVoters is the number of voters that the leader grows to and
 	// repairs towards. Zero leaves the membership to ProposeMembership.
 	TargetVoters int
