--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -116,8 +116,7 @@
 	c.startServer("m1", "--kind", "model", "--vendor", "alpha")
 	c.startServer("m2", "--kind", "model", "--vendor", "beta")
 	c.startServer("a1", "--kind", "app", "--vendor", "gamma")
-	c.startServer("p1", "--kind", "platform",
-		"--vm", "m1,kochi-a,spot,"+c.servers["m1"], "--vm", "m2,kochi-b,spot,"+c.servers["m2"])
+	c.startPlatform()
 	for name := range c.vms {
 		if name[0] == 'r' || name[0] == 'e' {
 			c.start(name)
@@ -222,6 +221,19 @@
 	c.run(v, append([]string{"standin", "--listen", c.servers[name], "--name", name}, flags...))
 }
 
+// startPlatform lists all VMs but the app server's.
+func (c *cluster) startPlatform() {
+	flags := []string{"--kind", "platform"}
+	for name, v := range c.vms {
+		address := v.callers
+		if v.callers == "" {
+			address = c.servers[name]
+		}
+		flags = append(flags, "--vm", name+","+zones[0]+",spot,"+address)
+	}
+	c.startServer("p1", flags...)
+}
+
 func (c *cluster) start(name string) {
 	v := c.vms[name]
 	c.run(v, []string{"run", "--config", v.settings})
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// votes tells whether some incarnation of a VM votes.
+func (d dump) votes(vm string) bool {
+	return slices.ContainsFunc(d.Replica.Voters, func(voter string) bool {
+		return strings.HasPrefix(voter, vm+"/")
+	})
+}
+
 // isVoter tells whether this incarnation of the replica votes.
 func (d dump) isVoter() bool {
 	self := d.Replica.VM + "/" + d.Replica.Incarnation + "@"
--- a/internal/e2e/reclaim_test.go
+++ b/internal/e2e/reclaim_test.go
@@ -36,3 +36,26 @@
 		t.Errorf("m2 decoded %d tokens, want %d", decoded, streams*tokens-10*moving)
 	}
 }
+
+// A replica whose VM is about to be reclaimed is replaced by a spare one while
+// it still counts.
+func TestReclaimedReplicaIsReplaced(t *testing.T) {
+	c := newCluster(t, 4, 1)
+	d, err := c.dump("r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	going := "r2"
+	if !d.votes("r2") {
+		going = "r3"
+	}
+	c.reclaim(going, 60)
+	c.eventually(going+" is replaced", func() bool {
+		d, err := c.dump("r1")
+		return err == nil && len(d.Replica.Voters) == 3 && !d.votes(going)
+	})
+	_ = c.stop(going, syscall.SIGKILL)
+	if answer := c.mustApply("second", 1); answer.Revision != 2 {
+		t.Fatalf("revision %d, want 2", answer.Revision)
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -134,6 +134,7 @@
 		Self:      replica.Peer{VM: process.Name, Zone: process.Zone, Address: process.Listen.Peers},
 		DataDir:   process.DataDir,
 		Bootstrap: process.Bootstrap,
+		Platform:  process.Platform,
 		Client:    client,
 		Logger:    logger,
 		Registry:  registry,
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -97,7 +97,10 @@
 // compact starts a snapshot once enough entries were applied since the last.
 // The copy is taken here and encoded by the writer.
 func (r *Replica) compact() {
-	if r.compacting || r.applied < r.compactedAt+compactEvery {
+	if r.compacting || r.applied == r.compactedAt {
+		return
+	}
+	if r.applied < r.compactedAt+compactEvery && r.node.Status().LogBytes < compactBytes {
 		return
 	}
 	snapshot, ok := r.node.SnapshotAt(r.applied, nil)
@@ -106,7 +109,7 @@
 	}
 	r.compacting = true
 	r.compactedAt = r.applied
-	r.writes <- write{snapshot: &snapshotJob{snapshot: snapshot, state: r.machine.Snapshot()}}
+	r.snapshots <- &snapshotJob{snapshot: snapshot, state: r.machine.Snapshot()}
 }
 
 func (r *Replica) reject(rejection replication.Rejection) {
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -70,7 +70,9 @@
 // only voter of a new one.
 func (r *Replica) bootstrap(ctx context.Context) {
 	err := r.do(ctx, func() {
-		if !r.log.Empty() {
+		// A node that has voted, or whose write is still under way, takes part
+		// in a log already.
+		if !r.log.Empty() || r.node.Status().Term != 0 {
 			return
 		}
 		if err := r.startLog(); err != nil {
--- a/internal/replica/dump.go
+++ b/internal/replica/dump.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingcart/internal/core/orders"
+	"waxwingcart/internal/core/planner"
 	"waxwingcart/internal/core/replication"
 )
 
@@ -27,6 +28,8 @@
 	Acks        map[string]AckState `json:"acknowledged_revisions"`
 	Peers       []PeerState         `json:"peers,omitempty"`
 	Orders      orders.State        `json:"orders"`
+	// Plan is set on the leader.
+	Plan *planner.View `json:"plan,omitempty"`
 }
 
 // PeerState is the leader's view of another replica.
@@ -66,6 +69,7 @@
 		Records:     v.records,
 		Acks:        r.acks.state(time.Now()),
 		Orders:      r.orders.state(),
+		Plan:        r.planning.state(),
 	}
 	if v.status.Leader != nil {
 		s.Leader = v.status.Leader.ID.String()
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -18,6 +18,8 @@
 	writeQueueLength = 64
 	// compactEvery is the number of applied entries between two snapshots.
 	compactEvery = 20000
+	// compactBytes is the size of the log in memory that starts a snapshot.
+	compactBytes = 64 << 20
 )
 
 // work is one thing for the loop to do.
@@ -49,12 +51,6 @@
 	err     error
 }
 
-// write is one job of the writer: a log write or a snapshot.
-type write struct {
-	persist  *replication.Persist
-	snapshot *snapshotJob
-}
-
 // snapshotJob is a copy of the state that is to be encoded and saved.
 type snapshotJob struct {
 	snapshot replication.Snapshot
@@ -74,6 +70,7 @@
 			return fmt.Errorf("replica %s stops: %w", r.opts.Self.VM, err)
 		case <-ticker.C:
 			r.step(replication.Tick{})
+			r.compact()
 			r.publish()
 		case sequence := <-r.written:
 			r.step(replication.Persisted{Sequence: sequence})
@@ -112,17 +109,27 @@
 	}
 	r.token++
 	r.waiting[r.token] = waiter{done: w.done, command: w.command, item: w.item}
-	switch ev := w.event.(type) {
+	r.step(withToken(w.event, r.token))
+}
+
+// withToken returns the event under a token. Events that are not answered have
+// none.
+func withToken(ev replication.Event, token uint64) replication.Event {
+	switch ev := ev.(type) {
 	case replication.Propose:
-		ev.Token = r.token
-		r.step(ev)
+		ev.Token = token
+		return ev
 	case replication.Read:
-		ev.Token = r.token
-		r.step(ev)
+		ev.Token = token
+		return ev
 	case replication.Join:
-		ev.Token = r.token
-		r.step(ev)
+		ev.Token = token
+		return ev
+	case replication.Leave:
+		ev.Token = token
+		return ev
 	}
+	return ev
 }
 
 func (r *Replica) step(ev replication.Event) {
@@ -131,7 +138,7 @@
 
 func (r *Replica) carryOut(effects replication.Effects) {
 	if effects.Persist != nil {
-		r.writes <- write{persist: effects.Persist}
+		r.writes <- effects.Persist
 	}
 	for _, message := range effects.Send {
 		r.send(message)
@@ -157,7 +164,6 @@
 	if effects.Role != nil {
 		r.roleChanged(*effects.Role)
 	}
-	r.compact()
 }
 
 func (r *Replica) send(message replication.Message) {
@@ -180,25 +186,38 @@
 		select {
 		case <-ctx.Done():
 			return
-		case w := <-r.writes:
-			if err := r.write(w); err != nil {
-				r.logger.Error().Str("step", "write").Str("peer", r.opts.DataDir).Err(err).Msg("storage failed")
-				r.writeFailed <- err
+		case persist := <-r.writes:
+			if err := r.log.Write(persist); err != nil {
+				r.storageFailed("write", err)
 				return
 			}
+			r.written <- persist.Sequence
 		}
 	}
 }
 
-func (r *Replica) write(w write) error {
-	if w.snapshot != nil {
-		return r.writeSnapshot(w.snapshot)
+// storageFailed ends the loop. It never blocks, for the loop may be gone.
+func (r *Replica) storageFailed(step string, err error) {
+	r.logger.Error().Str("step", step).Str("peer", r.opts.DataDir).Err(err).Msg("storage failed")
+	select {
+	case r.writeFailed <- err:
+	default:
 	}
-	if err := r.log.Write(w.persist); err != nil {
-		return err
+}
+
+// runSnapshots encodes and saves snapshots beside the writer, which goes on.
+func (r *Replica) runSnapshots(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case job := <-r.snapshots:
+			if err := r.writeSnapshot(job); err != nil {
+				r.storageFailed("snapshot", err)
+				return
+			}
+		}
 	}
-	r.written <- w.persist.Sequence
-	return nil
 }
 
 func (r *Replica) writeSnapshot(job *snapshotJob) error {
--- /dev/null
+++ b/internal/replica/planning.go
@@ -0,0 +1,188 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"waxwingcart/internal/backend"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/orders"
+	"waxwingcart/internal/core/planner"
+	"waxwingcart/internal/core/replication"
+)
+
+// Timing of planning.
+const (
+	planInterval    = time.Second
+	platformTimeout = 800 * time.Millisecond
+	leaveTimeout    = 5 * time.Second
+)
+
+// planning works out, while this replica leads, which VMs the services need,
+// and replaces replicas whose VM is about to be reclaimed. Its wishes to rent
+// and release are shown in the dump; operators carry them out.
+type planning struct {
+	replica  *Replica
+	platform string
+	backends *backend.Client
+	noticed  int64
+	revision uint64
+	config   *fleet.Config
+
+	mu      sync.Mutex
+	planner *planner.Planner
+	// leaving holds the VMs for which a notice runs, with its end.
+	leaving map[string]time.Time
+}
+
+func newPlanning(r *Replica, platform string) *planning {
+	return &planning{
+		replica:  r,
+		platform: platform,
+		backends: backend.New(backend.Options{}),
+		leaving:  make(map[string]time.Time),
+	}
+}
+
+func (p *planning) run(ctx context.Context) {
+	defer p.backends.Close()
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if p.platform != "" {
+				p.readNotices(ctx)
+			}
+			p.plan(ctx)
+		}
+	}
+}
+
+// readNotices notes the VMs that are about to go. Every replica reads them, so
+// that a new leader knows them.
+func (p *planning) readNotices(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	notices, last, err := p.backends.Notices(call, p.platform, p.noticed)
+	if err != nil {
+		p.replica.logger.Debug().Str("step", "notices").Str("peer", p.platform).Err(err).Msg("platform did not answer")
+		return
+	}
+	p.noticed = last
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, notice := range notices {
+		if notice.Left > 0 {
+			p.leaving[notice.VM] = time.Now().Add(notice.Left)
+		}
+	}
+	for vm, end := range p.leaving {
+		if time.Now().After(end) {
+			delete(p.leaving, vm)
+		}
+	}
+}
+
+func (p *planning) isLeaving(vm string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.leaving[vm]
+	return ok
+}
+
+func (p *planning) plan(ctx context.Context) {
+	status := p.replica.status()
+	if status.Role != replication.RoleLeader {
+		p.reset()
+		return
+	}
+	p.replaceLeaving(ctx, status.Membership)
+	if !p.readConfig(ctx) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.replica.now()
+	if p.planner == nil {
+		p.planner = planner.New(planner.Options{Seed: p.replica.log.Incarnation()})
+	}
+	p.planner.Step(now, planner.Configured{Config: p.config})
+	p.planner.Step(now, planner.Observed{VMs: p.observed()})
+	p.planner.Step(now, planner.Tick{})
+}
+
+func (p *planning) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planner = nil
+	p.revision = 0
+}
+
+// replaceLeaving has voters replaced while they still count.
+func (p *planning) replaceLeaving(ctx context.Context, membership replication.Membership) {
+	for _, member := range membership.Voters {
+		if !p.isLeaving(member.ID.VM) {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, leaveTimeout)
+		_, err := p.replica.await(call, replication.Leave{ID: member.ID})
+		cancel()
+		event := p.replica.logger.Info()
+		if err != nil {
+			event = p.replica.logger.Warn().Err(err)
+		}
+		event.Str("step", "leave").Str("peer", member.ID.String()).Msg("replica of a reclaimed VM")
+	}
+}
+
+func (p *planning) readConfig(ctx context.Context) bool {
+	err := p.replica.do(ctx, func() {
+		revision := p.replica.machine.Revision()
+		if revision == p.revision {
+			return
+		}
+		config, err := fleet.Assemble(p.replica.machine.Items())
+		if err == nil {
+			p.config, p.revision = config, revision
+		}
+	})
+	return err == nil && p.config != nil
+}
+
+// observed lists the VMs of the configured backend servers. The caller holds
+// mu.
+func (p *planning) observed() []planner.VM {
+	loaded := make(map[string]bool)
+	for _, server := range p.replica.orders.state().Servers {
+		loaded[server.Server] = server.Current[orders.SetModel] == server.Desired[orders.SetModel]
+	}
+	vms := make([]planner.VM, 0, len(p.config.BackendServers))
+	for _, server := range p.config.BackendServers {
+		_, leaving := p.leaving[server.VM]
+		isLoaded, isModel := loaded[server.Name]
+		vms = append(vms, planner.VM{
+			Name:    server.VM,
+			Zone:    server.Zone,
+			Class:   server.Class,
+			Service: server.Service,
+			Leaving: leaving,
+			Loaded:  isLoaded || !isModel,
+		})
+	}
+	return vms
+}
+
+// state returns the plan for the dump, or nil if this replica does not lead.
+func (p *planning) state() *planner.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.planner == nil {
+		return nil
+	}
+	view := p.planner.View()
+	return &view
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -31,8 +31,8 @@
 
 // Limits of the replicated log.
 const (
-	maxBatchBytes   = 1 << 20
-	maxInflight     = 64
+	maxBatchBytes   = 256 << 10
+	maxInflight     = 16
 	maxPendingBytes = 64 << 20
 	retainEntries   = 20000
 	maxVoters       = 5
@@ -57,9 +57,11 @@
 	// Bootstrap makes this replica start a new log if no replica's disk holds
 	// one.
 	Bootstrap bool
-	Client    *rpc.Client
-	Logger    *log.Logger
-	Registry  *prometheus.Registry
+	// Platform is the platform's address, or empty.
+	Platform string
+	Client   *rpc.Client
+	Logger   *log.Logger
+	Registry *prometheus.Registry
 	// Fail is called once if the replica can't go on.
 	Fail func(error)
 }
@@ -73,7 +75,8 @@
 	started time.Time
 
 	inbox       chan work
-	writes      chan write
+	writes      chan *replication.Persist
+	snapshots   chan *snapshotJob
 	written     chan uint64
 	saved       chan replication.Snapshot
 	writeFailed chan error
@@ -81,6 +84,7 @@
 	stopped     sync.WaitGroup
 	acks        *acks
 	orders      *orderer
+	planning    *planning
 
 	// The loop alone uses what follows.
 	node        *replication.Node
@@ -124,7 +128,8 @@
 		log:         store,
 		started:     time.Now(),
 		inbox:       make(chan work, inboxLength),
-		writes:      make(chan write, writeQueueLength),
+		writes:      make(chan *replication.Persist, writeQueueLength),
+		snapshots:   make(chan *snapshotJob, 1),
 		written:     make(chan uint64, writeQueueLength+1),
 		saved:       make(chan replication.Snapshot, 1),
 		writeFailed: make(chan error, 2),
@@ -137,6 +142,7 @@
 		revised:     make(chan struct{}),
 	}
 	r.orders = newOrderer(r)
+	r.planning = newPlanning(r, opts.Platform)
 	if err := r.restore(); err != nil {
 		_ = store.Close()
 		return nil, err
@@ -217,6 +223,8 @@
 	r.spawn(func() { r.runJoin(ctx) })
 	r.spawn(func() { r.runExpiry(ctx) })
 	r.spawn(func() { r.orders.run(ctx) })
+	r.spawn(func() { r.planning.run(ctx) })
+	r.spawn(func() { r.runSnapshots(ctx) })
 }
 
 func (r *Replica) spawn(run func()) {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -213,6 +213,9 @@
 	if req.Id == nil || req.Id.Vm == "" || req.Id.Incarnation == 0 || req.Address == "" {
 		return nil, twirp.InvalidArgumentError("id", "VM, incarnation and address must be given")
 	}
+	if s.replica.planning.isLeaving(req.Id.Vm) {
+		return nil, twirp.NewError(twirp.Unavailable, "the VM is about to be reclaimed")
+	}
 	member := replication.Member{
 		ID:      replication.NodeID{VM: req.Id.Vm, Incarnation: req.Id.Incarnation},
 		Zone:    req.Zone,
