Membership: tell which entries share the limits apart from the live ones

Cause: the entry took entries that are dead by silence out of the sharing and called that confirmed. In a partition both sides then admit up to the whole limit. Change: Sharing counts an entry until its VM is known to have ended (reclaimed, gone from the platform's list, or silent after saying that it leaves); the entry uses it and looks again after each list.

--- a/internal/core/membership/steps.go
+++ b/internal/core/membership/steps.go
@@ -2,12 +2,13 @@
 
 func (t *Table) stepList(list PlatformList) {
 	for _, m := range t.ordered {
-		if m.record.Kind == KindBackend && m.heard[SourceList] {
-			m.unlisted = true
-		}
+		m.unlisted = m.heard[SourceList]
 	}
 	for _, vm := range list.VMs {
-		if _, entry := t.members[key{KindEntry, vm.VM}]; entry {
+		if m, entry := t.members[key{KindEntry, vm.VM}]; entry {
+			m.unlisted = false
+			m.heard[SourceList] = true
+			m.seen[SourceList] = t.now
 			continue
 		}
 		m := t.member(KindBackend, vm.VM)
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -84,6 +84,32 @@
 	return m.record.Health != Dead && !t.leaving(m)
 }
 
+// Sharing returns the entries that a shared limit is divided among: all that
+// may still admit requests. An entry that does not answer may be cut off and
+// go on, so that silence alone does not end its share; it ends with its VM.
+func (t *Table) Sharing() []Member {
+	sharing := []Member{t.view(t.self)}
+	for _, m := range t.entries {
+		if !t.ended(m) {
+			sharing = append(sharing, t.view(m))
+		}
+	}
+	return sharing
+}
+
+// ended tells whether an entry is known to admit nothing any more: its VM was
+// reclaimed, it went silent after it said that it was leaving, or it went
+// silent and the platform's list no longer shows its VM.
+func (t *Table) ended(m *member) bool {
+	if t.leaving(m) && m.record.DeadlineMS != 0 {
+		return t.wall(t.now) > m.record.DeadlineMS+reclaimGrace.Milliseconds()
+	}
+	return m.record.Health == Dead && (m.record.Leaving || m.unlisted)
+}
+
+// reclaimGrace allows for clocks that differ when a deadline is judged.
+const reclaimGrace = 5 * time.Second
+
 // Members returns all known VMs, this entry first, then by name.
 func (t *Table) Members() []Member {
 	members := make([]Member, 0, 1+len(t.ordered))
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -81,7 +81,7 @@
 // entry that can't be reached counts until it is known to have ended.
 func (e *Entry) shareLimits() {
 	e.members.mu.Lock()
-	list := e.members.table.Entries("")
+	list := e.members.table.Sharing()
 	e.members.mu.Unlock()
 	var names []string
 	for _, member := range list {
@@ -168,6 +168,7 @@
 	for {
 		seen = e.readNotices(ctx, seen)
 		e.readList(ctx)
+		e.shareLimits()
 		select {
 		case <-ctx.Done():
 			return
