--- a/internal/core/routing/compare_test.go
+++ b/internal/core/routing/compare_test.go
@@ -35,8 +35,8 @@
 // The number of runs that a figure sums up; the comparison with the baselines
 // has more figures.
 const (
-	seeds         = 12
-	baselineSeeds = 4
+	seeds         = 24
+	baselineSeeds = 8
 )
 
 // runSeeds sums up runs with different seeds; times are means.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,11 +76,11 @@
 	started     time.Time
 	backends    *backend.Client
 	replicas    *rpc.Replicas
+	batcher     *rpc.Batcher
 	policy      *policy
 	config      *configHolder
 	history     *history
 	members     *members
-	listed      listedVMs
 	reports     reportState
 
 	nextID   atomic.Uint64
@@ -135,6 +135,7 @@
 func (e *Entry) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.ctx, e.stop = ctx, cancel
+	e.batcher = rpc.NewBatcher(ctx, e.replicas)
 	e.shareLimits()
 	e.spawn(func() { e.config.run(ctx) })
 	e.spawn(func() { e.runReports(ctx) })
