Give an engine the time of the prompt before its silence counts

Cause: the progress timeout held before the first token as well, so that a prompt of 49500 tokens, which takes an engine 2.5 s, was taken for silence at 1 s, resumed, begun again at the other engine, and ended in attempt-failed: 124328 prompt tokens were computed (TestLongPrompt). Ruled out: a larger progress timeout, for it also bounds how long a caller waits between tokens. Change: a new run has the progress timeout, plus the prompt at 10000 tokens a second or twice the predicted time, whichever is longer; from the first token on the progress timeout holds (Stream.SetProgressTimeout).

Tests: e2e TestLongPrompt (failed before); TestSilentConnections and TestFrozenEngine still pass.

--- a/internal/e2e/streams_test.go
+++ b/internal/e2e/streams_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"waxwingcart/internal/standin"
 )
 
 // startListeners begins streams through an entry, which go to the other
@@ -228,3 +230,19 @@
 		}
 	}
 }
+
+// The time that an engine takes for a long prompt is not mistaken for silence:
+// the prompt is computed once.
+func TestLongPrompt(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	q := question{prompt: strings.Repeat("Rulebook of the pass. ", 9_000), tokens: 8}
+	l := newListener(c, q)
+	l.follow("e1")
+	if !l.done || l.text.String() != q.answer() || l.resumed > 0 {
+		t.Errorf("done %t, %d tokens, resumed %d times: %v", l.done, l.tokens, l.resumed, l.failures)
+	}
+	m1, m2 := c.stats("m1"), c.stats("m2")
+	if computed := m1["prefill_tokens"] + m2["prefill_tokens"]; computed != int64(standin.PromptTokens(q.prompt)) {
+		t.Errorf("%d prompt tokens computed of %d", computed, standin.PromptTokens(q.prompt))
+	}
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -35,6 +35,8 @@
 	server  *fleet.BackendServer
 	cancel  context.CancelFunc
 	started time.Duration
+	// silence bounds the wait for the first progress.
+	silence time.Duration
 	// first is when the first token or answer came, as a time since the
 	// attempt began.
 	first  time.Duration
@@ -53,7 +55,7 @@
 // dispatch hands the request to a server.
 func (r *run) dispatch(e request.Dispatch) {
 	r.dispatched.Store(true)
-	r.begin(e.Attempt, e.Server, func(ctx context.Context, a *attempt) {
+	r.begin(e.Attempt, e.Server, r.firstTokenTimeout(), func(ctx context.Context, a *attempt) {
 		if r.service.Kind == fleet.ServiceApp {
 			a.runApp(ctx)
 			return
@@ -66,7 +68,11 @@
 // resume opens a stream again at the offset that the caller lacks.
 func (r *run) resume(e request.ResumeStream) {
 	r.dispatched.Store(true)
-	r.begin(e.Attempt, e.Position.Server, func(ctx context.Context, a *attempt) {
+	silence := r.progressTimeout()
+	if e.Position.Next == 0 {
+		silence = r.firstTokenTimeout()
+	}
+	r.begin(e.Attempt, e.Position.Server, silence, func(ctx context.Context, a *attempt) {
 		stream, err := r.entry.backends.Resume(ctx, a.call("resume"), e.Position.Stream, int64(e.Position.Next))
 		a.runStream(ctx, stream, err, e.Position.Sum)
 	})
@@ -74,7 +80,7 @@
 
 // begin counts the attempt and runs it. A server that the configuration no
 // longer names can't be reached.
-func (r *run) begin(number int, name string, work func(context.Context, *attempt)) {
+func (r *run) begin(number int, name string, silence time.Duration, work func(context.Context, *attempt)) {
 	r.endAttempt(routing.ResultFailed)
 	server, ok := r.config.servers[name]
 	if current := r.entry.config.inForce(); current != nil && current.servers[name] != nil {
@@ -87,7 +93,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &attempt{run: r, number: number, server: server, cancel: cancel, started: r.entry.now()}
+	a := &attempt{run: r, number: number, server: server, cancel: cancel, started: r.entry.now(), silence: silence}
 	r.attempt = a
 	r.entry.policy.started(server.Name, r.load)
 	r.explain("attempt %d at %s (%s)", number, server.Name, server.Address)
@@ -168,17 +174,33 @@
 		Attempt:         a.number,
 		Priority:        priority,
 		DialTimeout:     milliseconds(r.policy.DialTimeoutMS),
-		ProgressTimeout: a.progressTimeout(),
+		ProgressTimeout: a.silence,
 	}
 }
 
+// Bounds on the time that an engine may take for a prompt, beyond the progress
+// timeout.
+const (
+	// minPrefillRate is in prompt tokens per second.
+	minPrefillRate = 10_000
+	// firstTokenFactor is how much later than predicted a first token may come.
+	firstTokenFactor = 2
+)
+
+// firstTokenTimeout bounds the silence before the first token of a new run,
+// which takes as long as the engine's queue and the prompt do.
+func (r *run) firstTokenTimeout() time.Duration {
+	prefill := time.Duration(r.load.PromptTokens) * time.Second / minPrefillRate
+	return r.progressTimeout() + max(prefill, firstTokenFactor*r.expectedFirst)
+}
+
 // progressTimeout bounds silence. An application answers all at once, so it
 // may be silent until the deadline.
-func (a *attempt) progressTimeout() time.Duration {
-	if a.run.service.Kind == fleet.ServiceApp {
-		return max(a.run.deadline-a.run.entry.now(), time.Millisecond)
+func (r *run) progressTimeout() time.Duration {
+	if r.service.Kind == fleet.ServiceApp {
+		return max(r.deadline-r.entry.now(), time.Millisecond)
 	}
-	return milliseconds(a.run.policy.ProgressTimeoutMS)
+	return milliseconds(r.policy.ProgressTimeoutMS)
 }
 
 func milliseconds(ms float64) time.Duration {
@@ -216,6 +238,7 @@
 			a.fail(ctx, err)
 			return
 		}
+		stream.SetProgressTimeout(a.run.progressTimeout())
 		sum = addToSum(sum, ev.Data)
 		token := request.Token{Attempt: a.number, Offset: int(ev.Offset), Sum: sum}
 		if !a.post(ctx, streamEvent{event: token, data: ev.Data}) {
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -192,6 +192,7 @@
 	if !ok {
 		return request.NoServer{RetryAfter: retryAfterNoServer}
 	}
+	r.expectedFirst = decision.ExpectedFirstToken
 	r.trace.add(time.Now(), "picked %s: %s, first token expected in %s", decision.Server, decision.Reason, decision.ExpectedFirstToken.Round(time.Millisecond))
 	return request.Picked{Server: decision.Server}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -55,13 +55,15 @@
 	// deadline and firstTokenBy are times since the entry's start.
 	deadline     time.Duration
 	firstTokenBy time.Duration
-	admissionID  uint64
-	spec         request.Spec
-	req          *request.Request
-	message      message
-	reservation  *reservation
-	sink         sink
-	trace        *trace
+	// expectedFirst is the routing's prediction for the latest server.
+	expectedFirst time.Duration
+	admissionID   uint64
+	spec          request.Spec
+	req           *request.Request
+	message       message
+	reservation   *reservation
+	sink          sink
+	trace         *trace
 
 	controls chan control
 	stream   chan streamEvent
