Hedge lookups that are not answered in time

A repeatable request on a connection that went silent waited for its deadline of 60 s. With hedge_after_ms set, a GET or HEAD to an application service is sent to a second server after that time, out of the retry budget, and the first answer counts; the other call is cancelled. Requests that may not be repeated, and repeatable ones with another method, are never hedged. The default stays 0.

Tests: entry TestHedge, TestBusyServer (go test -race -count 3).

--- /dev/null
+++ b/internal/entry/app.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"waxwingcart/internal/backend"
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/core/retry"
+	"waxwingcart/internal/core/routing"
+)
+
+// hedgeNumber is added to an attempt's number for its hedge, so that the
+// answers of the two are told apart.
+const hedgeNumber = 1000
+
+// serverBusy lists the statuses with which another server may do better. Only
+// repeatable requests are sent on.
+var serverBusy = map[int]bool{
+	http.StatusBadGateway:         true,
+	http.StatusServiceUnavailable: true,
+	http.StatusGatewayTimeout:     true,
+}
+
+var errAnswerTooLarge = errors.New("answer is too large")
+
+// appResult is how a call to an application server ended.
+type appResult struct {
+	answer *answer
+	err    error
+	server *fleet.BackendServer
+}
+
+// runApp sends the request and reads the whole answer. A lookup that is not
+// answered in time is sent to a second server, and the first answer counts.
+func (a *attempt) runApp(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan appResult, 2)
+	go func() { results <- a.fetch(ctx, a.server, a.number) }()
+	hedge, stop := a.hedgeTimer()
+	defer stop()
+	var failed *appResult
+	for pending := 1; pending > 0; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hedge:
+			hedge = nil
+			if server := a.chooseHedge(); server != nil {
+				pending++
+				go func() { results <- a.fetchHedge(ctx, server) }()
+			}
+		case result := <-results:
+			pending--
+			if a.accept(ctx, result) {
+				return
+			}
+			if failed == nil || result.server == a.server {
+				failed = &result
+			}
+		}
+	}
+	a.failApp(ctx, *failed)
+}
+
+// accept hands an answer over, unless another server may do better.
+func (a *attempt) accept(ctx context.Context, result appResult) bool {
+	if result.err != nil || a.mayDoBetter(result.answer) {
+		return false
+	}
+	a.hedged.Store(result.server != a.server)
+	a.post(ctx, streamEvent{event: request.Completed{Attempt: a.number}, answer: result.answer})
+	return true
+}
+
+func (a *attempt) mayDoBetter(answer *answer) bool {
+	return a.run.spec.Repeatable && serverBusy[answer.status]
+}
+
+func (a *attempt) failApp(ctx context.Context, result appResult) {
+	if result.err != nil {
+		a.fail(ctx, result.err)
+		return
+	}
+	failure := request.Failure{
+		Phase: request.PhaseHandedOver, Answered: true, Status: result.answer.status,
+		Step: "answer", Peer: result.server.Address,
+	}
+	a.post(ctx, streamEvent{event: request.Failed{Attempt: a.number, Failure: failure}, answer: result.answer})
+}
+
+// fetch sends the request to a server once.
+func (a *attempt) fetch(ctx context.Context, server *fleet.BackendServer, number int) appResult {
+	result := appResult{server: server}
+	call := a.call("dispatch")
+	call.Address, call.Attempt = server.Address, number
+	response, err := a.run.entry.backends.Do(ctx, call)
+	if err != nil {
+		result.err = err
+		return result
+	}
+	defer response.Body.Close()
+	a.post(ctx, streamEvent{event: request.Opened{Attempt: a.number}})
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = &backend.Error{Step: "read answer", Peer: server.Address, Phase: backend.PhaseInvalid, Err: errAnswerTooLarge}
+	}
+	if err != nil {
+		result.err = err
+		return result
+	}
+	result.answer = &answer{status: response.Status, header: response.Header, body: body}
+	return result
+}
+
+// hedgeTimer fires when the request may be sent to a second server. It never
+// does for a request that is not a lookup.
+func (a *attempt) hedgeTimer() (<-chan time.Time, func()) {
+	at, ok := a.run.entry.policy.hedgeAt(a.lookup())
+	if !ok {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(at - a.run.entry.now())
+	return timer.C, func() { timer.Stop() }
+}
+
+// chooseHedge picks a second server if the retry budget allows one.
+func (a *attempt) chooseHedge() *fleet.BackendServer {
+	p := a.run.entry.policy
+	decision, ok := p.choose(a.run, []string{a.server.Name})
+	if !ok || decision.Server == a.server.Name {
+		return nil
+	}
+	server := a.run.config.servers[decision.Server]
+	if server == nil || !p.hedge(a.lookup()) {
+		return nil
+	}
+	return server
+}
+
+// fetchHedge sends the request to the second server and counts the attempt.
+func (a *attempt) fetchHedge(ctx context.Context, server *fleet.BackendServer) appResult {
+	r := a.run
+	r.explain("attempt %d is not answered yet: hedged at %s (%s)", a.number, server.Name, server.Address)
+	began := r.entry.now()
+	r.entry.policy.started(server.Name, r.load)
+	result := a.fetch(ctx, server, a.number+hedgeNumber)
+	end := hedgeResult(ctx, result)
+	r.entry.policy.finished(server.Name, routing.Outcome{
+		Load: r.load, Result: end, Elapsed: r.entry.now() - began, CachedTokens: -1,
+	})
+	r.entry.metrics.attempts.WithLabelValues(r.service.Name, server.Name, resultName(end)).Inc()
+	return result
+}
+
+func hedgeResult(ctx context.Context, result appResult) routing.Result {
+	switch {
+	case ctx.Err() != nil:
+		return routing.ResultCancelled
+	case result.err != nil:
+		return resultOf(failureOf(result.err, result.server.Address))
+	default:
+		return routing.ResultCompleted
+	}
+}
+
+// completedResult is how the attempt's own server did once the answer is there.
+func (a *attempt) completedResult() routing.Result {
+	if a.hedged.Load() {
+		return routing.ResultCancelled
+	}
+	return routing.ResultCompleted
+}
+
+// lookup describes the attempt to the retry core.
+func (a *attempt) lookup() retry.Lookup {
+	r := a.run
+	return retry.Lookup{
+		Service:    r.service.Name,
+		Idempotent: r.spec.Repeatable,
+		Cheap:      r.message.method == http.MethodGet || r.message.method == http.MethodHead,
+		Started:    a.started,
+		Deadline:   r.deadline,
+		Policy:     &r.policy,
+	}
+}
+
+// hedgeAt returns when a second copy of a lookup may be sent.
+func (p *policy) hedgeAt(lookup retry.Lookup) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retry.HedgeAt(lookup)
+}
+
+// hedge asks for a second copy of a lookup out of the retry budget.
+func (p *policy) hedge(lookup retry.Lookup) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retry.Hedge(p.entry.now(), lookup)
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,8 @@
 	first  time.Duration
 	tokens int
 	ended  bool
+	// hedged is true if a second server gave the answer.
+	hedged atomic.Bool
 }
 
 // token counts a token of the attempt.
@@ -259,45 +262,6 @@
 	return digest.Sum64()
 }
 
-// runApp sends the request once and reads the whole answer.
-func (a *attempt) runApp(ctx context.Context) {
-	response, err := a.run.entry.backends.Do(ctx, a.call("dispatch"))
-	if err != nil {
-		a.fail(ctx, err)
-		return
-	}
-	defer response.Body.Close()
-	a.post(ctx, streamEvent{event: request.Opened{Attempt: a.number}})
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = &backend.Error{Step: "read answer", Peer: a.server.Address, Phase: backend.PhaseInvalid, Err: errAnswerTooLarge}
-	}
-	if err != nil {
-		a.fail(ctx, err)
-		return
-	}
-	whole := &answer{status: response.Status, header: response.Header, body: body}
-	if a.run.spec.Repeatable && serverBusy[response.Status] {
-		failure := request.Failure{
-			Phase: request.PhaseHandedOver, Answered: true, Status: response.Status,
-			Step: "answer", Peer: a.server.Address,
-		}
-		a.post(ctx, streamEvent{event: request.Failed{Attempt: a.number, Failure: failure}, answer: whole})
-		return
-	}
-	a.post(ctx, streamEvent{event: request.Completed{Attempt: a.number}, answer: whole})
-}
-
-// serverBusy lists the statuses with which another server may do better. Only
-// repeatable requests are sent on.
-var serverBusy = map[int]bool{
-	http.StatusBadGateway:         true,
-	http.StatusServiceUnavailable: true,
-	http.StatusGatewayTimeout:     true,
-}
-
-var errAnswerTooLarge = errors.New("answer is too large")
-
 // fail posts how the attempt failed.
 func (a *attempt) fail(ctx context.Context, err error) {
 	if ctx.Err() != nil {
--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -279,3 +279,35 @@
 		t.Fatal("the stream goes on at the engine")
 	}
 }
+
+// A lookup that its server does not answer is sent to another one, and a
+// booking never is.
+func TestHedge(t *testing.T) {
+	var lookups, bookings atomic.Int32
+	release := make(chan struct{})
+	slowFirst := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/records/") && lookups.Add(1) == 1:
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		case r.URL.Path == "/bookings":
+			bookings.Add(1)
+			time.Sleep(150 * time.Millisecond)
+		}
+	})
+	e, address := newTestEntry(t, testServer{"desk", slowFirst}, testServer{"desk", slowFirst})
+	defer close(release)
+	response, body := call(t, http.MethodGet, address+"/services/desk/records/7", heirsKey, "")
+	if response.StatusCode != http.StatusOK || lookups.Load() != 2 {
+		t.Fatalf("%d %s after %d lookups", response.StatusCode, body, lookups.Load())
+	}
+	if text := explained(t, e, response.Header.Get(headerRequestID)); !strings.Contains(text, "hedged at") {
+		t.Errorf("no hedge in\n%s", text)
+	}
+	response, body = call(t, http.MethodPost, address+"/services/desk/bookings", heirsKey, "{}")
+	if response.StatusCode != http.StatusOK || bookings.Load() != 1 {
+		t.Fatalf("%d %s after %d bookings", response.StatusCode, body, bookings.Load())
+	}
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -72,9 +72,9 @@
 			{Name: "desk", Kind: fleet.ServiceApp, Repeatable: []string{"POST /searches"}},
 		},
 	}
-	tight, wide := int64(2_048), int64(1<<20)
+	tight, wide, hedge := int64(2_048), int64(1<<20), 30.0
 	config.Exceptions = []fleet.Exception{
-		{Service: "desk", Reason: "small forms", Set: fleet.PolicyOverride{BodyLimitBytes: &tight}},
+		{Service: "desk", Reason: "small forms", Set: fleet.PolicyOverride{BodyLimitBytes: &tight, HedgeAfterMS: &hedge}},
 		{Customer: "clerks", Service: "briefings", Reason: "long rulebooks", Set: fleet.PolicyOverride{BodyLimitBytes: &wide}},
 	}
 	for i, key := range []string{heirsKey, clerksKey} {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -149,7 +149,7 @@
 	switch ev := ev.(type) {
 	case request.Completed:
 		if r.attempt != nil && r.attempt.number == ev.Attempt {
-			r.endAttempt(routing.ResultCompleted)
+			r.endAttempt(r.attempt.completedResult())
 		}
 	case request.Failed:
 		if r.attempt != nil && r.attempt.number == ev.Attempt {
