Read streams to their end in tests; no cached result of an earlier binary

A trial that ended cut answers with an error event and then [DONE] passed TestTruncatedAnswer, for its caller stopped at the error event; it reads on now and fails against that variant. Another passed because go test took the result of an earlier binary out of its cache: the package imports what the binary is made of now.

--- a/internal/e2e/callers_test.go
+++ b/internal/e2e/callers_test.go
@@ -78,21 +78,25 @@
 
 var errNoDone = errors.New("the stream ended without [DONE]")
 
+// read reads to the end of the stream. A stream that ends early must not hold
+// [DONE], after an error event either.
 func (l *listener) read(events *backend.EventReader) error {
+	ended := errNoDone
 	for {
 		ev, err := events.Next()
-		if err != nil {
-			return fmt.Errorf("%w: %w", errNoDone, err)
-		}
-		if ev.Name == "error" {
-			return fmt.Errorf("%w: %s", errNoDone, ev.Data)
-		}
-		if string(ev.Data) == "[DONE]" {
-			l.done = true
+		switch {
+		case errors.Is(err, io.EOF) && l.done:
 			return nil
-		}
-		if err := l.take(ev); err != nil {
-			return err
+		case err != nil:
+			return fmt.Errorf("%w: %w", ended, err)
+		case ev.Name == "error":
+			ended = fmt.Errorf("%w: %s", errNoDone, ev.Data)
+		case string(ev.Data) == "[DONE]":
+			l.done = true
+		default:
+			if err := l.take(ev); err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -22,6 +22,9 @@
 	"time"
 
 	"waxwingcart/internal/core/fleet"
+	// The binary under test is built in TestMain. Importing what it is made of
+	// keeps "go test" from taking a result of an earlier binary out of its cache.
+	_ "waxwingcart/internal/process"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/settings"
 	"waxwingcart/internal/wire"
