--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -23,7 +23,7 @@
 func (t *Table) Leaving(vm string) bool {
 	for _, kind := range []Kind{KindBackend, KindEntry} {
 		m, ok := t.members[key{kind, vm}]
-		if ok && (m.record.Leaving || m.unbound != nil) {
+		if ok && t.leaving(m) {
 			return true
 		}
 	}
@@ -41,25 +41,15 @@
 }
 
 func (t *Table) usable(m *member) bool {
-	if m.record.Leaving || m.unbound != nil || m.record.Health == Dead {
+	if t.leaving(m) {
 		return false
 	}
 	if m.failures >= t.options.FailuresUntilUnusable && t.now < m.retryAt {
 		return false
 	}
-	if t.now < m.replacedUntil && !m.confirmed() {
-		return false
-	}
 	return !m.unlisted || t.heardDirectly(m)
 }
 
-// confirmed tells whether the platform's list has shown the VM since its
-// incarnation became known; a report alone may come from a process that was
-// restarted on the leaving VM.
-func (m *member) confirmed() bool {
-	return m.listedIncarnation == m.record.Incarnation
-}
-
 func (t *Table) heardDirectly(m *member) bool {
 	for _, source := range []Source{SourceReport, SourceContact} {
 		if m.heard[source] && t.now-m.seen[source] <= t.options.SilentAfter {
@@ -79,21 +69,47 @@
 // dead, a leaving one does not count.
 func (t *Table) Entries(zone string) []Member {
 	var entries []Member
-	if live(t.self) && (zone == "" || zone == t.self.record.Zone) {
+	if t.live(t.self) && (zone == "" || zone == t.self.record.Zone) {
 		entries = append(entries, t.view(t.self))
 	}
 	for _, m := range t.entries {
-		if live(m) && (zone == "" || zone == m.record.Zone) {
+		if t.live(m) && (zone == "" || zone == m.record.Zone) {
 			entries = append(entries, t.view(m))
 		}
 	}
 	return entries
 }
 
-func live(m *member) bool {
-	return m.record.Health != Dead && !m.record.Leaving && m.unbound == nil
+func (t *Table) live(m *member) bool {
+	return m.record.Health != Dead && !t.leaving(m)
 }
 
+// Sharing returns the entries that a shared limit is divided among: all that
+// may still admit requests. An entry that does not answer may be cut off and
+// go on, so that silence alone does not end its share; it ends with its VM.
+func (t *Table) Sharing() []Member {
+	sharing := []Member{t.view(t.self)}
+	for _, m := range t.entries {
+		if !t.ended(m) {
+			sharing = append(sharing, t.view(m))
+		}
+	}
+	return sharing
+}
+
+// ended tells whether an entry is known to admit nothing any more: its VM was
+// reclaimed, it went silent after it said that it was leaving, or it went
+// silent and the platform's list no longer shows its VM.
+func (t *Table) ended(m *member) bool {
+	if t.leaving(m) && m.record.DeadlineMS != 0 {
+		return t.wall(t.now) > m.record.DeadlineMS+reclaimGrace.Milliseconds()
+	}
+	return m.record.Health == Dead && (m.record.Leaving || m.unlisted)
+}
+
+// reclaimGrace allows for clocks that differ when a deadline is judged.
+const reclaimGrace = 5 * time.Second
+
 // Members returns all known VMs, this entry first, then by name.
 func (t *Table) Members() []Member {
 	members := make([]Member, 0, 1+len(t.ordered))
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -29,6 +29,8 @@
 	heardAt    time.Duration
 	electionAt time.Duration
 	votes      map[NodeID]bool
+	// leaving is true once the node is about to go.
+	leaving bool
 
 	// lead is set while the node leads.
 	lead *leadership
@@ -37,6 +39,7 @@
 	writes   writes
 	emitted  uint64
 	applied  uint64
+	seen     view
 	reported RoleChange
 	effects  Effects
 }
@@ -51,6 +54,7 @@
 	DefaultMaxInflight       = 64
 	DefaultMaxPendingBytes   = 64 << 20
 	DefaultRetainEntries     = 4096
+	DefaultRetainBytes       = 8 << 20
 )
 
 func (o Options) withDefaults() Options {
@@ -62,6 +66,7 @@
 	setDefault(&o.MaxInflight, DefaultMaxInflight)
 	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&o.RetainEntries, DefaultRetainEntries)
+	setDefault(&o.RetainBytes, DefaultRetainBytes)
 	return o
 }
 
@@ -153,6 +158,8 @@
 		n.proposeMembership(ev.Token, ev.Membership)
 	case Join:
 		n.join(ev)
+	case Leave:
+		n.leave(ev)
 	case Resign:
 		n.resign()
 	case Read:
@@ -213,11 +220,24 @@
 
 func (n *Node) compact(s *Snapshot) {
 	if s.Index <= n.emitted {
-		n.log.compact(s, n.opts.RetainEntries)
+		n.log.compact(s, n.opts.RetainEntries, n.opts.RetainBytes)
 	}
 }
 
+// view is what a RoleChange is made of.
+type view struct {
+	role            Role
+	term            uint64
+	leader          NodeID
+	membershipIndex uint64
+}
+
 func (n *Node) reportRole() {
+	seen := view{n.role, n.term, n.leader, n.log.membershipIndex()}
+	if seen == n.seen {
+		return
+	}
+	n.seen = seen
 	change := RoleChange{Role: n.role, Term: n.term, Leader: n.leaderMember()}
 	same := change.Role == n.reported.Role && change.Term == n.reported.Term
 	if same && sameMember(change.Leader, n.reported.Leader) {
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -91,8 +91,25 @@
 	body     []byte
 }
 
-// prepare authenticates the caller and reads the body within its bounds.
-func (e *Entry) prepare(w http.ResponseWriter, req *http.Request) (prepared, error) {
+// prepare authenticates the caller and reads the body within its bounds. If it
+// fails, the connection is closed after the answer, and what is left of the
+// body is awaited no longer than the body's time limit.
+func (e *Entry) prepare(w http.ResponseWriter, req *http.Request, kind fleet.ServiceKind) (prepared, error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
+	call, err := e.authenticate(req)
+	if err == nil {
+		call.body, err = e.readBody(w, req, e.readLimit(call.config, call.customer, kind))
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return prepared{}, err
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	return call, nil
+}
+
+func (e *Entry) authenticate(req *http.Request) (prepared, error) {
 	config := e.config.inForce()
 	if config == nil {
 		return prepared{}, refusal(reasonNotReady, "no configuration is in force yet")
@@ -101,31 +118,13 @@
 	if customer == nil {
 		return prepared{}, refusal(reasonUnauthorized, "the bearer key belongs to no customer")
 	}
-	body, err := e.readBody(w, req, config.Defaults.BodyLimitBytes)
-	return prepared{config: config, customer: customer, body: body}, err
-}
-
-func (e *Entry) readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, refusal(reasonTooLarge, "body is over %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, refusal(reasonSlowBody, "body took longer than %s", e.opts.BodyTimeout)
-	default:
-		return nil, refusal(reasonBadRequest, "body could not be read: %v", err)
-	}
+	return prepared{config: config, customer: customer}, nil
 }
 
 // serveModel serves a chat or completion request.
 func (e *Entry) serveModel(w http.ResponseWriter, req *http.Request) {
 	id := e.newRequestID()
-	call, err := e.prepare(w, req)
+	call, err := e.prepare(w, req, fleet.ServiceModel)
 	if err != nil {
 		e.refuseCall(w, id, err)
 		return
@@ -140,7 +139,11 @@
 		e.refuseCall(w, id, refusal(reasonNoService, "no service has the model %q", parsed.model))
 		return
 	}
-	r := e.newRun(id, req, call, service)
+	r, err := e.newRun(id, req, call, service)
+	if err != nil {
+		e.refuseCall(w, id, err)
+		return
+	}
 	r.spec.Kind = request.KindModel
 	r.spec.Repeatable = true
 	r.load = routing.Load{PromptTokens: parsed.promptTokens, OutputTokens: parsed.outputTokens, Prefix: parsed.prefix}
@@ -188,7 +191,7 @@
 // serveApp passes a request on to an application service.
 func (e *Entry) serveApp(w http.ResponseWriter, req *http.Request) {
 	id := e.newRequestID()
-	call, err := e.prepare(w, req)
+	call, err := e.prepare(w, req, fleet.ServiceApp)
 	if err != nil {
 		e.refuseCall(w, id, err)
 		return
@@ -204,12 +207,13 @@
 		e.refuseCall(w, id, refusal(reasonBadRequest, "%s: got %d bytes, expected at most %d", headerIdempotencyKey, len(key), maxKeyBytes))
 		return
 	}
-	r := e.newRun(id, req, call, service)
-	r.spec.Kind = request.KindApp
-	path := "/" + strings.TrimPrefix(req.URL.EscapedPath(), "/services/"+name+"/")
-	if req.URL.RawQuery != "" {
-		path += "?" + req.URL.RawQuery
+	r, err := e.newRun(id, req, call, service)
+	if err != nil {
+		e.refuseCall(w, id, err)
+		return
 	}
+	r.spec.Kind = request.KindApp
+	path := servicePath(req.URL)
 	r.spec.Repeatable = repeatable(service, req.Method, path)
 	r.spec.Keyed = key != "" && !r.spec.Repeatable
 	r.load = routing.Load{PromptTokens: 1, OutputTokens: 1}
@@ -221,6 +225,18 @@
 	e.serve(w, r)
 }
 
+// servicePath returns the path and query that the service sees: what follows
+// /services/{service}, as the caller escaped it.
+func servicePath(u *url.URL) string {
+	const partsBefore = 3
+	parts := strings.SplitN(u.EscapedPath(), "/", partsBefore+1)
+	path := "/" + parts[len(parts)-1]
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return path
+}
+
 // repeatable reports whether running the request twice does no harm.
 func repeatable(service *fleet.Service, method, path string) bool {
 	if method == http.MethodGet || method == http.MethodHead {
@@ -264,9 +280,16 @@
 	return key[:]
 }
 
-func (e *Entry) newRun(id string, req *http.Request, call prepared, service *fleet.Service) *run {
+func (e *Entry) newRun(id string, req *http.Request, call prepared, service *fleet.Service) (*run, error) {
 	now := e.now()
 	policy := call.config.PolicyFor(service.Name, call.customer.Name, e.opts.Zone)
+	if err := e.checkBody(call.body, &policy); err != nil {
+		return nil, err
+	}
+	allowed, err := deadlineOf(req, policy)
+	if err != nil {
+		return nil, err
+	}
 	r := &run{
 		entry:        e,
 		id:           id,
@@ -275,7 +298,7 @@
 		policy:       policy,
 		config:       call.config,
 		arrived:      now,
-		deadline:     now + deadlineOf(req, policy),
+		deadline:     now + allowed,
 		firstTokenBy: now + milliseconds(policy.FirstTokenTargetMS),
 		controls:     make(chan control, controlQueue),
 		stream:       make(chan streamEvent, streamQueue),
@@ -286,17 +309,20 @@
 	r.spec.ID = id
 	r.spec.Deadline = r.deadline
 	r.spec.MaxAttempts = policy.MaxAttempts
-	return r
+	return r, nil
 }
 
 // deadlineOf is the policy's deadline, or the caller's if it is earlier.
-func deadlineOf(req *http.Request, policy fleet.Policy) time.Duration {
-	deadline := milliseconds(policy.DeadlineMS)
-	asked, err := strconv.ParseFloat(req.Header.Get(headerDeadline), 64)
-	if err == nil && asked > 0 {
-		deadline = min(deadline, milliseconds(asked))
+func deadlineOf(req *http.Request, policy fleet.Policy) (time.Duration, error) {
+	text := req.Header.Get(headerDeadline)
+	if text == "" {
+		return milliseconds(policy.DeadlineMS), nil
+	}
+	asked, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(asked > 0) {
+		return 0, refusal(reasonBadRequest, "%s: got %.40q, expected a positive number of milliseconds", headerDeadline, text)
 	}
-	return deadline
+	return milliseconds(min(asked, policy.DeadlineMS)), nil
 }
 
 // serve takes the request in and runs it to its outcome.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,9 @@
 	PeerSecret string
 	// MaxRequests bounds the requests that this entry holds.
 	MaxRequests int
+	// BodyLimit bounds a caller's body in bytes, whatever its policy says. Zero
+	// leaves it to the policy.
+	BodyLimit int64
 	// BodyTimeout bounds reading a caller's body, WriteTimeout one write to a
 	// caller.
 	BodyTimeout  time.Duration
@@ -73,6 +76,7 @@
 	started     time.Time
 	backends    *backend.Client
 	replicas    *rpc.Replicas
+	batcher     *rpc.Batcher
 	policy      *policy
 	config      *configHolder
 	history     *history
@@ -131,6 +135,7 @@
 func (e *Entry) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.ctx, e.stop = ctx, cancel
+	e.batcher = rpc.NewBatcher(ctx, e.replicas)
 	e.shareLimits()
 	e.spawn(func() { e.config.run(ctx) })
 	e.spawn(func() { e.runReports(ctx) })
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -81,7 +81,7 @@
 // entry that can't be reached counts until it is known to have ended.
 func (e *Entry) shareLimits() {
 	e.members.mu.Lock()
-	list := e.members.table.Entries("")
+	list := e.members.table.Sharing()
 	e.members.mu.Unlock()
 	var names []string
 	for _, member := range list {
@@ -168,6 +168,7 @@
 	for {
 		seen = e.readNotices(ctx, seen)
 		e.readList(ctx)
+		e.shareLimits()
 		select {
 		case <-ctx.Done():
 			return
@@ -185,7 +186,11 @@
 		return after
 	}
 	for _, notice := range notices {
-		e.takeNotice(notice)
+		// A notice whose time is over is about a VM that has gone; another may
+		// have its name by now.
+		if notice.Left > 0 {
+			e.takeNotice(notice)
+		}
 	}
 	return last
 }
@@ -218,12 +223,9 @@
 		listed = append(listed, membership.ListedVM{
 			VM:          vm.Name,
 			Zone:        vm.Zone,
-			Incarnation: membership.ParseIncarnation(vm.Incarnation),
+			Incarnation: vm.Incarnation,
 			Leaving:     vm.State == backend.VMLeaving,
 		})
 	}
 	e.learn(membership.PlatformList{VMs: listed})
 }
-
-// moveStreams moves the streams off a leaving VM.
-func (e *Entry) moveStreams(string) {}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -55,20 +55,25 @@
 	// deadline and firstTokenBy are times since the entry's start.
 	deadline     time.Duration
 	firstTokenBy time.Duration
-	admissionID  uint64
-	spec         request.Spec
-	req          *request.Request
-	message      message
-	reservation  *reservation
-	sink         sink
-	trace        *trace
+	// expectedFirst is the routing's prediction for the latest server.
+	expectedFirst time.Duration
+	admissionID   uint64
+	spec          request.Spec
+	req           *request.Request
+	message       message
+	reservation   *reservation
+	sink          sink
+	trace         *trace
 
 	controls chan control
 	stream   chan streamEvent
 	caller   context.Context
 	// dispatched is true once an attempt was handed to a server.
 	dispatched atomic.Bool
-	ended      chan struct{}
+	// place is where the answer's stream is; delivered counts its tokens.
+	place     atomic.Pointer[request.Position]
+	delivered atomic.Int64
+	ended     chan struct{}
 
 	// The loop alone uses what follows.
 	queue        []request.Event
@@ -133,6 +138,10 @@
 	}
 	r.noteEnd(ev.event)
 	r.step(ev.event)
+	if _, ok := ev.event.(request.Opened); ok {
+		place := r.req.Position()
+		r.place.Store(&place)
+	}
 }
 
 // noteEnd counts how the current attempt ended.
@@ -140,7 +149,7 @@
 	switch ev := ev.(type) {
 	case request.Completed:
 		if r.attempt != nil && r.attempt.number == ev.Attempt {
-			r.endAttempt(routing.ResultCompleted)
+			r.endAttempt(r.attempt.completedResult())
 		}
 	case request.Failed:
 		if r.attempt != nil && r.attempt.number == ev.Attempt {
@@ -215,6 +224,7 @@
 	}
 	r.lastToken = now
 	r.tokens++
+	r.delivered.Store(int64(r.tokens))
 	r.attempt.token(now)
 	r.sink.token(r.token, r.req.Position())
 }
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -53,6 +53,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return s.reserved(applied)
+}
+
+// reserved translates the result of a reservation.
+func (s *Service) reserved(applied state.Result) (*wire.ReserveResponse, error) {
 	reserved, ok := applied.(state.ReserveResult)
 	if !ok {
 		return nil, twirp.InternalError("reserve was not applied")
@@ -86,11 +91,16 @@
 	if err != nil {
 		return nil, err
 	}
-	recorded, ok := applied.(state.RecordResult)
+	return recorded(applied)
+}
+
+// recorded translates the result of a recorded outcome.
+func recorded(applied state.Result) (*wire.RecordResponse, error) {
+	result, ok := applied.(state.RecordResult)
 	if !ok {
 		return nil, twirp.InternalError("record was not applied")
 	}
-	return codec.RecordResultToWire(recorded), nil
+	return codec.RecordResultToWire(result), nil
 }
 
 // ChangeConfig commits a configuration change and tells where it is in force.
@@ -203,6 +213,9 @@
 	if req.Id == nil || req.Id.Vm == "" || req.Id.Incarnation == 0 || req.Address == "" {
 		return nil, twirp.InvalidArgumentError("id", "VM, incarnation and address must be given")
 	}
+	if s.replica.planning.isLeaving(req.Id.Vm) {
+		return nil, twirp.NewError(twirp.Unavailable, "the VM is about to be reclaimed")
+	}
 	member := replication.Member{
 		ID:      replication.NodeID{VM: req.Id.Vm, Incarnation: req.Id.Incarnation},
 		Zone:    req.Zone,
