--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -31,6 +31,9 @@
 	return servers
 }
 
+// busyTime is when a busyRouter is used: its prompts have been worked through.
+const busyTime = time.Minute
+
 // busyRouter returns a router with requests in flight and fresh reports.
 func busyRouter(n int) *Router {
 	r := New(Options{Zone: "z0", Seed: 1})
@@ -40,7 +43,7 @@
 		for range i % 5 {
 			r.Started(0, s.Name, Load{PromptTokens: 1000, OutputTokens: 200, Prefix: uint64(i%256 + 1)})
 		}
-		r.Report(0, s.Name, Report{Running: i % 9, Slots: 8, Age: time.Second})
+		r.Report(busyTime, s.Name, Report{Running: i % 9, Slots: 8, Age: time.Second})
 	}
 	return r
 }
@@ -72,7 +75,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
-		now := time.Duration(i) * time.Microsecond
+		now := busyTime + time.Duration(i)*time.Microsecond
 		d, _ := r.Pick(now, benchRequest(i))
 		r.Started(now, d.Server, load)
 		r.Finished(now, d.Server, outcome)
@@ -84,7 +87,7 @@
 		r := busyRouter(n)
 		i := 0
 		allocs := testing.AllocsPerRun(1000, func() {
-			r.Pick(time.Second, benchRequest(i))
+			r.Pick(busyTime, benchRequest(i))
 			i++
 		})
 		if allocs != 0 {
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -12,9 +12,10 @@
 const (
 	firstTries = 2
 	goodLoad   = 0.75
-	scanLimit  = 32
+	scanLimit  = 128
 	tierSample = 2
-	// maxTiers bounds the tiers that are looked at while the target is met.
+	// minTiers and maxTiers bound the tiers that are looked at.
+	minTiers = 4
 	maxTiers = 24
 )
 
@@ -213,17 +214,26 @@
 	for range firstTries {
 		c.consider(servers[random.IntN(len(servers))])
 	}
+	return c.good()
+}
+
+// good reports whether the best so far will do without looking further.
+func (c *choice) good() bool {
 	return c.best != nil && c.bestScore < missPenalty && c.bestEstimate.load <= goodLoad
 }
 
 // sample considers a few usable servers of each tier, cheapest tiers first. It
-// ends after maxTiers if a server was found that meets the target.
+// ends after minTiers with a good server and after maxTiers with any server that
+// meets the target.
 func (c *choice) sample(g *group, random *rand.Rand) {
 	tiers := 0
 	for _, t := range g.tiers {
 		if t.usable == 0 {
 			continue
 		}
+		if tiers >= minTiers && c.good() {
+			return
+		}
 		if tiers >= maxTiers && c.best != nil && c.bestScore < missPenalty {
 			return
 		}
