Follow the confirmed leader; tell a customer's limit from a full service

Cause: entries went on polling a replica that no longer led, so their acknowledgements never reached the leader and a change in force was listed as pending; admission's refusals all had status 503, since the table of statuses held a name that no refusal has. Change: a replica without a quorum's confirmation answers a poll at once and the entry goes on to the next; limits of the customer are 429, a full service 503.

--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"slices"
@@ -225,3 +226,25 @@
 		t.Fatalf("e1 is at %+v, %v; want revision 2, never confirmed", d.Entry.Config, err)
 	}
 }
+
+// After a change of leader the entries acknowledge to the new one, so that a
+// change is seen to be in force in every zone.
+func TestAcknowledgedAfterLeaderChange(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	old := c.leader("")
+	if err := c.stop(old, syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	c.start(old)
+	through := c.leader(old)
+	data, err := json.Marshal(c.fleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := c.operator(through).ApplyConfig(context.Background(), &wire.ChangeConfigRequest{
+		ChangeId: "after", BaseRevision: 1, Author: "test", ConfigJson: data, WaitMs: 30_000,
+	})
+	if err != nil || len(response.ZonesPending) > 0 {
+		t.Fatalf("%v, %v", response, err)
+	}
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -136,7 +136,9 @@
 	}
 }
 
-// follow asks the leader, or else any replica, for what is missing.
+// follow asks the replicas for what is missing, the leader first, until one
+// answers with a quorum's confirmation. Only such an answer is waited for, and
+// only there does an acknowledgement reach the leader.
 func (h *configHolder) follow(ctx context.Context) bool {
 	addresses := h.entry.replicas.Addresses()
 	if leader := h.entry.replicas.Leader(); leader != "" {
@@ -147,11 +149,15 @@
 		call, cancel := context.WithTimeout(ctx, fetchTimeout)
 		response, err := h.entry.replicas.At(address).FetchConfig(call, request)
 		cancel()
-		if err == nil {
-			h.receive(address, response)
+		if err != nil {
+			h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
+			continue
+		}
+		h.receive(address, response)
+		if response.Confirmed {
+			h.entry.replicas.SetLeader(address)
 			return true
 		}
-		h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
 	}
 	return false
 }
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/core/request"
 )
 
@@ -67,7 +68,6 @@
 	reasonTooLarge:            http.StatusRequestEntityTooLarge,
 	reasonBadEventID:          http.StatusBadRequest,
 	reasonSlowBody:            http.StatusRequestTimeout,
-	request.ReasonAdmission:   http.StatusTooManyRequests,
 	request.ReasonInFlight:    http.StatusConflict,
 	request.ReasonMismatch:    http.StatusUnprocessableEntity,
 	request.ReasonKeyExpired:  http.StatusConflict,
@@ -78,6 +78,17 @@
 	request.ReasonDeadline:    http.StatusGatewayTimeout,
 	request.ReasonAbandoned:   http.StatusConflict,
 	request.ReasonReservation: http.StatusServiceUnavailable,
+
+	admissionReason(admission.ReasonRequestLimit):    http.StatusTooManyRequests,
+	admissionReason(admission.ReasonTokenLimit):      http.StatusTooManyRequests,
+	admissionReason(admission.ReasonInFlightLimit):   http.StatusTooManyRequests,
+	admissionReason(admission.ReasonUnknownCustomer): http.StatusUnauthorized,
+}
+
+// admissionReason is a refusal by admission as callers see it. Limits of the
+// customer are told apart from a service that is full, which is answered 503.
+func admissionReason(reason admission.Reason) request.Reason {
+	return request.ReasonAdmission + "-" + request.Reason(reason.String())
 }
 
 // reasonMessage explains reasons whose name alone could be misread.
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -154,7 +154,9 @@
 	}
 }
 
-// FetchConfig returns the committed changes that the caller lacks.
+// FetchConfig returns the committed changes that the caller lacks. Only a
+// replica that a quorum confirms waits for news; another answers at once, so
+// that the caller goes on to the leader.
 func (s *Service) FetchConfig(ctx context.Context, req *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
 	s.replica.acks.put(req.Process, req.Zone, req.HaveRevision, time.Now())
 	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, maxFetchWait))
@@ -164,7 +166,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if len(response.Deltas) > 0 || req.WaitMs <= 0 {
+		if len(response.Deltas) > 0 || req.WaitMs <= 0 || !response.Confirmed {
 			return response, nil
 		}
 		select {
--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -61,7 +61,8 @@
 	return r.leader
 }
 
-func (r *Replicas) setLeader(address string) {
+// SetLeader notes which address to try first.
+func (r *Replicas) SetLeader(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leader = address
@@ -91,7 +92,7 @@
 		for _, address := range r.candidates() {
 			response, next, err := try(ctx, r, address, call)
 			if err == nil {
-				r.setLeader(address)
+				r.SetLeader(address)
 				return response, nil
 			}
 			last = Wrap(step, address, err)
@@ -99,7 +100,7 @@
 				return response, last
 			}
 			if next != "" && next != address {
-				r.setLeader(next)
+				r.SetLeader(next)
 				break
 			}
 		}
