--- a/internal/core/membership/table_test.go
+++ b/internal/core/membership/table_test.go
@@ -259,6 +259,46 @@
 	}
 }
 
+// With links cut at random, a notice reaches every entry that is still reachable
+// over others.
+func TestNoticeReachesAllOverCutLinks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 12).Draw(t, "entries")
+		x, names := newExchange(n, 3, 0.05, rapid.Uint64Range(0, 1<<20).Draw(t, "seed"))
+		index := map[string]int{}
+		for i, name := range names {
+			index[name] = i
+		}
+		links := make([]bool, n*n)
+		for i := range n {
+			for j := range i {
+				links[i*n+j] = rapid.IntRange(0, 9).Draw(t, "link") >= 3
+				links[j*n+i] = links[i*n+j]
+			}
+		}
+		x.cut = func(a, b string) bool { return !links[index[a]*n+index[b]] }
+		x.run(names, 0, 12*time.Second)
+		x.do(names[0], 12*time.Second, Notice{VM: "vm", Left: 25 * time.Second})
+		x.run(names, 12*time.Second, 13*time.Second)
+		reached, front := map[int]bool{0: true}, []int{0}
+		for len(front) > 0 {
+			i := front[0]
+			front = front[1:]
+			for j := range n {
+				if links[i*n+j] && !reached[j] {
+					reached[j] = true
+					front = append(front, j)
+				}
+			}
+		}
+		for j := range n {
+			if reached[j] && !x.tables[names[j]].Leaving("vm") {
+				t.Fatalf("%s is reachable and does not know", names[j])
+			}
+		}
+	})
+}
+
 func TestCutOffZoneIsDeadAndComesBack(t *testing.T) {
 	x, names := newExchange(8, 4, 0, 1)
 	x.run(names, 0, 3*time.Second)
