Migration: count what a cache grows while it waits for its export

Cause: a stream that waits for the link goes on generating, so that an export planned with its size at the notice could miss the deadline. Change: exports are chosen with the size that they can reach by the deadline and scheduled with the size at their start.

--- a/internal/core/migration/migration.go
+++ b/internal/core/migration/migration.go
@@ -36,8 +36,11 @@
 	TokensLeft int
 	// TokensPerSecond is the stream's decoding rate.
 	TokensPerSecond float64
-	// ExportBytes is the size of the stream's KV cache when exported.
+	// ExportBytes is the size of the stream's KV cache if exported now.
 	ExportBytes int64
+	// KVBytesPerToken is what each token adds to it that the stream generates
+	// while it waits for its export.
+	KVBytesPerToken int64
 	// Pinned streams can't be exported, as no engine can import them.
 	Pinned bool
 }
@@ -137,7 +140,7 @@
 		return reasonNoLink
 	case stream.Pinned:
 		return reasonPinned
-	case p.exportTime(stream) > p.budget:
+	case p.longest(stream) > p.budget:
 		return reasonNoRoom
 	}
 	return ""
@@ -155,8 +158,18 @@
 	return seconds(float64(stream.TokensLeft) / stream.TokensPerSecond)
 }
 
-func (p *planner) exportTime(stream Stream) time.Duration {
-	return p.options.ExportOverhead + seconds(float64(max(0, stream.ExportBytes))/p.options.ExportBytesPerSecond)
+// exportTime returns how long an export takes that begins at start.
+func (p *planner) exportTime(stream Stream, start time.Duration) time.Duration {
+	waited := min(stream.TokensPerSecond*start.Seconds(), float64(stream.TokensLeft))
+	grown := math.Ceil(max(0, waited)) * float64(max(0, stream.KVBytesPerToken))
+	bytes := float64(max(0, stream.ExportBytes)) + grown
+	return max(0, p.options.ExportOverhead) + seconds(bytes/p.options.ExportBytesPerSecond)
+}
+
+// longest returns how long an export takes at most, whenever it begins. The
+// choice of exports counts with it, so that they fit in any order.
+func (p *planner) longest(stream Stream) time.Duration {
+	return p.exportTime(stream, p.budget)
 }
 
 // seconds converts to a duration, rounded up; what is no number or too large
@@ -181,7 +194,7 @@
 	plan := Plan{Decisions: make([]Decision, 0, len(p.streams))}
 	start := time.Duration(0)
 	for _, i := range chosen {
-		end := start + p.exportTime(p.streams[i])
+		end := start + p.exportTime(p.streams[i], start)
 		plan.Decisions = append(plan.Decisions, Decision{
 			Stream: p.streams[i].ID, Action: Export, Start: start, End: end, Reason: reasonExported,
 		})
@@ -230,14 +243,14 @@
 		chosen = byTokens
 	}
 	slices.SortStableFunc(chosen, func(a, b int) int {
-		return cmp.Compare(p.exportTime(p.streams[a]), p.exportTime(p.streams[b]))
+		return cmp.Compare(p.longest(p.streams[a]), p.longest(p.streams[b]))
 	})
 	return chosen
 }
 
 func (p *planner) savedPerSecond(i int) float64 {
 	const shortest = time.Microsecond
-	return float64(lostTokens(p.streams[i])) / max(p.exportTime(p.streams[i]), shortest).Seconds()
+	return float64(lostTokens(p.streams[i])) / max(p.longest(p.streams[i]), shortest).Seconds()
 }
 
 func (p *planner) saved(chosen []int) int {
@@ -255,7 +268,7 @@
 	var chosen []int
 	used := time.Duration(0)
 	for _, i := range candidates {
-		need := p.exportTime(p.streams[i])
+		need := p.longest(p.streams[i])
 		if used+need > p.budget {
 			continue
 		}
--- a/internal/core/migration/migration_test.go
+++ b/internal/core/migration/migration_test.go
@@ -27,6 +27,7 @@
 			TokensLeft:      rapid.IntRange(0, 3000).Draw(t, "left"),
 			TokensPerSecond: rapid.Float64Range(0, 60).Draw(t, "rate"),
 			ExportBytes:     rapid.Int64Range(0, 4<<30).Draw(t, "bytes"),
+			KVBytesPerToken: rapid.Int64Range(0, 1<<20).Draw(t, "growth"),
 			Pinned:          rapid.IntRange(0, 9).Draw(t, "pinned") == 0,
 		}
 	}
@@ -62,7 +63,9 @@
 			}
 			need := time.Duration(float64(stream.TokensLeft) / stream.TokensPerSecond * 1e9)
 			if d.Action == Export {
-				need = options.ExportOverhead + time.Duration(float64(stream.ExportBytes)/options.ExportBytesPerSecond*1e9)
+				waited := min(stream.TokensPerSecond*d.Start.Seconds(), float64(stream.TokensLeft))
+				bytes := float64(stream.ExportBytes) + waited*float64(stream.KVBytesPerToken)
+				need = options.ExportOverhead + time.Duration(bytes/options.ExportBytesPerSecond*1e9)
 			}
 			if stream.TokensLeft == 0 && d.Action == Finish {
 				need = 0
--- a/internal/entry/moves.go
+++ b/internal/entry/moves.go
@@ -105,6 +105,7 @@
 		TokensLeft:      max(r.load.OutputTokens-done, 0),
 		TokensPerSecond: rate,
 		ExportBytes:     int64(class.KVBytesPerToken) * int64(r.load.PromptTokens+done),
+		KVBytesPerToken: int64(class.KVBytesPerToken),
 	}
 }
 
