Release reservations that are in doubt when their request gives up

Cause: a request whose reservation was not answered in time is told not-run, which is true, but the reservation may be committed all the same. Its owner says so to a duplicate as long as it lives; after a restart of the owner the key was unknown for good, though its request had never run. Not covered: a reservation that is still under way in another batch and committed after its release.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,7 @@
 	policy      *policy
 	config      *configHolder
 	history     *history
+	releases    *releaser
 	members     *members
 	reports     reportState
 
@@ -112,6 +113,7 @@
 		idle:        make(chan struct{}),
 	}
 	e.policy = newPolicy(e)
+	e.releases = newReleaser(e)
 	e.config = newConfigHolder(e)
 	e.members = newMembers(e)
 	e.reports.incarnations = make(map[string]string)
@@ -141,6 +143,7 @@
 	e.spawn(func() { e.runReports(ctx) })
 	e.spawn(func() { e.policy.runTicks(ctx) })
 	e.spawn(func() { e.runMembership(ctx) })
+	e.spawn(func() { e.releases.run(ctx) })
 }
 
 func (e *Entry) spawn(work func()) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -13,11 +14,13 @@
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/twitchtv/twirp"
 
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/observe"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/standin"
+	"waxwingcart/internal/wire"
 )
 
 // testKeys are the bearer keys of the customers heirs and clerks.
@@ -32,12 +35,53 @@
 	handler http.Handler
 }
 
+// fakeReplica is a replica that answers what a test wants.
+type fakeReplica struct {
+	wire.Replica
+	reserve func(*wire.ReserveRequest) (*wire.ReserveResponse, error)
+	records chan *wire.RecordRequest
+}
+
+func (f *fakeReplica) Commit(_ context.Context, req *wire.CommitRequest) (*wire.CommitResponse, error) {
+	response := &wire.CommitResponse{}
+	for _, item := range req.Items {
+		result := &wire.CommitResult{}
+		if record := item.GetRecord(); record != nil {
+			f.records <- record
+			result.Body = &wire.CommitResult_Record{Record: &wire.RecordResponse{State: record.State}}
+		} else if reserved, err := f.reserve(item.GetReserve()); err != nil {
+			result.Body = &wire.CommitResult_Error{Error: err.Error()}
+		} else {
+			result.Body = &wire.CommitResult_Reserve{Reserve: reserved}
+		}
+		response.Results = append(response.Results, result)
+	}
+	return response, nil
+}
+
+func (f *fakeReplica) FetchConfig(context.Context, *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	return nil, twirp.NewError(twirp.Unavailable, "none")
+}
+
 // newTestEntry runs an entry without replicas before backend servers, and
 // returns it with its callers' address.
 func newTestEntry(t *testing.T, servers ...testServer) (*Entry, string) {
 	t.Helper()
+	return newKeyedEntry(t, nil, servers...)
+}
+
+// newKeyedEntry runs an entry with a replica.
+func newKeyedEntry(t *testing.T, replica *fakeReplica, servers ...testServer) (*Entry, string) {
+	t.Helper()
+	var replicas []string
+	if replica != nil {
+		server := httptest.NewServer(wire.NewReplicaServer(replica))
+		t.Cleanup(server.Close)
+		replicas = []string{strings.TrimPrefix(server.URL, "http://")}
+	}
 	e := New(Options{
-		VM: "e1", Zone: "kochi-a", PeerAddress: "127.0.0.1:1", PeerSecret: "secret",
+		Replicas: replicas,
+		VM:       "e1", Zone: "kochi-a", PeerAddress: "127.0.0.1:1", PeerSecret: "secret",
 		BodyTimeout: 200 * time.Millisecond, WriteTimeout: 200 * time.Millisecond, BodyLimit: 8_192,
 		Client:   rpc.NewClient("secret"),
 		Logger:   observe.NewLogger(io.Discard, "error", "e1", "kochi-a"),
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -85,6 +85,8 @@
 	firstTokenAt time.Duration
 	tokens       int
 	outcome      *request.Outcome
+	// inDoubt is true while a reservation was asked for and not answered.
+	inDoubt bool
 }
 
 // message is the caller's HTTP request as it is sent on.
@@ -176,6 +178,7 @@
 		next := r.queue[0]
 		r.queue = r.queue[1:]
 		r.explainEvent(next)
+		r.noteReservation(next)
 		for _, effect := range r.req.Step(r.entry.now(), next) {
 			r.carryOut(effect)
 		}
@@ -188,6 +191,7 @@
 	case request.Admit:
 		r.entry.policy.arrive(r)
 	case request.Reserve:
+		r.inDoubt = true
 		go r.reserve()
 	case request.Pick:
 		r.queue = append(r.queue, r.entry.policy.pick(r, e.Exclude))
@@ -261,10 +265,21 @@
 	r.trace.dispatched = r.req.Dispatched()
 	r.trace.end(time.Now(), "%s", endText(r))
 	r.entry.history.put(r.trace)
+	if r.inDoubt && !r.trace.dispatched {
+		r.entry.releases.release(r.reservation, r.id)
+	}
 	close(r.ended)
 	r.entry.remove(r)
 }
 
+// noteReservation notes that the replicas answered. Without their answer the
+// reservation may be committed all the same.
+func (r *run) noteReservation(ev request.Event) {
+	if reserved, ok := ev.(request.Reserved); ok && reserved.Result != request.ReserveFailed {
+		r.inDoubt = false
+	}
+}
+
 // serverFailed tells whether the answer says that the server failed.
 func (r *run) serverFailed() bool {
 	return r.answer != nil && r.answer.status >= http.StatusInternalServerError
