Prove that runs are bounded by the budget and the tokens they gave

For any interleaving, the runs of a request are at most one, plus those charged to the budget, plus those that follow a run with tokens, plus moves.

--- a/internal/core/request/request_test.go
+++ b/internal/core/request/request_test.go
@@ -19,13 +19,18 @@
 	os.Exit(m.Run())
 }
 
-type fixedRetrier struct{ left int }
+// fixedRetrier has a budget for the attempts that are not free.
+type fixedRetrier struct{ left, charged int }
 
-func (f *fixedRetrier) Retry(time.Duration, FailedAttempt) (time.Duration, bool) {
+func (f *fixedRetrier) Retry(_ time.Duration, failed FailedAttempt) (time.Duration, bool) {
+	if failed.Free {
+		return time.Millisecond, true
+	}
 	if f.left == 0 {
 		return 0, false
 	}
 	f.left--
+	f.charged++
 	return time.Millisecond, true
 }
 
@@ -54,6 +59,12 @@
 	got      []int
 	outcomes []Outcome
 	records  []OutcomeKind
+	retrier  *fixedRetrier
+	// dispatches counts the runs that were asked for, earned those that gave
+	// the caller tokens, moves the requests to leave an engine.
+	dispatches, earned, moves int
+	// fresh is true until the latest run gives the caller a token.
+	fresh bool
 }
 
 func sumAfter(sum uint64, offset int, wrong bool) uint64 {
@@ -86,6 +97,8 @@
 		server := fmt.Sprintf("e%d", len(e.Exclude))
 		h.queue(rapid.SampledFrom([]Event{Picked{Server: server}, Picked{Server: server}, NoServer{}}).Draw(h.t, "pick"))
 	case Dispatch:
+		h.dispatches++
+		h.fresh = true
 		h.dispatch(e)
 	case ResumeStream:
 		h.runs = append(h.runs, &run{attempt: e.Attempt, next: e.Position.Next, sum: e.Position.Sum})
@@ -99,6 +112,10 @@
 	case Backoff:
 		h.queue(BackoffOver{})
 	case Forward:
+		if h.fresh {
+			h.earned++
+		}
+		h.fresh = false
 		h.got = append(h.got, e.Offset)
 	case Record:
 		h.records = append(h.records, e.Kind)
@@ -124,16 +141,16 @@
 func (h *harness) dispatch(e Dispatch) {
 	failure := Failure{Phase: PhaseDial, Step: "dial", Peer: e.Server}
 	switch rapid.IntRange(0, 5).Draw(h.t, "dispatch") {
-	case 0:
+	case 4:
 		h.queue(Failed{Attempt: e.Attempt, Failure: failure})
 		return
-	case 1:
+	case 5:
 		failure.Phase, failure.Step = PhaseRefused, "refused"
 		h.queue(Failed{Attempt: e.Attempt, Failure: failure})
 		return
 	}
 	h.started++
-	wrong := rapid.IntRange(0, 9).Draw(h.t, "wrong") == 0
+	wrong := rapid.IntRange(0, 9).Draw(h.t, "wrong") == 9
 	h.runs = append(h.runs, &run{attempt: e.Attempt, wrong: wrong})
 	if h.spec.Kind == KindModel {
 		h.queue(Opened{Attempt: e.Attempt, Stream: fmt.Sprintf("s%d", e.Attempt)})
@@ -142,23 +159,32 @@
 
 // advance lets one thing happen.
 func (h *harness) advance() {
-	choice := rapid.IntRange(0, 19).Draw(h.t, "choice")
+	// Small numbers are drawn more often, so rare events have large ones.
+	choice := rapid.IntRange(0, 59).Draw(h.t, "choice")
 	switch {
-	case choice == 0:
+	case choice == 59:
 		h.now += time.Duration(rapid.IntRange(1, 400).Draw(h.t, "ms")) * time.Millisecond
 		h.step(Tick{})
-	case choice == 1:
-		h.step(rapid.SampledFrom([]Event{CallerGone{}, Abandon{}, Drain{}, Tick{}}).Draw(h.t, "other"))
-	case choice == 2:
-		move := Move{Server: h.req.Position().Server, Export: rapid.Bool().Draw(h.t, "export"), Target: "other"}
-		h.step(move)
-	case choice < 11 && len(h.ready) > 0:
+	case choice == 58:
+		h.step(rapid.SampledFrom([]Event{Tick{}, Drain{}, Abandon{}, CallerGone{}}).Draw(h.t, "other"))
+	case choice >= 55:
+		h.move()
+	case choice >= 20 && len(h.ready) > 0:
 		i := rapid.IntRange(0, len(h.ready)-1).Draw(h.t, "event")
 		ev := h.ready[i]
 		h.ready = append(h.ready[:i:i], h.ready[i+1:]...)
 		h.step(ev)
 	case len(h.runs) > 0:
-		h.progress(h.runs[rapid.IntRange(0, len(h.runs)-1).Draw(h.t, "run")])
+		h.progress(h.runs[len(h.runs)-1-rapid.IntRange(0, len(h.runs)-1).Draw(h.t, "run")])
+	}
+}
+
+// move asks the request to leave its engine.
+func (h *harness) move() {
+	running := h.req.state == stateRunning
+	h.step(Move{Server: h.req.Position().Server, Export: rapid.Bool().Draw(h.t, "export"), Target: "other"})
+	if running && h.req.state != stateRunning {
+		h.moves++
 	}
 }
 
@@ -166,7 +192,7 @@
 	if r.ended {
 		return
 	}
-	if rapid.IntRange(0, 11).Draw(h.t, "break") == 0 {
+	if rapid.IntRange(0, 11).Draw(h.t, "break") == 11 {
 		r.ended = true
 		failure := Failure{Phase: PhaseHandedOver, Step: "read", StreamGone: rapid.Bool().Draw(h.t, "gone")}
 		failure.Answered = h.spec.Kind == KindApp && h.spec.Repeatable && rapid.Bool().Draw(h.t, "answered")
@@ -188,7 +214,7 @@
 		ID:          "r1",
 		Kind:        Kind(rapid.IntRange(0, 1).Draw(t, "kind")),
 		Deadline:    time.Second,
-		MaxAttempts: rapid.IntRange(1, 4).Draw(t, "attempts"),
+		MaxAttempts: rapid.IntRange(1, 6).Draw(t, "attempts"),
 	}
 	spec.Repeatable = spec.Kind == KindModel || rapid.Bool().Draw(t, "repeatable")
 	spec.Keyed = !spec.Repeatable && rapid.Bool().Draw(t, "keyed")
@@ -201,7 +227,8 @@
 func TestEveryInterleaving(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		spec := genSpec(t)
-		h := &harness{t: t, spec: spec, req: New(spec, &fixedRetrier{left: 3})}
+		retrier := &fixedRetrier{left: 3}
+		h := &harness{t: t, spec: spec, req: New(spec, retrier), retrier: retrier}
 		h.step(Start{})
 		for range 120 {
 			h.advance()
@@ -234,6 +261,9 @@
 	if !h.spec.Repeatable && h.started > 1 {
 		h.t.Fatalf("ran %d times", h.started)
 	}
+	if allowed := 1 + h.retrier.charged + h.earned + h.moves; h.dispatches > allowed {
+		h.t.Fatalf("%d runs: %d charged, %d gave tokens, %d moves", h.dispatches, h.retrier.charged, h.earned, h.moves)
+	}
 	for _, kind := range h.records {
 		if kind == OutcomeNotRun && h.started > 0 {
 			h.t.Fatalf("recorded not-run after %d runs", h.started)
