--- a/internal/e2e/bookings_test.go
+++ b/internal/e2e/bookings_test.go
@@ -245,3 +245,33 @@
 		t.Fatalf("%d runs", runs)
 	}
 }
+
+// The leader freezes and wakes in the middle of bookings that each go through
+// two entries: all are answered in the end, none ran twice, and what was
+// answered stays.
+func TestBookingsWhileLeaderFreezes(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.restartApp("--run-time", "10ms")
+	list := newBookings("freeze", 40)
+	callers := c.sendTwice(rand.New(rand.NewPCG(7, 7)), list, "e1", "e2", 600*time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	frozen := c.leader("")
+	c.signal(frozen, syscall.SIGSTOP)
+	c.leader(frozen)
+	c.signal(frozen, syscall.SIGCONT)
+	callers.Wait()
+	for _, b := range list {
+		if answer := b.settle(c, "e1"); answer.status != http.StatusCreated {
+			t.Errorf("%s: %d %s", b.key, answer.status, answer.body)
+		}
+		b.settle(c, "e2")
+	}
+	c.checkRuns("after the freeze", list, false)
+	refused := 0
+	for _, b := range list {
+		if b.told("not-run") {
+			refused++
+		}
+	}
+	t.Logf("%d bookings, %d were refused at first", len(list), refused)
+}
