Send a lookup again when its connection is silent

Cause: a lookup may be answered as late as its deadline, so one on a connection that went silent was told 504 after 30 s (TestSilentLookups with the change taken out: 6 of 6). Ruled out: failing the attempt at the progress timeout, for a lookup that is only slow would be lost when the retry budget is empty. Change: after progress_timeout_ms without an answer (or hedge_after_ms, if set) a GET or HEAD goes a second time, to another server or over a new connection to the same one, out of the retry budget; the first answer counts. After: 6 of 6 answered.

Tests: e2e TestSilentLookups, entry TestHedge (one and two servers).

--- a/internal/e2e/bookings_test.go
+++ b/internal/e2e/bookings_test.go
@@ -69,17 +69,10 @@
 // bodyRuns returns the runs started at a stand-in by the digest of their body.
 func (c *cluster) bodyRuns(server string) map[string]int {
 	c.t.Helper()
-	response, err := http.Get("http://" + c.servers[server] + "/standin/runs")
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	defer response.Body.Close()
 	var result struct {
 		Bodies map[string]int `json:"bodies"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
-		c.t.Fatal(err)
-	}
+	c.standin(server, "runs", &result)
 	return result.Bodies
 }
 
--- a/internal/e2e/callers_test.go
+++ b/internal/e2e/callers_test.go
@@ -145,14 +145,7 @@
 // stats returns a stand-in engine's statistics.
 func (c *cluster) stats(server string) map[string]int64 {
 	c.t.Helper()
-	response, err := http.Get("http://" + c.servers[server] + "/standin/stats")
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	defer response.Body.Close()
 	stats := make(map[string]int64)
-	if err := json.NewDecoder(response.Body).Decode(&stats); err != nil {
-		c.t.Fatal(err)
-	}
+	c.standin(server, "stats", &stats)
 	return stats
 }
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -480,20 +480,26 @@
 	}
 }
 
-// runs returns the runs started at a stand-in by request ID.
-func (c *cluster) runs(server string) map[string]int {
+// standin reads what a stand-in says of itself.
+func (c *cluster) standin(server, path string, into any) {
 	c.t.Helper()
-	response, err := http.Get("http://" + c.servers[server] + "/standin/runs")
+	response, err := http.Get("http://" + c.servers[server] + "/standin/" + path)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// runs returns the runs started at a stand-in by request ID.
+func (c *cluster) runs(server string) map[string]int {
+	c.t.Helper()
 	var result struct {
 		Runs map[string]int `json:"runs"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
-		c.t.Fatal(err)
-	}
+	c.standin(server, "runs", &result)
 	return result.Runs
 }
 
--- a/internal/e2e/streams_test.go
+++ b/internal/e2e/streams_test.go
@@ -101,6 +101,27 @@
 	}
 }
 
+// Open connections to an app server go silent: lookups are answered over new
+// ones, well before their deadline.
+func TestSilentLookups(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	lookUp := func() {
+		var group sync.WaitGroup
+		for i := range 6 {
+			group.Go(func() {
+				answer, err := c.call("e1", http.MethodGet, fmt.Sprintf("/services/desk/records/%d", i), "", "")
+				if err != nil || answer.status != http.StatusOK || !strings.Contains(answer.body, standin.RecordDigest(fmt.Sprint(i))) {
+					t.Errorf("%+v, %v", answer, err)
+				}
+			})
+		}
+		group.Wait()
+	}
+	lookUp()
+	c.fault("a1", `{"silent": true}`)
+	lookUp()
+}
+
 // A frozen engine accepts connections and says nothing: its streams go
 // elsewhere before their attempts are used up.
 func TestFrozenEngine(t *testing.T) {
--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -33,6 +33,7 @@
 	answer *answer
 	err    error
 	server *fleet.BackendServer
+	hedge  bool
 }
 
 // runApp sends the request and reads the whole answer. A lookup that is not
@@ -60,7 +61,7 @@
 			if a.accept(ctx, result) {
 				return
 			}
-			if failed == nil || result.server == a.server {
+			if failed == nil || !result.hedge {
 				failed = &result
 			}
 		}
@@ -73,7 +74,7 @@
 	if result.err != nil || a.mayDoBetter(result.answer) {
 		return false
 	}
-	a.hedged.Store(result.server != a.server)
+	a.hedged.Store(result.hedge)
 	a.post(ctx, streamEvent{event: request.Completed{Attempt: a.number}, answer: result.answer})
 	return true
 }
@@ -96,9 +97,11 @@
 
 // fetch sends the request to a server once.
 func (a *attempt) fetch(ctx context.Context, server *fleet.BackendServer, number int) appResult {
-	result := appResult{server: server}
+	result := appResult{server: server, hedge: number != a.number}
 	call := a.call("dispatch")
 	call.Address, call.Attempt = server.Address, number
+	// A hedge never goes over a connection that was used before.
+	call.Repeatable = call.Repeatable && number == a.number
 	response, err := a.run.entry.backends.Do(ctx, call)
 	if err != nil {
 		result.err = err
@@ -118,8 +121,8 @@
 	return result
 }
 
-// hedgeTimer fires when the request may be sent to a second server. It never
-// does for a request that is not a lookup.
+// hedgeTimer fires when the request may be sent a second time. It never does
+// for a request that is not a lookup.
 func (a *attempt) hedgeTimer() (<-chan time.Time, func()) {
 	at, ok := a.run.entry.policy.hedgeAt(a.lookup())
 	if !ok {
@@ -129,18 +132,19 @@
 	return timer.C, func() { timer.Stop() }
 }
 
-// chooseHedge picks a second server if the retry budget allows one.
+// chooseHedge picks a second server if the retry budget allows one. Where there
+// is no other, the same server gets the request over a new connection, for the
+// first may have gone silent.
 func (a *attempt) chooseHedge() *fleet.BackendServer {
 	p := a.run.entry.policy
-	decision, ok := p.choose(a.run, []string{a.server.Name})
-	if !ok || decision.Server == a.server.Name {
+	if !p.hedge(a.lookup()) {
 		return nil
 	}
-	server := a.run.config.servers[decision.Server]
-	if server == nil || !p.hedge(a.lookup()) {
-		return nil
+	decision, ok := p.choose(a.run, []string{a.server.Name})
+	if server := a.run.config.servers[decision.Server]; ok && server != nil {
+		return server
 	}
-	return server
+	return a.server
 }
 
 // fetchHedge sends the request to the second server and counts the attempt.
@@ -177,16 +181,21 @@
 	return routing.ResultCompleted
 }
 
-// lookup describes the attempt to the retry core.
+// lookup describes the attempt to the retry core. Where the policy does not
+// hedge, silence for the progress timeout counts as a lost connection.
 func (a *attempt) lookup() retry.Lookup {
 	r := a.run
+	policy := r.policy
+	if policy.HedgeAfterMS == 0 {
+		policy.HedgeAfterMS = policy.ProgressTimeoutMS
+	}
 	return retry.Lookup{
 		Service:    r.service.Name,
 		Idempotent: r.spec.Repeatable,
 		Cheap:      r.message.method == http.MethodGet || r.message.method == http.MethodHead,
 		Started:    a.started,
 		Deadline:   r.deadline,
-		Policy:     &r.policy,
+		Policy:     &policy,
 	}
 }
 
--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -280,9 +280,15 @@
 	}
 }
 
-// A lookup that its server does not answer is sent to another one, and a
-// booking never is.
+// A lookup that its server does not answer is sent to another one, or over
+// another connection where there is no other, and a booking never is.
 func TestHedge(t *testing.T) {
+	for servers := range 2 {
+		testHedge(t, servers+1)
+	}
+}
+
+func testHedge(t *testing.T, count int) {
 	var lookups, bookings atomic.Int32
 	release := make(chan struct{})
 	slowFirst := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -297,7 +303,8 @@
 			time.Sleep(150 * time.Millisecond)
 		}
 	})
-	e, address := newTestEntry(t, testServer{"desk", slowFirst}, testServer{"desk", slowFirst})
+	servers := []testServer{{"desk", slowFirst}, {"desk", slowFirst}}
+	e, address := newTestEntry(t, servers[:count]...)
 	defer close(release)
 	response, body := call(t, http.MethodGet, address+"/services/desk/records/7", heirsKey, "")
 	if response.StatusCode != http.StatusOK || lookups.Load() != 2 {
