Follow the leader that confirms; give refusals by admission their status

(1) After a leader change an entry went on polling the replica that answered first, whose acknowledgements the new leader never hears: apply listed every zone as pending for ever. (2) The statuses are listed under 'admission', the reasons are 'admission-request-limit' and so on, so that all were answered 503. Ruled out: following the leader that calls in rpc found, since an entry without keyed requests makes none. Change: an entry asks the other replicas when its own confirms nothing, and stays with the one that does; the status goes by the reason's beginning.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,6 +104,8 @@
 	view *state.View
 	// saved is true if the view began with a copy from the disk.
 	saved bool
+	// source is the replica that last confirmed a revision. Only run uses it.
+	source string
 }
 
 func newConfigHolder(e *Entry) *configHolder {
@@ -136,24 +139,42 @@
 	}
 }
 
-// follow asks the leader, or else any replica, for what is missing.
+// follow waits for news at the replica that last confirmed a revision. If it
+// confirms nothing now, the others are asked for the one that leads: only a
+// leader that hears the acknowledgements can tell where a revision is in force.
 func (h *configHolder) follow(ctx context.Context) bool {
-	addresses := h.entry.replicas.Addresses()
-	if leader := h.entry.replicas.Leader(); leader != "" {
-		addresses = append([]string{leader}, addresses...)
-	}
-	for _, address := range addresses {
-		request := h.request(fetchWait)
-		call, cancel := context.WithTimeout(ctx, fetchTimeout)
-		response, err := h.entry.replicas.At(address).FetchConfig(call, request)
-		cancel()
-		if err == nil {
-			h.receive(address, response)
+	wait := fetchWait
+	answered := false
+	for _, address := range h.sources() {
+		response, err := h.fetch(ctx, address, wait)
+		if err != nil {
+			h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
+			continue
+		}
+		h.receive(address, response)
+		if response.Confirmed {
+			h.source = address
 			return true
 		}
-		h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
+		answered = true
+		wait = 0
 	}
-	return false
+	return answered
+}
+
+// sources lists the replicas in the order in which they are asked.
+func (h *configHolder) sources() []string {
+	addresses := h.entry.replicas.Addresses()
+	if i := slices.Index(addresses, h.source); i > 0 {
+		addresses[0], addresses[i] = addresses[i], addresses[0]
+	}
+	return addresses
+}
+
+func (h *configHolder) fetch(ctx context.Context, address string, wait time.Duration) (*wire.FetchConfigResponse, error) {
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return h.entry.replicas.At(address).FetchConfig(call, h.request(wait))
 }
 
 func (h *configHolder) request(wait time.Duration) *wire.FetchConfigRequest {
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -5,8 +5,10 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/core/request"
 )
 
@@ -103,6 +105,12 @@
 	request.ReasonNotKept:    true,
 }
 
+// admissionReason is the reason of a refusal by admission, which names
+// admission's own reason after request.ReasonAdmission.
+func admissionReason(reason admission.Reason) request.Reason {
+	return request.ReasonAdmission + "-" + request.Reason(reason.String())
+}
+
 func outcomeName(kind request.OutcomeKind) string {
 	switch kind {
 	case request.OutcomeNotRun:
@@ -137,13 +145,6 @@
 // writeRefusal answers a request whose response has not begun. Recorded is an
 // earlier answer whose body was not kept, or nil.
 func writeRefusal(w http.ResponseWriter, requestID string, outcome request.Outcome, recorded *answer) {
-	status, ok := reasonStatus[outcome.Reason]
-	if !ok {
-		status = http.StatusServiceUnavailable
-	}
-	if outcome.Reason == request.ReasonAttempt && outcome.Kind == request.OutcomeNotRun {
-		status = http.StatusServiceUnavailable
-	}
 	detail := detailOf(requestID, outcome)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
@@ -155,10 +156,24 @@
 	if detail.RetryAfterMS != nil {
 		header.Set(headerRetryAfter, retryAfterSeconds(outcome.RetryAfter))
 	}
-	w.WriteHeader(status)
+	w.WriteHeader(statusOf(outcome))
 	_ = json.NewEncoder(w).Encode(errorBody{Error: detail})
 }
 
+// statusOf returns the status of a refusal.
+func statusOf(outcome request.Outcome) int {
+	if strings.HasPrefix(string(outcome.Reason), string(request.ReasonAdmission)+"-") {
+		return http.StatusTooManyRequests
+	}
+	if outcome.Reason == request.ReasonAttempt && outcome.Kind == request.OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	if status, ok := reasonStatus[outcome.Reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
 // retryAfterSeconds rounds up to whole seconds. Zero means at once.
 func retryAfterSeconds(delay time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(delay.Seconds())))
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -145,7 +145,7 @@
 	for _, refuse := range effects.Refuse {
 		if r, ok := p.waiting[refuse.ID]; ok {
 			r.post(request.Refused{
-				Reason:     request.Reason("admission-" + refuse.Reason.String()),
+				Reason:     admissionReason(refuse.Reason),
 				RetryAfter: refuse.RetryAfter,
 			})
 		}
