--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -133,25 +133,36 @@
 	return ""
 }
 
-// A server's own error answer is sent on once for a request that may not be
-// repeated, and for one that may only if no server does better.
+// busyServer answers every POST with 503 and counts them.
+type busyServer struct{ calls atomic.Int32 }
+
+func (b *busyServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		b.calls.Add(1)
+	}
+	w.Header().Set("X-Own", "yes")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// A server's own error answer is sent on after one run for a request that may
+// not be repeated, and for one that may only after every server has been asked
+// once.
 func TestBusyServer(t *testing.T) {
-	for path, want := range map[string]int32{"/services/desk/bookings": 1, "/services/desk/searches": 2} {
-		var calls atomic.Int32
-		busy := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.Method == http.MethodPost {
-				calls.Add(1)
-			}
-			w.Header().Set("X-Own", "yes")
-			w.WriteHeader(http.StatusServiceUnavailable)
-		})
-		_, address := newTestEntry(t, testServer{"desk", busy}, testServer{"desk", busy})
+	for path, want := range map[string]string{"/services/desk/bookings": "1", "/services/desk/searches": "1 1 1"} {
+		servers := []*busyServer{{}, {}, {}}
+		_, address := newTestEntry(t, testServer{"desk", servers[0]}, testServer{"desk", servers[1]}, testServer{"desk", servers[2]})
 		response, _ := call(t, http.MethodPost, address+path, heirsKey, "{}")
 		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("X-Own") != "yes" {
 			t.Errorf("%s: got %d, header %v", path, response.StatusCode, response.Header)
 		}
-		if got := calls.Load(); got != want {
-			t.Errorf("%s: sent %d times, want %d", path, got, want)
+		var calls []string
+		for _, server := range servers {
+			if count := server.calls.Load(); count > 0 {
+				calls = append(calls, fmt.Sprint(count))
+			}
+		}
+		if got := strings.Join(calls, " "); got != want {
+			t.Errorf("%s: runs %q, want %q", path, got, want)
 		}
 	}
 }
@@ -268,3 +279,35 @@
 		t.Fatal("the stream goes on at the engine")
 	}
 }
+
+// A lookup that its server does not answer is sent to another one, and a
+// booking never is.
+func TestHedge(t *testing.T) {
+	var lookups, bookings atomic.Int32
+	release := make(chan struct{})
+	slowFirst := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/records/") && lookups.Add(1) == 1:
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		case r.URL.Path == "/bookings":
+			bookings.Add(1)
+			time.Sleep(150 * time.Millisecond)
+		}
+	})
+	e, address := newTestEntry(t, testServer{"desk", slowFirst}, testServer{"desk", slowFirst})
+	defer close(release)
+	response, body := call(t, http.MethodGet, address+"/services/desk/records/7", heirsKey, "")
+	if response.StatusCode != http.StatusOK || lookups.Load() != 2 {
+		t.Fatalf("%d %s after %d lookups", response.StatusCode, body, lookups.Load())
+	}
+	if text := explained(t, e, response.Header.Get(headerRequestID)); !strings.Contains(text, "hedged at") {
+		t.Errorf("no hedge in\n%s", text)
+	}
+	response, body = call(t, http.MethodPost, address+"/services/desk/bookings", heirsKey, "{}")
+	if response.StatusCode != http.StatusOK || bookings.Load() != 1 {
+		t.Fatalf("%d %s after %d bookings", response.StatusCode, body, bookings.Load())
+	}
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,8 +103,6 @@
 	view *state.View
 	// saved is true if the view began with a copy from the disk.
 	saved bool
-	// source is the replica that last confirmed a revision. Only run uses it.
-	source string
 }
 
 func newConfigHolder(e *Entry) *configHolder {
@@ -139,42 +136,30 @@
 	}
 }
 
-// follow waits for news at the replica that last confirmed a revision. If it
-// confirms nothing now, the others are asked for the one that leads: only a
-// leader that hears the acknowledgements can tell where a revision is in force.
+// follow asks the replicas for what is missing, the leader first, until one
+// answers with a quorum's confirmation. Only such an answer is waited for, and
+// only there does an acknowledgement reach the leader.
 func (h *configHolder) follow(ctx context.Context) bool {
-	wait := fetchWait
-	answered := false
-	for _, address := range h.sources() {
-		response, err := h.fetch(ctx, address, wait)
+	addresses := h.entry.replicas.Addresses()
+	if leader := h.entry.replicas.Leader(); leader != "" {
+		addresses = append([]string{leader}, addresses...)
+	}
+	for _, address := range addresses {
+		request := h.request(fetchWait)
+		call, cancel := context.WithTimeout(ctx, fetchTimeout)
+		response, err := h.entry.replicas.At(address).FetchConfig(call, request)
+		cancel()
 		if err != nil {
 			h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
 			continue
 		}
 		h.receive(address, response)
 		if response.Confirmed {
-			h.source = address
+			h.entry.replicas.SetLeader(address)
 			return true
 		}
-		answered = true
-		wait = 0
 	}
-	return answered
-}
-
-// sources lists the replicas in the order in which they are asked.
-func (h *configHolder) sources() []string {
-	addresses := h.entry.replicas.Addresses()
-	if i := slices.Index(addresses, h.source); i > 0 {
-		addresses[0], addresses[i] = addresses[i], addresses[0]
-	}
-	return addresses
-}
-
-func (h *configHolder) fetch(ctx context.Context, address string, wait time.Duration) (*wire.FetchConfigResponse, error) {
-	call, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	return h.entry.replicas.At(address).FetchConfig(call, h.request(wait))
+	return false
 }
 
 func (h *configHolder) request(wait time.Duration) *wire.FetchConfigRequest {
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -5,7 +5,6 @@
 	"math"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"waxwingcart/internal/core/admission"
@@ -69,7 +68,6 @@
 	reasonTooLarge:            http.StatusRequestEntityTooLarge,
 	reasonBadEventID:          http.StatusBadRequest,
 	reasonSlowBody:            http.StatusRequestTimeout,
-	request.ReasonAdmission:   http.StatusTooManyRequests,
 	request.ReasonInFlight:    http.StatusConflict,
 	request.ReasonMismatch:    http.StatusUnprocessableEntity,
 	request.ReasonKeyExpired:  http.StatusConflict,
@@ -80,6 +78,17 @@
 	request.ReasonDeadline:    http.StatusGatewayTimeout,
 	request.ReasonAbandoned:   http.StatusConflict,
 	request.ReasonReservation: http.StatusServiceUnavailable,
+
+	admissionReason(admission.ReasonRequestLimit):    http.StatusTooManyRequests,
+	admissionReason(admission.ReasonTokenLimit):      http.StatusTooManyRequests,
+	admissionReason(admission.ReasonInFlightLimit):   http.StatusTooManyRequests,
+	admissionReason(admission.ReasonUnknownCustomer): http.StatusUnauthorized,
+}
+
+// admissionReason is a refusal by admission as callers see it. Limits of the
+// customer are told apart from a service that is full, which is answered 503.
+func admissionReason(reason admission.Reason) request.Reason {
+	return request.ReasonAdmission + "-" + request.Reason(reason.String())
 }
 
 // reasonMessage explains reasons whose name alone could be misread.
@@ -105,12 +114,6 @@
 	request.ReasonNotKept:    true,
 }
 
-// admissionReason is the reason of a refusal by admission, which names
-// admission's own reason after request.ReasonAdmission.
-func admissionReason(reason admission.Reason) request.Reason {
-	return request.ReasonAdmission + "-" + request.Reason(reason.String())
-}
-
 func outcomeName(kind request.OutcomeKind) string {
 	switch kind {
 	case request.OutcomeNotRun:
@@ -145,6 +148,13 @@
 // writeRefusal answers a request whose response has not begun. Recorded is an
 // earlier answer whose body was not kept, or nil.
 func writeRefusal(w http.ResponseWriter, requestID string, outcome request.Outcome, recorded *answer) {
+	status, ok := reasonStatus[outcome.Reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	if outcome.Reason == request.ReasonAttempt && outcome.Kind == request.OutcomeNotRun {
+		status = http.StatusServiceUnavailable
+	}
 	detail := detailOf(requestID, outcome)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
@@ -156,24 +166,10 @@
 	if detail.RetryAfterMS != nil {
 		header.Set(headerRetryAfter, retryAfterSeconds(outcome.RetryAfter))
 	}
-	w.WriteHeader(statusOf(outcome))
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(errorBody{Error: detail})
 }
 
-// statusOf returns the status of a refusal.
-func statusOf(outcome request.Outcome) int {
-	if strings.HasPrefix(string(outcome.Reason), string(request.ReasonAdmission)+"-") {
-		return http.StatusTooManyRequests
-	}
-	if outcome.Reason == request.ReasonAttempt && outcome.Kind == request.OutcomeNotRun {
-		return http.StatusServiceUnavailable
-	}
-	if status, ok := reasonStatus[outcome.Reason]; ok {
-		return status
-	}
-	return http.StatusServiceUnavailable
-}
-
 // retryAfterSeconds rounds up to whole seconds. Zero means at once.
 func retryAfterSeconds(delay time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(delay.Seconds())))
