Drop pooled connections after a call that ran out of time; say things once

Ruled out: shorter idle times, which leave the same window. Change: a call that ran out of time drops the idle connections. The calls Reserve and Record are gone, Commit serves both. periodic.Run holds the loop. The command line has tests of its exit codes and of refused settings.

--- /dev/null
+++ b/cmd/waxwingcart/main_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func execute(t *testing.T, args ...string) (int, string, string) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	code := run(args, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// Bad settings are refused with one line a problem, and nothing is started: no
+// data folder appears.
+func TestRunRefusesBadSettings(t *testing.T) {
+	dir := t.TempDir()
+	data := filepath.Join(dir, "data")
+	path := filepath.Join(dir, "settings.json")
+	content := `{
+  "name": "entry-1", "zone": "kochi-a", "roles": ["replica"],
+  "listen": {"peers": "example.org:1", "admin": "127.0.0.1:2"},
+  "data_dir": "` + data + `",
+  "replicas": [], "colour": "green"
+}`
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, stdout, stderr := execute(t, "run", "--config", path)
+	if code != exitRefused || stdout != "" {
+		t.Fatalf("exit %d, stdout %q", code, stdout)
+	}
+	lines := strings.Split(strings.TrimSpace(stderr), "\n")
+	for _, line := range lines {
+		if !strings.HasPrefix(line, path+":") || !strings.Contains(line, "expected") {
+			t.Errorf("line %q names no place or expectation", line)
+		}
+	}
+	for _, field := range []string{"colour", "listen.peers"} {
+		if !strings.Contains(stderr, field) {
+			t.Errorf("no problem with %s in:\n%s", field, stderr)
+		}
+	}
+	if _, err := os.Stat(data); err == nil {
+		t.Error("the data folder was created")
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	for _, test := range []struct {
+		args []string
+		want int
+	}{
+		{[]string{"version"}, exitOK},
+		{[]string{"check", filepath.Join("..", "..", "examples", "carpatia", "fleet.jsonc")}, exitOK},
+		{[]string{"check", "does-not-exist.json"}, exitFailed},
+		{[]string{"no-such-command"}, exitRefused},
+		{[]string{"ctl", "get"}, exitRefused},
+		{[]string{"ctl", "get", "--server", "127.0.0.1:1", "--key-file", "does-not-exist"}, exitFailed},
+	} {
+		if code, _, stderr := execute(t, test.args...); code != test.want {
+			t.Errorf("%v: exit %d, want %d: %s", test.args, code, test.want, stderr)
+		}
+	}
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -12,6 +12,7 @@
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/core/membership"
+	"waxwingcart/internal/periodic"
 	"waxwingcart/internal/wire"
 )
 
@@ -148,33 +149,17 @@
 	if e.opts.Platform != "" {
 		e.spawn(func() { e.runPlatform(ctx) })
 	}
-	ticker := time.NewTicker(memberTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.learn(membership.Tick{})
-		}
-	}
+	periodic.Run(ctx, memberTick, func() { e.learn(membership.Tick{}) })
 }
 
 // runPlatform reads reclaim notices and the list of VMs.
 func (e *Entry) runPlatform(ctx context.Context) {
 	var seen int64
-	ticker := time.NewTicker(platformInterval)
-	defer ticker.Stop()
-	for {
+	periodic.Run(ctx, platformInterval, func() {
 		seen = e.readNotices(ctx, seen)
 		e.readList(ctx)
 		e.shareLimits()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 func (e *Entry) readNotices(ctx context.Context, after int64) int64 {
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -11,6 +11,7 @@
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/membership"
 	"waxwingcart/internal/core/routing"
+	"waxwingcart/internal/periodic"
 )
 
 // Timing and bounds of reading reports.
@@ -36,16 +37,7 @@
 
 // runReports reads the load reports of all servers in turns.
 func (e *Entry) runReports(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		e.readReports(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	periodic.Run(ctx, reportInterval, func() { e.readReports(ctx) })
 }
 
 func (e *Entry) readReports(ctx context.Context) {
--- a/internal/replica/orders.go
+++ b/internal/replica/orders.go
@@ -11,6 +11,7 @@
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/orders"
 	"waxwingcart/internal/core/replication"
+	"waxwingcart/internal/periodic"
 )
 
 // Timing of orders. An order's time must fit into a lease that was just
@@ -47,18 +48,11 @@
 
 func (o *orderer) run(ctx context.Context) {
 	defer o.backends.Close()
-	ticker := time.NewTicker(orderTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			o.followRole(ctx)
-			o.followConfig(ctx)
-			o.step(ctx, orders.Tick{})
-		}
-	}
+	periodic.Run(ctx, orderTick, func() {
+		o.followRole(ctx)
+		o.followConfig(ctx)
+		o.step(ctx, orders.Tick{})
+	})
 }
 
 // followRole tells the dispatcher whether this replica leads and until when.
--- a/internal/replica/planning.go
+++ b/internal/replica/planning.go
@@ -10,6 +10,7 @@
 	"waxwingcart/internal/core/orders"
 	"waxwingcart/internal/core/planner"
 	"waxwingcart/internal/core/replication"
+	"waxwingcart/internal/periodic"
 )
 
 // Timing of planning.
@@ -47,19 +48,12 @@
 
 func (p *planning) run(ctx context.Context) {
 	defer p.backends.Close()
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if p.platform != "" {
-				p.readNotices(ctx)
-			}
-			p.plan(ctx)
+	periodic.Run(ctx, planInterval, func() {
+		if p.platform != "" {
+			p.readNotices(ctx)
 		}
-	}
+		p.plan(ctx)
+	})
 }
 
 // readNotices notes the VMs that are about to go. Every replica reads them, so
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -10,6 +10,7 @@
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
+	"waxwingcart/internal/periodic"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
@@ -111,16 +112,7 @@
 		addresses = append(addresses, peer.Address)
 	}
 	replicas := rpc.NewReplicas(r.opts.Client, addresses)
-	ticker := time.NewTicker(joinInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.joinOnce(ctx, replicas)
-		}
-	}
+	periodic.Run(ctx, joinInterval, func() { r.joinOnce(ctx, replicas) })
 }
 
 func (r *Replica) joinOnce(ctx context.Context, replicas *rpc.Replicas) {
@@ -150,16 +142,7 @@
 
 // runExpiry lets the leader drop records whose retention is over.
 func (r *Replica) runExpiry(ctx context.Context) {
-	ticker := time.NewTicker(expiryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.expire(ctx)
-		}
-	}
+	periodic.Run(ctx, expiryInterval, func() { r.expire(ctx) })
 }
 
 func (r *Replica) expire(ctx context.Context) {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -43,19 +43,6 @@
 	return &wire.DeliverResponse{}, nil
 }
 
-// Reserve commits a reservation.
-func (s *Service) Reserve(ctx context.Context, req *wire.ReserveRequest) (*wire.ReserveResponse, error) {
-	command, err := codec.ReserveFromWire(req)
-	if err != nil {
-		return nil, twirp.InvalidArgumentError("reserve", err.Error())
-	}
-	applied, err := s.replica.propose(ctx, command)
-	if err != nil {
-		return nil, err
-	}
-	return s.reserved(applied)
-}
-
 // reserved translates the result of a reservation.
 func (s *Service) reserved(applied state.Result) (*wire.ReserveResponse, error) {
 	reserved, ok := applied.(state.ReserveResult)
@@ -81,19 +68,6 @@
 	}
 }
 
-// Record commits the outcome of a reservation.
-func (s *Service) Record(ctx context.Context, req *wire.RecordRequest) (*wire.RecordResponse, error) {
-	command, err := codec.RecordFromWire(req)
-	if err != nil {
-		return nil, twirp.InvalidArgumentError("record", err.Error())
-	}
-	applied, err := s.replica.propose(ctx, command)
-	if err != nil {
-		return nil, err
-	}
-	return recorded(applied)
-}
-
 // recorded translates the result of a recorded outcome.
 func recorded(applied state.Result) (*wire.RecordResponse, error) {
 	result, ok := applied.(state.RecordResult)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -3,6 +3,7 @@
 package rpc
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
@@ -78,15 +79,16 @@
 	}
 }
 
-// Do implements the twirp HTTP client.
+// Do implements the twirp HTTP client. After a call that ran out of time the
+// idle connections are dropped: what made one connection silent may have made
+// others silent as well, while new ones work.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	req.Header.Set("Authorization", "Bearer "+c.secret)
-	return c.http.Do(req)
-}
-
-// CloseIdle drops idle connections, which may have gone silent.
-func (c *Client) CloseIdle() {
-	c.http.CloseIdleConnections()
+	response, err := c.http.Do(req)
+	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+	return response, err
 }
 
 // leaderMeta is the twirp error's key for the leader's address.
