Refuse a caller without the key at once; bound internal connections

Cause: a caller of a peer or admin address without the key that stops in the middle of its body kept its connection, for the server waits for the rest (TestRefusalDoesNotWaitForTheBody, 60 s); nothing bounded such connections. Ruled out: the header Connection: close alone; the test failed with it as well. Change: the refusal ends the reading; at most 4,096 connections are open at a time on each of these addresses.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -37,6 +37,10 @@
 	stopTimeout  = 365 * 24 * time.Hour
 )
 
+// maxInternalConnections bounds the open connections of peers, and those of
+// operators and metrics collectors.
+const maxInternalConnections = 4096
+
 // Keys are the secrets that a process reads from files.
 type Keys struct {
 	Peer     string
@@ -293,9 +297,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", name, err)
 	}
+	limit := maxInternalConnections
 	if name == "callers" {
-		listener = limitConnections(listener, p.Process.Limits.Connections)
+		limit = p.Process.Limits.Connections
 	}
+	listener = limitConnections(listener, limit)
 	if server.TLSConfig != nil {
 		listener = tls.NewListener(listener, server.TLSConfig)
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -52,6 +52,9 @@
 func Require(key Key, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !key.Matches(Bearer(r)) {
+			// The server would wait for the rest of the body otherwise.
+			w.Header().Set("Connection", "close")
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "wrong or missing key"))
 			return
 		}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -137,3 +138,26 @@
 		}
 	}
 }
+
+// A caller without the key that stops in the middle of its body is refused at
+// once, and its connection is closed.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	server := httptest.NewServer(Require(NewKey("secret"), http.NotFoundHandler()))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatalf("the connection stays open: %v", err)
+	}
+	if !strings.Contains(string(answer), "401") {
+		t.Fatalf("answer %q", answer)
+	}
+}
