Hand out units of limits before earlier leases are waited out

Ruled out: the entries' draws (they reached the leader and were told that it does not lead), the bucket of a new leader (half full, and refilled). Change: a leader that a quorum follows and that committed an entry of its term answers draws. No other one leads then, since voters refuse votes for longer than a lease; the wait stays for acts that may still be under way, as orders are.

--- a/internal/core/replication/checks_test.go
+++ b/internal/core/replication/checks_test.go
@@ -42,9 +42,15 @@
 }
 
 func (w *network) checkLeases() {
-	holders := 0
+	holders, leaders := 0, 0
 	for _, h := range w.hosts {
-		if h.node == nil || !h.node.MayOrder(h.clock(w.now), 0) {
+		if h.node == nil {
+			continue
+		}
+		if until, leads := h.node.LeadsUntil(); leads && h.clock(w.now) < until {
+			leaders++
+		}
+		if !h.node.MayOrder(h.clock(w.now), 0) {
 			continue
 		}
 		holders++
@@ -56,4 +62,7 @@
 	if holders > 1 {
 		w.violate("%d nodes hold a lease", holders)
 	}
+	if leaders > 1 {
+		w.violate("%d nodes lead at the same time", leaders)
+	}
 }
--- a/internal/core/replication/lease.go
+++ b/internal/core/replication/lease.go
@@ -80,18 +80,25 @@
 	return time.Duration(float64(n.opts.LeaseDuration) * (1 - drift) / (1 + drift))
 }
 
-// LeaseUntil returns the time until which the node may act as the only leader,
-// and whether that is so at the time of the last step. The caller compares it
-// with its own clock before each act. A new leader first waits out any lease
-// that an earlier leader may hold, and commits an entry of its own term.
-func (n *Node) LeaseUntil() (time.Duration, bool) {
+// LeadsUntil returns the time until which no other node leads, and whether that is
+// so at the time of the last step: a quorum followed within the span of a lease,
+// and an entry of the own term is committed. No earlier leader leads meanwhile,
+// as voters refuse their votes for longer than a lease after they heard one.
+func (n *Node) LeadsUntil() (time.Duration, bool) {
 	if n.lead == nil {
 		return 0, false
 	}
 	until := n.quorumAckedAt() + n.leaseSpan()
-	waited := n.now-n.lead.electedAt >= n.opts.LeaseDuration
-	committed := n.log.commit >= n.lead.firstIndex
-	return until, waited && committed && n.now < until
+	return until, n.log.commit >= n.lead.firstIndex && n.now < until
+}
+
+// LeaseUntil returns the time until which the node may act as the only leader,
+// and whether that is so at the time of the last step. The caller compares it
+// with its own clock before each act. A new leader also waits for as long as an
+// earlier leader's lease may last, for its acts that are still under way.
+func (n *Node) LeaseUntil() (time.Duration, bool) {
+	until, ok := n.LeadsUntil()
+	return until, ok && n.now-n.lead.electedAt >= n.opts.LeaseDuration
 }
 
 // MayOrder reports whether the lease holds at now and for room longer.
--- a/internal/core/replication/scenarios_test.go
+++ b/internal/core/replication/scenarios_test.go
@@ -207,6 +207,8 @@
 		w.run(w.opts.ElectionTimeout - 4*quantum)
 		if again := w.leader(); again != leader {
 			t.Errorf("seed %d: the former leader does not lead within an election timeout", seed)
+		} else if _, leads := again.node.LeadsUntil(); !leads {
+			t.Errorf("seed %d: the leader is not sure yet that it alone leads", seed)
 		}
 		w.heal()
 		w.run(5 * time.Second)
--- a/internal/core/replication/status.go
+++ b/internal/core/replication/status.go
@@ -27,6 +27,9 @@
 type LeaseStatus struct {
 	// Valid is true if the lease held at the time of the last step.
 	Valid bool
+	// Leads is true if no other node led then; a new leader leads before its
+	// lease is valid.
+	Leads bool
 	Until time.Duration
 }
 
@@ -62,7 +65,8 @@
 	if n.log.snapshot != nil {
 		s.SnapshotIndex = n.log.snapshot.Index
 	}
-	s.Lease.Until, s.Lease.Valid = n.LeaseUntil()
+	s.Lease.Until, s.Lease.Leads = n.LeadsUntil()
+	_, s.Lease.Valid = n.LeaseUntil()
 	if n.lead == nil {
 		return s
 	}
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -63,12 +63,12 @@
 	return l.allocator.Renew(now, renewal)
 }
 
-// Draw hands out units and takes usage in. Only a leader with a valid lease
-// answers.
+// Draw hands out units and takes usage in. Only the one leader answers; what an
+// earlier one gave out is bounded by what a new allocator holds back.
 func (s *Service) Draw(_ context.Context, req *wire.DrawRequest) (*wire.DrawResponse, error) {
 	r := s.replica
 	status := r.status()
-	if status.Role != replication.RoleLeader || !status.Lease.Valid || status.Lease.Until <= r.now() {
+	if status.Role != replication.RoleLeader || !status.Lease.Leads || status.Lease.Until <= r.now() {
 		return nil, rpc.NotLeader(r.leaderAddress())
 	}
 	if r.duties != nil {
