Get an entry that starts to serve as soon as there is a leader

Cause: after a power loss entries had their configuration up to 0.6 s after the leader was elected: a dial to a VM without power took 500 ms, one silent replica held up the whole round, pauses were 200 ms, and the leader kept a call waiting for news from entries that had the revision but no confirmation. Calls that came meanwhile were told to come back after 1.5 s and had no further try. Change: each replica is asked by itself, one that knows of no leader holds the call until there is one, connecting between processes takes 150 ms at most, units are drawn once the search has found the leader. Calls wait for the first configuration for a quarter of their caller's patience, 0.9 s at most, in the first 1.5 s of a process. Tests: TestSilentReplicaHoldsNobodyUp, TestCallsAwaitTheFirstConfiguration, TestImpatientCallsAreRefused.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -25,9 +25,15 @@
 	fetchWait    = 700 * time.Millisecond
 	fetchTimeout = 1200 * time.Millisecond
 	fetchRetry   = 200 * time.Millisecond
-	// firstFetchTimeout bounds the wait for all replicas and zone peers before
-	// the first configuration is put in force.
-	firstFetchTimeout = 2 * time.Second
+	// firstFetchRetry is the pause of an entry that starts, before it asks a
+	// replica again that does not listen: one that starts with it listens a moment
+	// later. One that answers without a leader's confirmation is asked less often.
+	firstFetchRetry = 50 * time.Millisecond
+	// savedPatience is how long an entry that has a saved configuration waits for
+	// a quorum's confirmation, and peerTimeout bounds asking the entries of the
+	// own zone.
+	savedPatience = 2 * time.Second
+	peerTimeout   = 2 * time.Second
 	// confirmPatience is how long an entry without a saved configuration
 	// waits for a quorum's confirmation.
 	confirmPatience = 10 * time.Second
@@ -109,10 +115,12 @@
 	view *state.View
 	// saved is true if the view began with a copy from the disk.
 	saved bool
+	// searched is closed once the search for the first configuration is over.
+	searched chan struct{}
 }
 
 func newConfigHolder(e *Entry) *configHolder {
-	h := &configHolder{entry: e, view: state.NewView()}
+	h := &configHolder{entry: e, view: state.NewView(), searched: make(chan struct{})}
 	h.load()
 	return h
 }
@@ -189,56 +197,90 @@
 // zone none comes; after a bounded time the entry goes on with the newest
 // revision that anyone reachable has.
 func (h *configHolder) fetchFirst(ctx context.Context) {
-	end := time.Now().Add(confirmPatience)
-	for {
-		h.fetchFromAll(ctx)
-		if h.trusted() || ctx.Err() != nil || time.Now().After(end) {
-			h.publish()
-			return
-		}
-		wait(ctx, fetchRetry)
+	patience := confirmPatience
+	if h.saved {
+		patience = savedPatience
 	}
+	h.searchAll(ctx, patience)
+	h.publish()
+	close(h.searched)
 }
 
-// trusted reports whether the view can't be older than what was in force here.
-func (h *configHolder) trusted() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	_, confirmed := h.view.ConfirmedAt()
-	return confirmed || h.saved
+// search asks all replicas and entries for the first configuration at the same
+// time, each one again and again, so that one that does not answer holds up
+// none of the others.
+type search struct {
+	holder *configHolder
+	stop   context.CancelFunc
+	group  sync.WaitGroup
+
+	mu    sync.Mutex
+	asked map[string]bool
 }
 
-// fetchFromAll asks every known replica and every entry of the settings at once.
-// It ends with the first answer that a quorum confirmed, and does not wait for
-// processes that don't answer then. Replicas that the others name are asked the
-// next time.
-func (h *configHolder) fetchFromAll(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, firstFetchTimeout)
+// searchAll returns once a quorum confirmed the configuration, or when the time
+// is over.
+func (h *configHolder) searchAll(ctx context.Context, patience time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	var group sync.WaitGroup
-	for _, address := range h.entry.replicas.Addresses() {
-		group.Go(func() {
-			response, err := h.entry.replicas.At(address).FetchConfig(call, h.request(0))
-			if err != nil {
-				h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
-				return
-			}
-			h.hold(address, response)
-			h.entry.replicas.Learn(response.Replicas)
-			if response.Confirmed {
-				cancel()
+	s := &search{holder: h, stop: cancel, asked: make(map[string]bool)}
+	s.askReplicas(ctx)
+	for _, peer := range h.entry.opts.Peers {
+		s.group.Go(func() {
+			for ctx.Err() == nil {
+				h.fetchFromPeer(ctx, peer)
+				wait(ctx, fetchRetry)
 			}
 		})
 	}
-	for _, peer := range h.entry.opts.Peers {
-		group.Go(func() { h.fetchFromPeer(call, peer) })
+	s.group.Wait()
+}
+
+// askReplicas begins to ask the known replicas that are not asked yet.
+func (s *search) askReplicas(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range s.holder.entry.replicas.Addresses() {
+		if s.asked[address] {
+			continue
+		}
+		s.asked[address] = true
+		s.group.Go(func() { s.askReplica(ctx, address) })
+	}
+}
+
+// askReplica asks one replica until one of them was confirmed by a quorum. A
+// replica that knows of no leader holds the call until there is one.
+func (s *search) askReplica(ctx context.Context, address string) {
+	h := s.holder
+	delay := firstFetchRetry
+	for ctx.Err() == nil {
+		request := h.request(fetchWait)
+		request.AwaitLeader = true
+		call, cancel := context.WithTimeout(ctx, fetchTimeout)
+		response, err := h.entry.replicas.At(address).FetchConfig(call, request)
+		cancel()
+		if err != nil {
+			h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("replica did not answer")
+			wait(ctx, firstFetchRetry)
+			continue
+		}
+		h.hold(address, response)
+		h.entry.replicas.Learn(response.Replicas)
+		if response.Confirmed {
+			h.entry.replicas.SetLeader(address)
+			s.stop()
+			return
+		}
+		s.askReplicas(ctx)
+		wait(ctx, delay)
+		delay = min(2*delay, fetchRetry)
 	}
-	group.Wait()
 }
 
 // fetchFromPeers asks the entries of the own zone while no replica answers.
 func (h *configHolder) fetchFromPeers(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, firstFetchTimeout)
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	for _, peer := range h.entry.opts.Peers {
 		if peer.Zone == h.entry.opts.Zone {
@@ -295,12 +337,17 @@
 	h.save()
 	h.entry.policy.configure(next)
 	h.current.Store(next)
+	if current == nil {
+		// The list of backend servers may have come meanwhile.
+		h.entry.policy.configure(next)
+	}
 	h.entry.metrics.revision.Set(float64(next.revision))
 	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision)
 	if next.routes != nil {
 		event.Uint64("number", next.routes.Number).Int("routes", len(next.routes.Routes)).Int("customers", len(next.routes.Customers))
 	}
 	event.Msg("configuration in force")
+	h.entry.notePrepared()
 }
 
 // decode returns the configuration that the view holds.
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -182,4 +182,5 @@
 	if config := e.config.inForce(); config != nil && len(changed)+len(gone) > 0 {
 		e.policy.configure(config)
 	}
+	e.notePrepared()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,6 +92,10 @@
 	directory   *directory
 	limits      *limitKeeper
 	news        *news
+	// prepared is closed once routed calls can be served: a configuration is in
+	// force and the list of backend servers is known.
+	prepared    chan struct{}
+	prepareOnce sync.Once
 
 	nextID   atomic.Uint64
 	stop     context.CancelFunc
@@ -123,6 +127,7 @@
 		history:     newHistory(),
 		runs:        make(map[string]*run),
 		idle:        make(chan struct{}),
+		prepared:    make(chan struct{}),
 	}
 	e.policy = newPolicy(e)
 	e.limits = newLimitKeeper(e)
@@ -193,6 +198,32 @@
 	return e.now() > warmUp
 }
 
+// notePrepared lets the calls go on that wait for an entry that starts.
+func (e *Entry) notePrepared() {
+	if e.config.inForce() != nil && e.directory.known() {
+		e.prepareOnce.Do(func() { close(e.prepared) })
+	}
+}
+
+// awaitPrepared holds a call of an entry that has just started, and returns the
+// configuration in force, or nil. What an entry needs comes within a second in
+// most cases, and a caller that is told to come back has few tries.
+func (e *Entry) awaitPrepared(ctx context.Context, patience time.Duration) *configuration {
+	select {
+	case <-e.prepared:
+		return e.config.inForce()
+	default:
+	}
+	timer := time.NewTimer(min(usualStart-e.now(), patience/startPatiencePart, maxStartPatience))
+	defer timer.Stop()
+	select {
+	case <-e.prepared:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return e.config.inForce()
+}
+
 // Incarnation is the random number of this run of the entry.
 func (e *Entry) Incarnation() uint64 { return e.incarnation }
 
--- a/internal/entry/firstconfig_test.go
+++ b/internal/entry/firstconfig_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/twitchtv/twirp"
 
 	"waxwingcart/internal/core/routes"
 	"waxwingcart/internal/discovery"
@@ -45,6 +47,79 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+func newStartingEntry(client *rpc.Client, replicas ...string) *Entry {
+	return New(Options{
+		VM: "e1", Zone: "kochi-a", PeerAddress: "127.0.0.1:0", Client: client, Replicas: rpc.NewReplicas(client, replicas),
+		Logger: observe.NewLogger(io.Discard, "error", "e1", "kochi-a"), Registry: prometheus.NewRegistry(),
+		Routed: &RoutedOptions{
+			Decode:   func([]byte) (*routes.Table, error) { return &routes.Table{Number: 5}, nil },
+			Discover: func(context.Context) ([]discovery.Server, error) { return nil, nil },
+		},
+	})
+}
+
+// muteReplica answers nothing until the leader was asked.
+type muteReplica struct {
+	fakeReplica
+	t     *testing.T
+	asked chan struct{}
+}
+
+func (m *muteReplica) FetchConfig(ctx context.Context, _ *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	select {
+	case <-m.asked:
+	case <-ctx.Done():
+		m.t.Error("the leader was asked only after the silent replica was given up")
+	}
+	return nil, twirp.NewError(twirp.Unavailable, "no answer")
+}
+
+type askedReplica struct {
+	leadingReplica
+	once  sync.Once
+	asked chan struct{}
+}
+
+func (a *askedReplica) FetchConfig(ctx context.Context, req *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	a.once.Do(func() { close(a.asked) })
+	return a.leadingReplica.FetchConfig(ctx, req)
+}
+
+// Load pattern: all VMs start again, some a moment later than others. A replica
+// that does not answer yet holds up nobody's first configuration.
+func TestSilentReplicaHoldsNobodyUp(t *testing.T) {
+	asked := make(chan struct{})
+	leader := serveReplica(t, &askedReplica{asked: asked})
+	mute := serveReplica(t, &muteReplica{t: t, asked: asked})
+	seed := serveReplica(t, &seedReplica{leader: leader})
+	e := newStartingEntry(rpc.NewClient(""), mute, seed)
+	e.config.fetchFirst(context.Background())
+	if config := e.config.inForce(); config == nil || config.routes.Number != 5 {
+		t.Fatal("document 5 is not in force")
+	}
+}
+
+// A call that reaches an entry before its first configuration waits for it, and
+// is served with it.
+func TestCallsAwaitTheFirstConfiguration(t *testing.T) {
+	e := newStartingEntry(rpc.NewClient(""), serveReplica(t, &leadingReplica{}))
+	waiting := make(chan *configuration)
+	go func() { waiting <- e.awaitPrepared(context.Background(), time.Hour) }()
+	e.useList(nil, 1, 0)
+	e.config.fetchFirst(context.Background())
+	if config := <-waiting; config == nil || config.routes.Number != 5 {
+		t.Errorf("the call went on with %+v", config)
+	}
+}
+
+// A caller that can't wait is told at once.
+func TestImpatientCallsAreRefused(t *testing.T) {
+	e := newStartingEntry(rpc.NewClient(""))
+	if config := e.awaitPrepared(context.Background(), time.Millisecond); config != nil {
+		t.Errorf("got %+v", config)
+	}
+}
+
 // An entry that starts finds the leader through a replica that does not lead, and
 // has the configuration in force well before it would go on without a
 // confirmation.
@@ -52,14 +127,7 @@
 	leader := serveReplica(t, &leadingReplica{})
 	seed := serveReplica(t, &seedReplica{leader: leader})
 	client := rpc.NewClient("")
-	e := New(Options{
-		VM: "e1", Zone: "kochi-a", PeerAddress: "127.0.0.1:0", Client: client, Replicas: rpc.NewReplicas(client, []string{seed}),
-		Logger: observe.NewLogger(io.Discard, "error", "e1", "kochi-a"), Registry: prometheus.NewRegistry(),
-		Routed: &RoutedOptions{
-			Decode:   func([]byte) (*routes.Table, error) { return &routes.Table{Number: 5}, nil },
-			Discover: func(context.Context) ([]discovery.Server, error) { return nil, nil },
-		},
-	})
+	e := newStartingEntry(client, seed)
 	started := time.Now()
 	e.config.fetchFirst(context.Background())
 	if config := e.config.inForce(); config == nil || config.routes.Number != 5 {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -161,7 +161,14 @@
 	}
 }
 
+// run draws units once there is a configuration, whose search has found the
+// leader too. Without one there are no limits yet.
 func (k *limitKeeper) run(ctx context.Context) {
+	select {
+	case <-k.entry.config.searched:
+	case <-ctx.Done():
+		return
+	}
 	timer := time.NewTimer(leastDrawInterval)
 	defer timer.Stop()
 	failing := false
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -102,6 +102,11 @@
 	// usualStart is how long an entry usually takes to its first configuration
 	// when all processes start at once: the replicas have to elect a leader.
 	usualStart = 1500 * time.Millisecond
+	// startPatiencePart is the part of its caller's patience that a call waits at
+	// most for an entry that starts, and maxStartPatience the longest such wait:
+	// callers take a VM for dead that has not read their body after a second.
+	startPatiencePart = 4
+	maxStartPatience  = 900 * time.Millisecond
 	// leastUnready is told to callers beyond that time.
 	leastUnready = 250 * time.Millisecond
 	// leastSpread is the least by which waits differ.
@@ -123,7 +128,7 @@
 // nil.
 func (e *Entry) prepareRouted(w http.ResponseWriter, req *http.Request, call Call, sink *routedSink) *run {
 	arrived := e.now()
-	config := e.config.inForce()
+	config := e.awaitPrepared(req.Context(), call.Patience)
 	if config == nil {
 		sink.refuse(notRun(reasonNotReady, "no configuration is in force", e.retryUnready()), nil)
 		return nil
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -116,8 +116,10 @@
 	// view is what other goroutines may read.
 	mu   sync.Mutex
 	view view
-	// revised is closed and replaced when the revision changes.
+	// revised is closed and replaced when the revision changes, and led when the
+	// role or the leader does.
 	revised chan struct{}
+	led     chan struct{}
 }
 
 // view is the loop's state as published to other goroutines.
@@ -153,6 +155,7 @@
 		senders:     make(map[string]*sender),
 		addresses:   make(map[replication.NodeID]string),
 		revised:     make(chan struct{}),
+		led:         make(chan struct{}),
 	}
 	r.orders = newOrderer(r)
 	r.planning = newPlanning(r, opts.Platform)
@@ -339,6 +342,11 @@
 		event = event.Str("leader", change.Leader.ID.VM)
 	}
 	event.Msg("role changed")
+	r.publish()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.led)
+	r.led = make(chan struct{})
 }
 
 // membershipChanged refreshes the addresses of the members.
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -130,21 +130,26 @@
 
 // FetchConfig returns the committed changes that the caller lacks. Only a
 // replica that a quorum confirms waits for news; another answers at once, so
-// that the caller goes on to the leader.
+// that the caller goes on to the leader. A caller that has nothing yet may wait
+// for a leader here.
 func (s *Service) FetchConfig(ctx context.Context, req *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
 	s.replica.acks.put(req.Process, req.Zone, req.HaveRevision, time.Now())
 	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, maxFetchWait))
 	defer timer.Stop()
 	for {
-		response, revised, err := s.fetch(ctx, req.HaveRevision)
+		news := s.replica.news()
+		response, err := s.fetch(ctx, req.HaveRevision)
 		if err != nil {
 			return nil, err
 		}
-		if len(response.Deltas) > 0 || req.WaitMs <= 0 || !response.Confirmed {
+		awaitLeader := req.AwaitLeader && !response.Confirmed && response.Leader == ""
+		awaitNews := !req.AwaitLeader && response.Confirmed && len(response.Deltas) == 0
+		if req.WaitMs <= 0 || !awaitLeader && !awaitNews {
 			return response, nil
 		}
 		select {
-		case <-revised:
+		case <-news.led:
+		case <-news.revised:
 		case <-timer.C:
 			return response, nil
 		case <-ctx.Done():
@@ -155,19 +160,27 @@
 	}
 }
 
-func (s *Service) fetch(ctx context.Context, have uint64) (*wire.FetchConfigResponse, <-chan struct{}, error) {
+// news holds channels that are closed by the next change.
+type news struct {
+	revised <-chan struct{}
+	led     <-chan struct{}
+}
+
+func (r *Replica) news() news {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return news{revised: r.revised, led: r.led}
+}
+
+func (s *Service) fetch(ctx context.Context, have uint64) (*wire.FetchConfigResponse, error) {
 	r := s.replica
 	response := &wire.FetchConfigResponse{Confirmed: s.confirm(ctx), Replicas: r.replicaAddresses(), Leader: r.leaderAddress()}
-	var revised <-chan struct{}
 	err := r.do(ctx, func() {
 		deltas, _ := r.machine.DeltasSince(have)
 		response.Deltas = codec.DeltasToWire(deltas)
 		response.Revision = r.machine.Revision()
-		r.mu.Lock()
-		revised = r.revised
-		r.mu.Unlock()
 	})
-	return response, revised, err
+	return response, err
 }
 
 // confirm reports whether a quorum confirms that what is applied here after the
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -18,7 +18,10 @@
 
 // Limits on calls between processes.
 const (
-	dialTimeout         = 500 * time.Millisecond
+	// dialTimeout is several times the way between zones and back. A VM without
+	// power answers nothing, and a lost first packet is repeated only after a
+	// second, so that another try is faster.
+	dialTimeout         = 150 * time.Millisecond
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConnsPerPeer = 16
 	// MaxBodyBytes bounds the body of one call.
