Collect news of placements by zone in large deployments

Cause: each entry told each other one of every attempt by itself. Ruled out: draws of units (100 a second in all), polls of the configuration. Change: beyond 16 entries one entry of each zone collects for 20 ms and hands on; the part goes round by the time of day, so that a dead one costs its turns only. Beginnings and ends wait up to 100 ms for more. Plain calls are not told one by one any more.

--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -44,6 +44,29 @@
 	h.at = now
 }
 
+// Counts sums up how attempts ended that are not told one by one.
+type Counts struct {
+	Answered, Failed, Unreachable int
+}
+
+// noteAll takes several results in, as if they had come in turns.
+func (h *health) noteAll(now time.Duration, counts Counts) {
+	rest := map[Result]int{ResultAnswered: counts.Answered, ResultFailed: counts.Failed, ResultUnreachable: counts.Unreachable}
+	for left := min(counts.Answered+counts.Failed+counts.Unreachable, maxCounted); left > 0; {
+		for _, result := range []Result{ResultUnreachable, ResultFailed, ResultAnswered} {
+			if rest[result] > 0 {
+				rest[result]--
+				left--
+				h.note(now, result)
+			}
+		}
+	}
+}
+
+// maxCounted bounds the results that count at a time; earlier ones have no
+// weight any more.
+const maxCounted = 64
+
 // penalty grows with the square of the share of failures.
 func (h *health) penalty(now time.Duration) float64 {
 	share := h.decayed(now)
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -326,6 +326,14 @@
 	s.health.note(now, result)
 }
 
+// Results takes in how attempts of another entry ended that it does not tell one
+// by one.
+func (p *Placer) Results(now time.Duration, server string, counts Counts) {
+	if s := p.servers[server]; s != nil {
+		s.health.noteAll(now, counts)
+	}
+}
+
 // mute reports whether an attempt that was given up had waited so long that its
 // server seems to answer nothing.
 func (p *Placer) mute(now time.Duration, j *job) bool {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -212,7 +212,7 @@
 	request := codec.RenewalToWire(k.limiter.Renewal(now))
 	request.Process, request.Incarnation = k.entry.opts.VM, k.entry.incarnation
 	request.Load = load
-	request.Address = k.entry.opts.PeerAddress
+	request.Address, request.Zone = k.entry.opts.PeerAddress, k.entry.opts.Zone
 	request.List = k.entry.directory.listed()
 	if k.counter == nil {
 		return request
--- a/internal/entry/news_test.go
+++ b/internal/entry/news_test.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"waxwingcart/internal/core/dissemination"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/wire"
 )
@@ -18,29 +19,30 @@
 		{Name: "b", Service: "models", Slots: 8, CacheTokens: 100_000},
 	})
 	e.news = newNews(e)
-	e.news.setPeers([]string{"127.0.0.1:1", "127.0.0.1:2"})
+	e.news.setPeers([]*wire.EntryPeer{{Address: "127.0.0.1:1"}, {Address: "127.0.0.1:2"}})
 	return e
 }
 
 // What one entry places, another one's placement knows of.
 func TestNewsReachesPlacement(t *testing.T) {
 	sender, receiver := newsEntry(""), newsEntry("")
+	receiver.incarnation = 8
 	job := placement.Job{ID: placement.JobID{Origin: 7, Number: 1}, Server: "a", Work: 90_000, Memory: 500,
 		Parts: []placement.Part{{Chain: 11, Tokens: 400}}, Fresh: 500}
 	sender.news.placed(job)
-	waiting, peers := sender.news.take()
-	if len(peers) != 1 {
-		t.Fatalf("%d peers, the entry's own address is none", len(peers))
+	parcels := sender.news.take(0)
+	if len(parcels) != 1 || len(parcels[0].to) != 1 {
+		t.Fatalf("%+v, the entry's own address is no peer", parcels)
 	}
-	data, err := proto.Marshal(waiting)
+	data, err := proto.Marshal(&wire.NewsBatch{News: parcels[0].news})
 	if err != nil {
 		t.Fatal(err)
 	}
-	var received wire.News
+	var received wire.NewsBatch
 	if err := proto.Unmarshal(data, &received); err != nil {
 		t.Fatal(err)
 	}
-	receiver.news.learn(&received)
+	receiver.news.takeIn(&received)
 	request := &placement.Request{Service: "models", Load: placement.Load{PromptTokens: 1_000, OutputTokens: 10}}
 	if got, _ := receiver.policy.placer.Pick(0, request); got.Server != "b" {
 		t.Errorf("picked %s, where another entry's work waits", got.Server)
@@ -50,11 +52,38 @@
 	if got, _ := receiver.policy.placer.Pick(0, request); got.Server != "a" || got.Fresh != 600 {
 		t.Errorf("picked %+v, not where the parts are held", got)
 	}
-	if waiting, _ := sender.news.take(); waiting != nil {
+	if again := sender.news.take(0); len(again) != 0 {
 		t.Error("news is sent twice")
 	}
 }
 
+// An entry hands on what others give it to spread, and learns nothing from its
+// own news when they come back.
+func TestNewsIsHandedOn(t *testing.T) {
+	collector := newsEntry("")
+	collector.news.setPeers([]*wire.EntryPeer{{Address: "127.0.0.1:2"}, {Address: "127.0.0.1:3"}, {Address: "127.0.0.1:4", Zone: "z"}})
+	item := &wire.News{Origin: 9, Results: []*wire.ServerResults{{Server: "a", Unreachable: 5}}}
+	collector.news.takeIn(&wire.NewsBatch{News: []*wire.News{item}, Scope: uint32(dissemination.ScopeAll)})
+	to := map[string]dissemination.Scope{}
+	for _, p := range collector.news.take(0) {
+		for _, message := range p.to {
+			to[message.To] = message.Scope
+		}
+	}
+	if len(to) != 3 || to["127.0.0.1:4"] != dissemination.ScopeZone || to["127.0.0.1:2"] != dissemination.ScopeReceiver {
+		t.Errorf("handed on to %v", to)
+	}
+	request := &placement.Request{Service: "models", Load: placement.Load{PromptTokens: 1_000, OutputTokens: 10}}
+	if got, _ := collector.policy.placer.Pick(0, request); got.Server != "b" {
+		t.Errorf("picked %s, which another entry can't reach", got.Server)
+	}
+	own := &wire.News{Origin: 7, Results: []*wire.ServerResults{{Server: "b", Unreachable: 50}}}
+	collector.news.takeIn(&wire.NewsBatch{News: []*wire.News{own}})
+	if got, _ := collector.policy.placer.Pick(0, request); got.Server != "b" {
+		t.Error("the entry's own news count twice")
+	}
+}
+
 // With a key, only entries of the deployment are believed.
 func TestNewsIsAuthenticated(t *testing.T) {
 	n := newsEntry("secret").news
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -62,7 +62,9 @@
 	e.policy.placer.Placed(e.now(), job)
 	e.policy.placer.Count(e.now(), r.service.Name, job.Work)
 	e.policy.mu.Unlock()
-	e.news.placed(job)
+	if r.routed.shared {
+		e.news.placed(job)
+	}
 }
 
 // startJob tells that the current attempt's answer has begun.
@@ -74,7 +76,9 @@
 	e.policy.mu.Lock()
 	e.policy.placer.Started(e.now(), r.attempt.job, true)
 	e.policy.mu.Unlock()
-	e.news.started(r.attempt.job)
+	if r.routed.shared {
+		e.news.started(r.attempt.job)
+	}
 }
 
 // endJob tells that an attempt is over.
@@ -87,7 +91,11 @@
 	e.policy.mu.Lock()
 	e.policy.placer.Ended(e.now(), a.job, ended)
 	e.policy.mu.Unlock()
-	e.news.ended(a.job, ended)
+	if r.routed.shared {
+		e.news.ended(a.job, ended)
+	} else {
+		e.news.result(a.server.Name, ended)
+	}
 }
 
 // jobResult translates how an attempt ended. An answer that says that the server
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -33,6 +33,10 @@
 	// load and decision are the size of the call and its latest placement.
 	load     placement.Load
 	decision placement.Decision
+	// shared is true if the other entries are told of each attempt: those at model
+	// engines, which hold others up. Plain calls are short, and their servers have
+	// room.
+	shared bool
 	// tokensPerEvent is the number of tokens in an event.
 	tokensPerEvent int
 }
@@ -237,8 +241,9 @@
 	r.load = routing.Load{PromptTokens: max(call.Prompt.Tokens, 1), OutputTokens: max(call.Prompt.OutputTokens, 1)}
 	r.routed.load = placement.Load{PromptTokens: call.Prompt.Tokens, OutputTokens: call.Prompt.OutputTokens, Parts: call.Prompt.shared()}
 	r.routed.priority = priorityOf(route, customer)
-	if engine := config.routes.Service(service.Name).Engine; engine != nil && engine.TokensPerEvent > 0 {
-		r.routed.tokensPerEvent = engine.TokensPerEvent
+	if engine := config.routes.Service(service.Name).Engine; engine != nil {
+		r.routed.shared = true
+		r.routed.tokensPerEvent = max(engine.TokensPerEvent, 1)
 	}
 	return r
 }
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -24,32 +23,32 @@
 }
 
 type peerEntry struct {
-	address string
-	seen    time.Duration
+	peer *wire.EntryPeer
+	seen time.Duration
 }
 
-// peerLifetime is how long an entry that draws no more is named to the others.
-const peerLifetime = 10 * time.Second
+// peerLifetime is how long an entry that draws no more is named to the others:
+// several drawings.
+const peerLifetime = 5 * time.Second
 
 func newLimits() *limits {
 	return &limits{allocator: quota.NewAllocator(), peers: make(map[string]peerEntry)}
 }
 
 // meet notes where an entry listens and returns where all of them do.
-func (l *limits) meet(now time.Duration, process, address string) []string {
+func (l *limits) meet(now time.Duration, process string, peer *wire.EntryPeer) []*wire.EntryPeer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers[process] = peerEntry{address, now}
-	var addresses []string
-	for name, peer := range l.peers {
-		if now-peer.seen > peerLifetime {
+	l.peers[process] = peerEntry{peer, now}
+	var peers []*wire.EntryPeer
+	for name, known := range l.peers {
+		if now-known.seen > peerLifetime {
 			delete(l.peers, name)
 			continue
 		}
-		addresses = append(addresses, peer.address)
+		peers = append(peers, known.peer)
 	}
-	slices.Sort(addresses)
-	return addresses
+	return peers
 }
 
 // renew answers an entry. What an earlier term gave out is not known any more.
@@ -76,7 +75,7 @@
 	}
 	grant := r.limits.renew(r.now(), status.Term, codec.RenewalFromWire(req))
 	response := codec.GrantToWire(grant)
-	response.Peers = r.limits.meet(r.now(), req.Process, req.Address)
+	response.Peers = r.limits.meet(r.now(), req.Process, &wire.EntryPeer{Address: req.Address, Zone: req.Zone})
 	if r.duties != nil {
 		r.duties.fillList(req, response)
 	}
