--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -59,6 +59,11 @@
 	c.sealed = true
 	written := c.written
 	c.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// Resets the connection: what waits on a cut link is not delivered later. An
+		// error means that the connection has ended.
+		_ = tcp.SetLinger(0)
+	}
 	c.Conn.Close()
 	return written, true
 }
--- a/internal/backend/conn_test.go
+++ b/internal/backend/conn_test.go
@@ -1,8 +1,11 @@
 package backend
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
@@ -60,3 +63,32 @@
 		t.Errorf("the second attempt was cut off: %v", err)
 	}
 }
+
+// A server that was out of reach must not get a request after its attempt was
+// given up: the connection is reset, so that the network holds nothing of it.
+func TestAbandonedAttemptsAreReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	over := &handover{}
+	c := &conn{Conn: raw}
+	over.got(c)
+	if _, err := c.Write([]byte("request")); err != nil {
+		t.Fatal(err)
+	}
+	over.end()
+	if _, err := io.Copy(io.Discard, peer); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, it was not reset", err)
+	}
+}
