--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -144,6 +144,7 @@
 	recent   float64
 	recentAt time.Duration
 	started  bool
+	load     Load
 }
 
 // New returns a scaler that has ordered nothing yet.
@@ -160,6 +161,9 @@
 	return nil
 }
 
+// Load returns the load that was observed last.
+func (s *Scaler) Load() Load { return s.load }
+
 // Held returns the number of servers that recent load needs, before losses.
 func (s *Scaler) Held() float64 { return s.held }
 
@@ -209,6 +213,7 @@
 // follow keeps the number of servers that recent load needs. It begins in the
 // middle of what the service's bounds allow.
 func (s *Scaler) follow(now time.Duration, ev Observed) {
+	s.load = ev.Load
 	need := ev.Load.need(ev.Spec.Slots)
 	if !s.started {
 		s.started = true
--- a/internal/replica/duties.go
+++ b/internal/replica/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -370,8 +371,10 @@
 	if d.term != holder.Fence || scaler == nil {
 		return
 	}
+	load := scaler.Load()
 	event.Str("step", "scale").Str("service", order.Service).Str("order_zone", order.Zone).Bool("reclaimable", order.Reclaimable).
-		Int("count", order.Count).Float64("needed", scaler.Held()).Uint64("fence", holder.Fence).
+		Int("count", order.Count).Float64("needed", scaler.Held()).Float64("in_flight", load.InFlight).
+		Float64("work_per_s", math.Round(load.Work)).Float64("rate_per_s", math.Round(load.Rate)).Uint64("fence", holder.Fence).
 		Bool("refused", answered.Refused).Msg("order given")
 	scaler.Step(d.replica.now(), answered)
 }
