Keep long prompts from servers whose streams pause

They met at servers that hold shared parts; a third of the servers are slower, and read so many long prompts at a time that nine tokens took over 500 ms there (up to 65 in 100 of the dossiers of a slow server, none elsewhere). Ruled out: lost packets (they make pauses of 200 ms), preemption (none), the entries' processor time. Change: entries tell each other which streams paused for more than 0.8 of the allowed time; the share of a server makes it dearer for long prompts. Test: TestLongPromptsAvoidPausingServers.

--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -203,3 +203,37 @@
 		t.Errorf("the mute server got %d of 600", muted)
 	}
 }
+
+// Load pattern: long prompts that share a part. The server that holds it reads
+// slowly, and the streams beside them pause. The prompts go elsewhere; short ones
+// may stay.
+func TestLongPromptsAvoidPausingServers(t *testing.T) {
+	p := New(1)
+	p.SetServers(fleet(4))
+	long := &Request{Service: "models", Load: Load{PromptTokens: 20_000, OutputTokens: 300, Parts: []Part{{Chain: 7, Tokens: 6_000}}}}
+	first, _ := p.Pick(0, long)
+	now := time.Duration(0)
+	at := func(server string) float64 { return p.servers[server].pauses.decayed(now) }
+	moved := 0
+	for n := range 60 {
+		now += time.Second
+		decision, _ := p.Pick(now, long)
+		id := JobID{1, uint64(n)}
+		p.Placed(now, NewJob(id, decision, long.Load))
+		p.Started(now, id, false)
+		if decision.Server == first.Server {
+			p.Paused(now, id)
+		} else {
+			moved++
+		}
+		p.Ended(now, id, ResultAnswered)
+	}
+	if moved < 40 {
+		t.Errorf("%d of 60 long prompts left the server whose streams pause (share %.2f)", moved, at(first.Server))
+	}
+	short := &Request{Service: "models", Load: Load{PromptTokens: 300, OutputTokens: 300, Parts: []Part{{Chain: 7, Tokens: 200}}}}
+	p.servers[first.Server].pauses.note(now, true)
+	if got, _ := p.Pick(now, short); got.First > 100*time.Millisecond {
+		t.Errorf("a short prompt got %+v", got)
+	}
+}
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -36,6 +36,13 @@
 	// slotPenalty is added per request beyond a server's slots, in parts of the
 	// time of a plain call.
 	slotPenalty = 1.0
+	// pauseWeight is added to the score of a long prompt at a server all of whose
+	// streams pause too long, in milliseconds: more than reading a usual shared
+	// part again.
+	pauseWeight = 1500.0
+	// pauseOwn is the time of reading a prompt, in milliseconds, from which it
+	// counts as long: it lengthens several events of the streams beside it.
+	pauseOwn = 200.0
 	// leastMute and muteFactor say how long a server may be silent before an
 	// attempt that is given up counts as its failure.
 	leastMute  = time.Second
@@ -116,6 +123,7 @@
 	memory  int
 	cache   cache
 	health  health
+	pauses  pauses
 }
 
 // job is an attempt that has not ended.
@@ -124,6 +132,8 @@
 	server  *server
 	placed  time.Duration
 	started bool
+	// paused is true once its stream paused too long.
+	paused bool
 	// ahead is the work that waited at the server when it was placed.
 	ahead float64
 }
@@ -201,6 +211,7 @@
 	first := network + d.Waiting/p.rateOf(s.Service) + own
 	d.First = duration(first)
 	score := first + readWeight*own + runningWeight*float64(s.running) + s.health.penalty(now)
+	score += pauseWeight * s.pauses.decayed(now) * math.Min(own/pauseOwn, 1)
 	used := float64(s.memory+load.PromptTokens+load.OutputTokens) / float64(s.CacheTokens)
 	score += memoryPenalty * math.Max(0, used-fullMemory)
 	if over := s.running + len(s.waiting) + 1 - s.Slots; over > 0 {
@@ -285,6 +296,14 @@
 	}
 }
 
+// Paused notes that the stream of an attempt paused for longer than it should.
+func (p *Placer) Paused(now time.Duration, id JobID) {
+	if j := p.jobs[id]; j != nil && !j.paused {
+		j.paused = true
+		j.server.pauses.note(now, true)
+	}
+}
+
 // learn moves the learned rate towards what an answer's beginning shows.
 func (p *Placer) learn(now time.Duration, j *job) {
 	s := j.server
@@ -314,6 +333,9 @@
 		result = ResultFailed
 	}
 	s.memory = max(s.memory-j.Memory, 0)
+	if j.started && !j.paused && result == ResultAnswered && j.Memory > 0 {
+		s.pauses.note(now, false)
+	}
 	if j.started {
 		s.running = max(s.running-1, 0)
 	} else {
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -100,6 +100,10 @@
 	n.add(false, func(w *wire.News) { w.Started = append(w.Started, id.Number) })
 }
 
+func (n *news) paused(id placement.JobID) {
+	n.add(false, func(w *wire.News) { w.Paused = append(w.Paused, id.Number) })
+}
+
 func (n *news) ended(id placement.JobID, result placement.Result) {
 	n.add(false, func(w *wire.News) {
 		w.Ended = append(w.Ended, &wire.Ended{Number: id.Number, Result: uint32(result)})
@@ -347,6 +351,9 @@
 	for _, number := range received.Started {
 		p.placer.Started(now, placement.JobID{Origin: received.Origin, Number: number}, false)
 	}
+	for _, number := range received.Paused {
+		p.placer.Paused(now, placement.JobID{Origin: received.Origin, Number: number})
+	}
 	for _, item := range received.Ended {
 		p.placer.Ended(now, placement.JobID{Origin: received.Origin, Number: item.Number}, placement.Result(item.Result))
 	}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -81,6 +81,26 @@
 	}
 }
 
+// longPause is the part of the longest allowed pause from which a stream counts as
+// paused: before it is late.
+const longPause = 0.8
+
+// notePause tells that the current attempt's stream paused.
+func (r *run) notePause(gap time.Duration) {
+	if r.routed == nil || !r.routed.shared || r.routed.paused || r.attempt == nil || r.routed.route.GapTarget <= 0 {
+		return
+	}
+	if float64(gap) < longPause*float64(r.routed.route.GapTarget) {
+		return
+	}
+	r.routed.paused = true
+	e := r.entry
+	e.policy.mu.Lock()
+	e.policy.placer.Paused(e.now(), r.attempt.job)
+	e.policy.mu.Unlock()
+	e.news.paused(r.attempt.job)
+}
+
 // endJob tells that an attempt is over.
 func (r *run) endJob(a *attempt, result routing.Result) {
 	if r.routed == nil {
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -37,6 +37,8 @@
 	// engines, which hold others up. Plain calls are short, and their servers have
 	// room.
 	shared bool
+	// paused is true once the stream's pause was told.
+	paused bool
 	// tokensPerEvent is the number of tokens in an event.
 	tokensPerEvent int
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -239,6 +239,7 @@
 	} else {
 		r.entry.metrics.tokenGap.WithLabelValues(r.service.Name).Observe((now - r.lastToken).Seconds())
 		r.longestGap = max(r.longestGap, now-r.lastToken)
+		r.notePause(now - r.lastToken)
 	}
 	r.lastToken = now
 	r.tokens += r.tokensPerEvent()
