Count shared parts that are read again more than time

Ruled out: caches that forget (usable part of the memory), news that comes late (a prompt that shares a part follows a second later, not 50 ms). Change: shared tokens to read count three more times beside the reading itself. Test: TestSharedPartsAreReadOnce, which failed (six servers read one rulebook).

--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -237,3 +237,23 @@
 		t.Errorf("a short prompt got %+v", got)
 	}
 }
+
+// Load pattern: prompts on the same rulebook, faster than one server reads them
+// from the start. They wait for the server that holds the rulebook while that costs
+// less than reading it again elsewhere, and no longer.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	p := New(1)
+	p.SetServers(fleet(8))
+	load := Load{PromptTokens: 8_000, OutputTokens: 300, Parts: []Part{{Chain: 1, Tokens: 500}, {Chain: 2, Tokens: 5_000}}}
+	readers := map[string]int{}
+	for n := range 12 {
+		decision, _ := p.Pick(0, &Request{Service: "models", Load: load})
+		p.Placed(0, NewJob(JobID{1, uint64(n)}, decision, load))
+		if decision.Fresh > 3_000 {
+			readers[decision.Server]++
+		}
+	}
+	if len(readers) != 2 {
+		t.Errorf("%d servers read the rulebook for twelve prompts at once: %v", len(readers), readers)
+	}
+}
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -36,6 +36,9 @@
 	// slotPenalty is added per request beyond a server's slots, in parts of the
 	// time of a plain call.
 	slotPenalty = 1.0
+	// againWeight is how much reading shared parts counts beside that: another
+	// server has read them already, and holds them for the next prompts.
+	againWeight = 3.0
 	// pauseWeight is added to the score of a long prompt at a server all of whose
 	// streams pause too long, in milliseconds: more than reading a usual shared
 	// part again.
@@ -210,7 +213,8 @@
 	own := work(d.Fresh, load.PromptTokens) / p.rateOf(s.Service)
 	first := network + d.Waiting/p.rateOf(s.Service) + own
 	d.First = duration(first)
-	score := first + readWeight*own + runningWeight*float64(s.running) + s.health.penalty(now)
+	again := float64(load.sharedTokens()-cached) / p.rateOf(s.Service)
+	score := first + readWeight*own + againWeight*again + runningWeight*float64(s.running) + s.health.penalty(now)
 	score += pauseWeight * s.pauses.decayed(now) * math.Min(own/pauseOwn, 1)
 	used := float64(s.memory+load.PromptTokens+load.OutputTokens) / float64(s.CacheTokens)
 	score += memoryPenalty * math.Max(0, used-fullMemory)
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -47,6 +47,15 @@
 	Parts []Part
 }
 
+// sharedTokens is the length of the shared parts.
+func (l *Load) sharedTokens() int {
+	tokens := 0
+	for _, part := range l.Parts {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // Request describes an attempt to place.
 type Request struct {
 	Service string
