Log and export which revision each part of an entry holds

An entry holds a configuration in more than one place: the one in force, and the one from which placement, limits and retry budgets were last set. Neither logs nor metrics told them apart, so that a route whose service had no server could not be traced to an older copy (docs/incidents/configuration-not-in-force.md, hypothesis 1).

Added, with no change of logic: the gauges placement_revision and services_without_server of entries and entries_behind of the leader; a line step="configure" each time placement and limits are set; the source and the age of the change in the line "configuration in force"; a line at the leader when entries have not acknowledged a revision 2 s after its commit, and when they have.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -116,6 +116,8 @@
 
 	mu   sync.Mutex
 	view *state.View
+	// from is the process or the file that supplied the view's revision.
+	from string
 	// saved is true if the view was initialized from the copy on disk.
 	saved bool
 	// firstFetchDone is closed once the first fetch is over.
@@ -322,6 +324,9 @@
 		Revision:  response.Revision,
 		Committed: response.Confirmed,
 	})
+	if effects.Config != nil {
+		h.from = from
+	}
 	if effects.Err != nil {
 		h.entry.logger.Error().Str("step", "apply config").Str("peer", from).Err(effects.Err).Msg("applying received configuration changes failed")
 	}
@@ -341,15 +346,16 @@
 		return
 	}
 	h.save()
-	h.entry.policy.configure(next)
+	h.entry.policy.configure(next, causeConfig)
 	h.current.Store(next)
 	if current == nil {
 		// Applies a list of backend servers that arrived before next was
 		// stored.
-		h.entry.policy.configure(next)
+		h.entry.policy.configure(next, causeConfig)
 	}
 	h.entry.metrics.revision.Set(float64(next.revision))
-	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision)
+	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).
+		Str("peer", h.from).Int64("age_ms", h.changeAge().Milliseconds())
 	if next.routes != nil {
 		event.Uint64("number", next.routes.Number).Int("routes", len(next.routes.Routes)).Int("customers", len(next.routes.Customers))
 	}
@@ -357,6 +363,13 @@
 	h.entry.signalInitialized()
 }
 
+// changeAge returns the time since the view's last change was proposed, by the
+// wall clocks of this process and of the leader, which may differ. The caller
+// holds mu.
+func (h *configHolder) changeAge() time.Duration {
+	return max(time.Since(time.UnixMilli(h.view.Last().TimeMS)), 0)
+}
+
 // decode builds the configuration from the view.
 func (h *configHolder) decode() (*configuration, error) {
 	if h.entry.opts.Routed == nil {
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -185,7 +185,7 @@
 		e.logger.Info().Str("step", "discover").Str("server", instance).Msg("backend server no longer listed")
 	}
 	if config := e.config.inForce(); config != nil && len(changed)+len(gone) > 0 {
-		e.policy.configure(config)
+		e.policy.configure(config, causeList)
 	}
 	e.signalInitialized()
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,6 +6,8 @@
 	inFlight         prometheus.Gauge
 	draining         prometheus.Gauge
 	revision         prometheus.Gauge
+	placement        prometheus.Gauge
+	withoutServer    prometheus.Gauge
 	outcomes         *prometheus.CounterVec
 	attempts         *prometheus.CounterVec
 	retries          *prometheus.CounterVec
@@ -28,6 +30,8 @@
 		inFlight:         newGauge("requests_in_flight", "Requests that this entry holds."),
 		draining:         newGauge("draining", "1 while the entry drains."),
 		revision:         newGauge("config_revision", "Configuration revision in force at this entry."),
+		placement:        newGauge("placement_revision", "Configuration revision from which placement and limits were last set."),
+		withoutServer:    newGauge("services_without_server", "Services of the configuration in placement that have no server in the list."),
 		outcomes:         newCounterVec("outcomes_total", "Requests ended, by service, outcome and reason.", "service", "outcome", "reason"),
 		attempts:         newCounterVec("attempts_total", "Attempts at backend servers, by service, server and result.", "service", "server", "result"),
 		retries:          newCounterVec("retries_total", "Attempts after the first, by service.", "service"),
@@ -44,7 +48,7 @@
 		Namespace: "waxwingcart", Subsystem: "entry", Name: "late_events_total",
 		Help: "Events dropped because their attempt was over.",
 	})
-	registry.MustRegister(m.inFlight, m.draining, m.revision, m.outcomes, m.attempts, m.retries, m.retryBudget,
+	registry.MustRegister(m.inFlight, m.draining, m.revision, m.placement, m.withoutServer, m.outcomes, m.attempts, m.retries, m.retryBudget,
 		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves)
 	return m
 }
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -77,8 +77,14 @@
 	p.retry.SetEntries(entries)
 }
 
+// Causes of setting placement and limits.
+const (
+	causeConfig = "config"
+	causeList   = "list"
+)
+
 // configure applies a new configuration.
-func (p *policy) configure(config *configuration) {
+func (p *policy) configure(config *configuration, cause string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var services []string
@@ -88,17 +94,44 @@
 	p.retry.SetServices(services)
 	now := p.entry.now()
 	if config.routes != nil {
-		p.placer.SetServers(p.entry.directory.placementServers(config.routes, p.entry.opts.Zone))
+		servers := p.entry.directory.placementServers(config.routes, p.entry.opts.Zone)
+		p.placer.SetServers(servers)
 		p.entry.quota.configure(now, config.routes.Table)
+		served := make(map[string]bool)
+		for _, server := range servers {
+			served[server.Service] = true
+		}
+		p.observeConfigured(config, cause, len(servers), served)
 		return
 	}
 	servers := routing.Servers(config.Config, p.entry.opts.Zone)
 	p.router.SetServers(servers)
 	p.applyEffects(p.admission.Step(now, admission.Customers{Customers: config.Customers}))
 	p.setCapacity(now, config)
+	served := make(map[string]bool)
 	for _, server := range servers {
+		served[server.Service] = true
 		p.entry.metrics.serverPrice.WithLabelValues(server.Service, server.Name).Set(server.PricePerHour)
 	}
+	p.observeConfigured(config, cause, len(servers), served)
+}
+
+// observeConfigured logs and exports the revision from which placement and
+// limits were set. served holds the services that have a server.
+func (p *policy) observeConfigured(config *configuration, cause string, servers int, served map[string]bool) {
+	without := 0
+	for _, service := range config.Services {
+		if !served[service.Name] {
+			without++
+		}
+	}
+	p.entry.metrics.placement.Set(float64(config.revision))
+	p.entry.metrics.withoutServer.Set(float64(without))
+	event := p.entry.logger.Info().Str("step", "configure").Uint64("revision", config.revision)
+	if config.routes != nil {
+		event.Uint64("number", config.routes.Number).Uint64("list", p.entry.directory.listVersion())
+	}
+	event.Int("servers", servers).Int("services_without_server", without).Str("cause", cause).Msg("placement and limits set")
 }
 
 // setCapacity tells admission how much of the servers' capacity this entry may
--- a/internal/entry/saved.go
+++ b/internal/entry/saved.go
@@ -41,7 +41,7 @@
 		return
 	}
 	h.view.Step(0, state.DeltasReceived{From: h.savedPath(), Deltas: []state.Delta{delta}, Revision: delta.Revision})
-	h.saved = h.view.Revision() > 0
+	h.from, h.saved = h.savedPath(), h.view.Revision() > 0
 }
 
 // save writes the view's configuration before it is put in force. The caller
--- a/internal/replica/acks.go
+++ b/internal/replica/acks.go
@@ -78,6 +78,19 @@
 	return seen
 }
 
+// live returns the revision that each live entry acknowledged last.
+func (a *acks) live(now time.Time) map[string]uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	live := make(map[string]uint64, len(a.entries))
+	for process, entry := range a.entries {
+		if now.Sub(entry.at) <= ackLifetime {
+			live[process] = entry.revision
+		}
+	}
+	return live
+}
+
 // AckState is one entry's acknowledgement in the state dump.
 type AckState struct {
 	Zone     string  `json:"zone"`
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -12,6 +12,7 @@
 	leader       prometheus.Gauge
 	applied      prometheus.Gauge
 	records      prometheus.Gauge
+	behind       prometheus.Gauge
 	reservations *prometheus.CounterVec
 	orders       *prometheus.CounterVec
 	duties       *prometheus.CounterVec
@@ -29,6 +30,7 @@
 		leader:   gauge("leader", "1 if this replica leads."),
 		applied:  gauge("applied_index", "Index of the last applied log entry."),
 		records:  gauge("idempotency_records", "Idempotency records held."),
+		behind:   gauge("entries_behind", "Live entries that have not acknowledged, within 2 s of its commit, a revision committed while this replica leads."),
 		reservations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "waxwingcart", Subsystem: "replica", Name: "reservations_total",
 			Help: "Reservations answered by this replica as leader, by result.",
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -266,6 +266,7 @@
 		r.spawn(func() { r.duties.run(ctx) })
 	}
 	r.spawn(func() { r.runSnapshots(ctx) })
+	r.spawn(func() { r.runBehind(ctx) })
 }
 
 func (r *Replica) spawn(run func()) {
