Let the policy order configurations and lists itself

What callers saw: after a change that came together with a new list of backend servers, a route that had been added was refused with no-backend-server, and the customers' limits were the former ones, until the next change of the list.

Cause: two callers set placement, limits and retry budgets: publish, which puts a revision in force, and applyList. Both read the configuration before they took the policy's lock, so the older one could be set last. The same held for the capacity and the state dump, and a first list counted as known, which releases waiting calls, before placement had its servers.

Change: the policy keeps the newest configuration that it was given and has two inputs, a configuration and a list. It takes each under its own lock, never goes back to an older revision, and reads the list under the same lock. No caller passes it a configuration that it read before. The second call in publish for a list that arrives before the first configuration is not needed any more.

Ruled out on the side of the list: replace ignores a list that was read earlier than the one in use, and placement reads the list in use, not the one of the caller.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -346,13 +346,9 @@
 		return
 	}
 	h.save()
-	h.entry.policy.configure(next, causeConfig)
+	// Calls see next only once placement has the servers of its services.
+	h.entry.policy.setConfiguration(next)
 	h.current.Store(next)
-	if current == nil {
-		// Applies a list of backend servers that arrived before next was
-		// stored.
-		h.entry.policy.configure(next, causeConfig)
-	}
 	h.entry.metrics.revision.Set(float64(next.revision))
 	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).
 		Str("peer", h.from).Int64("age_ms", h.changeAge().Milliseconds())
--- a/internal/entry/copies_test.go
+++ b/internal/entry/copies_test.go
@@ -173,7 +173,7 @@
 	older := e.config.inForce()
 	e.applyList(listOf(1, 2), 1, 1)
 	e.config.apply("leader", documentResponse(2))
-	e.policy.configure(older, causeConfig)
+	e.policy.setConfiguration(older)
 	checkParts(t, e, 2)
 }
 
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -176,7 +176,7 @@
 
 // applyList puts a list in use and logs the differences.
 func (e *Entry) applyList(list []discovery.Server, version uint64, readAt time.Duration) {
-	changed, gone := e.directory.replace(list, version, readAt)
+	changed, gone := e.policy.setList(list, version, readAt)
 	for _, found := range changed {
 		e.logger.Info().Str("step", "discover").Str("server", found.Instance).Str("service", found.Service).
 			Str("peer", found.Address).Str("server_zone", found.Zone).Bool("leaving", found.Leaving).Msg("backend server added to the list or changed in it")
@@ -184,8 +184,5 @@
 	for _, instance := range gone {
 		e.logger.Info().Str("step", "discover").Str("server", instance).Msg("backend server no longer listed")
 	}
-	if config := e.config.inForce(); config != nil && len(changed)+len(gone) > 0 {
-		e.policy.configure(config, causeList)
-	}
 	e.signalInitialized()
 }
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -29,7 +29,9 @@
 type policy struct {
 	entry *Entry
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// config is the newest configuration that the policy was given, or nil.
+	config    *configuration
 	admission *admission.Controller
 	router    *routing.Router
 	retry     *retry.Controller
@@ -77,87 +79,6 @@
 	p.retry.SetEntries(entries)
 }
 
-// Causes of setting placement and limits.
-const (
-	causeConfig = "config"
-	causeList   = "list"
-)
-
-// configure applies a new configuration.
-func (p *policy) configure(config *configuration, cause string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var services []string
-	for _, service := range config.Services {
-		services = append(services, service.Name)
-	}
-	p.retry.SetServices(services)
-	now := p.entry.now()
-	if config.routes != nil {
-		servers := p.entry.directory.placementServers(config.routes, p.entry.opts.Zone)
-		p.placer.SetServers(servers)
-		p.entry.quota.configure(now, config.routes.Table)
-		served := make(map[string]bool)
-		for _, server := range servers {
-			served[server.Service] = true
-		}
-		p.observeConfigured(config, cause, len(servers), served)
-		return
-	}
-	servers := routing.Servers(config.Config, p.entry.opts.Zone)
-	p.router.SetServers(servers)
-	p.applyEffects(p.admission.Step(now, admission.Customers{Customers: config.Customers}))
-	p.setCapacity(now, config)
-	served := make(map[string]bool)
-	for _, server := range servers {
-		served[server.Service] = true
-		p.entry.metrics.serverPrice.WithLabelValues(server.Service, server.Name).Set(server.PricePerHour)
-	}
-	p.observeConfigured(config, cause, len(servers), served)
-}
-
-// observeConfigured logs and exports the revision from which placement and
-// limits were set. served holds the services that have a server.
-func (p *policy) observeConfigured(config *configuration, cause string, servers int, served map[string]bool) {
-	without := 0
-	for _, service := range config.Services {
-		if !served[service.Name] {
-			without++
-		}
-	}
-	p.entry.metrics.placement.Set(float64(config.revision))
-	p.entry.metrics.withoutServer.Set(float64(without))
-	event := p.entry.logger.Info().Str("step", "configure").Uint64("revision", config.revision)
-	if config.routes != nil {
-		event.Uint64("number", config.routes.Number).Uint64("list", p.entry.directory.listVersion())
-	}
-	event.Int("servers", servers).Int("services_without_server", without).Str("cause", cause).Msg("placement and limits set")
-}
-
-// setCapacity tells admission how much of the servers' capacity this entry may
-// use. The caller holds mu.
-func (p *policy) setCapacity(now time.Duration, config *configuration) {
-	for _, service := range config.Services {
-		requests, rate := p.router.Capacity(now, service.Name, p.entries)
-		capacity := admission.Capacity{Service: service.Name, Slots: requests, TokensPerSecond: rate}
-		p.applyEffects(p.admission.Step(now, capacity))
-	}
-}
-
-// setUsable marks servers as usable or not and updates the capacity.
-func (p *policy) setUsable(usable map[string]bool) {
-	config := p.entry.config.inForce()
-	if config == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, ok := range usable {
-		p.router.SetUsable(name, ok)
-	}
-	p.setCapacity(p.entry.now(), config)
-}
-
 // setEntries tells admission how many entries share the limits.
 func (p *policy) setEntries(live admission.LiveEntries) {
 	p.mu.Lock()
@@ -257,17 +178,6 @@
 	p.applyEffects(p.admission.Step(p.entry.now(), admission.Tick{}))
 }
 
-// updateCapacity recomputes the capacity from what the other entries use.
-func (p *policy) updateCapacity() {
-	config := p.entry.config.inForce()
-	if config == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.setCapacity(p.entry.now(), config)
-}
-
 // pickServer chooses a server for the next attempt. It returns NoServer if
 // none is usable or if the answer would come too late.
 func (p *policy) pickServer(r *run, exclude []string) request.Event {
@@ -368,7 +278,6 @@
 }
 
 func (p *policy) state() limits {
-	config := p.entry.config.inForce()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := limits{
@@ -377,10 +286,10 @@
 		Slots:    make(map[string]int),
 		Budget:   make(map[string]float64),
 	}
-	if config == nil {
+	if p.config == nil {
 		return s
 	}
-	for _, service := range config.Services {
+	for _, service := range p.config.Services {
 		s.InFlight[service.Name] = p.admission.InFlight(service.Name)
 		s.Slots[service.Name] = p.router.Slots(service.Name)
 		s.Budget[service.Name] = p.retry.Budget(p.entry.now(), service.Name)
