Acknowledge a configuration only while it is in force

What operators saw: a revision counted as in force in a zone although an entry there had only received it: while it still waited for its first configuration, or because it could not decode the document.

Cause: a call for newer revisions names its process and the revision of the view, and the replica takes that as the acknowledgement. The view holds what was received; what is in force is decided later.

Change: a call names its process, which makes it an acknowledgement, only if its revision is the one in force. An entry that can't decode a revision still asks for the next one with the revision that it has, so that the leader holds the call, and acknowledges the one in force every 5 s, so that its zone stays pending. The failure is logged once and not at every answer. The messages are unchanged: replicas ignore calls without a process already.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -32,6 +32,10 @@
 	// confirmation is asked at intervals that grow from firstFetchRetry to
 	// fetchRetry.
 	firstFetchRetry = 50 * time.Millisecond
+	// acknowledgeInterval is how often an entry that can't put the newest
+	// revision in force acknowledges the older one. It is well below the time
+	// for which a replica counts an acknowledgement.
+	acknowledgeInterval = 5 * time.Second
 	// savedConfirmTimeout is how long an entry with a saved configuration
 	// waits for a quorum's confirmation, and peerTimeout bounds asking the
 	// entries of its own zone.
@@ -116,6 +120,10 @@
 
 	mu   sync.Mutex
 	view *state.View
+	// acknowledgedAt is when a call last acknowledged the revision in force.
+	acknowledgedAt time.Duration
+	// undecodable is the last revision that could not be decoded, or 0.
+	undecodable uint64
 	// from is the process or the file that supplied the view's revision.
 	from string
 	// saved is true if the view was initialized from the copy on disk.
@@ -187,15 +195,33 @@
 	return false
 }
 
+// request returns a call for the revisions that follow the view's. A call that
+// names its process acknowledges that it has the call's revision in force.
 func (h *configHolder) request(wait time.Duration) *wire.FetchConfigRequest {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return &wire.FetchConfigRequest{
+	request := &wire.FetchConfigRequest{
 		HaveRevision: h.view.Revision(),
 		WaitMs:       wait.Milliseconds(),
-		Process:      h.entry.opts.VM,
 		Zone:         h.entry.opts.Zone,
 	}
+	if h.mayAcknowledge() {
+		request.HaveRevision, request.Process = h.current.Load().revision, h.entry.opts.VM
+		h.acknowledgedAt = h.entry.now()
+	}
+	return request
+}
+
+// mayAcknowledge reports whether the next call should acknowledge the revision
+// in force. While the view has a newer one that could not be put in force, only
+// a call in each acknowledgeInterval does: a replica answers such a call at once
+// with the newer revision. The caller holds mu.
+func (h *configHolder) mayAcknowledge() bool {
+	current := h.current.Load()
+	if current == nil {
+		return false
+	}
+	return current.revision == h.view.Revision() || h.entry.now()-h.acknowledgedAt >= acknowledgeInterval
 }
 
 // fetchFirst puts the first configuration in force. The revision that replicas
@@ -340,9 +366,14 @@
 	if h.view.Config() == nil || (current != nil && current.revision >= h.view.Revision()) {
 		return
 	}
+	if h.undecodable == h.view.Revision() {
+		return
+	}
 	next, err := h.decode()
 	if err != nil {
-		h.entry.logger.Error().Str("step", "apply config").Uint64("revision", h.view.Revision()).Err(err).Msg("decoding the configuration failed; the previous one stays in force")
+		h.undecodable = h.view.Revision()
+		h.entry.logger.Error().Str("step", "apply config").Uint64("revision", h.undecodable).Str("peer", h.from).Err(err).
+			Msg("decoding the configuration failed; the previous one stays in force and this one is not acknowledged")
 		return
 	}
 	h.save()
