Count a restarted entry's acknowledgement, not its predecessor's

An entry without a saved configuration may restart with an older revision in force, for example in a zone that was cut off. The replica kept the highest revision that any process of that name had acknowledged, so the zone counted as in force for 15 s and longer. Calls that acknowledge follow each other at an entry, so the last one holds.

--- a/internal/replica/acks.go
+++ b/internal/replica/acks.go
@@ -28,8 +28,9 @@
 	return &acks{entries: make(map[string]ack), changed: make(chan struct{})}
 }
 
-// put stores an acknowledgement. If the entry had another revision before, it
-// closes the channel that zones returned.
+// put stores an acknowledgement. The revision may be lower than before, if the
+// entry has restarted. If it is another one than before, put closes the channel
+// that zones returned.
 func (a *acks) put(process, zone string, revision uint64, now time.Time) {
 	if process == "" {
 		return
@@ -37,7 +38,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	old := a.entries[process]
-	a.entries[process] = ack{zone: zone, revision: max(revision, old.revision), at: now}
+	a.entries[process] = ack{zone: zone, revision: revision, at: now}
 	if revision != old.revision {
 		close(a.changed)
 		a.changed = make(chan struct{})
