Wait before asking again for a revision that the entry can't apply

An entry that can't apply a change, such as one of a later build, keeps asking for it, and the leader answers at once with the whole document, without any pause.

--- a/internal/entry/acknowledge_test.go
+++ b/internal/entry/acknowledge_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"waxwingcart/internal/core/routes"
+	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
 
@@ -72,3 +74,29 @@
 		t.Errorf("decoded %d times, want 1", decoded)
 	}
 }
+
+// rejectedReplica answers each call at once with a change that this build can't
+// apply.
+type rejectedReplica struct{ fakeReplica }
+
+func (*rejectedReplica) FetchConfig(context.Context, *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	response := documentResponse(2)
+	response.Deltas[0].Items[0].Path = "unknown"
+	return response, nil
+}
+
+// A leader answers at once as long as the entry lacks a revision. An entry that
+// can't apply it waits before it asks again.
+func TestRejectedRevisionIsNotFetchedAtOnce(t *testing.T) {
+	client := rpc.NewClient("")
+	e := newStartingEntry(client, serveReplica(t, &rejectedReplica{}))
+	if delay := e.config.fetchNext(context.Background()); delay != fetchRetry {
+		t.Errorf("the entry asks again after %s, want %s", delay, fetchRetry)
+	}
+	checkRequest(t, e, 0, false)
+	e.config.apply("leader", documentResponse(2))
+	e.replicas = rpc.NewReplicas(client, []string{serveReplica(t, &leaderReplica{})})
+	if delay := e.config.fetchNext(context.Background()); delay != 0 {
+		t.Errorf("the entry asks again after %s, want at once", delay)
+	}
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -122,6 +122,8 @@
 	view *state.View
 	// acknowledgedAt is when a call last acknowledged the revision in force.
 	acknowledgedAt time.Duration
+	// rejected is true if the view rejected the last response.
+	rejected bool
 	// undecodable is the last revision that could not be decoded, or 0.
 	undecodable uint64
 	// from is the process or the file that supplied the view's revision.
@@ -146,12 +148,23 @@
 func (h *configHolder) run(ctx context.Context) {
 	h.fetchFirst(ctx)
 	for ctx.Err() == nil {
-		if h.fetchFromReplicas(ctx) {
-			continue
+		if delay := h.fetchNext(ctx); delay > 0 {
+			wait(ctx, delay)
 		}
+	}
+}
+
+// fetchNext asks the replicas once, and the entries if no replica confirms. It
+// returns the time to wait before the next call.
+func (h *configHolder) fetchNext(ctx context.Context) time.Duration {
+	confirmed := h.fetchFromReplicas(ctx)
+	if !confirmed {
 		h.fetchFromPeers(ctx)
-		wait(ctx, fetchRetry)
 	}
+	if !confirmed || h.lastRejected() {
+		return fetchRetry
+	}
+	return 0
 }
 
 func wait(ctx context.Context, delay time.Duration) {
@@ -350,6 +363,7 @@
 		Revision:  response.Revision,
 		Committed: response.Confirmed,
 	})
+	h.rejected = effects.Err != nil
 	if effects.Config != nil {
 		h.from = from
 	}
@@ -358,6 +372,13 @@
 	}
 }
 
+// lastRejected reports whether the view rejected the last response.
+func (h *configHolder) lastRejected() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rejected
+}
+
 // publish puts the view's configuration in force if it is newer.
 func (h *configHolder) publish() {
 	h.mu.Lock()
