Set usable servers and the share of limits in the order of membership

What callers saw: a call could be placed on a VM that was leaving, for up to the next load report: if the VM began to leave while another goroutine applied the usable servers, or if a configuration added a server on a VM that was known to leave.

Cause: both callers computed what the membership table says and set it afterwards, under another lock, so an older result could be set last. The share of the customers' limits was set in the same way. A new configuration set no server's usability.

Change: the policy reads the membership table under its own lock, also when it is configured.

--- a/internal/entry/configure.go
+++ b/internal/entry/configure.go
@@ -55,6 +55,7 @@
 	now := p.entry.now()
 	servers := routing.Servers(p.config.Config, p.entry.opts.Zone)
 	p.router.SetServers(servers)
+	p.setUsable()
 	p.applyEffects(p.admission.Step(now, admission.Customers{Customers: p.config.Customers}))
 	p.setCapacity(now)
 	served := make(map[string]bool)
@@ -116,12 +117,26 @@
 	p.setCapacity(p.entry.now())
 }
 
-// setUsable marks servers as usable or not and updates the capacity.
-func (p *policy) setUsable(usable map[string]bool) {
+// updateUsable marks servers as usable or not and updates the capacity. It reads
+// the membership table under the policy's lock, so that the latest state is set
+// last.
+func (p *policy) updateUsable() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name, ok := range usable {
-		p.router.SetUsable(name, ok)
+	if p.config == nil {
+		return
 	}
+	p.setUsable()
 	p.setCapacity(p.entry.now())
 }
+
+// setUsable marks the configuration's servers as usable or not. The caller holds
+// mu.
+func (p *policy) setUsable() {
+	members := p.entry.members
+	members.mu.Lock()
+	defer members.mu.Unlock()
+	for _, server := range p.config.BackendServers {
+		p.router.SetUsable(server.Name, members.table.Usable(server.VM))
+	}
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -26,7 +26,8 @@
 // maxRecordsBytes bounds the membership records of one exchange.
 const maxRecordsBytes = 1 << 20
 
-// members holds the membership table behind a lock.
+// members holds the membership table behind a lock, which is taken after the
+// policy's if both are needed.
 type members struct {
 	mu    sync.Mutex
 	table *membership.Table
@@ -71,7 +72,7 @@
 	e.logger.Info().Str("step", "membership").Str("peer", change.VM).Str("kind", string(change.Kind)).
 		Str("from", string(change.From)).Str("to", string(change.To)).Msg("member state changed")
 	if change.Kind == membership.KindBackend {
-		e.applyUsable()
+		e.policy.updateUsable()
 		if change.To == membership.StateLeaving {
 			e.moveStreams(change.VM)
 		}
@@ -83,6 +84,8 @@
 // shareLimits tells admission how many entries share the customers' limits. An
 // unreachable entry counts until it is known to have ended.
 func (e *Entry) shareLimits() {
+	e.policy.mu.Lock()
+	defer e.policy.mu.Unlock()
 	e.members.mu.Lock()
 	list := e.members.table.SharingEntries()
 	e.members.mu.Unlock()
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -79,10 +79,9 @@
 	p.retry.SetEntries(entries)
 }
 
-// setEntries tells admission how many entries share the limits.
+// setEntries tells admission how many entries share the limits. The caller
+// holds mu.
 func (p *policy) setEntries(live admission.LiveEntries) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.entries = live.Entries
 	p.applyEffects(p.admission.Step(p.entry.now(), live))
 }
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -56,7 +56,7 @@
 		})
 	}
 	group.Wait()
-	e.applyUsable()
+	e.policy.updateUsable()
 }
 
 func (e *Entry) readReport(ctx context.Context, server *fleet.BackendServer) {
@@ -139,18 +139,3 @@
 	}
 	e.stepMembership(membership.CallResult{Kind: membership.KindBackend, VM: server.VM, OK: ok})
 }
-
-// applyUsable updates which servers the policy may use.
-func (e *Entry) applyUsable() {
-	config := e.config.inForce()
-	if config == nil {
-		return
-	}
-	usable := make(map[string]bool, len(config.BackendServers))
-	e.members.mu.Lock()
-	for _, server := range config.BackendServers {
-		usable[server.Name] = e.members.table.Usable(server.VM)
-	}
-	e.members.mu.Unlock()
-	e.policy.setUsable(usable)
-}
