Log how long a revision took to save, and test the order of lists

A revision is saved before it is in force, so that a restart never goes back; the line "configuration in force" now tells how much of its age went into saving it.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -397,13 +397,15 @@
 			Msg("decoding the configuration failed; the previous one stays in force and this one is not acknowledged")
 		return
 	}
+	saving := time.Now()
 	h.save()
+	saved := time.Since(saving)
 	// Calls see next only once placement has the servers of its services.
 	h.entry.policy.setConfiguration(next)
 	h.current.Store(next)
 	h.entry.metrics.revision.Set(float64(next.revision))
 	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).
-		Str("peer", h.from).Int64("age_ms", h.changeAge().Milliseconds())
+		Str("peer", h.from).Int64("age_ms", h.changeAge().Milliseconds()).Int64("save_ms", saved.Milliseconds())
 	if next.routes != nil {
 		event.Uint64("number", next.routes.Number).Int("routes", len(next.routes.Routes)).Int("customers", len(next.routes.Customers))
 	}
--- a/internal/entry/copies_test.go
+++ b/internal/entry/copies_test.go
@@ -203,3 +203,25 @@
 	cancel()
 	group.Wait()
 }
+
+// A list that was read before the one in use replaces neither the list nor
+// placement, whichever arrives first. The leader's confirmation of a list that
+// is not in use has no effect.
+func TestOlderListIsIgnored(t *testing.T) {
+	e := newDocumentEntry()
+	e.config.apply("leader", documentResponse(1))
+	e.applyList(listOf(1, 2), 0, 5*time.Second)
+	e.applyList(nil, 7, 4*time.Second)
+	checkParts(t, e, 1)
+	if e.directory.confirm(7, 6*time.Second) || e.directory.listVersion() != 0 {
+		t.Error("the older list is in use")
+	}
+	for range parallelRounds {
+		older, newer := e.directory.readAt+1, e.directory.readAt+2
+		var group sync.WaitGroup
+		group.Go(func() { e.applyList(nil, 0, older) })
+		group.Go(func() { e.applyList(listOf(1, 2), 8, newer) })
+		group.Wait()
+		checkParts(t, e, 1)
+	}
+}
