--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -32,6 +32,10 @@
 	// confirmation is asked at intervals that grow from firstFetchRetry to
 	// fetchRetry.
 	firstFetchRetry = 50 * time.Millisecond
+	// acknowledgeInterval is how often an entry that can't put the newest
+	// revision in force acknowledges the older one. It is well below the time
+	// for which a replica counts an acknowledgement.
+	acknowledgeInterval = 5 * time.Second
 	// savedConfirmTimeout is how long an entry with a saved configuration
 	// waits for a quorum's confirmation, and peerTimeout bounds asking the
 	// entries of its own zone.
@@ -116,6 +120,14 @@
 
 	mu   sync.Mutex
 	view *state.View
+	// acknowledgedAt is when a call last acknowledged the revision in force.
+	acknowledgedAt time.Duration
+	// rejected is true if the view rejected the last response.
+	rejected bool
+	// undecodable is the last revision that could not be decoded, or 0.
+	undecodable uint64
+	// from is the process or the file that supplied the view's revision.
+	from string
 	// saved is true if the view was initialized from the copy on disk.
 	saved bool
 	// firstFetchDone is closed once the first fetch is over.
@@ -136,12 +148,23 @@
 func (h *configHolder) run(ctx context.Context) {
 	h.fetchFirst(ctx)
 	for ctx.Err() == nil {
-		if h.fetchFromReplicas(ctx) {
-			continue
+		if delay := h.fetchNext(ctx); delay > 0 {
+			wait(ctx, delay)
 		}
+	}
+}
+
+// fetchNext asks the replicas once, and the entries if no replica confirms. It
+// returns the time to wait before the next call.
+func (h *configHolder) fetchNext(ctx context.Context) time.Duration {
+	confirmed := h.fetchFromReplicas(ctx)
+	if !confirmed {
 		h.fetchFromPeers(ctx)
-		wait(ctx, fetchRetry)
 	}
+	if !confirmed || h.lastRejected() {
+		return fetchRetry
+	}
+	return 0
 }
 
 func wait(ctx context.Context, delay time.Duration) {
@@ -185,15 +208,33 @@
 	return false
 }
 
+// request returns a call for the revisions that follow the view's. A call that
+// names its process acknowledges that it has the call's revision in force.
 func (h *configHolder) request(wait time.Duration) *wire.FetchConfigRequest {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return &wire.FetchConfigRequest{
+	request := &wire.FetchConfigRequest{
 		HaveRevision: h.view.Revision(),
 		WaitMs:       wait.Milliseconds(),
-		Process:      h.entry.opts.VM,
 		Zone:         h.entry.opts.Zone,
 	}
+	if h.mayAcknowledge() {
+		request.HaveRevision, request.Process = h.current.Load().revision, h.entry.opts.VM
+		h.acknowledgedAt = h.entry.now()
+	}
+	return request
+}
+
+// mayAcknowledge reports whether the next call should acknowledge the revision
+// in force. While the view has a newer one that could not be put in force, only
+// a call in each acknowledgeInterval does: a replica answers such a call at once
+// with the newer revision. The caller holds mu.
+func (h *configHolder) mayAcknowledge() bool {
+	current := h.current.Load()
+	if current == nil {
+		return false
+	}
+	return current.revision == h.view.Revision() || h.entry.now()-h.acknowledgedAt >= acknowledgeInterval
 }
 
 // fetchFirst puts the first configuration in force. The revision that replicas
@@ -322,11 +363,22 @@
 		Revision:  response.Revision,
 		Committed: response.Confirmed,
 	})
+	h.rejected = effects.Err != nil
+	if effects.Config != nil {
+		h.from = from
+	}
 	if effects.Err != nil {
 		h.entry.logger.Error().Str("step", "apply config").Str("peer", from).Err(effects.Err).Msg("applying received configuration changes failed")
 	}
 }
 
+// lastRejected reports whether the view rejected the last response.
+func (h *configHolder) lastRejected() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rejected
+}
+
 // publish puts the view's configuration in force if it is newer.
 func (h *configHolder) publish() {
 	h.mu.Lock()
@@ -335,21 +387,25 @@
 	if h.view.Config() == nil || (current != nil && current.revision >= h.view.Revision()) {
 		return
 	}
+	if h.undecodable == h.view.Revision() {
+		return
+	}
 	next, err := h.decode()
 	if err != nil {
-		h.entry.logger.Error().Str("step", "apply config").Uint64("revision", h.view.Revision()).Err(err).Msg("decoding the configuration failed; the previous one stays in force")
+		h.undecodable = h.view.Revision()
+		h.entry.logger.Error().Str("step", "apply config").Uint64("revision", h.undecodable).Str("peer", h.from).Err(err).
+			Msg("decoding the configuration failed; the previous one stays in force and this one is not acknowledged")
 		return
 	}
+	saving := time.Now()
 	h.save()
-	h.entry.policy.configure(next)
+	saved := time.Since(saving)
+	// Calls see next only once placement has the servers of its services.
+	h.entry.policy.setConfiguration(next)
 	h.current.Store(next)
-	if current == nil {
-		// Applies a list of backend servers that arrived before next was
-		// stored.
-		h.entry.policy.configure(next)
-	}
 	h.entry.metrics.revision.Set(float64(next.revision))
-	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision)
+	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).
+		Str("peer", h.from).Int64("age_ms", h.changeAge().Milliseconds()).Int64("save_ms", saved.Milliseconds())
 	if next.routes != nil {
 		event.Uint64("number", next.routes.Number).Int("routes", len(next.routes.Routes)).Int("customers", len(next.routes.Customers))
 	}
@@ -357,6 +413,13 @@
 	h.entry.signalInitialized()
 }
 
+// changeAge returns the time since the view's last change was proposed, by the
+// wall clocks of this process and of the leader, which may differ. The caller
+// holds mu.
+func (h *configHolder) changeAge() time.Duration {
+	return max(time.Since(time.UnixMilli(h.view.Last().TimeMS)), 0)
+}
+
 // decode builds the configuration from the view.
 func (h *configHolder) decode() (*configuration, error) {
 	if h.entry.opts.Routed == nil {
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -29,7 +29,9 @@
 type policy struct {
 	entry *Entry
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// config is the newest configuration that the policy was given, or nil.
+	config    *configuration
 	admission *admission.Controller
 	router    *routing.Router
 	retry     *retry.Controller
@@ -77,58 +79,9 @@
 	p.retry.SetEntries(entries)
 }
 
-// configure applies a new configuration.
-func (p *policy) configure(config *configuration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var services []string
-	for _, service := range config.Services {
-		services = append(services, service.Name)
-	}
-	p.retry.SetServices(services)
-	now := p.entry.now()
-	if config.routes != nil {
-		p.placer.SetServers(p.entry.directory.placementServers(config.routes, p.entry.opts.Zone))
-		p.entry.quota.configure(now, config.routes.Table)
-		return
-	}
-	servers := routing.Servers(config.Config, p.entry.opts.Zone)
-	p.router.SetServers(servers)
-	p.applyEffects(p.admission.Step(now, admission.Customers{Customers: config.Customers}))
-	p.setCapacity(now, config)
-	for _, server := range servers {
-		p.entry.metrics.serverPrice.WithLabelValues(server.Service, server.Name).Set(server.PricePerHour)
-	}
-}
-
-// setCapacity tells admission how much of the servers' capacity this entry may
-// use. The caller holds mu.
-func (p *policy) setCapacity(now time.Duration, config *configuration) {
-	for _, service := range config.Services {
-		requests, rate := p.router.Capacity(now, service.Name, p.entries)
-		capacity := admission.Capacity{Service: service.Name, Slots: requests, TokensPerSecond: rate}
-		p.applyEffects(p.admission.Step(now, capacity))
-	}
-}
-
-// setUsable marks servers as usable or not and updates the capacity.
-func (p *policy) setUsable(usable map[string]bool) {
-	config := p.entry.config.inForce()
-	if config == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, ok := range usable {
-		p.router.SetUsable(name, ok)
-	}
-	p.setCapacity(p.entry.now(), config)
-}
-
-// setEntries tells admission how many entries share the limits.
+// setEntries tells admission how many entries share the limits. The caller
+// holds mu.
 func (p *policy) setEntries(live admission.LiveEntries) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.entries = live.Entries
 	p.applyEffects(p.admission.Step(p.entry.now(), live))
 }
@@ -224,17 +177,6 @@
 	p.applyEffects(p.admission.Step(p.entry.now(), admission.Tick{}))
 }
 
-// updateCapacity recomputes the capacity from what the other entries use.
-func (p *policy) updateCapacity() {
-	config := p.entry.config.inForce()
-	if config == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.setCapacity(p.entry.now(), config)
-}
-
 // pickServer chooses a server for the next attempt. It returns NoServer if
 // none is usable or if the answer would come too late.
 func (p *policy) pickServer(r *run, exclude []string) request.Event {
@@ -335,7 +277,6 @@
 }
 
 func (p *policy) state() limits {
-	config := p.entry.config.inForce()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := limits{
@@ -344,10 +285,10 @@
 		Slots:    make(map[string]int),
 		Budget:   make(map[string]float64),
 	}
-	if config == nil {
+	if p.config == nil {
 		return s
 	}
-	for _, service := range config.Services {
+	for _, service := range p.config.Services {
 		s.InFlight[service.Name] = p.admission.InFlight(service.Name)
 		s.Slots[service.Name] = p.router.Slots(service.Name)
 		s.Budget[service.Name] = p.retry.Budget(p.entry.now(), service.Name)
