Refuse a draw that was accepted in a former term

What callers could see: more calls admitted than a customer's limit allows, after a leader was elected anew.

Cause: Draw reads the term first and takes the lock of the limits afterwards. A call that was held up in between restarted the allocator of the current term, which forgot all grants; the next call of the current term did so again.

The order of terms is now decided under the lock.

--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -55,15 +55,19 @@
 }
 
 // renew grants units to an entry. It starts with a new allocator in each term,
-// because the grants of earlier terms are not known.
-func (l *limits) renew(now time.Duration, term uint64, renewal quota.Renewal) quota.Grant {
+// because the grants of earlier terms are not known. It grants nothing and returns
+// false to a call that was accepted in a term that is over.
+func (l *limits) renew(now time.Duration, term uint64, renewal quota.Renewal) (quota.Grant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if term < l.term {
+		return quota.Grant{}, false
+	}
 	if l.term != term {
 		l.term = term
 		l.allocator = quota.NewAllocator()
 	}
-	return l.allocator.Renew(now, renewal)
+	return l.allocator.Renew(now, renewal), true
 }
 
 // Draw grants units to an entry and records the usage that it reports. It is
@@ -79,7 +83,10 @@
 	if r.duties != nil {
 		r.duties.addUsageAndLoad(req)
 	}
-	grant := r.limits.renew(r.now(), status.Term, codec.RenewalFromWire(req))
+	grant, ok := r.limits.renew(r.now(), status.Term, codec.RenewalFromWire(req))
+	if !ok {
+		return nil, rpc.NotLeader(r.leaderAddress())
+	}
 	response := codec.GrantToWire(grant)
 	response.Peers = r.limits.updatePeer(r.now(), req.Process, &wire.EntryPeer{Address: req.Address, Zone: req.Zone})
 	if r.duties != nil {
