entry: show when and how the source of the configuration is lost

Nothing showed that an entry searched for the leader: failed calls were logged at debug level only, and the age of the last confirmation was in the dump alone. An entry that loses the replica that confirmed its configuration now logs one line with the replica, the failure and the time since the last confirmation, and one when a replica confirms it again. waxwingcart_entry_config_fetches_total counts the calls by result, and waxwingcart_entry_config_unconfirmed_seconds is the age of the last confirmation. How entries fetch does not change.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -94,11 +94,15 @@
 	saved bool
 	// firstFetchDone is closed once the first fetch is over.
 	firstFetchDone chan struct{}
+	source         configSource
 }
 
 func newConfigHolder(e *Entry) *configHolder {
 	h := &configHolder{entry: e, view: state.NewView(), firstFetchDone: make(chan struct{})}
 	h.load()
+	e.opts.Registry.MustRegister(newGaugeFunc("config_unconfirmed_seconds",
+		"Time since a quorum last confirmed the configuration revision of this entry, or since the entry's start.",
+		func() float64 { return h.unconfirmed().Seconds() }))
 	return h
 }
 
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -66,12 +66,8 @@
 		addresses = append([]string{leader}, addresses...)
 	}
 	for _, address := range addresses {
-		request := h.request(fetchWait)
-		call, cancel := context.WithTimeout(ctx, fetchTimeout)
-		response, err := h.entry.replicas.Stub(address).FetchConfig(call, request)
-		cancel()
+		response, err := h.fetchFromReplica(ctx, address, h.request(fetchWait))
 		if err != nil {
-			h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("fetching the configuration from a replica failed")
 			continue
 		}
 		h.apply(address, response)
@@ -87,6 +83,27 @@
 	return false
 }
 
+// fetchFromReplica makes one call to a replica and records its result.
+func (h *configHolder) fetchFromReplica(ctx context.Context, address string, request *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	response, err := h.entry.replicas.Stub(address).FetchConfig(call, request)
+	if ctx.Err() != nil {
+		return response, err
+	}
+	h.entry.metrics.configFetches.WithLabelValues(fetchResult(response, err)).Inc()
+	switch {
+	case err != nil:
+		h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("fetching the configuration from a replica failed")
+		h.sourceFailed(address, err)
+	case response.Confirmed:
+		h.sourceConfirmed(address)
+	default:
+		h.sourceFailed(address, errUnconfirmed)
+	}
+	return response, err
+}
+
 // fetchFirst puts the first configuration in force. The revision that replicas
 // know may be older than the one this entry had in force before it restarted,
 // so without a saved copy it waits for a quorum's confirmation. In a zone that
@@ -98,6 +115,9 @@
 		timeout = savedConfirmTimeout
 	}
 	h.runFirstFetch(ctx, timeout)
+	if ctx.Err() == nil {
+		h.sourceFailed(noSource, errNoSource)
+	}
 	h.publish()
 	close(h.firstFetchDone)
 }
@@ -154,11 +174,8 @@
 	for ctx.Err() == nil {
 		request := h.request(fetchWait)
 		request.AwaitLeader = true
-		call, cancel := context.WithTimeout(ctx, fetchTimeout)
-		response, err := h.entry.replicas.Stub(address).FetchConfig(call, request)
-		cancel()
+		response, err := h.fetchFromReplica(ctx, address, request)
 		if err != nil {
-			h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("fetching the configuration from a replica failed")
 			wait(ctx, firstFetchRetry)
 			continue
 		}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,6 +6,7 @@
 	inFlight         prometheus.Gauge
 	draining         prometheus.Gauge
 	revision         prometheus.Gauge
+	configFetches    *prometheus.CounterVec
 	outcomes         *prometheus.CounterVec
 	attempts         *prometheus.CounterVec
 	retries          *prometheus.CounterVec
@@ -28,6 +29,7 @@
 		inFlight:         newGauge("requests_in_flight", "Requests that this entry holds."),
 		draining:         newGauge("draining", "1 while the entry drains."),
 		revision:         newGauge("config_revision", "Configuration revision in force at this entry."),
+		configFetches:    newCounterVec("config_fetches_total", "Calls to replicas for the configuration, by result.", "result"),
 		outcomes:         newCounterVec("outcomes_total", "Requests ended, by service, outcome and reason.", "service", "outcome", "reason"),
 		attempts:         newCounterVec("attempts_total", "Attempts at backend servers, by service, server and result.", "service", "server", "result"),
 		retries:          newCounterVec("retries_total", "Attempts after the first, by service.", "service"),
@@ -44,7 +46,7 @@
 		Namespace: "waxwingcart", Subsystem: "entry", Name: "late_events_total",
 		Help: "Events dropped because their attempt was over.",
 	})
-	registry.MustRegister(m.inFlight, m.draining, m.revision, m.outcomes, m.attempts, m.retries, m.retryBudget,
+	registry.MustRegister(m.inFlight, m.draining, m.revision, m.configFetches, m.outcomes, m.attempts, m.retries, m.retryBudget,
 		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves)
 	return m
 }
@@ -53,6 +55,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "waxwingcart", Subsystem: "entry", Name: name, Help: help})
 }
 
+func newGaugeFunc(name, help string, value func() float64) prometheus.GaugeFunc {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "waxwingcart", Subsystem: "entry", Name: name, Help: help}, value)
+}
+
 func newGaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
 	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "waxwingcart", Subsystem: "entry", Name: name, Help: help}, labels)
 }
