entry: show that silent processes delay a newer configuration

TestSilentLeaderDelaysNoConfiguration and TestSilentPeerDelaysNoConfiguration fail: an entry asks replicas and the entries of its zone one after the other, so that each silent one delays the rest. Calls without a limit show it regardless of the machine's speed.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -95,10 +95,17 @@
 	// firstFetchDone is closed once the first fetch is over.
 	firstFetchDone chan struct{}
 	source         configSource
+	// replicaTimeout and peerTimeout bound one call to a replica, and asking
+	// the entries of the own zone.
+	replicaTimeout time.Duration
+	peerTimeout    time.Duration
 }
 
 func newConfigHolder(e *Entry) *configHolder {
-	h := &configHolder{entry: e, view: state.NewView(), firstFetchDone: make(chan struct{})}
+	h := &configHolder{
+		entry: e, view: state.NewView(), firstFetchDone: make(chan struct{}),
+		replicaTimeout: fetchTimeout, peerTimeout: peerTimeout,
+	}
 	h.load()
 	e.opts.Registry.MustRegister(newGaugeFunc("config_unconfirmed_seconds",
 		"Time since a quorum last confirmed the configuration revision of this entry, or since the entry's start.",
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -85,7 +85,7 @@
 
 // fetchFromReplica makes one call to a replica and records its result.
 func (h *configHolder) fetchFromReplica(ctx context.Context, address string, request *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
-	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	call, cancel := context.WithTimeout(ctx, h.replicaTimeout)
 	defer cancel()
 	response, err := h.entry.replicas.Stub(address).FetchConfig(call, request)
 	if ctx.Err() != nil {
@@ -194,7 +194,7 @@
 
 // fetchFromPeers asks the entries of its own zone when no replica answers.
 func (h *configHolder) fetchFromPeers(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	call, cancel := context.WithTimeout(ctx, h.peerTimeout)
 	defer cancel()
 	for _, peer := range h.entry.opts.Peers {
 		if peer.Zone == h.entry.opts.Zone {
--- a/internal/entry/firstconfig_test.go
+++ b/internal/entry/firstconfig_test.go
@@ -41,7 +41,7 @@
 	}, nil
 }
 
-func serveReplica(t *testing.T, replica wire.Replica) string {
+func serveReplica(t testing.TB, replica wire.Replica) string {
 	server := httptest.NewServer(wire.NewReplicaServer(replica))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
