entry: ask all replicas at once when the leader is silent

Callers saw an older configuration for seconds after a newer one had been acknowledged, if the leader went silent with its connections open.

Cause: an entry asked one replica after the other, waited 1.2 s for each silent one, asked the known leader twice per pass, and never forgot it. Then it asked the entries of its zone one by one for up to 2 s, in which it asked no replica.

Change: the replica that confirmed last holds a call as before. If it fails or has not answered 0.2 s after the end of the poll, all others are asked concurrently while its call is pending, each in a goroutine of its own with at most one call pending, until one answers with a quorum's confirmation. They hold the calls until there is a leader, so that its answer comes without polling. Entries of the zone are asked in the same way, once a second. The first fetch uses the same code. The confirmed source is kept apart from the leader that draws use, which a follower's outdated hint may set to the silent leader again. With a leader that answers, no other replica is asked (TestHealthyLeaderIsAskedAlone). run() returns only when all calls have ended.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -95,16 +95,17 @@
 	// firstFetchDone is closed once the first fetch is over.
 	firstFetchDone chan struct{}
 	source         configSource
-	// replicaTimeout and peerTimeout bound one call to a replica, and asking
-	// the entries of the own zone.
+	// replicaTimeout and peerTimeout bound one call to a replica and one to
+	// another entry. The source is overdue after overdueAfter.
 	replicaTimeout time.Duration
 	peerTimeout    time.Duration
+	overdueAfter   time.Duration
 }
 
 func newConfigHolder(e *Entry) *configHolder {
 	h := &configHolder{
 		entry: e, view: state.NewView(), firstFetchDone: make(chan struct{}),
-		replicaTimeout: fetchTimeout, peerTimeout: peerTimeout,
+		replicaTimeout: fetchTimeout, peerTimeout: peerTimeout, overdueAfter: overdueAfter,
 	}
 	h.load()
 	e.opts.Registry.MustRegister(newGaugeFunc("config_unconfirmed_seconds",
--- a/internal/entry/configsource.go
+++ b/internal/entry/configsource.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -24,6 +25,10 @@
 // that a quorum confirms.
 var errUnconfirmed = errors.New("answered without a quorum's confirmation")
 
+// errOverdue is the failure of a source whose call is still pending after
+// overdueAfter.
+var errOverdue = fmt.Errorf("no answer within %s", overdueAfter)
+
 // noSource is the source's address before the first confirmation, and
 // errNoSource the failure of an entry that starts without one.
 const noSource = ""
@@ -43,6 +48,17 @@
 	confirmedAt time.Duration
 }
 
+// current returns the address of the source, or noSource if it failed or there
+// was none yet.
+func (s *configSource) current() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return noSource
+	}
+	return s.address
+}
+
 // sourceConfirmed records that a replica confirmed the configuration.
 func (h *configHolder) sourceConfirmed(address string) {
 	s := &h.source
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -16,7 +16,12 @@
 	// before a new configuration must be in force.
 	fetchWait    = 700 * time.Millisecond
 	fetchTimeout = 1200 * time.Millisecond
-	fetchRetry   = 200 * time.Millisecond
+	// overdueAfter is when an entry stops relying on the replica that confirmed
+	// last and asks the others as well. It exceeds fetchWait by overdueMargin,
+	// for the round trip and a busy processor.
+	overdueAfter  = fetchWait + overdueMargin
+	overdueMargin = 200 * time.Millisecond
+	fetchRetry    = 200 * time.Millisecond
 	// firstFetchRetry is the delay before a starting entry asks a replica
 	// again that did not answer: it may have started together with the entry
 	// and listen a moment later. A replica that answers without a leader's
@@ -24,10 +29,12 @@
 	// fetchRetry.
 	firstFetchRetry = 50 * time.Millisecond
 	// savedConfirmTimeout is how long an entry with a saved configuration
-	// waits for a quorum's confirmation, and peerTimeout bounds asking the
-	// entries of its own zone.
+	// waits for a quorum's confirmation.
 	savedConfirmTimeout = 2 * time.Second
-	peerTimeout         = 2 * time.Second
+	// peerTimeout bounds a call to another entry, and peerRetry is the delay
+	// between two calls to an entry of the own zone.
+	peerTimeout = 2 * time.Second
+	peerRetry   = time.Second
 	// confirmTimeout is how long an entry without a saved configuration waits
 	// for a quorum's confirmation.
 	confirmTimeout = 10 * time.Second
@@ -38,11 +45,7 @@
 func (h *configHolder) run(ctx context.Context) {
 	h.fetchFirst(ctx)
 	for ctx.Err() == nil {
-		if h.fetchFromReplicas(ctx) {
-			continue
-		}
-		h.fetchFromPeers(ctx)
-		wait(ctx, fetchRetry)
+		h.follow(ctx)
 	}
 }
 
@@ -55,55 +58,6 @@
 	}
 }
 
-// fetchFromReplicas asks the replicas for newer revisions, the leader first,
-// until one answers with a quorum's confirmation. Only the leader holds the
-// call until there is something new, and only a call to the leader
-// acknowledges the revision that this entry has. It reports whether a replica
-// confirmed.
-func (h *configHolder) fetchFromReplicas(ctx context.Context) bool {
-	addresses := h.entry.replicas.Addresses()
-	if leader := h.entry.replicas.Leader(); leader != "" {
-		addresses = append([]string{leader}, addresses...)
-	}
-	for _, address := range addresses {
-		response, err := h.fetchFromReplica(ctx, address, h.request(fetchWait))
-		if err != nil {
-			continue
-		}
-		h.apply(address, response)
-		h.entry.replicas.SetAddresses(response.Replicas)
-		if response.Confirmed {
-			h.entry.replicas.SetLeader(address)
-			return true
-		}
-		if response.Leader != "" && response.Leader != address {
-			h.entry.replicas.SetLeader(response.Leader)
-		}
-	}
-	return false
-}
-
-// fetchFromReplica makes one call to a replica and records its result.
-func (h *configHolder) fetchFromReplica(ctx context.Context, address string, request *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
-	call, cancel := context.WithTimeout(ctx, h.replicaTimeout)
-	defer cancel()
-	response, err := h.entry.replicas.Stub(address).FetchConfig(call, request)
-	if ctx.Err() != nil {
-		return response, err
-	}
-	h.entry.metrics.configFetches.WithLabelValues(fetchResult(response, err)).Inc()
-	switch {
-	case err != nil:
-		h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("fetching the configuration from a replica failed")
-		h.sourceFailed(address, err)
-	case response.Confirmed:
-		h.sourceConfirmed(address)
-	default:
-		h.sourceFailed(address, errUnconfirmed)
-	}
-	return response, err
-}
-
 // fetchFirst puts the first configuration in force. The revision that replicas
 // know may be older than the one this entry had in force before it restarted,
 // so without a saved copy it waits for a quorum's confirmation. In a zone that
@@ -122,94 +76,206 @@
 	close(h.firstFetchDone)
 }
 
-// firstFetch asks all replicas and entries for the first configuration in
-// parallel and repeatedly, so that one that does not answer does not delay the
-// others.
-type firstFetch struct {
-	holder *configHolder
-	stop   context.CancelFunc
-	group  sync.WaitGroup
-
-	mu    sync.Mutex
-	asked map[string]bool
-}
-
 // runFirstFetch fetches until a quorum has confirmed the configuration or the
 // timeout is over.
 func (h *configHolder) runFirstFetch(ctx context.Context, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	f := &firstFetch{holder: h, stop: cancel, asked: make(map[string]bool)}
-	f.askReplicas(ctx)
+	s := newSearch(h, cancel, firstFetchRetry, h.stage)
+	s.askReplicas(ctx)
 	for _, peer := range h.entry.opts.Peers {
-		f.group.Go(func() {
-			for ctx.Err() == nil {
-				h.fetchFromPeer(ctx, peer)
-				wait(ctx, fetchRetry)
-			}
-		})
+		s.askPeer(ctx, peer, fetchRetry)
 	}
-	f.group.Wait()
+	s.group.Wait()
 }
 
-// askReplicas starts asking the known replicas that are not being asked yet.
-func (f *firstFetch) askReplicas(ctx context.Context) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, address := range f.holder.entry.replicas.Addresses() {
-		if f.asked[address] {
-			continue
+// follow fetches until a replica answers with a quorum's confirmation. The
+// source holds its call until there is a newer revision, and its call also
+// acknowledges the revision that this entry has. If the source fails or is
+// overdue, all other replicas and the entries of the own zone are asked while
+// its call is still pending.
+func (h *configHolder) follow(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := newSearch(h, cancel, fetchRetry, h.apply)
+	if source := h.source.current(); source != noSource {
+		s.askSource(ctx, source)
+	}
+	if ctx.Err() == nil {
+		s.askZone(ctx)
+	}
+	for ctx.Err() == nil {
+		s.askReplicas(ctx)
+		wait(ctx, fetchRetry)
+	}
+	s.group.Wait()
+}
+
+// search asks replicas and entries for the configuration until a replica answers
+// with a quorum's confirmation. Each process is asked in a goroutine of its own,
+// so that one that does not answer delays no other, and has at most one call
+// pending.
+type search struct {
+	holder *configHolder
+	// stop ends the context of all calls.
+	stop context.CancelFunc
+	// retry is the interval at which a replica is asked whose calls fail.
+	retry time.Duration
+	// receive takes the deltas of a response.
+	receive func(from string, response *wire.FetchConfigResponse)
+	group   sync.WaitGroup
+
+	mu    sync.Mutex
+	asked map[string]bool
+}
+
+func newSearch(h *configHolder, stop context.CancelFunc, retry time.Duration, receive func(string, *wire.FetchConfigResponse)) *search {
+	return &search{holder: h, stop: stop, retry: retry, receive: receive, asked: make(map[string]bool)}
+}
+
+// askSource asks the replica that confirmed last. It returns when that replica
+// has answered or is overdue.
+func (s *search) askSource(ctx context.Context, address string) {
+	answered := make(chan struct{})
+	s.asked[address] = true
+	s.group.Go(func() {
+		request := s.holder.request(fetchWait)
+		response, err := s.holder.fetchFromReplica(ctx, address, request)
+		if err == nil {
+			s.accept(ctx, address, response)
 		}
-		f.asked[address] = true
-		f.group.Go(func() { f.askReplica(ctx, address) })
+		close(answered)
+		s.askUntilConfirmed(ctx, address)
+	})
+	timer := time.NewTimer(s.holder.overdueAfter)
+	defer timer.Stop()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	case <-timer.C:
+		s.holder.sourceFailed(address, errOverdue)
+		// Connections to the other replicas may have been silenced as well.
+		s.holder.entry.replicas.CloseIdleConnections()
 	}
 }
 
-// askReplica asks one replica until any replica has answered with a quorum's
-// confirmation. A replica that knows no leader holds the call until there is
-// one.
-func (f *firstFetch) askReplica(ctx context.Context, address string) {
-	h := f.holder
+// askReplicas starts asking the known replicas that are not being asked yet.
+func (s *search) askReplicas(ctx context.Context) {
+	for _, address := range s.holder.entry.replicas.Addresses() {
+		s.askReplica(ctx, address)
+	}
+}
+
+// askReplica starts asking a replica unless it is being asked.
+func (s *search) askReplica(ctx context.Context, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.asked[address] {
+		s.asked[address] = true
+		s.group.Go(func() { s.askUntilConfirmed(ctx, address) })
+	}
+}
+
+// askUntilConfirmed asks one replica until any replica has answered with a
+// quorum's confirmation. A replica that knows no leader holds the call until
+// there is one.
+func (s *search) askUntilConfirmed(ctx context.Context, address string) {
 	delay := firstFetchRetry
 	for ctx.Err() == nil {
-		request := h.request(fetchWait)
+		request := s.holder.request(fetchWait)
 		request.AwaitLeader = true
-		response, err := h.fetchFromReplica(ctx, address, request)
+		started := time.Now()
+		response, err := s.holder.fetchFromReplica(ctx, address, request)
 		if err != nil {
-			wait(ctx, firstFetchRetry)
+			wait(ctx, s.retry-time.Since(started))
 			continue
 		}
-		h.stage(address, response)
-		h.entry.replicas.SetAddresses(response.Replicas)
-		if response.Confirmed {
-			h.entry.replicas.SetLeader(address)
-			f.stop()
-			return
-		}
-		f.askReplicas(ctx)
+		s.accept(ctx, address, response)
 		wait(ctx, delay)
 		delay = min(2*delay, fetchRetry)
 	}
 }
 
-// fetchFromPeers asks the entries of its own zone when no replica answers.
-func (h *configHolder) fetchFromPeers(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, h.peerTimeout)
+// accept takes a replica's response and ends the search if a quorum confirmed
+// it. Otherwise it asks the replicas of which the response told.
+func (s *search) accept(ctx context.Context, address string, response *wire.FetchConfigResponse) {
+	s.receive(address, response)
+	if ctx.Err() != nil {
+		return
+	}
+	replicas := s.holder.entry.replicas
+	replicas.SetAddresses(response.Replicas)
+	if response.Confirmed {
+		replicas.SetLeader(address)
+		s.stop()
+		return
+	}
+	if response.Leader != "" {
+		s.askReplica(ctx, response.Leader)
+	}
+	s.askReplicas(ctx)
+}
+
+// askZone starts asking the entries of the own zone, unless a replica confirms
+// soon.
+func (s *search) askZone(ctx context.Context) {
+	s.group.Go(func() {
+		wait(ctx, fetchRetry)
+		if ctx.Err() != nil {
+			return
+		}
+		for _, peer := range s.holder.entry.opts.Peers {
+			if peer.Zone == s.holder.entry.opts.Zone {
+				s.askPeer(ctx, peer, peerRetry)
+			}
+		}
+	})
+}
+
+// askPeer starts asking another entry at intervals.
+func (s *search) askPeer(ctx context.Context, peer Peer, interval time.Duration) {
+	s.group.Go(func() {
+		for ctx.Err() == nil {
+			if response, err := s.holder.fetchFromPeer(ctx, peer); err == nil {
+				s.receive(peer.Address, response)
+			}
+			wait(ctx, interval)
+		}
+	})
+}
+
+// fetchFromReplica makes one call to a replica and records its result.
+func (h *configHolder) fetchFromReplica(ctx context.Context, address string, request *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	call, cancel := context.WithTimeout(ctx, h.replicaTimeout)
 	defer cancel()
-	for _, peer := range h.entry.opts.Peers {
-		if peer.Zone == h.entry.opts.Zone {
-			h.fetchFromPeer(call, peer)
+	started := time.Now()
+	response, err := h.entry.replicas.Stub(address).FetchConfig(call, request)
+	if ctx.Err() != nil {
+		if err != nil && time.Since(started) >= h.overdueAfter {
+			h.entry.metrics.configFetches.WithLabelValues(fetchTimedOut).Inc()
 		}
+		return response, err
 	}
-	h.publish()
+	h.entry.metrics.configFetches.WithLabelValues(fetchResult(response, err)).Inc()
+	switch {
+	case err != nil:
+		h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("fetching the configuration from a replica failed")
+		h.sourceFailed(address, err)
+	case response.Confirmed:
+		h.sourceConfirmed(address)
+	default:
+		h.sourceFailed(address, errUnconfirmed)
+	}
+	return response, err
 }
 
-func (h *configHolder) fetchFromPeer(ctx context.Context, peer Peer) {
+func (h *configHolder) fetchFromPeer(ctx context.Context, peer Peer) (*wire.FetchConfigResponse, error) {
+	call, cancel := context.WithTimeout(ctx, h.peerTimeout)
+	defer cancel()
 	stub := wire.NewPeerProtobufClient("http://"+peer.Address, h.entry.opts.Client)
-	response, err := stub.Config(ctx, h.request(0))
+	response, err := stub.Config(call, h.request(0))
 	if err != nil {
 		h.entry.logger.Debug().Str("step", "fetch config").Err(rpc.Wrap("fetch config", peer.Address, err)).Msg("fetching the configuration from another entry failed")
-		return
 	}
-	h.stage(peer.Address, response)
+	return response, err
 }
--- a/internal/entry/silentleader_test.go
+++ b/internal/entry/silentleader_test.go
@@ -135,6 +135,41 @@
 	}
 }
 
+// An entry whose leader answers asks no other replica.
+func TestHealthyLeaderIsAskedAlone(t *testing.T) {
+	const revisions = 30
+	leader := &scriptedReplica{answer: func(req *wire.FetchConfigRequest) *wire.FetchConfigResponse {
+		if req.HaveRevision == revisions {
+			return nil
+		}
+		return revisionResponse(req.HaveRevision+1, true)
+	}}
+	other := &scriptedReplica{answer: func(*wire.FetchConfigRequest) *wire.FetchConfigResponse { return &wire.FetchConfigResponse{} }}
+	e := newStartingEntry(rpc.NewClient(""), serveReplica(t, other), serveReplica(t, leader))
+	e.config.replicaTimeout, e.config.overdueAfter = unlimited, unlimited
+	follow(t, e)
+	awaitRevision(t, e, revisions)
+	if calls := other.later.Load(); calls != 0 {
+		t.Errorf("the replica that does not lead was asked %d times, want none", calls)
+	}
+	if calls := leader.later.Load(); calls > revisions {
+		t.Errorf("the leader was asked %d times for %d revisions", calls, revisions)
+	}
+}
+
+// A response of a former leader that arrives after one of the next leader does
+// not move the configuration back, whether it is confirmed or not.
+func TestLateResponseMovesNothingBack(t *testing.T) {
+	e := newStartingEntry(rpc.NewClient(""))
+	e.config.apply("next", revisionResponse(2, true))
+	for _, confirmed := range []bool{false, true} {
+		e.config.apply("former", revisionResponse(1, confirmed))
+		if config := e.config.inForce(); config.revision != 2 || e.config.state().Revision != 2 {
+			t.Errorf("after a late response with revision 1: revision %d is in force and %d known, want 2", config.revision, e.config.state().Revision)
+		}
+	}
+}
+
 // silentPeer is an entry that answers no call.
 type silentPeer struct {
 	wire.Peer
--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -94,6 +94,9 @@
 	return stub
 }
 
+// CloseIdleConnections makes the next calls use new connections.
+func (r *Replicas) CloseIdleConnections() { r.client.http.CloseIdleConnections() }
+
 // Leader returns the address that is called first, or "".
 func (r *Replicas) Leader() string {
 	r.mu.Lock()
