rpc: send a call to all replicas if the leader is overdue

A put or read of a document, or a draw of units, spent 0.6 s on each silent replica in turn, out of a budget of 0.9 s to 3 s. A follower's outdated hint put the silent leader in front again, and with two silent addresses at the front of the list a draw (0.9 s) never got to the leader.

Call now sends the call to the other replicas if the leader has not answered within 0.2 s or fails; each has at most one call pending. As before, only a leader executes the call and the others refuse at once; calls are idempotent by contract, and a call that timed out was already sent to the next replica while the first might still execute it. A leader that answers is called alone (TestHealthyLeaderIsCalledAlone).

Not changed: commits of reservations and outcomes, changes of the fleet configuration, and joins. They use CallInTurn, the former code: commits are large, and each replica parses a whole configuration before it refuses the change. GetConfig guards the answer that its calls share.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -65,7 +66,7 @@
 		ConfigJson:   req.ConfigJson,
 		WaitMs:       wait.Milliseconds(),
 	}
-	response, err := rpc.Call(ctx, s.Replicas, "change config", func(ctx context.Context, stub wire.Replica) (*wire.ChangeConfigResponse, error) {
+	response, err := rpc.CallInTurn(ctx, s.Replicas, "change config", func(ctx context.Context, stub wire.Replica) (*wire.ChangeConfigResponse, error) {
 		return stub.ChangeConfig(ctx, part)
 	})
 	if ctx.Err() != nil {
@@ -79,15 +80,20 @@
 func (s *Service) GetConfig(ctx context.Context, _ *wire.GetConfigRequest) (*wire.GetConfigResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	var mu sync.Mutex
 	var unconfirmed *wire.FetchConfigResponse
 	response, err := rpc.Call(ctx, s.Replicas, "get config", func(ctx context.Context, stub wire.Replica) (*wire.FetchConfigResponse, error) {
 		answer, err := stub.FetchConfig(ctx, &wire.FetchConfigRequest{})
 		if err == nil && !answer.Confirmed {
+			mu.Lock()
 			unconfirmed = answer
+			mu.Unlock()
 			err = rpc.NotLeader("")
 		}
 		return answer, err
 	})
+	mu.Lock()
+	defer mu.Unlock()
 	if err != nil && unconfirmed == nil {
 		return nil, twirp.NewError(twirp.Unavailable, "no replica answered: "+err.Error())
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -137,7 +137,7 @@
 		Zone:    self.Zone,
 		Address: self.Address,
 	}
-	_, err := rpc.Call(callCtx, replicas, "join", func(ctx context.Context, stub wire.Replica) (*wire.JoinResponse, error) {
+	_, err := rpc.CallInTurn(callCtx, replicas, "join", func(ctx context.Context, stub wire.Replica) (*wire.JoinResponse, error) {
 		return stub.Join(ctx, request)
 	})
 	if err != nil {
--- a/internal/rpc/batch.go
+++ b/internal/rpc/batch.go
@@ -140,7 +140,7 @@
 	}
 	ctx, cancel := context.WithTimeout(b.ctx, batchTimeout)
 	defer cancel()
-	response, err := Call(ctx, b.replicas, "commit", func(ctx context.Context, stub wire.Replica) (*wire.CommitResponse, error) {
+	response, err := CallInTurn(ctx, b.replicas, "commit", func(ctx context.Context, stub wire.Replica) (*wire.CommitResponse, error) {
 		return stub.Commit(ctx, request)
 	})
 	if err == nil && len(response.Results) != len(items) {
--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -16,7 +16,11 @@
 // within the one second that operators wait.
 const callTimeout = 600 * time.Millisecond
 
-// leaderRetryDelay is the delay between two rounds of calls to the replicas.
+// overdueAfter is when a call that the leader has not answered is also sent to the
+// other replicas. It exceeds the time of a commit.
+const overdueAfter = 200 * time.Millisecond
+
+// leaderRetryDelay is the delay before a replica that failed is called again.
 const leaderRetryDelay = 50 * time.Millisecond
 
 // ErrNoLeader is returned by Call if the context ends before any replica could be
@@ -33,6 +37,11 @@
 	addresses []string
 	stubs     map[string]wire.Replica
 	leader    string
+	// callTimeout bounds one call to one replica.
+	callTimeout time.Duration
+	// overdueAfter is how long the others are not called while the leader has
+	// not answered.
+	overdueAfter time.Duration
 }
 
 // NewReplicas returns Replicas that start with the given addresses as seeds.
@@ -42,6 +51,8 @@
 		seeds:     slices.Clone(addresses),
 		addresses: slices.Clone(addresses),
 		stubs:     make(map[string]wire.Replica),
+
+		callTimeout: callTimeout, overdueAfter: overdueAfter,
 	}
 }
 
@@ -140,8 +151,110 @@
 // Call makes a call to the leader. It looks for the leader until the context
 // ends. A call with an unknown outcome is repeated, so the call must be
 // idempotent. Each attempt is limited to callTimeout, because a paused process
-// still accepts connections but does not answer.
+// still accepts connections but does not answer. If the replica that is believed to
+// lead has not answered after overdueAfter, the call is also sent to all others
+// while the first one is pending, so it should be small and cheap to refuse.
 func Call[Response any](ctx context.Context, r *Replicas, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &search[Response]{replicas: r, call: call, called: make(map[string]bool), attempts: make(chan attempt[Response]), over: make(chan struct{})}
+	defer close(s.over)
+	if candidates := r.candidates(); len(candidates) > 0 {
+		s.start(ctx, candidates[0])
+	}
+	overdue := time.NewTimer(r.overdueAfter)
+	defer overdue.Stop()
+	lastErr := ErrNoLeader
+	for {
+		select {
+		case a := <-s.attempts:
+			if a.err == nil {
+				r.SetLeader(a.address)
+				return a.response, nil
+			}
+			lastErr = Wrap(step, a.address, a.err)
+			r.forgetLeader(a.address)
+			if isPermanent(a.err) {
+				return a.response, lastErr
+			}
+			s.widen(ctx, a.hint)
+		case <-overdue.C:
+			s.startAll(ctx)
+			// Other calls may learn of further replicas.
+			overdue.Reset(leaderRetryDelay)
+		case <-ctx.Done():
+			if len(s.called) > 0 && errors.Is(lastErr, ErrNoLeader) {
+				a := <-s.attempts
+				return a.response, Wrap(step, a.address, a.err)
+			}
+			var zero Response
+			return zero, lastErr
+		}
+	}
+}
+
+// search is one call that several replicas may get at the same time.
+type search[Response any] struct {
+	replicas *Replicas
+	call     func(context.Context, wire.Replica) (Response, error)
+	// called holds the addresses that are being called.
+	called   map[string]bool
+	attempts chan attempt[Response]
+	// over is closed when Call returns.
+	over chan struct{}
+}
+
+// attempt is the result of one call to one replica.
+type attempt[Response any] struct {
+	address  string
+	response Response
+	// hint is the leader's address if the replica does not lead and knows it.
+	hint string
+	err  error
+}
+
+// widen calls further replicas after one has failed: the leader that it named,
+// or all if that one is being called.
+func (s *search[Response]) widen(ctx context.Context, hint string) {
+	if hint != "" && !s.called[hint] {
+		s.replicas.SetLeader(hint)
+		s.start(ctx, hint)
+		return
+	}
+	s.startAll(ctx)
+}
+
+func (s *search[Response]) startAll(ctx context.Context) {
+	for _, address := range s.replicas.candidates() {
+		s.start(ctx, address)
+	}
+}
+
+// start begins to call a replica, until the search is over, with at most one call
+// pending.
+func (s *search[Response]) start(ctx context.Context, address string) {
+	if s.called[address] {
+		return
+	}
+	s.called[address] = true
+	go func() {
+		for {
+			response, hint, err := callOnce(ctx, s.replicas, address, s.call)
+			select {
+			case s.attempts <- attempt[Response]{address, response, hint, err}:
+			case <-s.over:
+				return
+			}
+			if pause(ctx, leaderRetryDelay) != nil {
+				return
+			}
+		}
+	}()
+}
+
+// CallInTurn is Call for calls that are large or costly to refuse: it calls one
+// replica after the other, each for at most callTimeout.
+func CallInTurn[Response any](ctx context.Context, r *Replicas, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
 	var lastErr error = ErrNoLeader
 	for {
 		for _, address := range r.candidates() {
@@ -180,7 +293,7 @@
 // callOnce makes the call to one address. If that replica is not the leader, it
 // also returns the leader's address, if the replica knows it.
 func callOnce[Response any](ctx context.Context, r *Replicas, address string, call func(context.Context, wire.Replica) (Response, error)) (Response, string, error) {
-	attemptCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	attemptCtx, cancel := context.WithTimeout(ctx, r.callTimeout)
 	defer cancel()
 	response, err := call(attemptCtx, r.Stub(address))
 	if err == nil {
