rpc: wait longer before each further call to the same replica

While there is no leader, each replica refuses a call at once and got it again every 50 ms from every entry. The delay now doubles within one call up to 200 ms, so that the surviving replicas are not asked more often than needed while they elect a leader.

--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -20,8 +20,13 @@
 // other replicas. It exceeds the time of a commit.
 const overdueAfter = 200 * time.Millisecond
 
-// leaderRetryDelay is the delay before a replica that failed is called again.
-const leaderRetryDelay = 50 * time.Millisecond
+// leaderRetryDelay is the delay before a replica that failed is called again. In
+// one call it doubles with each failure up to maxLeaderRetryDelay, so that the
+// calls of many entries don't slow down an election.
+const (
+	leaderRetryDelay    = 50 * time.Millisecond
+	maxLeaderRetryDelay = 200 * time.Millisecond
+)
 
 // ErrNoLeader is returned by Call if the context ends before any replica could be
 // called, because no address is known.
@@ -238,14 +243,14 @@
 	}
 	s.called[address] = true
 	go func() {
-		for {
+		for delay := leaderRetryDelay; ; delay = min(2*delay, maxLeaderRetryDelay) {
 			response, hint, err := callOnce(ctx, s.replicas, address, s.call)
 			select {
 			case s.attempts <- attempt[Response]{address, response, hint, err}:
 			case <-s.over:
 				return
 			}
-			if pause(ctx, leaderRetryDelay) != nil {
+			if pause(ctx, delay) != nil {
 				return
 			}
 		}
