A stopping leader resigns before its listener for peers closes

Cause: stop hooks run in reverse order. The listener for peers closed first and waited for the long polls that were open there. Meanwhile the voters' replies could not arrive, so that the leader stepped down after 600 ms for lack of a quorum, and ended without resigning; the other voters still heard from it until then and waited for a timeout. The replica's own stop resigned only afterwards, with 100 ms for the message to be sent.

Change: PrepareStop runs before the listener closes. The leader resigns, which ends the calls that are held at it, and waits until it knows a leader of a later term, at most 3 s. A node that resigns in order to stop follows and votes, but never campaigns and drops its own campaign (Resign.Stopping). Fetches that wait for a leader end with the error for a replica that does not lead. Waits for the zones of a change end when the replica no longer leads. Calls to a loop that has ended return an error instead of blocking.

In a process with an entry, the replica resigns at the start of the drain, because a reclaim may end the process before the drain is over. Until the drain ends it campaigns later than the other voters (Resign.Leaving), so that requests in flight still find a leader if all processes of a deployment drain at once. A sole voter leads until the stop.

Proposals in flight keep their answers: in doubt if they were appended, not the leader if they were not. The successor's message arrives only if the resignation arrived, or after an election timeout; both are within the wait, so the fixed 100 ms are gone.

The messages between replicas are unchanged, and so are the models in spec/.

--- a/internal/core/replication/election.go
+++ b/internal/core/replication/election.go
@@ -214,6 +214,17 @@
 	}
 }
 
+// handleResign steps down if the node leads, and ends its own campaign if it may
+// not campaign any more.
+func (n *Node) handleResign(r Resign) {
+	n.leaving = n.leaving || r.Leaving
+	n.stopping = n.stopping || r.Stopping
+	n.resign()
+	if n.stopping && n.role != RoleFollower {
+		n.becomeFollower(n.term, NodeID{})
+	}
+}
+
 // resign gives up the lease and steps down. The lease of this term is never
 // resumed, so the other voters need not wait for it to expire.
 func (n *Node) resign() {
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -38,8 +38,10 @@
 	electionAt time.Duration
 	// votes holds the nodes that granted their vote in the current election.
 	votes map[NodeID]bool
-	// leaving is true once the node received its own Leave.
-	leaving bool
+	// leaving is true once the node received its own Leave or a Resign that says
+	// so, and stopping once it received a Resign that says so.
+	leaving  bool
+	stopping bool
 
 	// leaderState is set only while the node is the leader.
 	leaderState *leadership
@@ -180,7 +182,7 @@
 	case Leave:
 		n.leave(ev)
 	case Resign:
-		n.resign()
+		n.handleResign(ev)
 	case Read:
 		n.read(ev.Token)
 	case Applied:
@@ -226,7 +228,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.electionAt && n.isVoter() {
+	if n.now >= n.electionAt && n.isVoter() && !n.stopping {
 		n.preCampaign()
 	}
 }
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -173,8 +173,15 @@
 }
 
 // Resign makes a leader give up its lease and step down at once. The other
-// voters can elect a leader without waiting for a timeout.
-type Resign struct{}
+// voters can elect a leader without waiting for a timeout. A node that does not
+// lead only takes over the fields.
+type Resign struct {
+	// Leaving makes the node campaign later than the other voters from now on.
+	Leaving bool
+	// Stopping makes the node never campaign again. It still follows and votes, so
+	// that another voter can be elected.
+	Stopping bool
+}
 
 // Read requests an index at which a read of the state machine is linearizable.
 type Read struct{ Token uint64 }
--- a/internal/process/hosted.go
+++ b/internal/process/hosted.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"time"
 
 	"waxwingcart/internal/entry"
@@ -156,10 +157,16 @@
 }
 
 // drainEntry returns the stop hook that drains the entry. It runs before anything
-// that the entry depends on is stopped.
+// that the entry depends on is stopped. The process's replica, if any, resigns the
+// leadership meanwhile, because the process may be ended before the drain is over.
 func drainEntry(p components) func(context.Context) error {
 	return func(ctx context.Context) error {
+		var resigned sync.WaitGroup
+		if p.Replica != nil {
+			resigned.Go(func() { p.Replica.PrepareDrain(ctx) })
+		}
 		p.Entry.Drain(ctx, drainTimeout(p.Process))
+		resigned.Wait()
 		return nil
 	}
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -224,12 +224,16 @@
 }
 
 // serve adds the servers for the process's addresses. The stop hooks run in
-// reverse order: the entry drains before the listener for peers closes.
+// reverse order: the entry drains first, and the replica resigns before
+// the listener for peers closes, because the other voters need this replica's answers.
 func serve(p components) error {
 	limitMemory(p.Process)
 	serveHosted(p)
 	serveHTTP(p, "admin", p.Process.Listen.Admin, adminHandler(p), nil)
 	serveHTTP(p, "peers", p.Process.Listen.Peers, peersHandler(p), nil)
+	if p.Replica != nil {
+		p.Lifecycle.Append(fx.Hook{OnStop: p.Replica.PrepareStop})
+	}
 	if p.Entry == nil {
 		return nil
 	}
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -24,6 +24,12 @@
 // startReplicas starts replicas that communicate over loopback, waits until all
 // of them vote, and returns the leader.
 func startReplicas(tb testing.TB, count int) *Replica {
+	tb.Helper()
+	return startVoters(tb, count)[0]
+}
+
+// startVoters is startReplicas, but returns all replicas, the leader first.
+func startVoters(tb testing.TB, count int) []*Replica {
 	tb.Helper()
 	listeners := make([]net.Listener, count)
 	peers := make([]Peer, count)
@@ -42,7 +48,7 @@
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		status := replicas[0].status()
 		if status.Lease.Valid && len(status.Membership.Voters) == count {
-			return replicas[0]
+			return replicas
 		}
 	}
 	tb.Fatal("the first replica did not become the leader with all replicas as voters")
@@ -73,7 +79,10 @@
 	go func() { _ = server.Serve(listener) }()
 	r.Start()
 	tb.Cleanup(func() {
-		_ = r.Stop(context.Background())
+		// No replica waits for a successor, as all of them stop.
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = r.Stop(ctx)
 		_ = server.Close()
 	})
 	return r
--- a/internal/replica/commit.go
+++ b/internal/replica/commit.go
@@ -78,6 +78,8 @@
 		return nil
 	case <-ctx.Done():
 		return twirp.NewError(twirp.ResourceExhausted, "replica is overloaded")
+	case <-s.replica.runCtx.Done():
+		return twirp.NewError(twirp.Unavailable, "replica stops")
 	}
 }
 
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -53,6 +53,8 @@
 	case r.inbox <- t:
 	case <-ctx.Done():
 		return result{}, twirp.NewError(twirp.ResourceExhausted, "replica is overloaded")
+	case <-r.runCtx.Done():
+		return result{}, twirp.NewError(twirp.Unavailable, "replica stops")
 	}
 	select {
 	case outcome := <-done:
@@ -97,6 +99,8 @@
 	case r.inbox <- t:
 	case <-ctx.Done():
 		return ctx.Err()
+	case <-r.runCtx.Done():
+		return twirp.NewError(twirp.Unavailable, "replica stops")
 	}
 	select {
 	case <-done:
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -92,12 +92,15 @@
 	savedSnapshots chan replication.Snapshot
 	fatal          chan error
 	stop           context.CancelFunc
-	wg             sync.WaitGroup
-	acks           *acks
-	orders         *orderRunner
-	planning       *planning
-	limits         *limits
-	duties         *duties
+	// stopping is closed once PrepareStop was called.
+	stopping chan struct{}
+	stopOnce sync.Once
+	wg       sync.WaitGroup
+	acks     *acks
+	orders   *orderRunner
+	planning *planning
+	limits   *limits
+	duties   *duties
 
 	// The fields below, up to mu, are used by the event loop alone, except for
 	// runCtx.
@@ -153,6 +156,7 @@
 		persisted:       make(chan uint64, writeQueueLength+1),
 		savedSnapshots:  make(chan replication.Snapshot, 1),
 		fatal:           make(chan error, 2),
+		stopping:        make(chan struct{}),
 		acks:            newAcks(),
 		machine:         state.New(state.Options{}),
 		waiting:         make(map[uint64]waiter),
@@ -292,9 +296,10 @@
 	}
 }
 
-// Stop resigns the leadership, stops the replica and closes its storage.
+// Stop stops the replica and closes its storage. It calls PrepareStop first, which
+// does nothing if that was done before.
 func (r *Replica) Stop(ctx context.Context) error {
-	r.resign(ctx)
+	_ = r.PrepareStop(ctx)
 	r.stop()
 	r.wg.Wait()
 	if err := r.log.Close(); err != nil {
@@ -303,20 +308,6 @@
 	return nil
 }
 
-// resignGrace is how long Stop waits for a resigning leader to send its message.
-const resignGrace = 100 * time.Millisecond
-
-func (r *Replica) resign(ctx context.Context) {
-	if r.status().Role != replication.RoleLeader {
-		return
-	}
-	r.inbox <- task{event: replication.Resign{}}
-	select {
-	case <-ctx.Done():
-	case <-time.After(resignGrace):
-	}
-}
-
 // now returns the monotonic time since the replica was created. It advances
 // while the process is paused, so that a resumed process sees that its lease
 // has expired.
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -10,6 +10,7 @@
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
+	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
 
@@ -39,6 +40,8 @@
 		case s.replica.inbox <- task{event: replication.Receive{Message: message}}:
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.ResourceExhausted, "replica is overloaded")
+		case <-s.replica.runCtx.Done():
+			return nil, twirp.NewError(twirp.Unavailable, "replica stops")
 		}
 	}
 	return &wire.DeliverResponse{}, nil
@@ -106,7 +109,9 @@
 }
 
 // awaitZones sets the zones in which the response's revision is in force and
-// those in which it is pending. It waits for all zones, but not longer than wait.
+// those in which it is pending. It waits for all zones, but not longer than wait,
+// and no longer than this replica leads, as entries acknowledge revisions to the
+// leader.
 func (s *Service) awaitZones(ctx context.Context, response *wire.ChangeConfigResponse, wait time.Duration) {
 	var zones []string
 	if err := s.replica.runInLoop(ctx, func() { zones = s.replica.machine.Zones() }); err != nil {
@@ -115,13 +120,15 @@
 	timer := time.NewTimer(min(wait, maxChangeWait))
 	defer timer.Stop()
 	for {
+		signals := s.replica.signals()
 		inForce, pending, changed := s.replica.acks.zones(zones, response.Revision, time.Now())
 		response.ZonesInForce, response.ZonesPending = inForce, pending
-		if len(pending) == 0 {
+		if len(pending) == 0 || s.replica.status().Role != replication.RoleLeader {
 			return
 		}
 		select {
 		case <-changed:
+		case <-signals.roleUpdated:
 		case <-timer.C:
 			return
 		case <-ctx.Done():
@@ -156,6 +163,8 @@
 			return response, nil
 		case <-ctx.Done():
 			return response, nil
+		case <-s.replica.stopping:
+			return nil, rpc.NotLeader(s.replica.leaderAddress())
 		case <-s.replica.runCtx.Done():
 			return nil, twirp.NewError(twirp.Unavailable, "replica stops")
 		}
