Leases are measured by a clock that counts suspensions

Cause: a replica measured time with time.Since, which reads CLOCK_MONOTONIC. On Linux that clock stands still while the VM is suspended. A leader that wakes up takes its lease to be valid, confirms reads, grants units and holds duties from the past, although another replica leads and has committed newer revisions.

Change: Options.Clock, by default internal/bootclock, which reads CLOCK_BOOTTIME through golang.org/x/sys/unix (so far an indirect dependency). A hypervisor that stops all clocks of a VM is not covered.

Checked: the lease's end is compared with the time after waking in Draw, syncTerm, holder and withDeadline; the loop reads the time for each step, after the call that it handles has arrived. The limit of a call to the platform or a backend server is a runtime timer, which does not count a suspension; such a call can arrive late and is refused there by its fencing number.

--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -30,6 +30,18 @@
 
 // startVoters is startReplicas, but returns all replicas, the leader first.
 func startVoters(tb testing.TB, count int) []*Replica {
+	tb.Helper()
+	peers, listeners := newPeers(tb, count)
+	replicas := make([]*Replica, count)
+	for i := range count {
+		replicas[i], _ = serveReplica(tb, replicaOptions(tb, peers, i), listeners[i])
+	}
+	awaitVoters(tb, replicas[0], count)
+	return replicas
+}
+
+// newPeers returns peers with a listener for each.
+func newPeers(tb testing.TB, count int) ([]Peer, []net.Listener) {
 	tb.Helper()
 	listeners := make([]net.Listener, count)
 	peers := make([]Peer, count)
@@ -41,22 +53,24 @@
 		listeners[i] = listener
 		peers[i] = Peer{VM: fmt.Sprintf("r%d", i), Zone: fmt.Sprintf("z%d", i), Address: listener.Addr().String()}
 	}
-	replicas := make([]*Replica, count)
-	for i := range count {
-		replicas[i] = startReplica(tb, peers, i, listeners[i])
-	}
+	return peers, listeners
+}
+
+// awaitVoters waits until a replica leads with a number of voters.
+func awaitVoters(tb testing.TB, r *Replica, count int) {
+	tb.Helper()
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		status := replicas[0].status()
+		status := r.status()
 		if status.Lease.Valid && len(status.Membership.Voters) == count {
-			return replicas
+			return
 		}
 	}
 	tb.Fatal("the first replica did not become the leader with all replicas as voters")
-	return nil
 }
 
-func startReplica(tb testing.TB, peers []Peer, i int, listener net.Listener) *Replica {
-	tb.Helper()
+// replicaOptions returns the options of one of the peers. The first one starts the
+// log.
+func replicaOptions(tb testing.TB, peers []Peer, i int) Options {
 	opts := Options{
 		Self:      peers[i],
 		DataDir:   tb.TempDir(),
@@ -70,6 +84,12 @@
 			opts.Peers = append(opts.Peers, peer)
 		}
 	}
+	return opts
+}
+
+// serveReplica starts a replica and serves its peers until the test ends.
+func serveReplica(tb testing.TB, opts Options, listener net.Listener) (*Replica, *http.Server) {
+	tb.Helper()
 	r, err := New(opts)
 	if err != nil {
 		tb.Fatal(err)
@@ -85,7 +105,7 @@
 		_ = r.Stop(ctx)
 		_ = server.Close()
 	})
-	return r
+	return r, server
 }
 
 // measureSyncRate returns how many records per second can be appended to a file
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"waxwingcart/internal/bootclock"
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
@@ -73,6 +74,9 @@
 	Client   *rpc.Client
 	Logger   *log.Logger
 	Registry *prometheus.Registry
+	// Clock returns the time since an arbitrary moment. It must also advance while
+	// the VM is suspended; nil selects bootclock.Now.
+	Clock func() time.Duration
 	// Fail is called once if the replica stops because of an error.
 	Fail func(error)
 }
@@ -83,7 +87,8 @@
 	logger  *log.Logger
 	metrics *metrics
 	log     *storage.Log
-	started time.Time
+	// started is the time of the clock at which the replica was created.
+	started time.Duration
 
 	inbox          chan task
 	writes         chan *replication.Persist
@@ -139,6 +144,9 @@
 
 // New opens the data directory and returns a replica that is not running yet.
 func New(opts Options) (*Replica, error) {
+	if opts.Clock == nil {
+		opts.Clock = bootclock.Now
+	}
 	dir := filepath.Join(opts.DataDir, "replica")
 	store, err := storage.Open(dir, storage.Options{})
 	if err != nil {
@@ -149,7 +157,7 @@
 		logger:          opts.Logger,
 		metrics:         newMetrics(opts.Registry),
 		log:             store,
-		started:         time.Now(),
+		started:         opts.Clock(),
 		inbox:           make(chan task, inboxLength),
 		writes:          make(chan *replication.Persist, writeQueueLength),
 		snapshots:       make(chan *snapshotJob, 1),
@@ -309,10 +317,10 @@
 }
 
 // now returns the monotonic time since the replica was created. It advances
-// while the process is paused, so that a resumed process sees that its lease
-// has expired.
+// while the process is paused or its VM is suspended, so that a resumed process
+// sees that its lease has expired.
 func (r *Replica) now() time.Duration {
-	return time.Since(r.started)
+	return r.opts.Clock() - r.started
 }
 
 // publish copies the loop's state to the view and the metrics.
--- a/internal/replica/resign_test.go
+++ b/internal/replica/resign_test.go
@@ -104,7 +104,7 @@
 	}
 	// The peer's address has no listener, so that no log is started.
 	peers := []Peer{{Address: "127.0.0.1:1"}, {VM: "r1", Zone: "z1", Address: listener.Addr().String()}}
-	r := startReplica(t, peers, 1, listener)
+	r, _ := serveReplica(t, replicaOptions(t, peers, 1), listener)
 	held := make(chan error)
 	go func() {
 		_, err := r.Service().FetchConfig(context.Background(), &wire.FetchConfigRequest{AwaitLeader: true, WaitMs: 20_000})
