A held fetch is confirmed again at the end of its wait

Cause: FetchConfig had a quorum confirm the revision once, held the call for up to req.WaitMs and returned that answer, still marked as confirmed, when the wait was over. The entry takes it as confirmed at that moment. A leader that lost its lease during the wait, by a suspension of its VM or because it can't reach the others, thus confirmed an older revision for as long as its role had not changed.

Change: the wait ends with another fetch, which is confirmed or not as of then.

--- a/internal/replica/clock_test.go
+++ b/internal/replica/clock_test.go
@@ -83,6 +83,25 @@
 	return response.Confirmed
 }
 
+// holdFetch starts a fetch that a leader holds, and returns whether it was confirmed once
+// it has ended.
+func holdFetch(t *testing.T, r *Replica) <-chan bool {
+	t.Helper()
+	var revision uint64
+	_ = r.runInLoop(context.Background(), func() { revision = r.machine.Revision() })
+	confirmed := make(chan bool, 1)
+	go func() {
+		response, err := r.Service().FetchConfig(context.Background(), &wire.FetchConfigRequest{HaveRevision: revision, WaitMs: 1000, Process: "held"})
+		confirmed <- err == nil && response.Confirmed
+	}()
+	for _, arrived := r.acks.state(time.Now())["held"]; !arrived; _, arrived = r.acks.state(time.Now())["held"] {
+		time.Sleep(time.Millisecond)
+	}
+	// Meanwhile the fetch gets its first confirmation.
+	confirms(t, r)
+	return confirmed
+}
+
 // grants reports whether a replica grants units to an entry.
 func grants(r *Replica) bool {
 	_, err := r.Service().Draw(context.Background(), &wire.DrawRequest{Process: "e1"})
@@ -111,6 +130,7 @@
 	if !confirms(t, suspended) || !grants(suspended) || !holdsDuties(suspended) {
 		t.Fatal("with a clock that stands still the replica does not act as leader, so that the test shows nothing")
 	}
+	held := holdFetch(t, suspended)
 	clock.advance(left)
 	if grants(suspended) {
 		t.Error("the leader granted units after its lease")
@@ -121,6 +141,9 @@
 	if confirms(t, suspended) {
 		t.Error("the leader confirmed a read after its lease")
 	}
+	if <-held {
+		t.Error("a fetch that was held meanwhile was answered with the confirmation from before")
+	}
 	clock.advance(10 * electionTimeout)
 	if confirms(t, suspended) || grants(suspended) || holdsDuties(suspended) {
 		t.Error("a replica that was suspended for long acts as leader")
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -160,9 +160,11 @@
 		case <-signals.roleUpdated:
 		case <-signals.revisionUpdated:
 		case <-timer.C:
-			return response, nil
+			// The confirmation is from before the wait, in which the VM may have been
+			// suspended.
+			return s.fetch(ctx, req.HaveRevision)
 		case <-ctx.Done():
-			return response, nil
+			return nil, ctx.Err()
 		case <-s.replica.stopping:
 			return nil, rpc.NotLeader(s.replica.leaderAddress())
 		case <-s.replica.runCtx.Done():
