--- a/internal/e2e/calls_test.go
+++ b/internal/e2e/calls_test.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return d, err
 	}
-	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	req.Header.Set("Authorization", "Bearer "+c.operatorKey)
 	client := http.Client{Timeout: 2 * time.Second}
 	response, err := client.Do(req)
 	if err != nil {
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -91,6 +91,9 @@
 	vms     map[string]*vm
 	servers map[string]string
 	fleet   fleet.Config
+	// operatorKey is the key for the admin addresses, empty if the processes need
+	// none.
+	operatorKey string
 }
 
 var zones = []string{"kochi-a", "kochi-b", "tvm"}
@@ -100,7 +103,7 @@
 // configuration as revision 1 and waits until all entries are ready.
 func newCluster(t *testing.T, replicas, entries int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), vms: make(map[string]*vm), servers: make(map[string]string)}
+	c := &cluster{t: t, dir: t.TempDir(), vms: make(map[string]*vm), servers: make(map[string]string), operatorKey: operatorKey}
 	c.writeFile("peer.key", peerKey)
 	c.writeFile("operator.key", operatorKey)
 	for i := range replicas {
