Entries measure time by a clock that counts suspensions

Cause: as with the replicas, an entry's time stood still while its VM was suspended. After it, the entry took the list of backend servers for fresh and its last grant of units for current, up to 2.5 s and 3 s longer than they are.

Change: Entry.now reads internal/bootclock. Timers of the runtime (timeouts of calls, the interval between two draws) still do not count a suspension.

The cost per request was not measured.

--- a/internal/entry/broadcast_test.go
+++ b/internal/entry/broadcast_test.go
@@ -6,13 +6,14 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"waxwingcart/internal/bootclock"
 	"waxwingcart/internal/core/dissemination"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/wire"
 )
 
 func newBroadcastEntry(secret string) *Entry {
-	e := &Entry{opts: Options{PeerAddress: "127.0.0.1:1", PeerSecret: secret, Routed: &RoutedOptions{}}, incarnation: 7}
+	e := &Entry{opts: Options{PeerAddress: "127.0.0.1:1", PeerSecret: secret, Routed: &RoutedOptions{}}, incarnation: 7, clock: bootclock.Now}
 	e.policy = newPolicy(e)
 	e.policy.placer.SetServers([]placement.Server{
 		{Name: "a", Service: "models", Slots: 8, CacheTokens: 100_000},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"waxwingcart/internal/backend"
+	"waxwingcart/internal/bootclock"
 	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
@@ -82,7 +83,10 @@
 	logger      *log.Logger
 	metrics     *metrics
 	incarnation uint64
+	// started is when the entry was created, startedAt the same by clock.
 	started     time.Time
+	startedAt   time.Duration
+	clock       func() time.Duration
 	backends    *backend.Client
 	replicas    *rpc.Replicas
 	batcher     *rpc.Batcher
@@ -124,6 +128,8 @@
 		metrics:     newMetrics(opts.Registry),
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
+		startedAt:   bootclock.Now(),
+		clock:       bootclock.Now,
 		backends:    backend.New(opts.backendOptions()),
 		directory:   newDirectory(),
 		replicas:    opts.Replicas,
@@ -233,7 +239,9 @@
 // Incarnation identifies this run of the entry's process.
 func (e *Entry) Incarnation() uint64 { return e.incarnation }
 
-func (e *Entry) now() time.Duration { return time.Since(e.started) }
+// now returns the monotonic time since the entry was created. It advances while
+// the VM is suspended, so that units and the list of backend servers age meanwhile.
+func (e *Entry) now() time.Duration { return e.clock() - e.startedAt }
 
 // newRequestID returns an ID that is unique among the requests of all entries.
 func (e *Entry) newRequestID() string {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -91,7 +91,7 @@
 	// Skips the warm-up, during which a new entry has no share of the
 	// customers' limits.
 	e.shareLimits()
-	e.started = e.started.Add(-time.Minute)
+	e.startedAt -= time.Minute
 	e.Start()
 	t.Cleanup(e.Stop)
 	e.policy.configure(config)
