--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"waxwingcart/internal/bootclock"
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
@@ -73,6 +74,9 @@
 	Client   *rpc.Client
 	Logger   *log.Logger
 	Registry *prometheus.Registry
+	// Clock returns the time since an arbitrary moment. It must also advance while
+	// the VM is suspended; nil selects bootclock.Now.
+	Clock func() time.Duration
 	// Fail is called once if the replica stops because of an error.
 	Fail func(error)
 }
@@ -83,7 +87,8 @@
 	logger  *log.Logger
 	metrics *metrics
 	log     *storage.Log
-	started time.Time
+	// started is the time of the clock at which the replica was created.
+	started time.Duration
 
 	inbox          chan task
 	writes         chan *replication.Persist
@@ -92,12 +97,15 @@
 	savedSnapshots chan replication.Snapshot
 	fatal          chan error
 	stop           context.CancelFunc
-	wg             sync.WaitGroup
-	acks           *acks
-	orders         *orderRunner
-	planning       *planning
-	limits         *limits
-	duties         *duties
+	// stopping is closed once PrepareStop was called.
+	stopping chan struct{}
+	stopOnce sync.Once
+	wg       sync.WaitGroup
+	acks     *acks
+	orders   *orderRunner
+	planning *planning
+	limits   *limits
+	duties   *duties
 
 	// The fields below, up to mu, are used by the event loop alone, except for
 	// runCtx.
@@ -136,6 +144,9 @@
 
 // New opens the data directory and returns a replica that is not running yet.
 func New(opts Options) (*Replica, error) {
+	if opts.Clock == nil {
+		opts.Clock = bootclock.Now
+	}
 	dir := filepath.Join(opts.DataDir, "replica")
 	store, err := storage.Open(dir, storage.Options{})
 	if err != nil {
@@ -146,13 +157,14 @@
 		logger:          opts.Logger,
 		metrics:         newMetrics(opts.Registry),
 		log:             store,
-		started:         time.Now(),
+		started:         opts.Clock(),
 		inbox:           make(chan task, inboxLength),
 		writes:          make(chan *replication.Persist, writeQueueLength),
 		snapshots:       make(chan *snapshotJob, 1),
 		persisted:       make(chan uint64, writeQueueLength+1),
 		savedSnapshots:  make(chan replication.Snapshot, 1),
 		fatal:           make(chan error, 2),
+		stopping:        make(chan struct{}),
 		acks:            newAcks(),
 		machine:         state.New(state.Options{}),
 		waiting:         make(map[uint64]waiter),
@@ -293,9 +305,10 @@
 	}
 }
 
-// Stop resigns the leadership, stops the replica and closes its storage.
+// Stop stops the replica and closes its storage. It calls PrepareStop first, which
+// does nothing if that was done before.
 func (r *Replica) Stop(ctx context.Context) error {
-	r.resign(ctx)
+	_ = r.PrepareStop(ctx)
 	r.stop()
 	r.wg.Wait()
 	if err := r.log.Close(); err != nil {
@@ -304,25 +317,11 @@
 	return nil
 }
 
-// resignGrace is how long Stop waits for a resigning leader to send its message.
-const resignGrace = 100 * time.Millisecond
-
-func (r *Replica) resign(ctx context.Context) {
-	if r.status().Role != replication.RoleLeader {
-		return
-	}
-	r.inbox <- task{event: replication.Resign{}}
-	select {
-	case <-ctx.Done():
-	case <-time.After(resignGrace):
-	}
-}
-
 // now returns the monotonic time since the replica was created. It advances
-// while the process is paused, so that a resumed process sees that its lease
-// has expired.
+// while the process is paused or its VM is suspended, so that a resumed process
+// sees that its lease has expired.
 func (r *Replica) now() time.Duration {
-	return time.Since(r.started)
+	return r.opts.Clock() - r.started
 }
 
 // publish copies the loop's state to the view and the metrics.
