--- a/internal/entry/acknowledge_test.go
+++ b/internal/entry/acknowledge_test.go
@@ -52,7 +52,7 @@
 	e.config.apply("leader", documentResponse(1))
 	checkRequest(t, e, 1, true)
 	e.config.apply("leader", revisionResponse(2, `{"number":2,"content":{}}`))
-	e.started = e.started.Add(-time.Minute)
+	e.startedAt -= time.Minute
 	checkRequest(t, e, 1, true)
 	checkRequest(t, e, 2, false)
 }
