--- a/internal/core/routes/index.go
+++ b/internal/core/routes/index.go
@@ -68,16 +68,22 @@
 // Choose picks a target service by weight. draw is a random number, uniformly
 // distributed in [0, 1).
 func (r *Route) Choose(draw float64) string {
-	total := 0
+	total := 0.0
 	for _, target := range r.Targets {
 		total += target.Weight
 	}
-	remaining := draw * float64(total)
+	remaining := draw * total
+	chosen := ""
 	for _, target := range r.Targets {
-		remaining -= float64(target.Weight)
+		if target.Weight <= 0 {
+			continue
+		}
+		// If rounding leaves a remainder, the last target with a weight is chosen.
+		chosen = target.Service
+		remaining -= target.Weight
 		if remaining < 0 {
-			return target.Service
+			break
 		}
 	}
-	return r.Targets[len(r.Targets)-1].Service
+	return chosen
 }
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -48,10 +48,11 @@
 	GapTarget   time.Duration
 }
 
-// Target is a service and its share of a route's calls.
+// Target is a service and its share of a route's calls: its weight among the weights of
+// the route's targets.
 type Target struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // Service is a set of interchangeable backend servers.
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -98,3 +99,16 @@
 		t.Error("wrong cost: expected 1 if calls are counted, otherwise 15 with and 200 without token counts")
 	}
 }
+
+// A target without a weight gets no calls, wherever it stands in the list and
+// however the weights are rounded.
+func TestChooseSkipsTargetsWithoutWeight(t *testing.T) {
+	for _, weight := range []float64{3e-320, 0.1, 3, 1 << 62} {
+		route := &Route{Targets: []Target{{"first", 0}, {"only", weight}, {"last", 0}}}
+		for _, draw := range []float64{0, 0.5, math.Nextafter(1, 0)} {
+			if got := route.Choose(draw); got != "only" {
+				t.Errorf("weight %v, draw %v: got %q, want the only service with a weight", weight, draw, got)
+			}
+		}
+	}
+}
--- a/internal/core/routes/validate.go
+++ b/internal/core/routes/validate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 )
 
@@ -40,18 +41,18 @@
 	if r.Timeout <= 0 {
 		return errors.New("timeout is not positive")
 	}
-	total := 0
+	total := 0.0
 	for _, target := range r.Targets {
 		if !services[target.Service] {
 			return fmt.Errorf("unknown service %q", target.Service)
 		}
-		if target.Weight < 0 {
+		if !(target.Weight >= 0) {
 			return fmt.Errorf("negative weight of service %q", target.Service)
 		}
 		total += target.Weight
 	}
-	if total == 0 {
-		return errors.New("weights add up to 0")
+	if total == 0 || math.IsInf(total, 0) {
+		return errors.New("weights add up to 0 or to more than a number holds")
 	}
 	return nil
 }
