Reject a key that two customers of one name share

Cause: owners of keys were compared by name. Two customers with the same name and a common key passed, although their limits and ranks may differ; the later one got all calls. The contract rejects a document in which two customers share a key.

Customers are now compared by their place in the list. A key that stands twice at one customer stays valid. Ruled out: escaped keys were equal before; keys in another case differ.

go test -race ./platform ./internal/core/routes ./internal/replica passes.

--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -70,13 +70,16 @@
 		t.Fatal(err)
 	}
 	corruptions := map[string]func(*Table){
-		"unknown service":    func(t *Table) { t.Routes[0].Targets[0].Service = "gone" },
-		"same host, prefix":  func(t *Table) { t.Routes[1].PathPrefix = "/" },
-		"weights":            func(t *Table) { t.Routes[0].Targets[0].Weight = 0 },
-		"no target":          func(t *Table) { t.Routes[0].Targets = nil },
-		"negative weight":    func(t *Table) { t.Routes[1].Targets[1].Weight = -1 },
-		"timeout":            func(t *Table) { t.Routes[0].Timeout = 0 },
-		"shared key":         func(t *Table) { t.Customers[1].Keys = []string{"k1"} },
+		"unknown service":   func(t *Table) { t.Routes[0].Targets[0].Service = "gone" },
+		"same host, prefix": func(t *Table) { t.Routes[1].PathPrefix = "/" },
+		"weights":           func(t *Table) { t.Routes[0].Targets[0].Weight = 0 },
+		"no target":         func(t *Table) { t.Routes[0].Targets = nil },
+		"negative weight":   func(t *Table) { t.Routes[1].Targets[1].Weight = -1 },
+		"timeout":           func(t *Table) { t.Routes[0].Timeout = 0 },
+		"shared key":        func(t *Table) { t.Customers[1].Keys = []string{"k1"} },
+		"shared key, name": func(t *Table) {
+			t.Customers[1] = Customer{Name: "heirs", Keys: []string{"k2"}, Rate: 5}
+		},
 		"prefix":             func(t *Table) { t.Routes[0].PathPrefix = "/x" },
 		"service twice":      func(t *Table) { t.Services[1].Name = "app" },
 		"customer no name":   func(t *Table) { t.Customers[0].Name = "" },
--- a/internal/core/routes/validate.go
+++ b/internal/core/routes/validate.go
@@ -57,19 +57,23 @@
 	return nil
 }
 
+// validateCustomers compares customers by their place in the list: two may have the
+// same name, but a key must say which one of them holds it.
 func (t *Table) validateCustomers() error {
-	owners := make(map[string]string)
+	owners := make(map[string]int)
 	for i := range t.Customers {
 		customer := &t.Customers[i]
 		if customer.Name == "" {
 			return errors.New("customer without a name")
 		}
 		for _, key := range customer.Keys {
-			owner, taken := owners[key]
-			if key == "" || taken && owner != customer.Name {
-				return fmt.Errorf("customer %q: a key is empty or belongs to customer %q too", customer.Name, owner)
+			if key == "" {
+				return fmt.Errorf("customer %q: a key is empty", customer.Name)
 			}
-			owners[key] = customer.Name
+			if owner, taken := owners[key]; taken && owner != i {
+				return fmt.Errorf("customer %q: a key belongs to customer %q too", customer.Name, t.Customers[owner].Name)
+			}
+			owners[key] = i
 		}
 	}
 	return nil
