Compare hosts as HTTP does

Cause: hosts were compared byte by byte, and everything after the first colon of a request's host was cut. So two routes that HTTP can't tell apart were accepted with the same prefix; a request whose host stands in another case got 404; and a route whose host has a capital, a port, a final dot or an IPv6 address was never found by any request (for "[fd00::a]:80" the host "[fd00" was looked up).

Both sides are now compared without case (ASCII), port, final dot and brackets.

Kept: prefixes are compared byte by byte, and one that does not begin and end with a slash is invalid, as the contract says of every prefix.

go test -race ./platform ./internal/core/routes ./internal/replica passes.

--- a/internal/core/routes/index.go
+++ b/internal/core/routes/index.go
@@ -5,9 +5,11 @@
 	"strings"
 )
 
-// routeKey identifies a route by host and path prefix.
+// routeKey identifies a route by host, as normalHost returns it, and path prefix.
 type routeKey struct{ host, prefix string }
 
+func (r *Route) key() routeKey { return routeKey{normalHost(r.Host), r.PathPrefix} }
+
 // Index looks up routes, services and customers of one table. It is immutable
 // and safe for concurrent use.
 type Index struct {
@@ -28,7 +30,7 @@
 	}
 	for i := range table.Routes {
 		route := &table.Routes[i]
-		x.routes[routeKey{route.Host, route.PathPrefix}] = route
+		x.routes[route.key()] = route
 	}
 	for i := range table.Services {
 		x.services[table.Services[i].Name] = &table.Services[i]
@@ -42,9 +44,10 @@
 }
 
 // Route returns the host's route with the longest matching path prefix, or nil
-// if none matches. A port in host is ignored.
+// if none matches. As in HTTP, the case of host, its port and a final dot are
+// ignored.
 func (x *Index) Route(host, path string) *Route {
-	host, _, _ = strings.Cut(host, ":")
+	host = normalHost(host)
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
 		if route := x.routes[routeKey{host, path[:end+1]}]; route != nil {
 			return route
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -22,8 +22,9 @@
 type Route struct {
 	Name string
 	// Host and PathPrefix select the route: among the routes of a host, the one
-	// with the longest matching prefix is used. A prefix begins and ends with a
-	// slash.
+	// with the longest matching prefix is used. Hosts are compared without regard
+	// to case, a port or a final dot. A prefix begins and ends with a slash and is
+	// compared byte by byte, escapes included.
 	Host       string
 	PathPrefix string
 	// Stream is true if responses are streams of server-sent events.
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -115,3 +115,37 @@
 		}
 	}
 }
+
+// Hosts are compared as HTTP does: the case of letters, a port and a final dot make
+// no difference. An IPv6 address is in brackets if a port follows.
+func TestHostsAreComparedAsInHTTP(t *testing.T) {
+	hosts := map[string][]string{
+		"A.Example":   {"a.example", "A.EXAMPLE", "a.example:80", "a.Example.", "a.example.:8080", "a.example:"},
+		"b.example.":  {"b.example", "B.example."},
+		"c.example:1": {"c.example", "c.example:2"},
+		"[fd00::A]":   {"[fd00::a]", "[FD00::A]:80", "fd00::a"},
+		"10.0.0.1":    {"10.0.0.1:80", "10.0.0.1"},
+		"":            {""},
+	}
+	for host, same := range hosts {
+		table := validTable()
+		table.Routes = table.Routes[:1]
+		table.Routes[0].Host = host
+		index := NewIndex(table)
+		for _, other := range same {
+			if index.Route(other, "/x") == nil {
+				t.Errorf("host %q: no route for the request host %q", host, other)
+			}
+			twice := validTable()
+			twice.Routes[0].Host, twice.Routes[1].Host, twice.Routes[1].PathPrefix = host, other, "/"
+			if twice.Validate() == nil {
+				t.Errorf("hosts %q and %q were accepted with the same prefix", host, other)
+			}
+		}
+		for _, other := range []string{"example", "a.example.org", "x.a.example", "[fd00::b]:80", "fd00", "[fd00", ".", ":80:", "\u212a"} {
+			if index.Route(other, "/x") != nil {
+				t.Errorf("host %q: got a route for the request host %q", host, other)
+			}
+		}
+	}
+}
--- a/internal/core/routes/validate.go
+++ b/internal/core/routes/validate.go
@@ -25,7 +25,7 @@
 		if err := route.validate(services); err != nil {
 			return fmt.Errorf("route %q: %w", route.Name, err)
 		}
-		key := routeKey{route.Host, route.PathPrefix}
+		key := route.key()
 		if other, taken := routeNames[key]; taken {
 			return fmt.Errorf("route %q: same host and prefix as route %q", route.Name, other)
 		}
