Store documents unchanged, and none that can't be read back

Cause: a document was stored by json.Marshal inside another JSON value. That escapes and compacts the content, so that it is not read back as it was sent; and the value is one level deeper than the document. One of 9,999 levels (brackets in a member that nobody reads) was acknowledged, but neither replicas nor entries could read it again, and every later document was refused, for good: "invalid character '[' exceeded max depth".

White space around a document is lost.

--- a/internal/core/fleet/numbered.go
+++ b/internal/core/fleet/numbered.go
@@ -13,14 +13,20 @@
 // NumberedDocument is a configuration document in its original form, with its number.
 type NumberedDocument struct {
 	Number uint64 `json:"number"`
-	// Content is the document's JSON, unchanged.
+	// Content is the document's JSON, unchanged but for white space around it.
 	Content json.RawMessage `json:"content"`
 }
 
-// Item returns the item that holds the document.
+// Item returns the item that holds the document. It fails if the content isn't JSON or
+// can't be read back from the item.
 func (n NumberedDocument) Item() (Item, error) {
-	data, err := json.Marshal(n)
-	if err != nil {
+	if !json.Valid(n.Content) {
+		return Item{}, fmt.Errorf("encode document %d: the content is not JSON", n.Number)
+	}
+	// json.Marshal would escape and compact the content.
+	data := fmt.Appendf(nil, `{"number":%d,"content":`, n.Number)
+	data = append(append(data, n.Content...), '}')
+	if _, err := ParseNumberedDocument(data); err != nil {
 		return Item{}, fmt.Errorf("encode document %d: %w", n.Number, err)
 	}
 	return Item{Path: PathNumbered, JSON: data}, nil
