Tell documents with one number apart by their content

Cause: the ID of the change that stores a document named its number and the base revision only. If two operators' calls had read the same revision, the second change got the stored result of the first: accepted, with the other content. The call was right to be acknowledged, but the log said that its content was accepted. The ID now holds a digest of the content; the second change conflicts, and the call reads that the number is in force.

TestLateProposals failed before in its last step ("got accepted true, true and true"). It and TestDocumentsUnderOneNumber cover what else was suspected and found right: a proposal left by a former leader or by a call that was given up, committed before or after the same, other or newer content; the same proposal committed twice; base revisions from long ago; older documents that arrive again; four operators at once on three replicas with cancelled calls. Each number had one content, numbers in the history only rose, and each call that was not given up was acknowledged.

go test -race ./internal/replica -run 'Document|Late' -count=5 passes (22.6 s); go test -race ./platform ./internal/core/routes ./internal/replica passes.

--- a/internal/replica/numbered.go
+++ b/internal/replica/numbered.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 
@@ -13,6 +14,9 @@
 	"waxwingcart/internal/wire"
 )
 
+// changeDigestBytes is the length of the digest in a change ID.
+const changeDigestBytes = 8
+
 // PutDocument commits a numbered document if its number is higher than that of
 // the one in force. Otherwise it changes nothing and returns the number in force
 // without an error, so that a document may be sent again.
@@ -33,12 +37,7 @@
 		if current.Number >= req.Number {
 			return &wire.PutDocumentResponse{Number: current.Number}, nil
 		}
-		applied, err := s.replica.propose(ctx, state.ChangeConfig{
-			ChangeID:     fmt.Sprintf("document-%d-at-%d", req.Number, revision),
-			BaseRevision: revision,
-			Author:       "operator",
-			Items:        []fleet.Item{item},
-		})
+		applied, err := s.replica.propose(ctx, changeFor(req.Number, revision, item))
 		if err != nil {
 			return nil, err
 		}
@@ -57,6 +56,19 @@
 	}
 }
 
+// changeFor returns the change that puts a document's item in force at a revision. Its
+// ID names the content too: the result of a change is that of the first one with its ID,
+// and two operators may send other contents under one number.
+func changeFor(number, revision uint64, item fleet.Item) state.ChangeConfig {
+	digest := sha256.Sum256(item.JSON)
+	return state.ChangeConfig{
+		ChangeID:     fmt.Sprintf("document-%d-at-%d-%x", number, revision, digest[:changeDigestBytes]),
+		BaseRevision: revision,
+		Author:       "operator",
+		Items:        []fleet.Item{item},
+	}
+}
+
 // numberedContent returns the content of the document in force, or nil. It must
 // be called in the event loop.
 func (r *Replica) numberedContent() []byte {
