Move a stream that waits to be resumed at a leaving engine

Cause: a move off a leaving engine was dropped if the request was waiting to resume the stream, after a stall or a broken connection. The move comes once, so the stream was resumed at the leaving engine, stayed there, and was generated again once the engine was gone.

TestMoveDuringBackoff and TestMoveWithoutExportDuringBackoff failed before ("got []"). Such a stream is now exported, or cancelled and generated at another engine, as one that is being read. The harness of TestEveryInterleaving counts these moves like the others, since each may start one more run.

--- a/internal/core/request/attempts.go
+++ b/internal/core/request/attempts.go
@@ -97,17 +97,21 @@
 	return r.pick()
 }
 
+// move takes the stream off its engine. That includes one that waits to be resumed
+// there: once the engine is gone, it could only be generated again.
 func (r *Request) move(ev Move) []Effect {
-	if r.state != stateRunning || r.spec.Kind != KindModel || r.position.Server != ev.Server {
+	waiting := r.state == stateBackoff && r.position.Stream != ""
+	if r.state != stateRunning && !waiting || r.spec.Kind != KindModel || r.position.Server != ev.Server {
 		return nil
 	}
 	r.handedOver = true
 	if ev.Export && r.position.Stream != "" {
 		r.state = stateMoving
-		return []Effect{
-			DropAttempt{Attempt: r.attempt},
-			MoveKV{Attempt: r.attempt, From: r.position, Target: ev.Target},
+		move := MoveKV{Attempt: r.attempt, From: r.position, Target: ev.Target}
+		if waiting {
+			return []Effect{move}
 		}
+		return []Effect{DropAttempt{Attempt: r.attempt}, move}
 	}
 	cancel := CancelAttempt{Attempt: r.attempt, Server: r.position.Server, Stream: r.position.Stream}
 	r.excludeServer(ev.Server)
--- a/internal/core/request/request_test.go
+++ b/internal/core/request/request_test.go
@@ -183,9 +183,9 @@
 
 // move asks the request to move away from its engine.
 func (h *harness) move() {
-	running := h.req.state == stateRunning
+	before := h.req.state
 	h.step(Move{Server: h.req.Position().Server, Export: rapid.Bool().Draw(h.t, "export"), Target: "other"})
-	if running && h.req.state != stateRunning {
+	if (before == stateRunning || before == stateBackoff) && h.req.state != before {
 		h.moves++
 	}
 }
