Let TestReclaimedZone count streams that have all begun

The hold is a stall under the fleet's progress timeout of 1 s. If it lasts longer, entries rightly give the streams up and have them generated again elsewhere.

startStreams now also waits until each client has received a token. The two tests that count moved streams use a progress timeout that the hold can't exceed; what they check is unchanged. TestEntryKilledDuringReclaim counts nothing and keeps the usual timeout.

--- a/internal/e2e/callers_test.go
+++ b/internal/e2e/callers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,8 @@
 	tokens   int
 	resumed  int
 	failures []string
+	// begun is true once a token was received. It may be read in any goroutine.
+	begun atomic.Bool
 	// done is true once [DONE] was received.
 	done bool
 }
@@ -116,6 +119,7 @@
 	}
 	s.lastID = ev.ID
 	s.tokens++
+	s.begun.Store(true)
 	for _, choice := range chunk.Choices {
 		s.text.WriteString(choice.Delta.Content)
 	}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -97,8 +97,9 @@
 
 // newCluster starts replicas r1, r2, ..., entries e1, e2, ..., the stand-ins of
 // two engines m1 and m2, an app server a1 and a platform p1. It applies the
-// configuration as revision 1 and waits until all entries are ready.
-func newCluster(t *testing.T, replicas, entries int) *cluster {
+// configuration, with the changes given, as revision 1 and waits until all entries
+// are ready.
+func newCluster(t *testing.T, replicas, entries int, changes ...func(*fleet.Config)) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), vms: make(map[string]*vm), servers: make(map[string]string)}
 	c.writeFile("peer.key", peerKey)
@@ -126,6 +127,9 @@
 		}
 	}
 	c.fleet = c.newFleet()
+	for _, change := range changes {
+		change(&c.fleet)
+	}
 	c.waitVoters("r1", min(replicas, 3))
 	c.mustApply("first", 0)
 	for name := range c.vms {
--- a/internal/e2e/reclaim_test.go
+++ b/internal/e2e/reclaim_test.go
@@ -6,13 +6,23 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
+
+	"waxwingcart/internal/core/fleet"
 )
 
+// allowHolds makes the progress timeout longer than a test waits. With the usual one,
+// a stream that an engine holds back is a stall, and entries rightly give it up and
+// have it generated again before or after its move.
+func allowHolds(config *fleet.Config) {
+	config.Defaults.ProgressTimeoutMS = float64(2 * waitTimeout / time.Millisecond)
+}
+
 // An engine is reclaimed on short notice: its streams move to the other engine with
 // their KV cache, no token is computed twice, and no caller has to resume when the
 // engine is killed afterwards.
 func TestReclaimedEngineMovesStreams(t *testing.T) {
-	c := newCluster(t, 1, 1)
+	c := newCluster(t, 1, 1, allowHolds)
 	c.fault("m1", `{"hold_after": 10}`)
 	c.fault("m2", `{"hold_after": 10}`)
 	const streams, tokens = 8, 600
@@ -67,7 +77,7 @@
 // other engine, callers of the reclaimed entry can resume them at the other entry
 // and get complete answers, and bookings in flight run once and are answered.
 func TestReclaimedZone(t *testing.T) {
-	c := newCluster(t, 3, 2)
+	c := newCluster(t, 3, 2, allowHolds)
 	c.fault("m1", `{"hold_after": 10}`)
 	c.fault("m2", `{"hold_after": 10}`)
 	c.fault("a1", `{"delay_ms": 300}`)
--- a/internal/e2e/streams_test.go
+++ b/internal/e2e/streams_test.go
@@ -13,9 +13,9 @@
 )
 
 // startStreams starts streams through the first entry; clients whose stream ends
-// early resume at the next one. It waits until the engines have generated two
-// tokens per stream on average, and fails the test if one of them has generated
-// none.
+// early resume at the next one. It waits until each client has received a token and the
+// engines have generated two tokens per stream on average, and fails the test if one of
+// them has generated none.
 func (c *cluster) startStreams(count, tokens int, entries ...string) ([]*streamClient, *sync.WaitGroup) {
 	c.t.Helper()
 	group := &sync.WaitGroup{}
@@ -26,6 +26,11 @@
 		group.Go(func() { client.readToEnd(entries...) })
 	}
 	c.eventually("all streams have begun", func() bool {
+		for _, client := range list {
+			if !client.begun.Load() {
+				return false
+			}
+		}
 		return c.stats("m1")["decoded_tokens"]+c.stats("m2")["decoded_tokens"] >= int64(2*count)
 	})
 	if c.stats("m1")["decoded_tokens"] == 0 || c.stats("m2")["decoded_tokens"] == 0 {
