--- a/internal/core/routes/validate.go
+++ b/internal/core/routes/validate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 )
 
@@ -24,7 +25,7 @@
 		if err := route.validate(services); err != nil {
 			return fmt.Errorf("route %q: %w", route.Name, err)
 		}
-		key := routeKey{route.Host, route.PathPrefix}
+		key := route.key()
 		if other, taken := routeNames[key]; taken {
 			return fmt.Errorf("route %q: same host and prefix as route %q", route.Name, other)
 		}
@@ -40,35 +41,39 @@
 	if r.Timeout <= 0 {
 		return errors.New("timeout is not positive")
 	}
-	total := 0
+	total := 0.0
 	for _, target := range r.Targets {
 		if !services[target.Service] {
 			return fmt.Errorf("unknown service %q", target.Service)
 		}
-		if target.Weight < 0 {
+		if !(target.Weight >= 0) {
 			return fmt.Errorf("negative weight of service %q", target.Service)
 		}
 		total += target.Weight
 	}
-	if total == 0 {
-		return errors.New("weights add up to 0")
+	if total == 0 || math.IsInf(total, 0) {
+		return errors.New("weights add up to 0 or to more than a number holds")
 	}
 	return nil
 }
 
+// validateCustomers compares customers by their place in the list: two may have the
+// same name, but a key must say which one of them holds it.
 func (t *Table) validateCustomers() error {
-	owners := make(map[string]string)
+	owners := make(map[string]int)
 	for i := range t.Customers {
 		customer := &t.Customers[i]
 		if customer.Name == "" {
 			return errors.New("customer without a name")
 		}
 		for _, key := range customer.Keys {
-			owner, taken := owners[key]
-			if key == "" || taken && owner != customer.Name {
-				return fmt.Errorf("customer %q: a key is empty or belongs to customer %q too", customer.Name, owner)
+			if key == "" {
+				return fmt.Errorf("customer %q: a key is empty", customer.Name)
 			}
-			owners[key] = customer.Name
+			if owner, taken := owners[key]; taken && owner != i {
+				return fmt.Errorf("customer %q: a key belongs to customer %q too", customer.Name, t.Customers[owner].Name)
+			}
+			owners[key] = i
 		}
 	}
 	return nil
