Settings: announce another peer address than the listener's

listen.announce_peers is the address at which other processes reach the listener for peers, for VMs behind a forwarder or an address translation. Replicas and entries announce it, and a replica finds itself among the seeds by it. Without it nothing changes.

--- a/internal/process/hosted.go
+++ b/internal/process/hosted.go
@@ -35,10 +35,10 @@
 	}
 }
 
-// seedPeers returns the sorted peer addresses of the seeds. All replicas use the
-// same port for peers.
+// seedPeers returns the sorted peer addresses of the seeds. All replicas are
+// reached on the same port for peers.
 func seedPeers(process *settings.Process) []string {
-	_, port, err := net.SplitHostPort(process.Listen.Peers)
+	_, port, err := net.SplitHostPort(process.Listen.PeerAddress())
 	if err != nil {
 		return nil
 	}
@@ -58,7 +58,7 @@
 	if len(process.Seeds) == 0 {
 		return process.Bootstrap
 	}
-	return process.Bootstrap && process.Listen.Peers == seedPeers(process)[0]
+	return process.Bootstrap && process.Listen.PeerAddress() == seedPeers(process)[0]
 }
 
 // voterCount returns the number of replicas that vote, or zero to let the replica
@@ -87,7 +87,7 @@
 		}
 	}
 	for _, address := range seedPeers(process) {
-		if address != process.Listen.Peers {
+		if address != process.Listen.PeerAddress() {
 			peers = append(peers, replica.Peer{Address: address})
 		}
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -140,7 +140,7 @@
 		return nil, nil
 	}
 	opts := replica.Options{
-		Self:      replica.Peer{VM: process.Name, Zone: process.Zone, Address: process.Listen.Peers},
+		Self:      replica.Peer{VM: process.Name, Zone: process.Zone, Address: process.Listen.PeerAddress()},
 		DataDir:   process.DataDir,
 		Peers:     replicaPeers(process),
 		Voters:    voterCount(process),
@@ -173,7 +173,7 @@
 	opts := entry.Options{
 		VM:           process.Name,
 		Zone:         process.Zone,
-		PeerAddress:  process.Listen.Peers,
+		PeerAddress:  process.Listen.PeerAddress(),
 		Replicas:     replicas,
 		DataDir:      process.DataDir,
 		Platform:     process.Platform,
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -116,10 +116,22 @@
 	Callers string `json:"callers,omitempty"`
 	// Peers serves calls of other processes of the deployment.
 	Peers string `json:"peers"`
+	// AnnouncePeers is the address at which other processes reach Peers; empty if
+	// it is Peers itself.
+	AnnouncePeers string `json:"announce_peers,omitempty"`
 	// Admin serves state dumps, metrics and calls of operators.
 	Admin string `json:"admin"`
 }
 
+// PeerAddress returns the address at which other processes reach the listener for
+// peers.
+func (l Listen) PeerAddress() string {
+	if l.AnnouncePeers != "" {
+		return l.AnnouncePeers
+	}
+	return l.Peers
+}
+
 // Peer is another process of the deployment.
 type Peer struct {
 	VM      string `json:"vm"`
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -85,6 +85,9 @@
 	}
 	report.checkAddress("listen.peers", p.Listen.Peers)
 	report.checkAddress("listen.admin", p.Listen.Admin)
+	if p.Listen.AnnouncePeers != "" {
+		report.checkAddress("listen.announce_peers", p.Listen.AnnouncePeers)
+	}
 	used := map[string]bool{"": true}
 	for _, a := range []struct{ path, address string }{
 		{"listen.callers", p.Listen.Callers},
@@ -96,6 +99,9 @@
 		}
 		used[a.address] = true
 	}
+	if a := p.Listen.AnnouncePeers; a != "" && (a == p.Listen.Callers || a == p.Listen.Admin) {
+		report.mismatch("listen.announce_peers", quote(a), "an address that leads to listen.peers")
+	}
 }
 
 func (p *Process) checkPeers(report reporter) {
