Soak: seeded faults from outside on real processes

A package that runs a hosted deployment of the real binary on loopback, with four replicas behind proxies and six entries, under a plan made from a seed: documents in quick succession, changes of the list of backend servers at the same moments, pauses, kills, busy processors and silent links. It checks from outside that each acknowledged document is obeyed within the bound by every entry in touch, and what else is promised of the configuration.

--- /dev/null
+++ b/internal/soak/client_test.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	clientsPerEntry = 2
+	// clientPause is the mean pause between two requests of a client.
+	clientPause   = 15 * time.Millisecond
+	clientTimeout = 3 * time.Second
+	deadlineMS    = "2500"
+)
+
+// client sends requests to an entry until the context ends, over connections that it
+// keeps open.
+func (r *run) client(ctx context.Context, p *process, number int) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: clientTimeout}
+	for i := 0; ctx.Err() == nil; i++ {
+		id := fmt.Sprintf("%s-%d-%d", p.name, number, i)
+		method, path, key := r.choose(i)
+		o := Observation{ID: id, Entry: p.name, Incarnation: p.running(), Method: method, Path: path, Key: key, From: r.now()}
+		o.Status, o.Service = r.call(client, p, &o)
+		o.To = r.now()
+		if o.Incarnation != p.running() {
+			// The response may be either incarnation's.
+			o.Status = 0
+		}
+		r.history.update(func() { r.history.Observations = append(r.history.Observations, o) })
+		time.Sleep(time.Duration(rand.Int64N(int64(2 * clientPause))))
+	}
+}
+
+// choose returns the next request: of the oldest routes, of the route that each
+// document moves, of the newest documents' routes and keys, and of routes that were
+// dropped or never valid.
+func (r *run) choose(i int) (method, path, key string) {
+	newest, other := r.recent()
+	switch i % 8 {
+	case 0, 4:
+		return http.MethodGet, pathBase, keyBase
+	case 1, 5:
+		return http.MethodGet, pathCurrent, keyBase
+	case 2:
+		return http.MethodPost, pathOnce, keyBase
+	case 3:
+		return http.MethodGet, pathBase, keyOf(newest)
+	case 6:
+		return http.MethodGet, pathOf(newest), keyBase
+	}
+	return http.MethodGet, pathOf(other), keyBase
+}
+
+// recent returns the newest acknowledged document and a random one of those sent last.
+func (r *run) recent() (newest, other string) {
+	const window = 12
+	h := r.history
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	version := 0
+	for _, a := range h.Acks[max(0, len(h.Acks)-window):] {
+		if d := r.documents[a.Label]; d.Version > version {
+			newest, version = a.Label, d.Version
+		}
+	}
+	sent := h.Sendings[max(0, len(h.Sendings)-window):]
+	return newest, sent[rand.IntN(len(sent))].Label
+}
+
+// call sends a request and returns the status, or 0 without a complete response, and
+// the service that ran it.
+func (r *run) call(client *http.Client, p *process, o *Observation) (int, string) {
+	var body io.Reader
+	if o.Method == http.MethodPost {
+		body = strings.NewReader("once")
+	}
+	request, err := http.NewRequest(o.Method, "http://"+p.address(callersPort)+o.Path+"x", body)
+	if err != nil {
+		return 0, ""
+	}
+	if o.Method == http.MethodPost {
+		// Without GetBody, net/http does not send the request again by itself.
+		request.GetBody = nil
+	}
+	request.Host = host
+	request.Header.Set("Waxwingcart-Request-Id", o.ID)
+	request.Header.Set("Waxwingcart-Deadline-Ms", deadlineMS)
+	request.Header.Set("Authorization", "Bearer "+o.Key)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	service := response.Header.Get(headerService)
+	if err != nil || response.StatusCode == http.StatusOK && string(content) != service+" "+o.ID {
+		return 0, ""
+	}
+	return response.StatusCode, service
+}
+
+// heartbeatLate is the delay from which the machine counts as starved: the deployment
+// can't keep its bounds on processors that it does not get. Such times are printed.
+const (
+	heartbeatLate     = 250 * time.Millisecond
+	heartbeatInterval = 20 * time.Millisecond
+)
+
+// heartbeat records the times in which a goroutine that sleeps, or a call over
+// loopback, is late.
+func (r *run) heartbeat(ctx context.Context) {
+	last := r.now()
+	for ctx.Err() == nil {
+		time.Sleep(heartbeatInterval)
+		if response, err := r.operators.Get("http://" + r.echo); err == nil {
+			_ = response.Body.Close()
+		}
+		if now := r.now(); now-last > heartbeatLate {
+			from := last
+			r.history.update(func() {
+				r.history.Disturbances = append(r.history.Disturbances, Disturbance{Target: anyTarget, What: "starved", Effect: EffectSlowed, From: from, To: now})
+			})
+		}
+		last = r.now()
+	}
+}
+
+// starved returns the number of times in which the machine was starved.
+func (h *History) starved() int {
+	return len(slices.DeleteFunc(slices.Clone(h.Disturbances), func(d Disturbance) bool { return d.Target != anyTarget }))
+}
--- /dev/null
+++ b/internal/soak/platform_test.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// platform is a stand-in of the hosting platform and of the backend servers, which
+// count in the history what they run.
+type platform struct {
+	history *History
+	now     func() time.Duration
+	address string
+	servers []*http.Server
+
+	mu      sync.Mutex
+	engines []*engine
+	started int
+	// read is closed when the list is read next.
+	read chan struct{}
+}
+
+// engine is the stand-in of a backend server. It serves until the run ends, also
+// after it has left the list.
+type engine struct {
+	platform             *platform
+	id, service, address string
+	draining             bool
+	listing              int
+}
+
+const engineSlots = 64
+
+func newPlatform(history *History, now func() time.Duration) (*platform, error) {
+	p := &platform{history: history, now: now, read: make(chan struct{})}
+	router := http.NewServeMux()
+	router.HandleFunc("GET /instances", p.list)
+	router.HandleFunc("POST /usage", func(http.ResponseWriter, *http.Request) {})
+	router.HandleFunc("POST /scale", func(http.ResponseWriter, *http.Request) {})
+	var err error
+	p.address, err = p.serve(router)
+	return p, err
+}
+
+// serve serves a handler on a loopback address until close.
+func (p *platform) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	p.servers = append(p.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (p *platform) close() {
+	for _, server := range p.servers {
+		_ = server.Close()
+	}
+}
+
+func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	instances := []map[string]any{}
+	for _, e := range p.engines {
+		state := "ready"
+		if e.draining {
+			state = "draining"
+		}
+		instances = append(instances, map[string]any{"id": e.id, "service": e.service, "addr": e.address, "zone": zoneOf(0), "state": state, "slots": engineSlots})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"instances": instances, "next_token": nil})
+	close(p.read)
+	p.read = make(chan struct{})
+}
+
+// nextRead returns a channel that is closed when the list is read next.
+func (p *platform) nextRead() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.read
+}
+
+// add lists a new backend server of a service.
+func (p *platform) add(service string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.started++
+	e := &engine{platform: p, id: fmt.Sprintf("i-%s-%d", service, p.started), service: service}
+	var err error
+	if e.address, err = p.serve(e); err != nil {
+		return err
+	}
+	p.engines = append(p.engines, e)
+	p.history.update(func() {
+		e.listing = len(p.history.Listings)
+		p.history.Listings = append(p.history.Listings, Listing{Service: service, From: p.now()})
+	})
+	return nil
+}
+
+// remove lists the backend servers for which the condition holds as draining, and
+// takes those off the list that already are.
+func (p *platform) remove(condition func(*engine) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines = slices.DeleteFunc(p.engines, func(e *engine) bool { return e.draining })
+	for _, e := range p.engines {
+		if condition(e) {
+			e.draining = true
+			p.history.update(func() { p.history.Listings[e.listing].To = p.now() })
+		}
+	}
+}
+
+// count returns the number of listed backend servers of a service.
+func (p *platform) count(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, e := range p.engines {
+		if e.service == service && !e.draining {
+			n++
+		}
+	}
+	return n
+}
+
+// headerService tells the client which service ran its request.
+const headerService = "X-Service"
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("Waxwingcart-Request-Id")
+	w.Header().Set("Waxwingcart-Request-Id", id)
+	if req.Header.Get("Waxwingcart-Expect-Instance") != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.platform.history.update(func() { e.platform.history.Runs[id]++ })
+	w.Header().Set("Waxwingcart-Stamp", "stamp-"+e.id)
+	w.Header().Set(headerService, e.service)
+	_, _ = fmt.Fprintf(w, "%s %s", e.service, id)
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,104 @@
+// Package soak runs deployments of the real binary on loopback under seeded random
+// changes and faults, and checks from outside that what the deployment promises of its
+// configuration is kept. All faults come from outside: signals, busy processors, and
+// proxies in front of the replicas.
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	// TestMain builds the binary from this package. The import makes "go test"
+	// discard its cached result when the package or a dependency changes.
+	_ "waxwingcart/internal/process"
+)
+
+var (
+	seedFlag     = flag.Uint64("soak.seed", 0, "first seed; 0 takes the fixed seeds")
+	seedsFlag    = flag.Uint64("soak.seeds", 1, "number of seeds from the first on")
+	durationFlag = flag.Duration("soak.duration", 20*time.Second, "time of changes and faults")
+	entriesFlag  = flag.Int("soak.entries", 6, "number of entries")
+	replicasFlag = flag.Int("soak.replicas", 4, "number of replicas")
+	planFlag     = flag.Bool("soak.plan", false, "print the plans")
+)
+
+// fixedSeeds are the seeds that run by default, with what they are kept for.
+var fixedSeeds = []struct {
+	seed   uint64
+	reason string
+}{
+	{1, "faults of the leader and changes of the list"},
+	{2, "faults of the leader and changes of the list"},
+}
+
+var binaryPath string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	if os.Getenv(busyVariable) != "" {
+		busyLoop()
+	}
+	dir, err := os.MkdirTemp("", "waxwingcart-soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaryPath = filepath.Join(dir, "waxwingcart")
+	build := exec.Command("go", "build", "-o", binaryPath, "waxwingcart/cmd/waxwingcart")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// TestSoak plays a plan for each seed. The same seed gives the same plan; the order in
+// which the processes act is the machine's.
+func TestSoak(t *testing.T) {
+	if *seedFlag == 0 {
+		for _, kept := range fixedSeeds {
+			t.Run(fmt.Sprintf("seed=%d", kept.seed), func(t *testing.T) { t.Parallel(); soak(t, kept.seed) })
+		}
+		return
+	}
+	for seed := *seedFlag; seed < *seedFlag+*seedsFlag; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { t.Parallel(); soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	plan := NewPlan(Options{Seed: seed, Duration: *durationFlag, Entries: *entriesFlag, Replicas: *replicasFlag})
+	t.Logf("seed %d: %d events, %d documents, -soak.duration=%s", seed, len(plan.Events), len(plan.Documents), plan.Duration)
+	if *planFlag {
+		for _, e := range plan.Events {
+			t.Log(e)
+		}
+	}
+	dir, err := os.MkdirTemp("", fmt.Sprintf("waxwingcart-soak-seed-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	run, err := play(t.Context(), plan, dir)
+	if err != nil {
+		t.Fatalf("seed %d: %v; logs in %s", seed, err, dir)
+	}
+	violations := run.history.Check()
+	t.Logf("seed %d: %d requests, %d acknowledgements, %d reads, %d times starved", seed, len(run.history.Observations), len(run.history.Acks), len(run.history.Reads), run.history.starved())
+	if len(violations) == 0 {
+		_ = os.RemoveAll(dir)
+		return
+	}
+	run.save(violations)
+	const printed = 12
+	for _, v := range violations[:min(len(violations), printed)] {
+		t.Error(v)
+	}
+	t.Errorf("seed %d: %d violations; around the first:\n%slogs and report in %s", seed, len(violations), run.timeline(violations[0].At, violations[0].Process), dir)
+}
