Soak: changes of the list and the configuration that meet at an entry

The plan pauses all entries while both change, so that an entry gets both when it resumes, beside many requests; it lists many servers and has many customers.

--- a/internal/soak/check_self_test.go
+++ b/internal/soak/check_self_test.go
@@ -173,15 +173,16 @@
 	if reflect.DeepEqual(plan.Events, NewPlan(options).Events) {
 		t.Error("two seeds gave the same events")
 	}
-	labels := make(map[string]bool)
+	labels, contents := make(map[string]bool), make(map[string]string)
 	for _, d := range plan.Documents {
 		if labels[d.Label] {
 			t.Errorf("two documents with label %s", d.Label)
 		}
 		labels[d.Label] = true
-		if got := labelOf(plan.Documents, d.content()); got != d.Label {
-			t.Errorf("the content of document %s is that of %s", d.Label, got)
+		if other := contents[string(d.content())]; other != "" {
+			t.Errorf("the content of document %s is that of %s", d.Label, other)
 		}
+		contents[string(d.content())] = d.Label
 	}
 	kinds := make(map[Kind]int)
 	for _, e := range plan.Events {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"slices"
@@ -43,10 +42,19 @@
 	sentAt     map[string]time.Duration
 	ackedAt    map[string]time.Duration
 	violations []Violation
+	// refusedOutOfTouch counts the requests that would have been violations of
+	// promiseServed had their entries been in touch.
+	refusedOutOfTouch int
 }
 
 // Check returns the promises that a history breaks, in the order of time.
 func (h *History) Check() []Violation {
+	c := newChecker(h)
+	c.check()
+	return c.violations
+}
+
+func newChecker(h *History) *checker {
 	c := &checker{History: h, byLabel: make(map[string]*Document), sentAt: make(map[string]time.Duration), ackedAt: make(map[string]time.Duration)}
 	for _, d := range h.Documents {
 		c.byLabel[d.Label] = d
@@ -59,17 +67,20 @@
 	for _, a := range h.Acks {
 		c.ackedAt[a.Label] = a.At
 	}
-	slices.SortFunc(h.Observations, func(a, b Observation) int { return int(a.From - b.From) })
+	return c
+}
+
+func (c *checker) check() {
+	slices.SortFunc(c.Observations, func(a, b Observation) int { return int(a.From - b.From) })
 	c.checkObservations()
 	c.checkServed()
 	c.checkSendings()
 	c.checkReads()
 	c.checkRuns()
-	for _, end := range h.Ends {
-		c.report(promiseRuns, h.End, end, "ended")
+	for _, end := range c.Ends {
+		c.report(promiseRuns, c.End, end, "ended")
 	}
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return int(a.At - b.At) })
-	return c.violations
 }
 
 func (c *checker) report(promise string, at time.Duration, process, format string, args ...any) {
@@ -203,10 +214,15 @@
 func (c *checker) checkServed() {
 	for i := range c.Observations {
 		o := &c.Observations[i]
-		if o.Status != http.StatusServiceUnavailable || o.Path == pathBase || !c.inTouch(o.Entry, o.From) {
+		if o.Status != http.StatusServiceUnavailable || o.Path == pathBase {
 			continue
 		}
-		if service := c.certainService(o); service != "" && c.listed(service, o.From) && c.baseServed(o) {
+		service := c.certainService(o)
+		switch {
+		case service == "" || !c.listed(service, o.From) || !c.baseServed(o):
+		case !c.inTouch(o.Entry, o.From):
+			c.refusedOutOfTouch++
+		default:
 			c.report(promiseServed, o.From, o.Entry, "%s; a backend server of service %s is listed", o, service)
 		}
 	}
@@ -215,7 +231,7 @@
 // certainService returns the service to which every document that may be in force
 // leads a request, or "" if there are several.
 func (c *checker) certainService(o *Observation) string {
-	required := c.required(o.Entry, o.From)
+	required := c.acknowledged(o.From - applyBound)
 	if required == nil {
 		return ""
 	}
@@ -311,12 +327,27 @@
 	}
 }
 
-// labelOf returns the label of the document with the content, or "".
-func labelOf(documents []*Document, content []byte) string {
-	for _, d := range documents {
-		if bytes.Equal(d.content(), content) {
-			return d.Label
+// worstDelay returns the longest time from the acknowledgement of a document to the
+// last request that an entry handled as only an older one allows, and the same for
+// requests at moments at which the entry was in touch.
+func (c *checker) worstDelay() (worst, inTouch time.Duration) {
+	for i := range c.Observations {
+		o := &c.Observations[i]
+		newest := 0
+		for _, d := range c.allowing(o) {
+			if d.Flaw == FlawNone {
+				newest = max(newest, d.Version)
+			}
+		}
+		for _, a := range c.Acks {
+			if a.At > o.From || c.byLabel[a.Label].Version <= newest {
+				continue
+			}
+			worst = max(worst, o.From-a.At)
+			if o.From-a.At > inTouch && c.inTouch(o.Entry, o.From) {
+				inTouch = o.From - a.At
+			}
 		}
 	}
-	return ""
+	return worst, inTouch
 }
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -6,40 +6,58 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 )
 
 const (
-	clientsPerEntry = 2
+	clientsPerEntry = 3
 	// clientPause is the mean pause between two requests of a client.
-	clientPause   = 15 * time.Millisecond
+	clientPause   = 22 * time.Millisecond
 	clientTimeout = 3 * time.Second
 	deadlineMS    = "2500"
 )
 
 // client sends requests to an entry until the context ends, over connections that it
-// keeps open.
+// keeps open. The first client of an entry sends requests
+// of ever other customers.
 func (r *run) client(ctx context.Context, p *process, number int) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: clientTimeout}
 	for i := 0; ctx.Err() == nil; i++ {
-		id := fmt.Sprintf("%s-%d-%d", p.name, number, i)
-		method, path, key := r.choose(i)
-		o := Observation{ID: id, Entry: p.name, Incarnation: p.running(), Method: method, Path: path, Key: key, From: r.now()}
-		o.Status, o.Service = r.call(client, p, &o)
-		o.To = r.now()
-		if o.Incarnation != p.running() {
-			// The response may be either incarnation's.
-			o.Status = 0
-		}
-		r.history.update(func() { r.history.Observations = append(r.history.Observations, o) })
+		r.request(p, fmt.Sprintf("%s-%d-%d", p.name, number, i), client, number, i)
 		time.Sleep(time.Duration(rand.Int64N(int64(2 * clientPause))))
 	}
 }
 
+// request sends a client's next request to an entry and records what came back.
+func (r *run) request(p *process, id string, client *http.Client, number, i int) {
+	method, path, key := http.MethodGet, pathBase, fmt.Sprintf("%s%d", bulkKey, i%r.plan.Documents[0].Customers)
+	if number > 0 {
+		method, path, key = r.choose(i)
+	}
+	o := Observation{ID: id, Entry: p.name, Incarnation: p.running(), Method: method, Path: path, Key: key, From: r.now()}
+	o.Status, o.Service = r.call(client, p, &o)
+	o.To = r.now()
+	if o.Incarnation != p.running() {
+		// The response may be either incarnation's.
+		o.Status = 0
+	}
+	r.history.update(func() { r.history.Observations = append(r.history.Observations, o) })
+}
+
+// burst sends requests to all entries at once, each over a connection of its own.
+func (r *run) burst(e Event) {
+	for _, p := range r.deployment.processes[r.plan.Replicas:] {
+		for i := range e.Amount {
+			r.puts.Go(func() {
+				r.request(p, fmt.Sprintf("%s-burst-%d-%d", p.name, e.At, i), &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: clientTimeout}, 1, i)
+			})
+		}
+	}
+}
+
 // choose returns the next request: of the oldest routes, of the route that each
 // document moves, of the newest documents' routes and keys, and of routes that were
 // dropped or never valid.
@@ -107,34 +125,3 @@
 	}
 	return response.StatusCode, service
 }
-
-// heartbeatLate is the delay from which the machine counts as starved: the deployment
-// can't keep its bounds on processors that it does not get. Such times are printed.
-const (
-	heartbeatLate     = 250 * time.Millisecond
-	heartbeatInterval = 20 * time.Millisecond
-)
-
-// heartbeat records the times in which a goroutine that sleeps, or a call over
-// loopback, is late.
-func (r *run) heartbeat(ctx context.Context) {
-	last := r.now()
-	for ctx.Err() == nil {
-		time.Sleep(heartbeatInterval)
-		if response, err := r.operators.Get("http://" + r.echo); err == nil {
-			_ = response.Body.Close()
-		}
-		if now := r.now(); now-last > heartbeatLate {
-			from := last
-			r.history.update(func() {
-				r.history.Disturbances = append(r.history.Disturbances, Disturbance{Target: anyTarget, What: "starved", Effect: EffectSlowed, From: from, To: now})
-			})
-		}
-		last = r.now()
-	}
-}
-
-// starved returns the number of times in which the machine was starved.
-func (h *History) starved() int {
-	return len(slices.DeleteFunc(slices.Clone(h.Disturbances), func(d Disturbance) bool { return d.Target != anyTarget }))
-}
--- a/internal/soak/document_test.go
+++ b/internal/soak/document_test.go
@@ -15,7 +15,13 @@
 	pathCurrent   = "/current/"
 	serviceBase   = "base"
 	serviceLedger = "ledger"
-	keyBase       = "base-key"
+	// serviceBallast has no route. Its backend servers make the list long.
+	serviceBallast = "ballast"
+	keyBase        = "base-key"
+	// bulkKey is the start of the keys of customers with limits, of which there are many:
+	// an entry that gets the first request of one draws units, and with them the list
+	// of backend servers, at once.
+	bulkKey = "bulk-key-"
 )
 
 // routeTimeoutMS is every route's time limit. It is well above what a busy machine
@@ -78,7 +84,7 @@
 
 // hasKey reports whether a caller with the key is known.
 func (d *Document) hasKey(key string) bool {
-	return key == keyBase || slices.ContainsFunc(d.labels(), func(label string) bool { return keyOf(label) == key })
+	return key == keyBase || strings.HasPrefix(key, bulkKey) || slices.ContainsFunc(d.labels(), func(label string) bool { return keyOf(label) == key })
 }
 
 // content returns the document in the platform's format. It depends on the document
@@ -91,7 +97,7 @@
 	once := route(pathOnce, "unsafe", serviceLedger)
 	once["attempts"] = 1
 	routes := []map[string]any{route(pathBase, "safe", serviceBase), once, route(pathCurrent, "safe", serviceOf(d.Label))}
-	services := []map[string]any{{"name": serviceBase}, {"name": serviceLedger}}
+	services := []map[string]any{{"name": serviceBase}, {"name": serviceLedger}, {"name": serviceBallast}}
 	customers := []map[string]any{{"name": "customer", "api_keys": []string{keyBase}}}
 	for _, label := range d.labels() {
 		routes = append(routes, route(pathOf(label), "safe", serviceOf(label)))
@@ -99,7 +105,7 @@
 		customers = append(customers, map[string]any{"name": "customer-" + label, "api_keys": []string{keyOf(label)}})
 	}
 	for i := range d.Customers {
-		customers = append(customers, map[string]any{"name": fmt.Sprintf("bulk-%d", i), "api_keys": []string{fmt.Sprintf("bulk-key-%d", i)}, "rate_per_s": 100, "burst": 100})
+		customers = append(customers, map[string]any{"name": fmt.Sprintf("bulk-%d", i), "api_keys": []string{fmt.Sprintf("%s%d", bulkKey, i)}, "rate_per_s": 100, "burst": 100})
 	}
 	switch last := routes[len(routes)-1]; d.Flaw {
 	case FlawService:
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -28,9 +28,10 @@
 		case <-r.platform.nextRead():
 		case <-time.After(listWait):
 		}
+		r.changeList()
 		time.Sleep(e.For)
 	}
-	content := document.content()
+	content := r.contents[e.Document]
 	backoff := operatorBackoff
 	for i, began := 0, r.now(); r.now()-began < operatorPatience && ctx.Err() == nil; i++ {
 		p := r.deployment.processes[e.Replicas[i%len(e.Replicas)]]
@@ -91,7 +92,7 @@
 		content, err := io.ReadAll(response.Body)
 		if err == nil {
 			read.Status = response.StatusCode
-			read.Label = labelOf(r.plan.Documents, content)
+			read.Label = r.labels[string(content)]
 		}
 	}
 	read.To = r.now()
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -20,6 +20,8 @@
 	// removes one that is not needed, KindEngine adds the one of a document's service.
 	KindList   Kind = "list"
 	KindEngine Kind = "engine"
+	// KindBurst sends many requests to each entry at once.
+	KindBurst Kind = "burst"
 
 	KindPause  Kind = "pause"
 	KindKill   Kind = "kill"
@@ -53,8 +55,9 @@
 	Document string
 	// Replicas is the order in which a put asks replicas.
 	Replicas []int
-	// AfterList lets a put wait until the leader has read the newest list of backend
-	// servers, and For after that.
+	// AfterList lets a put wait until the list of backend servers is read. It then
+	// changes the list, and sends the document For later, when the list is about to be
+	// read next.
 	AfterList bool
 	// Amount is the number of busy loops, or the delay in milliseconds.
 	Amount int
@@ -95,6 +98,8 @@
 	Options
 	Documents []*Document
 	Events    []Event
+	// Ballast is the number of listed backend servers that get no requests.
+	Ballast int
 	// MaxProcs is GOMAXPROCS of the processes by name, if it is set.
 	MaxProcs map[string]int
 }
@@ -103,6 +108,18 @@
 	// keptDocuments is the number of earlier documents whose routes a document keeps.
 	keptDocuments = 5
 	firstVersion  = 10
+	// maxBusy bounds the busy loops at a time.
+	maxBusy = 2
+	// maxBurst bounds the requests that an entry gets at once.
+	maxBurst = 60
+	// minPutDelay and maxPutDelay bound the delay of a put after a reading of the list,
+	// which the leader reads every 500 ms: the list and the document then reach the
+	// entries at about the same moment.
+	minPutDelay = 440 * time.Millisecond
+	maxPutDelay = 510 * time.Millisecond
+	// listRead is the longest time from a change of the list until the leader has read
+	// it.
+	listRead = 600 * time.Millisecond
 	// calm is the time after a burst of changes, in which each change must get in
 	// force and nothing can hide that one has not.
 	calm = applyBound + 600*time.Millisecond
@@ -124,21 +141,22 @@
 func NewPlan(options Options) *Plan {
 	p := &planner{Plan: Plan{Options: options, MaxProcs: make(map[string]int)}, rng: rand.New(rand.NewPCG(options.Seed, 0))}
 	p.version = firstVersion
-	if p.chance(0.5) {
-		p.bulk = 100 + p.rng.IntN(400)
-	}
+	p.bulk, p.Ballast = 10+p.rng.IntN(3000), p.rng.IntN(400)
 	for i := range options.Entries {
-		if p.chance(0.3) {
+		if p.chance(0.5) {
 			p.MaxProcs[fmt.Sprintf("e%d", i+1)] = 1 + p.rng.IntN(2)
 		}
 	}
 	p.newDocument("", FlawNone)
-	for p.at < options.Duration {
-		p.coreCycle()
-		p.at += stability
-		for range 3 {
+	p.at = 200 * time.Millisecond
+	for lists := p.chance(0.5); p.at < options.Duration; {
+		for range 2 {
 			p.listCycle()
 		}
+		if !lists {
+			p.coreCycle()
+			p.at += stability
+		}
 	}
 	p.Events = slices.DeleteFunc(p.Events, func(e Event) bool { return e.At >= options.Duration })
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
@@ -188,7 +206,7 @@
 	}
 	put := p.put(at, document)
 	if afterList {
-		put.AfterList, put.For = true, p.between(0, 320*time.Millisecond)
+		put.AfterList, put.For = true, p.between(minPutDelay, maxPutDelay)
 	}
 	p.add(put)
 	p.add(Event{At: max(0, at+p.between(-300*time.Millisecond, 30*time.Millisecond)), Kind: KindEngine, Document: document.Label})
@@ -222,11 +240,27 @@
 		p.entryFault(p.between(p.at, end))
 	}
 	if p.chance(0.6) {
-		p.add(Event{At: p.at, Kind: KindBusy, Amount: 2 + p.rng.IntN(5), For: end - p.at + time.Second})
+		p.add(Event{At: p.at, Kind: KindBusy, Amount: 1 + p.rng.IntN(maxBusy), For: end - p.at + time.Second})
+	}
+	if p.chance(0.4) {
+		p.change(end, true)
+		p.at = end + 2*listRead + calm
+		return
 	}
-	p.add(Event{At: end, Kind: KindList})
-	p.change(end, true)
-	p.at = end + time.Second + calm
+	p.freeze(end)
+}
+
+// freeze pauses all entries while the list and the configuration change, so that both
+// changes reach each of them at the same moment: when it resumes, beside many requests. What an entry makes
+// of them must be right when it is in touch again.
+func (p *planner) freeze(at time.Duration) {
+	for i := range p.Entries {
+		p.add(Event{At: at, Kind: KindPause, Target: fmt.Sprintf("e%d", i+1), For: p.between(listRead, listRead+150*time.Millisecond)})
+	}
+	p.add(Event{At: at, Kind: KindList})
+	p.add(Event{At: at + listRead - 50*time.Millisecond, Kind: KindBurst, Amount: p.rng.IntN(maxBurst)})
+	p.change(at+p.between(0, 100*time.Millisecond), false)
+	p.at = at + listRead + stability + 800*time.Millisecond
 }
 
 // coreCycle adds a fault of a replica, mostly the leader, with changes around its start.
@@ -260,6 +294,12 @@
 		}
 	}
 	p.add(fault)
+	if p.Replicas > 4 && p.chance(0.7) {
+		// A second replica may be away while more than half of the replicas remain.
+		second := fault
+		second.Target = fmt.Sprintf("r%d", 1+p.rng.IntN(p.Replicas))
+		p.add(second)
+	}
 	for at := start - p.between(0, 300*time.Millisecond); at < start+2500*time.Millisecond; at += p.between(150*time.Millisecond, 900*time.Millisecond) {
 		p.change(at, false)
 		if p.chance(0.5) {
@@ -267,7 +307,7 @@
 		}
 	}
 	if p.chance(0.3) {
-		p.add(Event{At: start, Kind: KindBusy, Amount: 2 + p.rng.IntN(5), For: 3 * time.Second})
+		p.add(Event{At: start, Kind: KindBusy, Amount: 1 + p.rng.IntN(maxBusy), For: 2 * time.Second})
 	}
 	if p.chance(0.4) {
 		p.entryFault(p.between(start, start+2*time.Second))
--- a/internal/soak/platform_test.go
+++ b/internal/soak/platform_test.go
@@ -17,6 +17,8 @@
 	now     func() time.Duration
 	address string
 	servers []*http.Server
+	// ballast is the number of listed backend servers that get no requests.
+	ballast int
 
 	mu      sync.Mutex
 	engines []*engine
@@ -69,6 +71,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	instances := []map[string]any{}
+	for i := range p.ballast {
+		instances = append(instances, map[string]any{"id": fmt.Sprintf("i-ballast-%d", i), "service": serviceBallast, "addr": p.address, "zone": zoneOf(0), "state": "ready", "slots": engineSlots})
+	}
 	for _, e := range p.engines {
 		state := "ready"
 		if e.draining {
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -27,8 +27,11 @@
 
 // run plays a plan.
 type run struct {
-	plan       *Plan
-	documents  map[string]*Document
+	plan      *Plan
+	documents map[string]*Document
+	// contents holds the documents' contents by label, labels the reverse.
+	contents   map[string][]byte
+	labels     map[string]string
 	history    *History
 	platform   *platform
 	deployment *deployment
@@ -49,17 +52,20 @@
 func play(ctx context.Context, plan *Plan, dir string) (*run, error) {
 	r := &run{
 		plan: plan, dir: dir, began: time.Now(), acked: make(map[string]bool), documents: make(map[string]*Document),
+		contents: make(map[string][]byte), labels: make(map[string]string),
 		history:   &History{Documents: plan.Documents, Runs: make(map[string]int)},
 		operators: &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 	}
 	for _, d := range plan.Documents {
-		r.documents[d.Label] = d
+		r.documents[d.Label], r.contents[d.Label] = d, d.content()
+		r.labels[string(r.contents[d.Label])] = d.Label
 	}
 	var err error
 	if r.platform, err = newPlatform(r.history, r.now); err != nil {
 		return r, err
 	}
 	defer r.platform.close()
+	r.platform.ballast = plan.Ballast
 	if r.echo, err = r.platform.serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})); err != nil {
 		return r, err
 	}
@@ -103,7 +109,7 @@
 	defer halt()
 	r.halted = faulty
 	var clients sync.WaitGroup
-	clients.Go(func() { r.heartbeat(running) })
+	clients.Go(func() { r.watchStarvation(running) })
 	clients.Go(func() { r.readBack(running) })
 	for _, p := range r.deployment.processes[r.plan.Replicas:] {
 		for number := range clientsPerEntry {
@@ -152,6 +158,8 @@
 		_ = r.platform.add(serviceOf(e.Document))
 	case KindList:
 		r.changeList()
+	case KindBurst:
+		r.burst(e)
 	default:
 		r.faults.Go(func() { r.fault(ctx, e) })
 	}
@@ -191,14 +199,19 @@
 	if e.Target == targetLeader {
 		p = r.deployment.leader()
 	}
-	p.life.Lock()
+	if !p.life.TryLock() {
+		// Another fault of the process lasts.
+		return
+	}
 	defer p.life.Unlock()
-	if ctx.Err() != nil {
+	if e.Kind == KindReload {
+		r.history.begin(r.now, "", "reload of "+p.name, EffectMoment)()
+		p.signal(syscall.SIGHUP, false)
 		return
 	}
 	effect := EffectAway
 	switch e.Kind {
-	case KindReload, KindReset:
+	case KindReset:
 		effect = EffectMoment
 	case KindDelay, KindSilenceOpen:
 		effect = EffectSlowed
@@ -212,8 +225,6 @@
 		p.signal(syscall.SIGCONT, false)
 	case KindKill, KindTerm:
 		r.restart(ctx, p, e)
-	case KindReload:
-		p.signal(syscall.SIGHUP, false)
 	default:
 		r.faultLinks(ctx, p.proxy, e)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,6 +24,7 @@
 	durationFlag = flag.Duration("soak.duration", 20*time.Second, "time of changes and faults")
 	entriesFlag  = flag.Int("soak.entries", 6, "number of entries")
 	replicasFlag = flag.Int("soak.replicas", 4, "number of replicas")
+	keepFlag     = flag.Bool("soak.keep", false, "keep the logs of runs that pass")
 	planFlag     = flag.Bool("soak.plan", false, "print the plans")
 )
 
@@ -89,8 +90,17 @@
 	if err != nil {
 		t.Fatalf("seed %d: %v; logs in %s", seed, err, dir)
 	}
-	violations := run.history.Check()
-	t.Logf("seed %d: %d requests, %d acknowledgements, %d reads, %d times starved", seed, len(run.history.Observations), len(run.history.Acks), len(run.history.Reads), run.history.starved())
+	c := newChecker(run.history)
+	c.check()
+	violations := c.violations
+	worst, inTouch := c.worstDelay()
+	t.Logf("seed %d: %d requests, %d acknowledgements, %d reads, starved: %s; longest from an acknowledgement to a request handled as before: %.2f s, in touch %.2f s; %d requests refused out of touch",
+		seed, len(c.Observations), len(c.Acks), len(c.Reads), c.starved(), worst.Seconds(), inTouch.Seconds(), c.refusedOutOfTouch)
+	if len(violations) == 0 && *keepFlag {
+		run.save(nil)
+		t.Logf("logs and report in %s", dir)
+		return
+	}
 	if len(violations) == 0 {
 		_ = os.RemoveAll(dir)
 		return
--- a/internal/soak/touch_test.go
+++ b/internal/soak/touch_test.go
@@ -24,8 +24,8 @@
 )
 
 // undisturbed reports whether an entry ran without a disturbance in the stability
-// time before t: no kill, start, stop, reload or pause of its process and no
-// starvation of the machine, at any moment of that time.
+// time before t: no kill, start, stop or pause of its process and no starvation of the
+// machine, at any moment of that time. A reload and busy processors disturb nothing.
 func (h *History) undisturbed(entry string, t time.Duration) bool {
 	return !slices.ContainsFunc(h.Disturbances, func(d Disturbance) bool {
 		return (d.Target == entry || d.Target == anyTarget) && d.overlaps(t-stability, t)
@@ -42,7 +42,7 @@
 }
 
 // coreStable reports whether the core was stable in the stability time before t. No
-// replica was killed, started, stopped, reloaded, paused or resumed, its connections
+// replica was killed, started, stopped, paused or resumed, its connections
 // were not reset, and its links were neither cut nor healed, in that time. No replica
 // was slowed at any moment of it. And more than half of the replicas ran and were
 // connected all the while. A replica that has been away since before that time does
