--- /dev/null
+++ b/internal/replica/duties_test.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"waxwingcart/internal/core/routes"
+	"waxwingcart/internal/core/scaling"
+	"waxwingcart/internal/discovery"
+	"waxwingcart/internal/wire"
+)
+
+// readTimeout ends a test in which the list is not read.
+const readTimeout = 10 * time.Second
+
+// An order that the platform does not answer must not keep the leader from reading
+// the list of backend servers, from which all entries learn of new servers.
+func TestPendingOrderDelaysNoList(t *testing.T) {
+	var reads atomic.Int64
+	var first sync.Once
+	delayed := make(chan bool, 1)
+	peers, listeners := newPeers(t, 1)
+	opts := replicaOptions(t, peers, 0)
+	opts.Duties = &DutyOptions{
+		Discover: func(context.Context) ([]discovery.Server, error) {
+			reads.Add(1)
+			return nil, nil
+		},
+		Decode: func([]byte) (*routes.Table, error) {
+			return &routes.Table{Number: 1, Services: []routes.Service{{
+				Name: "m", Engine: &routes.Engine{Slots: 1},
+				Scaling: &routes.Scaling{Min: 1, Max: 1, ZonePrices: map[string]float64{"z1": 1}},
+			}}}, nil
+		},
+		SendScaleOrder: func(context.Context, DutyHolder, scaling.Order) error {
+			first.Do(func() {
+				before := reads.Load()
+				for end := time.Now().Add(readTimeout); reads.Load() == before && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+				delayed <- reads.Load() == before
+			})
+			return nil
+		},
+	}
+	r, _ := serveReplica(t, opts, listeners[0])
+	awaitVoters(t, r, 1)
+	awaitLeader(t, []*Replica{r})
+	if _, err := r.Service().PutDocument(context.Background(), &wire.PutDocumentRequest{Number: 1, Content: []byte(`{"version":1}`)}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case late := <-delayed:
+		if late {
+			t.Error("the list was not read while an order was pending")
+		}
+	case <-time.After(2 * readTimeout):
+		t.Fatal("no order was sent")
+	}
+}
