Send scaling orders beside the readings of the list

What callers saw: a route whose service had just got its first server was refused with no-backend-server while the platform answered orders late.

Cause: the leader read the list of backend servers and sent the orders in one loop. An order may take 1.5 s, orders go out one after the other, and all entries learn of new servers by the leader's list.

Change: orders are sent in a loop of their own, after a reading; each service is planned by the latest list, not by the one from before the first order.

--- a/internal/replica/duties.go
+++ b/internal/replica/duties.go
@@ -149,16 +149,39 @@
 }
 
 func (d *duties) run(ctx context.Context) {
+	listRead := make(chan struct{}, 1)
 	d.replica.spawn(func() {
 		periodic.Run(ctx, listInterval, func() {
 			if d.readList(ctx) {
-				d.scale(ctx)
+				signal(listRead)
 			}
 		})
 	})
+	d.replica.spawn(func() { d.runScaling(ctx, listRead) })
 	periodic.Run(ctx, dutyInterval, func() { d.reportUsage(ctx) })
 }
 
+// runScaling sends orders after the list was read. Orders that the platform answers
+// late delay no reading of the list; readings meanwhile lead to one more round.
+func (d *duties) runScaling(ctx context.Context, listRead <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-listRead:
+			d.scale(ctx)
+		}
+	}
+}
+
+// signal sends on a channel unless a signal is waiting there.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // dueUsage returns the next usage report to send, and false if there is none or
 // this replica may not send it.
 func (d *duties) dueUsage() (DutyHolder, usage.Report, bool) {
@@ -256,7 +279,6 @@
 func (d *duties) scale(ctx context.Context) {
 	d.mu.Lock()
 	_, ok := d.holder()
-	list := d.list.servers
 	d.mu.Unlock()
 	if !ok || d.opts.SendScaleOrder == nil {
 		return
@@ -266,7 +288,7 @@
 		return
 	}
 	for i := range table.Services {
-		d.scaleService(ctx, &table.Services[i], list)
+		d.scaleService(ctx, &table.Services[i])
 	}
 }
 
@@ -286,10 +308,15 @@
 	return table
 }
 
-func (d *duties) scaleService(ctx context.Context, service *routes.Service, list []discovery.Server) {
+// scaleService sends the orders for one service. It reads the list again, because
+// orders for the services before may have taken long.
+func (d *duties) scaleService(ctx context.Context, service *routes.Service) {
 	if service.Scaling == nil || service.Engine == nil {
 		return
 	}
+	d.mu.Lock()
+	list := d.list.servers
+	d.mu.Unlock()
 	observed := scaling.Observed{Spec: specOf(service)}
 	for _, server := range list {
 		if server.Service == service.Name {
