Decode a committed document once for the scaling orders

Cause: the leader decoded the whole document at each reading of the list, twice a second, though it changes seldom. A large document takes a small processor that heartbeats and confirmations need. A document that can't be decoded is logged once.

--- a/internal/replica/duties.go
+++ b/internal/replica/duties.go
@@ -83,6 +83,15 @@
 	// list is the latest reading of the platform's list. It is also passed to the
 	// entries.
 	list serverList
+	// decoded belongs to runScaling.
+	decoded decodedTable
+}
+
+// decodedTable is the configuration of a revision; table is nil if there is none or
+// it can't be decoded.
+type decodedTable struct {
+	revision uint64
+	table    *routes.Table
 }
 
 // serverList is a reading of the platform's list of backend servers.
@@ -293,18 +302,32 @@
 }
 
 // table returns the committed configuration, or nil if there is none or it can't
-// be decoded.
+// be decoded. It decodes each revision once. Only runScaling calls it.
 func (d *duties) table(ctx context.Context) *routes.Table {
 	var content []byte
-	err := d.replica.runInLoop(ctx, func() { content = d.replica.numberedContent() })
-	if err != nil || len(content) == 0 {
+	var revision uint64
+	err := d.replica.runInLoop(ctx, func() {
+		revision = d.replica.machine.Revision()
+		if revision != d.decoded.revision {
+			content = d.replica.numberedContent()
+		}
+	})
+	if err != nil {
+		return nil
+	}
+	if revision == d.decoded.revision {
+		return d.decoded.table
+	}
+	d.decoded = decodedTable{revision: revision}
+	if len(content) == 0 {
 		return nil
 	}
 	table, err := d.opts.Decode(content)
 	if err != nil {
-		d.replica.logger.Error().Str("step", "scale").Err(err).Msg("decoding the committed configuration failed")
+		d.replica.logger.Error().Str("step", "scale").Uint64("revision", revision).Err(err).Msg("decoding the committed configuration failed")
 		return nil
 	}
+	d.decoded.table = table
 	return table
 }
 
--- a/internal/replica/duties_test.go
+++ b/internal/replica/duties_test.go
@@ -61,3 +61,37 @@
 		t.Fatal("no order was sent")
 	}
 }
+
+// The leader decodes a document once, however often it plans.
+func TestCommittedDocumentIsDecodedOnce(t *testing.T) {
+	var decoded, reads atomic.Int64
+	peers, listeners := newPeers(t, 1)
+	opts := replicaOptions(t, peers, 0)
+	opts.Duties = &DutyOptions{
+		Discover: func(context.Context) ([]discovery.Server, error) {
+			reads.Add(1)
+			return nil, nil
+		},
+		Decode: func([]byte) (*routes.Table, error) {
+			decoded.Add(1)
+			return &routes.Table{Number: 1}, nil
+		},
+		SendScaleOrder: func(context.Context, DutyHolder, scaling.Order) error { return nil },
+	}
+	r, _ := serveReplica(t, opts, listeners[0])
+	awaitVoters(t, r, 1)
+	awaitLeader(t, []*Replica{r})
+	if _, err := r.Service().PutDocument(context.Background(), &wire.PutDocumentRequest{Number: 1, Content: []byte(`{"version":1}`)}); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(readTimeout); decoded.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	const plans = 3
+	for last, end := reads.Load(), time.Now().Add(readTimeout); reads.Load() < last+plans && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := decoded.Load(); n != 1 {
+		t.Errorf("decoded %d times, want once", n)
+	}
+}
