Soak: find the spare by the voters' names, start the replicas in a random order

The spare of a plan was always the first replica: voters are listed as VM/INCARNATION@ADDRESS. Which replicas vote depends on the order in which they join, so plans choose it.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -33,6 +33,7 @@
 	replaceAfter  = 60_000
 	lostReplicas  = 1
 	readyTimeout  = 30 * time.Second
+	startInterval = 200 * time.Millisecond
 	statusTimeout = 300 * time.Millisecond
 )
 
@@ -90,7 +91,13 @@
 			return d, err
 		}
 	}
-	for _, p := range d.processes {
+	for _, i := range plan.Order {
+		if err := d.start(d.processes[i]); err != nil {
+			return d, err
+		}
+		time.Sleep(startInterval)
+	}
+	for _, p := range d.processes[plan.Replicas:] {
 		if err := d.start(p); err != nil {
 			return d, err
 		}
@@ -233,12 +240,15 @@
 	}
 }
 
-// status is what a replica says of itself.
+// status is what a replica says of itself. A voter is named VM/INCARNATION@ADDRESS.
 type status struct {
-	Role        string   `json:"role"`
-	Term        uint64   `json:"term"`
-	Incarnation string   `json:"incarnation"`
-	Voters      []string `json:"voters"`
+	Role   string   `json:"role"`
+	Term   uint64   `json:"term"`
+	Voters []string `json:"voters"`
+}
+
+func (s status) votes(name string) bool {
+	return slices.ContainsFunc(s.Voters, func(voter string) bool { return strings.HasPrefix(voter, name+"/") })
 }
 
 // status returns what a replica says of itself, or an empty status without a response.
@@ -278,10 +288,7 @@
 	if name == targetLeader {
 		return d.processes[leader]
 	}
-	spare := slices.IndexFunc(list, func(s status) bool {
-		return s.Incarnation != "" && !slices.Contains(list[leader].Voters, s.Incarnation)
-	})
-	return d.processes[max(spare, 0)]
+	return d.processes[max(0, slices.IndexFunc(d.processes[:d.plan.Replicas], func(p *process) bool { return !list[leader].votes(p.name) }))]
 }
 
 // awaitReady waits until all entries are ready.
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -102,6 +102,9 @@
 	Options
 	Documents []*Document
 	Events    []Event
+	// Order is the order in which the replicas start, the one that creates the log
+	// first. The first ones to join vote.
+	Order []int
 	// Ballast is the number of listed backend servers that get no requests.
 	Ballast int
 	// MaxProcs is GOMAXPROCS of the processes by name, if it is set.
@@ -145,6 +148,10 @@
 func NewPlan(options Options) *Plan {
 	p := &planner{Plan: Plan{Options: options, MaxProcs: make(map[string]int)}, rng: rand.New(rand.NewPCG(options.Seed, 0))}
 	p.version = firstVersion
+	p.Order = []int{0}
+	for _, i := range rand.New(rand.NewPCG(options.Seed, 1)).Perm(options.Replicas - 1) {
+		p.Order = append(p.Order, i+1)
+	}
 	p.bulk, p.Ballast = 10+p.rng.IntN(3000), p.rng.IntN(400)
 	for i := range options.Entries {
 		if p.chance(0.5) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,8 +35,8 @@
 	entries, replicas int
 	reason            string
 }{
-	{600, 6, 4, "an entry that applied a new list put the servers of the document before back into placement: the added route had none"},
-	{604, 6, 4, "the same, beside faults of the leader"},
+	{3000, 6, 4, "an entry that applied a new list put the servers of the document before back into placement: the added route had none"},
+	{4328, 4, 6, "the list of backend servers did not reach the entries while the old leader and a spare were silent, and another replica led"},
 }
 
 var binaryPath string
