Save a configuration without blocking an entry's calls

What callers saw: with entries that have a data directory, callers whose keys are reserved waited while the disk was slow, and the entry gave no metrics and answered no other entry.

Cause: publish saved the revision, with two syncs, under the lock that these calls need. Now the order of publishing has a lock of its own, and the other lock is held only to read and decode. The revision still comes into force only after it is saved.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -26,6 +26,10 @@
 type configuration struct {
 	*fleet.Config
 	revision uint64
+	// from is the process that supplied the revision, and proposedAt when it was
+	// proposed, by the leader's wall clock.
+	from       string
+	proposedAt time.Time
 	// routes is set if the configuration is a numbered document.
 	routes    *routes.Index
 	customers map[[sha256.Size]byte]*fleet.Customer
@@ -93,6 +97,10 @@
 	entry   *Entry
 	current atomic.Pointer[configuration]
 
+	// publishing is held while a configuration is put in force, so that one follows
+	// the other. It is taken before mu.
+	publishing sync.Mutex
+
 	mu   sync.Mutex
 	view *state.View
 	// acknowledgedAt is when a call last acknowledged the revision in force.
@@ -191,33 +199,24 @@
 	return h.rejected
 }
 
-// publish puts the view's configuration in force if it is newer.
+// publish puts the view's configuration in force if it is newer. It saves the
+// configuration first, without mu: a slow disk delays neither calls nor responses.
 func (h *configHolder) publish() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	current := h.current.Load()
-	if h.view.Config() == nil || (current != nil && current.revision >= h.view.Revision()) {
-		return
-	}
-	if h.undecodable == h.view.Revision() {
-		return
-	}
-	next, err := h.decode()
-	if err != nil {
-		h.undecodable = h.view.Revision()
-		h.entry.logger.Error().Str("step", "apply config").Uint64("revision", h.undecodable).Str("peer", h.from).Err(err).
-			Msg("decoding the configuration failed; the previous one stays in force and this one is not acknowledged")
+	h.publishing.Lock()
+	defer h.publishing.Unlock()
+	next, deltas := h.next()
+	if next == nil {
 		return
 	}
 	saving := time.Now()
-	h.save()
+	h.save(deltas)
 	saved := time.Since(saving)
 	// Calls see next only once placement has the servers of its services.
 	h.entry.policy.setConfiguration(next)
 	h.current.Store(next)
 	h.entry.metrics.revision.Set(float64(next.revision))
 	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).
-		Str("peer", h.from).Int64("age_ms", h.changeAge().Milliseconds()).Int64("save_ms", saved.Milliseconds())
+		Str("peer", next.from).Int64("age_ms", next.age().Milliseconds()).Int64("save_ms", saved.Milliseconds())
 	if next.routes != nil {
 		event.Uint64("number", next.routes.Number).Int("routes", len(next.routes.Routes)).Int("customers", len(next.routes.Customers))
 	}
@@ -225,13 +224,36 @@
 	h.entry.signalInitialized()
 }
 
-// changeAge returns the time since the view's last change was proposed, by the
-// wall clocks of this process and of the leader, which may differ. The caller
-// holds mu.
-func (h *configHolder) changeAge() time.Duration {
-	return max(time.Since(time.UnixMilli(h.view.Last().TimeMS)), 0)
+// next returns the view's configuration, and the deltas to be saved, or nil if it is
+// not newer than the one in force or can't be decoded.
+func (h *configHolder) next() (*configuration, []state.Delta) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	current := h.current.Load()
+	if h.view.Config() == nil || (current != nil && current.revision >= h.view.Revision()) {
+		return nil, nil
+	}
+	if h.undecodable == h.view.Revision() {
+		return nil, nil
+	}
+	next, err := h.decode()
+	if err != nil {
+		h.undecodable = h.view.Revision()
+		h.entry.logger.Error().Str("step", "apply config").Uint64("revision", h.undecodable).Str("peer", h.from).Err(err).
+			Msg("decoding the configuration failed; the previous one stays in force and this one is not acknowledged")
+		return nil, nil
+	}
+	next.from, next.proposedAt = h.from, time.UnixMilli(h.view.Last().TimeMS)
+	if h.entry.opts.DataDir == "" {
+		return next, nil
+	}
+	return next, h.view.Deltas(0)
 }
 
+// age returns the time since the change was proposed, by the wall clocks of this
+// process and of the leader, which may differ.
+func (c *configuration) age() time.Duration { return max(time.Since(c.proposedAt), 0) }
+
 // decode builds the configuration from the view.
 func (h *configHolder) decode() (*configuration, error) {
 	if h.entry.opts.Routed == nil {
--- a/internal/entry/saved.go
+++ b/internal/entry/saved.go
@@ -44,14 +44,11 @@
 	h.from, h.saved = h.savedPath(), h.view.Revision() > 0
 }
 
-// save writes the view's configuration before it is put in force. The caller
-// holds mu. If it fails the entry continues; only a restart in a zone that is
+// save writes a configuration before it is put in force. The caller holds
+// publishing. If it fails the entry continues; only a restart in a zone that is
 // cut off depends on the copy.
-func (h *configHolder) save() {
-	if h.entry.opts.DataDir == "" {
-		return
-	}
-	for _, delta := range h.view.Deltas(0) {
+func (h *configHolder) save(deltas []state.Delta) {
+	for _, delta := range deltas {
 		data, err := encodeSaved(delta)
 		if err == nil {
 			err = replaceFile(h.savedPath(), data)
