Refuse a document at a follower before it is read

A put that the leader answers late is sent to all other replicas.

TestFollowerRefusesDocumentUnread failed before (invalid_argument), passes now.

--- a/internal/replica/numbered.go
+++ b/internal/replica/numbered.go
@@ -11,6 +11,7 @@
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
+	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
 
@@ -21,6 +22,10 @@
 // the one in force. Otherwise it changes nothing and returns the number in force
 // without an error, so that a document may be sent again.
 func (s *Service) PutDocument(ctx context.Context, req *wire.PutDocumentRequest) (*wire.PutDocumentResponse, error) {
+	if s.replica.status().Role != replication.RoleLeader {
+		// The same call may go to all replicas, and a document may be large.
+		return nil, rpc.NotLeader(s.replica.leaderAddress())
+	}
 	if req.Number == 0 || !json.Valid(req.Content) {
 		return nil, twirp.InvalidArgumentError("content", "must be JSON with a number above 0")
 	}
