--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -183,11 +183,12 @@
 		Revision:  response.Revision,
 		Committed: response.Confirmed,
 	})
+	again := h.rejected
 	h.rejected = effects.Err != nil
 	if effects.Config != nil {
 		h.from = from
 	}
-	if effects.Err != nil {
+	if h.rejected && !again {
 		h.entry.logger.Error().Str("step", "apply config").Str("peer", from).Err(effects.Err).Msg("applying received configuration changes failed")
 	}
 }
