replica: deliver later messages beside an overdue delivery

Callers saw: when a connection between two healthy replicas went silent, heartbeats, appends and votes over it stopped for up to 2 s.

Cause: a peer had one delivery in flight, bounded by 2 s, while the election timeout is 600 ms and the lease 400 ms.

Change: after 200 ms without an answer a delivery stays pending and the next ones are made beside it. Idle connections to that peer are closed first, as they may be silent too; each peer has connections of its own, so that this affects no other calls. A delivery ends after 4 s. At most two deliveries of more than 4 KiB are pending, and further large messages are dropped meanwhile, so that copies don't fill a slow link: each of two gets half of the link for twice the former time. Messages on the wire are the same.

Why it is safe: the core tolerates loss, reordering and duplication. The simulated network of internal/core/replication loses, doubles, shuffles and delays messages by up to 2 election timeouts.

Evidence: with the former loop and its bound injected, TestSilentConnectionHoldsUpNoMessage failed: the message did not arrive while the first delivery was pending. Trials without one part each: TestIdleConnectionIsNotUsedAfterSilence fails without the closing of idle connections, TestLargeDeliveriesAreLimited without the limit. `go test -race ./internal/replica ./internal/rpc` and scripts/lint.sh pass.

Overdue and failed deliveries are counted by peer in waxwingcart_replica_delivery_failures_total; the log has one warning per outage, as before.

--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -16,6 +16,8 @@
 	reservations *prometheus.CounterVec
 	orders       *prometheus.CounterVec
 	duties       *prometheus.CounterVec
+	// deliveryFailures has the labels peer and reason.
+	deliveryFailures *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -44,7 +46,11 @@
 		Namespace: "waxwingcart", Subsystem: "replica", Name: "duty_calls_total",
 		Help: "Calls to the hosting platform made by this replica as leader, by duty and result.",
 	}, []string{"duty", "result"})
-	registry.MustRegister(m.reservations, m.orders, m.duties)
+	m.deliveryFailures = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "waxwingcart", Subsystem: "replica", Name: "delivery_failures_total",
+		Help: "Deliveries of messages to another replica that failed or were overdue, by peer and reason.",
+	}, []string{"peer", "reason"})
+	registry.MustRegister(m.reservations, m.orders, m.duties, m.deliveryFailures)
 	return m
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -408,7 +408,7 @@
 func (r *Replica) senderTo(address string) *sender {
 	s, ok := r.senders[address]
 	if !ok {
-		s = newSender(address, newStub(address, r.opts.Client), r.logger)
+		s = newSender(address, r.opts.Client, r.logger, r.metrics)
 		r.senders[address] = s
 		r.spawn(func() { s.run(r.runCtx) })
 	}
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -14,23 +16,57 @@
 const (
 	senderQueueLength = 4096
 	maxSenderBatch    = 256
-	senderTimeout     = 2 * time.Second
+	// overdueAfter is how long later messages wait for the answer to a delivery. It
+	// is far below the election timeout and the lease, so that a silent connection
+	// costs no leader its quorum.
+	overdueAfter = 200 * time.Millisecond
+	// deliveryTimeout bounds one delivery. Large ones over a slow link may need all
+	// of it.
+	deliveryTimeout = 4 * time.Second
+	// smallDeliveryBytes is the size up to which a delivery is always made. Larger
+	// ones are limited to maxLargeDeliveries at a time, so that copies of a message
+	// that is on its way don't fill a slow link.
+	smallDeliveryBytes = 4 << 10
+	maxLargeDeliveries = 2
 )
 
-// sender delivers replication messages to one peer, in order and in batches.
-// Messages are dropped while the queue is full; the protocol sends them again.
+var errOverdue = errors.New("no answer in time, later messages don't wait for it")
+
+// sender delivers replication messages to one peer in batches: one after the other
+// while the peer answers in time, and otherwise beside the overdue ones, which
+// reorders messages. Messages may also be dropped; the protocol sends them again.
 type sender struct {
-	peer   string
-	stub   wire.Replica
-	queue  chan []byte
-	logger *log.Logger
-	// failing is true while deliveries fail. It limits the log to one warning per
-	// outage.
+	peer    string
+	client  *rpc.Client
+	stub    wire.Replica
+	queue   chan []byte
+	logger  *log.Logger
+	metrics *metrics
+	// large holds a value for each large delivery that is pending.
+	large chan struct{}
+	// pending counts the deliveries whose calls have not returned.
+	pending sync.WaitGroup
+	// failing is true while deliveries fail or are overdue. It limits the log to one
+	// warning per outage.
 	failing bool
+
+	timeout      time.Duration
+	overdueAfter time.Duration
 }
 
-func newSender(peer string, stub wire.Replica, logger *log.Logger) *sender {
-	return &sender{peer: peer, stub: stub, queue: make(chan []byte, senderQueueLength), logger: logger}
+func newSender(peer string, client *rpc.Client, logger *log.Logger, metrics *metrics) *sender {
+	separate := client.Separate()
+	return &sender{
+		peer:    peer,
+		client:  separate,
+		stub:    newStub(peer, separate),
+		queue:   make(chan []byte, senderQueueLength),
+		logger:  logger,
+		metrics: metrics,
+		large:   make(chan struct{}, maxLargeDeliveries),
+
+		timeout: deliveryTimeout, overdueAfter: overdueAfter,
+	}
 }
 
 func (s *sender) send(message []byte) {
@@ -41,6 +77,8 @@
 }
 
 func (s *sender) run(ctx context.Context) {
+	defer s.client.CloseIdleConnections()
+	defer s.pending.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -65,11 +103,55 @@
 	return messages
 }
 
+// deliver starts a delivery and waits until it is answered or overdue. If too many
+// large deliveries are pending, it delivers only small messages and drops the others.
 func (s *sender) deliver(ctx context.Context, messages [][]byte) {
-	callCtx, cancel := context.WithTimeout(ctx, senderTimeout)
+	release := func() {}
+	if totalBytes(messages) > smallDeliveryBytes {
+		select {
+		case s.large <- struct{}{}:
+			release = func() { <-s.large }
+		default:
+			messages = smallMessages(messages)
+		}
+	}
+	if len(messages) == 0 {
+		return
+	}
+	answered := make(chan error, 1)
+	s.pending.Go(func() {
+		defer release()
+		answered <- s.call(ctx, messages)
+	})
+	overdue := time.NewTimer(s.overdueAfter)
+	defer overdue.Stop()
+	select {
+	case err := <-answered:
+		if ctx.Err() == nil {
+			s.logChange(err)
+		}
+	case <-overdue.C:
+		s.metrics.deliveryFailures.WithLabelValues(s.peer, "overdue").Inc()
+		s.logChange(errOverdue)
+		// The fault that silenced the connection may have silenced idle ones too.
+		s.client.CloseIdleConnections()
+	case <-ctx.Done():
+	}
+}
+
+func (s *sender) call(ctx context.Context, messages [][]byte) error {
+	callCtx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	_, err := s.stub.Deliver(callCtx, &wire.DeliverRequest{Messages: messages})
-	if err != nil && !s.failing && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil {
+		s.metrics.deliveryFailures.WithLabelValues(s.peer, "failed").Inc()
+	}
+	return err
+}
+
+// logChange logs the start and the end of an outage, given the result of a delivery.
+func (s *sender) logChange(err error) {
+	if err != nil && !s.failing {
 		s.logger.Warn().Str("step", "deliver").Str("peer", s.peer).Err(rpc.Wrap("deliver", s.peer, err)).Msg("delivering messages to another replica failed")
 	}
 	if err == nil && s.failing {
@@ -77,3 +159,24 @@
 	}
 	s.failing = err != nil
 }
+
+func totalBytes(messages [][]byte) int {
+	total := 0
+	for _, message := range messages {
+		total += len(message)
+	}
+	return total
+}
+
+// smallMessages returns the messages that fit into a small delivery, in order.
+func smallMessages(messages [][]byte) [][]byte {
+	var small [][]byte
+	total := 0
+	for _, message := range messages {
+		if total+len(message) <= smallDeliveryBytes {
+			small = append(small, message)
+			total += len(message)
+		}
+	}
+	return small
+}
--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -111,7 +111,7 @@
 }
 
 // CloseIdleConnections makes the next calls use new connections.
-func (r *Replicas) CloseIdleConnections() { r.client.http.CloseIdleConnections() }
+func (r *Replicas) CloseIdleConnections() { r.client.CloseIdleConnections() }
 
 // Leader returns the address that is called first, or "".
 func (r *Replicas) Leader() string {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// Separate returns a client with the same secret and connections of its own, so that
+// closing them affects no other calls.
+func (c *Client) Separate() *Client { return NewClient(c.secret) }
+
+// CloseIdleConnections makes the next calls use new connections.
+func (c *Client) CloseIdleConnections() { c.http.CloseIdleConnections() }
+
 // Do sends a request; it implements twirp's HTTPClient. After a call that missed
 // its deadline it closes the idle connections: the fault that silenced one
 // connection may have silenced the others, while new connections work.
