rpc: call replicas that were silent last

Callers saw: a change of the configuration, a join or a batch of commits waited 0.6 s for each silent replica in turn, and each call again for the same one while no leader was known.

Cause: CallInTurn took the addresses in their fixed order and kept nothing of earlier calls but the leader.

Change: Replicas holds the addresses whose last call got no answer in time, and calls them after the others. Any answer clears the mark, also a refusal; a call that the caller ended changes nothing. The known leader and a hint of it are still called at once.

Evidence: before, TestSilentReplicaIsCalledLast failed ("a call without a known leader: calls went to [a b], want [b]") and TestSilence ("after a call without an answer: got order [a b], want b first"). After, `go test -race -count=50 ./internal/rpc -run 'TestSilentReplicaIsCalledLast|TestSilence$'` passes, as do `go test -race ./internal/replica ./internal/rpc` and scripts/lint.sh.

The first call still waits 0.6 s for each replica that has just gone silent.

--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -42,6 +42,8 @@
 	addresses []string
 	stubs     map[string]wire.Replica
 	leader    string
+	// silent holds the addresses whose last call got no answer in time.
+	silent map[string]bool
 	// callTimeout bounds one call to one replica.
 	callTimeout time.Duration
 	// overdueAfter is how long the others are not called while the leader has
@@ -56,6 +58,7 @@
 		seeds:     slices.Clone(addresses),
 		addresses: slices.Clone(addresses),
 		stubs:     make(map[string]wire.Replica),
+		silent:    make(map[string]bool),
 
 		callTimeout: callTimeout, overdueAfter: overdueAfter,
 	}
@@ -138,19 +141,36 @@
 	}
 }
 
-// candidates returns the addresses in the order in which they are called.
+// candidates returns the addresses in the order in which they are called: the
+// leader, then the others, of which those that were silent come last.
 func (r *Replicas) candidates() []string {
-	leader := r.Leader()
-	var list []string
-	if leader != "" {
-		list = append(list, leader)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list, silent []string
+	if r.leader != "" {
+		list = append(list, r.leader)
 	}
-	for _, address := range r.Addresses() {
-		if address != leader {
+	for _, address := range r.addresses {
+		switch {
+		case address == r.leader:
+		case r.silent[address]:
+			silent = append(silent, address)
+		default:
 			list = append(list, address)
 		}
 	}
-	return list
+	return append(list, silent...)
+}
+
+// setSilent records whether the last call to an address got no answer in time.
+func (r *Replicas) setSilent(address string, silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if silent {
+		r.silent[address] = true
+		return
+	}
+	delete(r.silent, address)
 }
 
 // Call makes a call to the leader. It looks for the leader until the context
@@ -301,6 +321,10 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, r.callTimeout)
 	defer cancel()
 	response, err := call(attemptCtx, r.Stub(address))
+	// A call that the caller ended tells nothing about the replica.
+	if err == nil || ctx.Err() == nil {
+		r.setSilent(address, errors.Is(err, context.DeadlineExceeded))
+	}
 	if err == nil {
 		return response, "", nil
 	}
