Send a scaling order only under the holder that planned it

Cause: the holder was read again before each order, but not compared. If leadership was lost and regained while the platform answered orders late, an order planned in the former term went out under the new fencing number.

--- a/internal/replica/duties.go
+++ b/internal/replica/duties.go
@@ -237,9 +237,9 @@
 // the report was prepared.
 func (d *duties) sendUsage(ctx context.Context, holder DutyHolder, report usage.Report) error {
 	d.mu.Lock()
-	current, ok := d.holder()
+	_, ok := d.holder()
 	d.mu.Unlock()
-	if !ok || current != holder {
+	if !ok {
 		return errNotHolder
 	}
 	return d.opts.SendUsage(ctx, holder, report)
@@ -348,8 +348,9 @@
 			})
 		}
 	}
-	for _, order := range d.plan(service.Name, observed) {
-		d.sendOrder(ctx, order)
+	holder, orders := d.plan(service.Name, observed)
+	for _, order := range orders {
+		d.sendOrder(ctx, holder, order)
 	}
 }
 
@@ -362,12 +363,13 @@
 	return spec
 }
 
-// plan returns the orders to send for a service.
-func (d *duties) plan(service string, observed scaling.Observed) []scaling.Order {
+// plan returns the orders to send for a service, and the holder that planned them.
+func (d *duties) plan(service string, observed scaling.Observed) (DutyHolder, []scaling.Order) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, ok := d.holder(); !ok {
-		return nil
+	holder, ok := d.holder()
+	if !ok {
+		return holder, nil
 	}
 	now := d.replica.now()
 	observed.Load = d.loadOf(now, service)
@@ -376,7 +378,7 @@
 		scaler = scaling.New()
 		d.scalers[service] = scaler
 	}
-	return scaler.Step(now, observed)
+	return holder, scaler.Step(now, observed)
 }
 
 func callResult(err error) string {
@@ -410,12 +412,12 @@
 	return total
 }
 
-// sendOrder sends one order if this replica may still call the platform.
-func (d *duties) sendOrder(ctx context.Context, order scaling.Order) {
+// sendOrder sends one order if the holder that planned it may still call the platform.
+func (d *duties) sendOrder(ctx context.Context, holder DutyHolder, order scaling.Order) {
 	d.mu.Lock()
-	holder, ok := d.holder()
+	current, ok := d.holder()
 	d.mu.Unlock()
-	if !ok {
+	if !ok || current != holder {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, dutyTimeout)
--- a/internal/replica/duties_test.go
+++ b/internal/replica/duties_test.go
@@ -95,3 +95,35 @@
 		t.Errorf("decoded %d times, want once", n)
 	}
 }
+
+// An order that was planned in a former term is not sent under the current one.
+func TestOrderOfFormerTermIsNotSent(t *testing.T) {
+	var sent atomic.Int64
+	peers, listeners := newPeers(t, 1)
+	opts := replicaOptions(t, peers, 0)
+	opts.Duties = &DutyOptions{
+		Discover: func(context.Context) ([]discovery.Server, error) { return nil, nil },
+		SendScaleOrder: func(context.Context, DutyHolder, scaling.Order) error {
+			sent.Add(1)
+			return nil
+		},
+	}
+	r, _ := serveReplica(t, opts, listeners[0])
+	awaitVoters(t, r, 1)
+	awaitLeader(t, []*Replica{r})
+	var holder DutyHolder
+	for end, ok := time.Now().Add(readTimeout), false; !ok && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		r.duties.mu.Lock()
+		holder, ok = r.duties.holder()
+		r.duties.mu.Unlock()
+	}
+	former := DutyHolder{VM: holder.VM, Fence: holder.Fence - 1}
+	r.duties.sendOrder(context.Background(), former, scaling.Order{Service: "m"})
+	if n := sent.Load(); n != 0 {
+		t.Errorf("%d orders of a former term were sent, want none", n)
+	}
+	r.duties.sendOrder(context.Background(), holder, scaling.Order{Service: "m"})
+	if n := sent.Load(); n != 1 {
+		t.Errorf("%d orders of the current term were sent, want 1", n)
+	}
+}
