Give a server that says it leaves no new work

Cause: answers of backend servers may say that the server leaves, and entries ignored this. They went on placing work there until the platform's list, which is slower, showed it.

Change: the backend client reports the word when the head of an answer is read. Placement keeps it per instance and no longer picks the instance, whatever later lists say; a new instance at the same address starts clean, and an instance is forgotten a minute after it was last listed. If all servers of a service leave, calls are refused at once as not run, with the reason servers-leaving. A lookup is no longer hedged at the same server if that one leaves. Streams at a leaving server go on.

Not covered: interim answers, servers that the configuration names, the plan of rented servers, which follows the list.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -43,6 +43,10 @@
 	// Protocol sets request headers and interprets response headers. Nil means
 	// the default protocol.
 	Protocol Protocol
+	// OnLeaving is called, if set, with each call whose response says that the
+	// call's instance takes no new requests, as soon as the header is read. It must
+	// not block.
+	OnLeaving func(call Call)
 }
 
 // The defaults of Options.
@@ -299,12 +303,15 @@
 )
 
 // check returns an error if the server refused to run the request or if the
-// response belongs to another request.
+// response belongs to another request. It notifies the client of a leaving server.
 func (r *pendingResponse) check() error {
 	protocol, header := r.client.opts.Protocol, r.response.Header
 	if named, ok := protocol.BelongsTo(r.call, header); !ok {
 		return r.fail(PhaseInvalid, fmt.Errorf("%w: %.60q", errOtherRequest, named))
 	}
+	if notify := r.client.opts.OnLeaving; notify != nil && protocol.Leaving(r.response.StatusCode, header) {
+		notify(r.call)
+	}
 	if protocol.NotRun(r.response.StatusCode, header) {
 		return r.fail(PhaseRefused, r.statusError())
 	}
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -17,6 +17,9 @@
 	// NotRun reports whether a response says that the request has not run and
 	// will not run.
 	NotRun(status int, header http.Header) bool
+	// Leaving reports whether a response says that the instance that the call is
+	// meant for takes no new requests.
+	Leaving(status int, header http.Header) bool
 }
 
 // defaultProtocol is the protocol of this project's backend servers.
@@ -60,3 +63,6 @@
 	refusal := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 	return refusal && header.Get(headerNotStarted) == "1"
 }
+
+// Leaving implements Protocol. Servers of this protocol say it in their load reports.
+func (defaultProtocol) Leaving(int, http.Header) bool { return false }
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -76,6 +76,10 @@
 	callTime map[string]float64
 	// ownWork holds the work that this entry placed lately, by service.
 	ownWork map[string]*decayingSum
+	// listed holds the instances in the platform's list, and leaving those that have
+	// said that they leave.
+	listed  map[string]bool
+	leaving map[string]leavingServer
 }
 
 // decayingSum is a sum of work that decays exponentially.
@@ -159,6 +163,7 @@
 		rate:     make(map[string]float64),
 		callTime: make(map[string]float64),
 		ownWork:  make(map[string]*decayingSum),
+		leaving:  make(map[string]leavingServer),
 	}
 }
 
@@ -190,7 +195,7 @@
 	bestScore := math.Inf(1)
 	var decision Decision
 	for _, s := range p.byName[request.Service] {
-		if s.Leaving || slices.Contains(request.Exclude, s.Name) {
+		if p.IsLeaving(s.Name) || slices.Contains(request.Exclude, s.Name) {
 			continue
 		}
 		score, d := p.evaluate(now, s, &request.Size)
@@ -401,8 +406,10 @@
 	}
 }
 
-// Expire ends jobs that were placed more than jobExpiry ago.
+// Expire ends jobs that were placed more than jobExpiry ago, and forgets leaving
+// instances that are no longer listed.
 func (p *Placer) Expire(now time.Duration) {
+	p.expireLeaving(now)
 	for id, j := range p.jobs {
 		if now-j.placed > jobExpiry {
 			p.Ended(now, id, ResultAbandoned)
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -27,7 +27,7 @@
 	CacheTokens int
 	// Delay is the one-way network delay from this entry's zone.
 	Delay time.Duration
-	// Leaving is true if the server must not get new requests.
+	// Leaving is true if the list says that the server must not get new requests.
 	Leaving bool
 }
 
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -95,6 +95,7 @@
 const (
 	ReasonAdmission   Reason = "admission"
 	ReasonNoServer    Reason = "no-backend-server"
+	ReasonLeaving     Reason = "servers-leaving"
 	ReasonOverload    Reason = "overload"
 	ReasonDeadline    Reason = "deadline"
 	ReasonReservation Reason = "reservation-unavailable"
--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -126,10 +128,14 @@
 type hostedEngine struct {
 	id, service, address string
 	draining             guardedBool
+	// successor serves the requests after a restart.
+	successor atomic.Pointer[hostedEngine]
 	// refuse makes it answer that it did not run a request.
 	refuse guardedBool
 	// fail makes it run requests and answer them with status 500.
 	fail guardedBool
+	// leaving makes all its answers say that it leaves.
+	leaving guardedBool
 	// cutAfter aborts a stream after that many events; negative means never.
 	cutAfter guardedInt
 	// eventInterval is the time between two events, in milliseconds.
@@ -139,6 +145,8 @@
 	// runs counts the runs by request ID, headers holds the requests' headers.
 	runs    map[string]int
 	headers map[string]http.Header
+	// arrivals counts the requests, including those that it refuses.
+	arrivals int
 	// disconnects counts the streams whose caller disconnected.
 	disconnects int
 }
@@ -163,8 +171,7 @@
 const streamEvents = 20
 
 func (p *hostedPlatform) addEngine(t *testing.T, id, service string) *hostedEngine {
-	e := &hostedEngine{id: id, service: service, runs: make(map[string]int), headers: make(map[string]http.Header)}
-	e.cutAfter.Set(-1)
+	e := newHostedEngine(id, service)
 	e.address = serveLoopback(t, "127.0.0.1:0", e)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -172,11 +179,38 @@
 	return e
 }
 
+func newHostedEngine(id, service string) *hostedEngine {
+	e := &hostedEngine{id: id, service: service, runs: make(map[string]int), headers: make(map[string]http.Header)}
+	e.cutAfter.Set(-1)
+	return e
+}
+
+// restart replaces an engine in the list by another instance at the same address.
+func (p *hostedPlatform) restart(old *hostedEngine, id string) *hostedEngine {
+	e := newHostedEngine(id, old.service)
+	e.address = old.address
+	old.successor.Store(e)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines[slices.Index(p.engines, old)] = e
+	return e
+}
+
 // ServeHTTP runs a request, or refuses it if it is meant for another instance or
 // refuse is set.
 func (e *hostedEngine) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if successor := e.successor.Load(); successor != nil {
+		successor.ServeHTTP(w, req)
+		return
+	}
 	id := req.Header.Get("Waxwingcart-Request-Id")
 	w.Header().Set("Waxwingcart-Request-Id", id)
+	e.mu.Lock()
+	e.arrivals++
+	e.mu.Unlock()
+	if e.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if req.Header.Get("Waxwingcart-Expect-Instance") != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -244,3 +278,10 @@
 	defer e.mu.Unlock()
 	return e.headers[id]
 }
+
+// arrived returns the number of requests, including those that were refused.
+func (e *hostedEngine) arrived() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrivals
+}
--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -31,7 +31,8 @@
 	// maxDatagramBytes bounds a received datagram.
 	maxDatagramBytes = 16 << 10
 	// expireInterval is how often placement drops attempts whose end it did
-	// not learn of, for example because the datagram was lost.
+	// not learn of, for example because the datagram was lost, and how often
+	// leaving servers are reported again.
 	expireInterval = 5 * time.Second
 )
 
@@ -115,6 +116,11 @@
 	})
 }
 
+// leaving reports a server that has said that it leaves.
+func (b *broadcaster) leaving(instance string) {
+	b.add(true, func(w *wire.News) { w.Leaving = append(w.Leaving, instance) })
+}
+
 // result counts the result of a call whose attempts are not broadcast.
 func (b *broadcaster) result(server string, result placement.Result) {
 	b.mu.Lock()
@@ -370,13 +376,18 @@
 			Answered: int(counts.Answered), Failed: int(counts.Failed), Unreachable: int(counts.Unreachable),
 		})
 	}
+	for _, instance := range received.Leaving {
+		b.entry.recordLeaving(instance, leavingFromEntry, "")
+	}
 }
 
+// expire makes placement forget what is over, and repeats what must not be lost.
 func (b *broadcaster) expire(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait(ctx, expireInterval)
 		b.entry.policy.mu.Lock()
 		b.entry.policy.placer.Expire(b.entry.now())
 		b.entry.policy.mu.Unlock()
+		b.entry.repeatLeaving()
 	}
 }
--- a/internal/entry/configure.go
+++ b/internal/entry/configure.go
@@ -34,6 +34,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	changed, gone = p.entry.directory.replace(list, version, readAt)
+	if p.placer != nil {
+		p.placer.SetListed(p.entry.now(), p.entry.directory.instances())
+	}
 	if p.config != nil && len(changed)+len(gone) > 0 {
 		p.configure(causeList)
 	}
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -60,6 +60,17 @@
 	return d.servers[instance]
 }
 
+// instances returns the instances of the list in use.
+func (d *directory) instances() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	instances := make([]string, 0, len(d.list))
+	for _, found := range d.list {
+		instances = append(instances, found.Instance)
+	}
+	return instances
+}
+
 // listVersion returns the version of the leader's list in use, or 0.
 func (d *directory) listVersion() uint64 {
 	d.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,7 +130,6 @@
 		started:     time.Now(),
 		startedAt:   bootclock.Now(),
 		clock:       bootclock.Now,
-		backends:    backend.New(opts.backendOptions()),
 		directory:   newDirectory(),
 		replicas:    opts.Replicas,
 		history:     newHistory(),
@@ -138,6 +137,7 @@
 		idle:        make(chan struct{}),
 		initialized: make(chan struct{}),
 	}
+	e.backends = backend.New(e.backendOptions())
 	e.policy = newPolicy(e)
 	e.quota = newQuotaClient(e)
 	e.broadcaster = newBroadcaster(e)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,6 +21,7 @@
 	reservation      *prometheus.HistogramVec
 	serverPrice      *prometheus.GaugeVec
 	streamMoves      *prometheus.CounterVec
+	serversLeaving   *prometheus.CounterVec
 }
 
 // latencyBuckets holds the upper bounds of the histograms' buckets in seconds.
@@ -44,6 +45,7 @@
 		tokenGap:         newHistogramVec("token_gap_seconds", "Time between two tokens of a stream.", "service"),
 		reservation:      newHistogramVec("reservation_seconds", "Time to commit a reservation, by result.", "result"),
 		serverPrice:      newGaugeVec("backend_server_price_per_hour", "Price of a backend server's VM hour.", "service", "server"),
+		serversLeaving:   newCounterVec("servers_leaving_total", "Backend servers that said that they leave, by how this entry learned it.", "source"),
 		streamMoves:      newCounterVec("stream_moves_total", "Streams moved off leaving backend servers, by way.", "way"),
 	}
 	m.lateEvents = prometheus.NewCounter(prometheus.CounterOpts{
@@ -51,7 +53,7 @@
 		Help: "Events dropped because their attempt was over.",
 	})
 	registry.MustRegister(m.inFlight, m.draining, m.revision, m.placement, m.withoutServer, m.configFetches, m.outcomes, m.attempts, m.retries, m.retryBudget,
-		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves)
+		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.serversLeaving)
 	return m
 }
 
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -44,11 +44,11 @@
 	tokensPerEvent int
 }
 
-func (o *Options) backendOptions() backend.Options {
-	if o.Routed == nil {
+func (e *Entry) backendOptions() backend.Options {
+	if e.opts.Routed == nil {
 		return backend.Options{}
 	}
-	return backend.Options{Protocol: o.Routed.Backends}
+	return backend.Options{Protocol: e.opts.Routed.Backends, OnLeaving: e.serverLeaving}
 }
 
 // routedConfig returns a configuration with the services of a routing table.
