Keep the pauses that servers ask for

Cause: a server that refuses a request with 503 and Retry-After wants nothing for so long, and the entry went on sending it requests.

Change: the backend client reports such an answer when its head is read. Placement suspends the instance until the end of the pause, and then lets work return in steps that double with answers. If all servers that could serve a call pause, it is refused at once with the soonest return and a random part (reason servers-paused). Retries elsewhere are charged to the budget as before.

Not covered: hedges are not counted in a step.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -47,6 +47,9 @@
 	// call's instance takes no new requests, as soon as the header is read. It must
 	// not block.
 	OnLeaving func(call Call)
+	// OnPause is called in the same way with each call whose response has status 503
+	// and a Retry-After header.
+	OnPause func(call Call, header http.Header)
 }
 
 // The defaults of Options.
@@ -303,7 +306,8 @@
 )
 
 // check returns an error if the server refused to run the request or if the
-// response belongs to another request. It notifies the client of a leaving server.
+// response belongs to another request. It calls OnLeaving and
+// OnPause.
 func (r *pendingResponse) check() error {
 	protocol, header := r.client.opts.Protocol, r.response.Header
 	if named, ok := protocol.BelongsTo(r.call, header); !ok {
@@ -312,6 +316,9 @@
 	if notify := r.client.opts.OnLeaving; notify != nil && protocol.Leaving(r.response.StatusCode, header) {
 		notify(r.call)
 	}
+	if notify := r.client.opts.OnPause; notify != nil && r.response.StatusCode == http.StatusServiceUnavailable && header.Get("Retry-After") != "" {
+		notify(r.call, header)
+	}
 	if protocol.NotRun(r.response.StatusCode, header) {
 		return r.fail(PhaseRefused, r.statusError())
 	}
--- a/internal/core/placement/leaving.go
+++ b/internal/core/placement/leaving.go
@@ -15,13 +15,15 @@
 type leavingServer struct {
 	// seen is when the instance was last listed, or heard of if it never was.
 	seen time.Duration
-	own  bool
+	// own is true if this entry has the word from an answer of the instance.
+	own bool
 }
 
 // SetLeaving records that a server has said itself that it leaves. The server gets no
 // new work until it is forgotten, whatever lists say: a list is older than the server's
-// word, and no instance returns from leaving. Servers that are not listed yet
-// are remembered as well. own is true if an answer to this entry said so. SetLeaving returns false if this was known.
+// word, and no instance returns from leaving. Servers that are not listed yet are
+// remembered as well. own is true if an answer to this entry said so. SetLeaving returns
+// false if this was known.
 func (p *Placer) SetLeaving(now time.Duration, instance string, own bool) bool {
 	if _, known := p.leaving[instance]; known {
 		return false
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -80,6 +80,10 @@
 	// said that they leave.
 	listed  map[string]bool
 	leaving map[string]leavingServer
+	// suspended holds the instances that have asked this entry, whose incarnation is
+	// origin, for a pause.
+	suspended map[string]*suspension
+	origin    uint64
 }
 
 // decayingSum is a sum of work that decays exponentially.
@@ -139,6 +143,9 @@
 	cache     cache
 	health    health
 	pauses    pauses
+	// invalidPause is true once the server has asked for a pause in a way that can't be
+	// read.
+	invalidPause bool
 }
 
 // job is an attempt that has not ended.
@@ -153,17 +160,20 @@
 	ahead float64
 }
 
-// New returns a Placer without servers.
-func New(seed uint64) *Placer {
+// New returns a Placer without servers. origin is the incarnation of this entry; it is
+// also the seed of random choices.
+func New(origin uint64) *Placer {
 	return &Placer{
-		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		servers:  make(map[string]*server),
-		byName:   make(map[string][]*server),
-		jobs:     make(map[JobID]*job),
-		rate:     make(map[string]float64),
-		callTime: make(map[string]float64),
-		ownWork:  make(map[string]*decayingSum),
-		leaving:  make(map[string]leavingServer),
+		random:    rand.New(rand.NewPCG(origin, origin^0x9e3779b97f4a7c15)),
+		servers:   make(map[string]*server),
+		byName:    make(map[string][]*server),
+		jobs:      make(map[JobID]*job),
+		rate:      make(map[string]float64),
+		callTime:  make(map[string]float64),
+		ownWork:   make(map[string]*decayingSum),
+		leaving:   make(map[string]leavingServer),
+		suspended: make(map[string]*suspension),
+		origin:    origin,
 	}
 }
 
@@ -195,7 +205,7 @@
 	bestScore := math.Inf(1)
 	var decision Decision
 	for _, s := range p.byName[request.Service] {
-		if p.IsLeaving(s.Name) || slices.Contains(request.Exclude, s.Name) {
+		if !p.Takes(now, s.Name) || slices.Contains(request.Exclude, s.Name) {
 			continue
 		}
 		score, d := p.evaluate(now, s, &request.Size)
@@ -296,6 +306,7 @@
 	s.memory += placed.Memory
 	s.waiting = append(s.waiting, j)
 	p.jobs[placed.ID] = j
+	p.placedAt(now, &placed)
 }
 
 // Started records that an attempt's answer began. own is true for attempts of this
@@ -310,6 +321,7 @@
 	s.removeWaiting(j)
 	s.running++
 	s.lastBegun = now
+	p.answered(j)
 	if own {
 		p.learn(now, j)
 	}
@@ -352,6 +364,9 @@
 	if result == ResultAbandoned && p.unresponsive(now, j) {
 		result = ResultFailed
 	}
+	if !j.started && result == ResultAnswered {
+		p.answered(j)
+	}
 	s.memory = max(s.memory-j.Memory, 0)
 	if j.started && !j.paused && result == ResultAnswered && j.Memory > 0 {
 		s.pauses.record(now, false)
@@ -410,6 +425,7 @@
 // instances that are no longer listed.
 func (p *Placer) Expire(now time.Duration) {
 	p.expireLeaving(now)
+	p.expireSuspensions(now)
 	for id, j := range p.jobs {
 		if now-j.placed > jobExpiry {
 			p.Ended(now, id, ResultAbandoned)
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -96,6 +96,7 @@
 	ReasonAdmission   Reason = "admission"
 	ReasonNoServer    Reason = "no-backend-server"
 	ReasonLeaving     Reason = "servers-leaving"
+	ReasonPaused      Reason = "servers-paused"
 	ReasonOverload    Reason = "overload"
 	ReasonDeadline    Reason = "deadline"
 	ReasonReservation Reason = "reservation-unavailable"
--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -134,6 +134,8 @@
 	refuse guardedBool
 	// fail makes it run requests and answer them with status 500.
 	fail guardedBool
+	// pause makes it refuse requests and ask for a pause of that many seconds.
+	pause guardedInt
 	// leaving makes all its answers say that it leaves.
 	leaving guardedBool
 	// cutAfter aborts a stream after that many events; negative means never.
@@ -215,6 +217,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if pause := e.pause.Load(); pause > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(pause))
+		w.Header().Set("Waxwingcart-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if e.refuse.Load() {
 		w.Header().Set("Waxwingcart-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -140,14 +140,15 @@
 
 // chooseHedge picks a second server if the retry budget allows one. If there
 // is no other server, the same server gets the request over a new connection,
-// because the first connection may be dead, unless the server leaves.
+// because the first connection may be dead, unless the server takes no
+// new work.
 func (a *attempt) chooseHedge() *fleet.BackendServer {
 	p := a.run.entry.policy
 	if !p.allowHedge(a.hedgeCandidate()) {
 		return nil
 	}
 	decision, ok := p.chooseServer(a.run, []string{a.server.Name})
-	if !ok && p.isLeaving(a.run, a.server.Name) {
+	if !ok && !p.takesWork(a.run, a.server.Name) {
 		return nil
 	}
 	if !ok {
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -1,6 +1,9 @@
 package entry
 
-import "waxwingcart/internal/backend"
+import (
+	"waxwingcart/internal/backend"
+	"waxwingcart/internal/core/request"
+)
 
 // How an entry learns that a server leaves by its own word.
 const (
@@ -23,14 +26,14 @@
 }
 
 // recordLeaving records in placement that a server leaves, and reports whether this
-// was not known. request is the ID of the request whose answer said so, if this entry
+// was not known. requestID is the ID of the request whose answer said so, if this entry
 // served it. The caller holds the policy's lock.
-func (e *Entry) recordLeaving(instance, source, request string) bool {
+func (e *Entry) recordLeaving(instance, source, requestID string) bool {
 	if !e.policy.placer.SetLeaving(e.now(), instance, source == leavingFromAnswer) {
 		return false
 	}
 	e.metrics.serversLeaving.WithLabelValues(source).Inc()
-	e.logger.Info().Str("step", "server leaving").Str("server", instance).Str("source", source).Str("request", request).
+	e.logger.Info().Str("step", "server leaving").Str("server", instance).Str("source", source).Str("request", requestID).
 		Msg("backend server leaves by its own word; it gets no new work")
 	return true
 }
@@ -46,22 +49,28 @@
 	}
 }
 
-// allLeaving reports whether all servers of a routed call's service leave.
-func (p *policy) allLeaving(r *run) bool {
+// noServer says why no server can take a request, and when to come back.
+func (p *policy) noServer(r *run) request.NoServer {
 	if r.routed == nil {
-		return false
+		return request.NoServer{RetryAfter: retryAfterNoServer}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.placer.AllLeaving(r.service.Name)
+	if p.placer.AllLeaving(r.service.Name) {
+		return request.NoServer{Reason: request.ReasonLeaving, RetryAfter: addJitter(retryAfterNoServer)}
+	}
+	if wait, ok := p.placer.SoonestReturn(p.entry.now(), r.service.Name); ok {
+		return request.NoServer{Reason: request.ReasonPaused, RetryAfter: addJitter(wait)}
+	}
+	return request.NoServer{RetryAfter: retryAfterNoServer}
 }
 
-// isLeaving reports whether the server of a routed call leaves.
-func (p *policy) isLeaving(r *run, server string) bool {
+// takesWork reports whether the server of a routed call takes new work.
+func (p *policy) takesWork(r *run, server string) bool {
 	if r.routed == nil {
-		return false
+		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.placer.IsLeaving(server)
+	return p.placer.Takes(p.entry.now(), server)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,6 +21,7 @@
 	reservation      *prometheus.HistogramVec
 	serverPrice      *prometheus.GaugeVec
 	streamMoves      *prometheus.CounterVec
+	serverPauses     *prometheus.CounterVec
 	serversLeaving   *prometheus.CounterVec
 }
 
@@ -45,6 +46,7 @@
 		tokenGap:         newHistogramVec("token_gap_seconds", "Time between two tokens of a stream.", "service"),
 		reservation:      newHistogramVec("reservation_seconds", "Time to commit a reservation, by result.", "result"),
 		serverPrice:      newGaugeVec("backend_server_price_per_hour", "Price of a backend server's VM hour.", "service", "server"),
+		serverPauses:     newCounterVec("server_pauses_total", "Answers with which backend servers asked for a pause, by treatment.", "treatment"),
 		serversLeaving:   newCounterVec("servers_leaving_total", "Backend servers that said that they leave, by how this entry learned it.", "source"),
 		streamMoves:      newCounterVec("stream_moves_total", "Streams moved off leaving backend servers, by way.", "way"),
 	}
@@ -53,7 +55,7 @@
 		Help: "Events dropped because their attempt was over.",
 	})
 	registry.MustRegister(m.inFlight, m.draining, m.revision, m.placement, m.withoutServer, m.configFetches, m.outcomes, m.attempts, m.retries, m.retryBudget,
-		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.serversLeaving)
+		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.serversLeaving, m.serverPauses)
 	return m
 }
 
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -181,11 +181,8 @@
 // none is usable or if the answer would come too late.
 func (p *policy) pickServer(r *run, exclude []string) request.Event {
 	decision, ok := p.chooseServer(r, exclude)
-	if !ok && p.allLeaving(r) {
-		return request.NoServer{Reason: request.ReasonLeaving, RetryAfter: addJitter(retryAfterNoServer)}
-	}
 	if !ok {
-		return request.NoServer{RetryAfter: retryAfterNoServer}
+		return p.noServer(r)
 	}
 	if wait, late := r.wouldBeLate(decision.ExpectedFirstToken); late {
 		return request.NoServer{Reason: request.ReasonOverload, RetryAfter: wait}
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -48,7 +48,7 @@
 	if e.opts.Routed == nil {
 		return backend.Options{}
 	}
-	return backend.Options{Protocol: e.opts.Routed.Backends, OnLeaving: e.serverLeaving}
+	return backend.Options{Protocol: e.opts.Routed.Backends, OnLeaving: e.serverLeaving, OnPause: e.serverPause}
 }
 
 // routedConfig returns a configuration with the services of a routing table.
