Address a hedge to the instance of its server

Cause: the copy of a routed lookup that goes to a second server was addressed to the instance of the first one, so that the second server had to refuse it with 421.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -134,6 +134,8 @@
 	refuse guardedBool
 	// fail makes it run requests and answer them with status 500.
 	fail guardedBool
+	// stall makes it leave requests unanswered until the caller disconnects.
+	stall guardedBool
 	// pause makes it refuse requests and ask for a pause of that many seconds.
 	pause guardedInt
 	// leaving makes all its answers say that it leaves.
@@ -217,6 +219,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.stall.Load() {
+		<-req.Context().Done()
+		return
+	}
 	if pause := e.pause.Load(); pause > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(pause))
 		w.Header().Set("Waxwingcart-Not-Run", "1")
--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -105,6 +105,9 @@
 	result := appResult{server: server, hedge: number != a.number}
 	call := a.call("dispatch")
 	call.Address, call.Attempt = server.Address, number
+	if a.run.routed != nil {
+		call.Instance = server.Name
+	}
 	// A hedge always opens a new connection.
 	call.Repeatable = call.Repeatable && number == a.number
 	response, err := a.run.entry.backends.Do(ctx, call)
