--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -95,6 +95,8 @@
 const (
 	ReasonAdmission   Reason = "admission"
 	ReasonNoServer    Reason = "no-backend-server"
+	ReasonLeaving     Reason = "servers-leaving"
+	ReasonPaused      Reason = "servers-paused"
 	ReasonOverload    Reason = "overload"
 	ReasonDeadline    Reason = "deadline"
 	ReasonReservation Reason = "reservation-unavailable"
--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -105,6 +105,9 @@
 	result := appResult{server: server, hedge: number != a.number}
 	call := a.call("dispatch")
 	call.Address, call.Attempt = server.Address, number
+	if a.run.routed != nil {
+		call.Instance = server.Name
+	}
 	// A hedge always opens a new connection.
 	call.Repeatable = call.Repeatable && number == a.number
 	response, err := a.run.entry.backends.Do(ctx, call)
@@ -140,13 +143,17 @@
 
 // chooseHedge picks a second server if the retry budget allows one. If there
 // is no other server, the same server gets the request over a new connection,
-// because the first connection may be dead.
+// because the first connection may be dead, unless the server takes no
+// new work.
 func (a *attempt) chooseHedge() *fleet.BackendServer {
 	p := a.run.entry.policy
 	if !p.allowHedge(a.hedgeCandidate()) {
 		return nil
 	}
 	decision, ok := p.chooseServer(a.run, []string{a.server.Name})
+	if !ok && !p.takesWork(a.run, a.server.Name) {
+		return nil
+	}
 	if !ok {
 		return a.server
 	}
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -182,7 +182,7 @@
 func (p *policy) pickServer(r *run, exclude []string) request.Event {
 	decision, ok := p.chooseServer(r, exclude)
 	if !ok {
-		return request.NoServer{RetryAfter: retryAfterNoServer}
+		return p.noServer(r)
 	}
 	if wait, late := r.wouldBeLate(decision.ExpectedFirstToken); late {
 		return request.NoServer{Reason: request.ReasonOverload, RetryAfter: wait}
