Show the revision in force in an entry's state dump

What operators saw: the dump could name a revision that the entry had received but not yet put in force or saved.

Cause: the dump read the view, which takes deltas before they are in force. Since the revision is saved without the lock, the gap is as long as the disk takes.

--- a/internal/entry/acknowledge_test.go
+++ b/internal/entry/acknowledge_test.go
@@ -100,3 +100,18 @@
 		t.Errorf("the entry asks again after %s, want at once", delay)
 	}
 }
+
+// The state dump shows the revision in force, not one that was only received: it may
+// not have been saved yet, and a restart would lose it.
+func TestDumpShowsRevisionInForce(t *testing.T) {
+	e := newDocumentEntry()
+	e.config.stage("leader", documentResponse(1))
+	if revision := e.config.state().Revision; revision != 0 {
+		t.Errorf("got revision %d before one is in force, want 0", revision)
+	}
+	e.config.publish()
+	e.config.stage("leader", documentResponse(2))
+	if revision := e.config.state().Revision; revision != 1 {
+		t.Errorf("got revision %d, want the one in force, 1", revision)
+	}
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -26,9 +26,10 @@
 type configuration struct {
 	*fleet.Config
 	revision uint64
-	// from is the process that supplied the revision, and proposedAt when it was
-	// proposed, by the leader's wall clock.
+	// from is the process that supplied the revision, changeID the change that made
+	// it, and proposedAt when that was proposed, by the leader's wall clock.
 	from       string
+	changeID   string
 	proposedAt time.Time
 	// routes is set if the configuration is a numbered document.
 	routes    *routes.Index
@@ -244,7 +245,8 @@
 			Msg("decoding the configuration failed; the previous one stays in force and this one is not acknowledged")
 		return nil, nil
 	}
-	next.from, next.proposedAt = h.from, time.UnixMilli(h.view.Last().TimeMS)
+	last := h.view.Last()
+	next.from, next.changeID, next.proposedAt = h.from, last.ChangeID, time.UnixMilli(last.TimeMS)
 	if h.entry.opts.DataDir == "" {
 		return next, nil
 	}
@@ -292,7 +294,8 @@
 	return h.entry.now() - at
 }
 
-// configState is the configuration's part of the state dump.
+// configState is the configuration's part of the state dump. Revision and ChangeID
+// are those in force.
 type configState struct {
 	Revision uint64 `json:"revision"`
 	ChangeID string `json:"change_id,omitempty"`
@@ -304,7 +307,10 @@
 func (h *configHolder) state() configState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := configState{Revision: h.view.Revision(), ChangeID: h.view.Last().ChangeID, UnconfirmedS: -1}
+	s := configState{UnconfirmedS: -1}
+	if current := h.current.Load(); current != nil {
+		s.Revision, s.ChangeID = current.revision, current.changeID
+	}
 	if at, ok := h.view.ConfirmedAt(); ok {
 		s.UnconfirmedS = (h.entry.now() - at).Seconds()
 	}
