Don't follow a leader again that has resigned

What callers saw: after a leader stopped, no other led for up to 3 s, or the stopping one led again.

Cause: since messages to a replica may go beside an overdue delivery, a heartbeat or append can arrive after the resignation that was sent later. The follower then took the sender for its leader again, and refused votes for an election timeout.

TestMessagesAfterResignAreNotFollowed failed before (follows again, refuses votes) and passes now.

A leader that resigned never leads that term again, so its late messages need no answer; losing them is allowed at any time.

--- a/internal/core/replication/election.go
+++ b/internal/core/replication/election.go
@@ -239,7 +239,11 @@
 
 // receiveResign lets the node campaign at once after its leader resigned.
 func (n *Node) receiveResign(m *Message) {
-	if m.Term != n.term || n.leader != m.From || n.leaderState != nil {
+	if m.Term != n.term || n.leaderState != nil {
+		return
+	}
+	n.resignedTerm = m.Term
+	if n.leader != m.From {
 		return
 	}
 	n.handleLeaderLoss()
--- a/internal/core/replication/follower.go
+++ b/internal/core/replication/follower.go
@@ -82,9 +82,10 @@
 }
 
 // follow accepts the sender as leader of the current term. It returns false if
+// the leader of that term has resigned, whose earlier messages may arrive later, or if
 // the node itself leads that term, which cannot happen with correct senders.
 func (n *Node) follow(leader NodeID) bool {
-	if n.leaderState != nil {
+	if n.leaderState != nil || n.resignedTerm == n.term {
 		return false
 	}
 	if n.role != RoleFollower || n.leader != leader {
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -42,6 +42,8 @@
 	// so, and stopping once it received a Resign that says so.
 	leaving  bool
 	stopping bool
+	// resignedTerm is the last term whose leader is known to have resigned, or 0.
+	resignedTerm uint64
 
 	// leaderState is set only while the node is the leader.
 	leaderState *leadership
--- a/internal/core/replication/resign_test.go
+++ b/internal/core/replication/resign_test.go
@@ -63,3 +63,18 @@
 		net.expectNoViolations(t)
 	}
 }
+
+// TestMessagesAfterResignAreNotFollowed checks that a follower does not return to a
+// leader that has resigned when earlier messages of that leader arrive late.
+func TestMessagesAfterResignAreNotFollowed(t *testing.T) {
+	for _, kind := range []MessageKind{MessageHeartbeat, MessageAppend} {
+		_, leader, followers := newSettledNetwork(t, 1, 3)
+		n := followers[0].node
+		from, term := leader.node.self(), n.term
+		n.Step(n.now, Receive{Message: Message{Kind: MessageResign, From: from, To: n.self(), Term: term}})
+		n.Step(n.now, Receive{Message: Message{Kind: kind, From: from, To: n.self(), Term: term}})
+		if !n.leader.IsZero() || n.refusesVotes() {
+			t.Errorf("message kind %v: the follower follows %v again and refuses votes: %v", kind, n.leader, n.refusesVotes())
+		}
+	}
+}
