Tell from logs and metrics why a request ended without an answer

The last line of a request names the outcome, but not whether the caller had a part of the answer, whether a server was silent and for how long, why no further attempt followed, and whether the configuration changed meanwhile. A refusal does not say whether its request's body had been read, and nothing shows that the entry closed a connection on which a request was read.

New keys: begun, revision, revision_end, failure, not_retried and silence_ms on "request ended"; body_read on a refusal; a line step=connection with its cause for a connection that is closed before its request was fully answered. New counters: entry_unanswered_total and entry_connections_closed_total. Keys that exist keep their names. There is at most one new line a request, through the logger that drops rather than blocks.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -3,26 +3,28 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 type metrics struct {
-	inFlight         prometheus.Gauge
-	draining         prometheus.Gauge
-	revision         prometheus.Gauge
-	placement        prometheus.Gauge
-	withoutServer    prometheus.Gauge
-	configFetches    *prometheus.CounterVec
-	outcomes         *prometheus.CounterVec
-	attempts         *prometheus.CounterVec
-	retries          *prometheus.CounterVec
-	retryBudget      *prometheus.GaugeVec
-	lateEvents       prometheus.Counter
-	recomputedTokens *prometheus.CounterVec
-	tokens           *prometheus.CounterVec
-	firstToken       *prometheus.HistogramVec
-	tokenGap         *prometheus.HistogramVec
-	reservation      *prometheus.HistogramVec
-	serverPrice      *prometheus.GaugeVec
-	streamMoves      *prometheus.CounterVec
-	serverPauses     *prometheus.CounterVec
-	serversLeaving   *prometheus.CounterVec
+	inFlight          prometheus.Gauge
+	draining          prometheus.Gauge
+	revision          prometheus.Gauge
+	placement         prometheus.Gauge
+	withoutServer     prometheus.Gauge
+	configFetches     *prometheus.CounterVec
+	outcomes          *prometheus.CounterVec
+	attempts          *prometheus.CounterVec
+	retries           *prometheus.CounterVec
+	retryBudget       *prometheus.GaugeVec
+	lateEvents        prometheus.Counter
+	recomputedTokens  *prometheus.CounterVec
+	tokens            *prometheus.CounterVec
+	firstToken        *prometheus.HistogramVec
+	tokenGap          *prometheus.HistogramVec
+	reservation       *prometheus.HistogramVec
+	serverPrice       *prometheus.GaugeVec
+	streamMoves       *prometheus.CounterVec
+	serverPauses      *prometheus.CounterVec
+	serversLeaving    *prometheus.CounterVec
+	unanswered        *prometheus.CounterVec
+	connectionsClosed *prometheus.CounterVec
 }
 
 // latencyBuckets holds the upper bounds of the histograms' buckets in seconds.
@@ -30,32 +32,34 @@
 
 func newMetrics(registry *prometheus.Registry) *metrics {
 	m := &metrics{
-		inFlight:         newGauge("requests_in_flight", "Requests that this entry holds."),
-		draining:         newGauge("draining", "1 while the entry drains."),
-		revision:         newGauge("config_revision", "Configuration revision in force at this entry."),
-		placement:        newGauge("placement_revision", "Configuration revision from which placement and limits were last set."),
-		withoutServer:    newGauge("services_without_server", "Services of the configuration in placement that have no server in the list."),
-		configFetches:    newCounterVec("config_fetches_total", "Calls to replicas for the configuration, by result.", "result"),
-		outcomes:         newCounterVec("outcomes_total", "Requests ended, by service, outcome and reason.", "service", "outcome", "reason"),
-		attempts:         newCounterVec("attempts_total", "Attempts at backend servers, by service, server and result.", "service", "server", "result"),
-		retries:          newCounterVec("retries_total", "Attempts after the first, by service.", "service"),
-		retryBudget:      newGaugeVec("retry_budget", "Retries that a service may make now.", "service"),
-		recomputedTokens: newCounterVec("recomputed_tokens_total", "Tokens generated again, by service.", "service"),
-		tokens:           newCounterVec("tokens_total", "Tokens handed to callers, by service.", "service"),
-		firstToken:       newHistogramVec("first_token_seconds", "Time from arrival to the first token, or to the whole answer of an application service.", "service"),
-		tokenGap:         newHistogramVec("token_gap_seconds", "Time between two tokens of a stream.", "service"),
-		reservation:      newHistogramVec("reservation_seconds", "Time to commit a reservation, by result.", "result"),
-		serverPrice:      newGaugeVec("backend_server_price_per_hour", "Price of a backend server's VM hour.", "service", "server"),
-		serverPauses:     newCounterVec("server_pauses_total", "Answers with which backend servers asked for a pause, by treatment.", "treatment"),
-		serversLeaving:   newCounterVec("servers_leaving_total", "Backend servers that said that they leave, by how this entry learned it.", "source"),
-		streamMoves:      newCounterVec("stream_moves_total", "Streams moved off leaving backend servers, by way.", "way"),
+		inFlight:          newGauge("requests_in_flight", "Requests that this entry holds."),
+		draining:          newGauge("draining", "1 while the entry drains."),
+		revision:          newGauge("config_revision", "Configuration revision in force at this entry."),
+		placement:         newGauge("placement_revision", "Configuration revision from which placement and limits were last set."),
+		withoutServer:     newGauge("services_without_server", "Services of the configuration in placement that have no server in the list."),
+		configFetches:     newCounterVec("config_fetches_total", "Calls to replicas for the configuration, by result.", "result"),
+		outcomes:          newCounterVec("outcomes_total", "Requests ended, by service, outcome and reason.", "service", "outcome", "reason"),
+		attempts:          newCounterVec("attempts_total", "Attempts at backend servers, by service, server and result.", "service", "server", "result"),
+		retries:           newCounterVec("retries_total", "Attempts after the first, by service.", "service"),
+		retryBudget:       newGaugeVec("retry_budget", "Retries that a service may make now.", "service"),
+		recomputedTokens:  newCounterVec("recomputed_tokens_total", "Tokens generated again, by service.", "service"),
+		tokens:            newCounterVec("tokens_total", "Tokens handed to callers, by service.", "service"),
+		firstToken:        newHistogramVec("first_token_seconds", "Time from arrival to the first token, or to the whole answer of an application service.", "service"),
+		tokenGap:          newHistogramVec("token_gap_seconds", "Time between two tokens of a stream.", "service"),
+		reservation:       newHistogramVec("reservation_seconds", "Time to commit a reservation, by result.", "result"),
+		serverPrice:       newGaugeVec("backend_server_price_per_hour", "Price of a backend server's VM hour.", "service", "server"),
+		serverPauses:      newCounterVec("server_pauses_total", "Answers with which backend servers asked for a pause, by treatment.", "treatment"),
+		serversLeaving:    newCounterVec("servers_leaving_total", "Backend servers that said that they leave, by how this entry learned it.", "source"),
+		unanswered:        newCounterVec("unanswered_total", "Requests that may have run and ended without a whole answer.", "service", "begun", "failure", "not_retried", "changed"),
+		connectionsClosed: newCounterVec("connections_closed_total", "Connections of callers that the entry closed before their request was fully answered, by cause.", "cause"),
+		streamMoves:       newCounterVec("stream_moves_total", "Streams moved off leaving backend servers, by way.", "way"),
 	}
 	m.lateEvents = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "waxwingcart", Subsystem: "entry", Name: "late_events_total",
 		Help: "Events dropped because their attempt was over.",
 	})
 	registry.MustRegister(m.inFlight, m.draining, m.revision, m.placement, m.withoutServer, m.configFetches, m.outcomes, m.attempts, m.retries, m.retryBudget,
-		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.serversLeaving, m.serverPauses)
+		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.serversLeaving, m.serverPauses, m.unanswered, m.connectionsClosed)
 	return m
 }
 
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -78,7 +78,10 @@
 	if call.RequestID == "" {
 		call.RequestID = e.newRequestID()
 	}
+	conn := callerConnOf(req.Context())
+	conn.begin(call.RequestID)
 	sink := &routedSink{w: w, entry: e, id: call.RequestID}
+	defer func() { conn.end(sink.aborted) }()
 	if err != nil {
 		sink.refuse(notRunOutcome(reasonBadRequest, err.Error(), 0), nil)
 		return
@@ -169,6 +172,7 @@
 	}
 	r := e.newRouted(req, call, config, route, customer, arrived)
 	r.sink = sink
+	sink.bodyRead = true
 	r.message = message{method: req.Method, path: req.RequestURI, header: call.Header, body: body}
 	sink.run = r
 	if customer == nil {
@@ -196,6 +200,7 @@
 		return nil, err
 	}
 	_ = controller.SetReadDeadline(time.Time{})
+	callerConnOf(req.Context()).readBody()
 	return body, nil
 }
 
--- a/internal/entry/routedsink.go
+++ b/internal/entry/routedsink.go
@@ -23,6 +23,8 @@
 	run     *run
 	begun   bool
 	aborted bool
+	// bodyRead is true once the caller's whole body has been read.
+	bodyRead bool
 }
 
 // token writes one event, preceded by the answer's header if it is the first.
@@ -149,7 +151,7 @@
 func (s *routedSink) logRefusal(outcome request.Outcome) {
 	s.entry.metrics.outcomes.WithLabelValues("", outcomeName(outcome.Kind), string(outcome.Reason)).Inc()
 	s.entry.logger.Info().Str("step", "refuse").Str("request", s.id).Str("customer", s.customer).Str("outcome", outcomeName(outcome.Kind)).
-		Str("reason", string(outcome.Reason)).Str("detail", outcome.Step).
+		Str("reason", string(outcome.Reason)).Str("detail", outcome.Step).Bool("body_read", s.bodyRead).
 		Int64("retry_after_ms", outcome.RetryAfter.Milliseconds()).Msg("request refused before it was admitted")
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -95,6 +95,7 @@
 	firstTokenAt time.Duration
 	tokens       int
 	outcome      *request.Outcome
+	ending       ending
 	// inDoubt is true while a reservation has been requested but not answered:
 	// it may be committed.
 	inDoubt bool
@@ -152,6 +153,7 @@
 	if token, ok := ev.event.(request.Token); ok {
 		ev.event = r.withRelativeOffset(token)
 	}
+	r.ending.sign(r.entry.now(), ev.event)
 	r.trackAttemptEnd(ev.event)
 	r.trackUsage(ev.event)
 	r.step(ev.event)
@@ -212,8 +214,10 @@
 	case request.Pick:
 		r.queue = append(r.queue, r.entry.policy.pickServer(r, e.Exclude))
 	case request.Dispatch:
+		r.ending.attemptBegan(r.entry.now())
 		r.dispatch(e)
 	case request.ResumeStream:
+		r.ending.attemptBegan(r.entry.now())
 		r.resume(e)
 	case request.CancelAttempt:
 		r.cancel(e)
@@ -327,24 +331,9 @@
 		Str("server", r.lastServer()).Int64("placed_ms", r.placedAfter.Milliseconds()).
 		Int64("expected_ms", r.expectedFirst.Milliseconds()).Int64("first_ms", r.timeToFirstToken().Milliseconds()).
 		Int64("gap_ms", r.longestGap.Milliseconds()).
-		Int64("elapsed_ms", (r.entry.now() - r.arrived).Milliseconds()).Msg("request ended")
-}
-
-// lastServer returns the name of the latest attempt's backend server, or "".
-func (r *run) lastServer() string {
-	if r.attempt == nil {
-		return ""
-	}
-	return r.attempt.server.Name
-}
-
-// timeToFirstToken is the time from arrival to the first token, or zero if
-// none came.
-func (r *run) timeToFirstToken() time.Duration {
-	if r.firstTokenAt == 0 {
-		return 0
-	}
-	return r.firstTokenAt - r.arrived
+		Int64("elapsed_ms", (r.entry.now() - r.arrived).Milliseconds())
+	r.addEnding(event)
+	event.Msg("request ended")
 }
 
 func kindName(kind request.OutcomeKind) string {
@@ -372,6 +361,9 @@
 	})
 	if !decision.Retry {
 		r.trace.add(time.Now(), "not tried again: %s", decision.Reason)
+		r.ending.notRetried = decision.Reason.String()
+	} else if r.entry.now()+decision.Delay >= r.deadline {
+		r.ending.notRetried = noTime
 	}
 	return decision.Delay, decision.Retry
 }
--- a/internal/process/limit.go
+++ b/internal/process/limit.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"errors"
 	"net"
 	"sync"
 )
@@ -35,6 +36,14 @@
 	release func()
 }
 
+// CloseWrite closes the connection for writing alone.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
 	c.once.Do(c.release)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -41,6 +41,9 @@
 // collectors.
 const maxInternalConnections = 4096
 
+// callersListener is the name of the listener for callers.
+const callersListener = "callers"
+
 // Keys are the secrets that a process reads from files.
 type Keys struct {
 	Peer     string
@@ -241,7 +244,7 @@
 	if err != nil {
 		return err
 	}
-	serveHTTP(p, "callers", p.Process.Listen.Callers, callersHandler(p), config)
+	serveHTTP(p, callersListener, p.Process.Listen.Callers, callersHandler(p), config)
 	p.Lifecycle.Append(fx.Hook{OnStop: drainEntry(p)})
 	return nil
 }
@@ -303,6 +306,9 @@
 		MaxHeaderBytes:    p.Process.Limits.HeaderBytes,
 		ErrorLog:          standardLogger(p.Logger, name),
 	}
+	if name == callersListener && p.Process.Hosted != nil {
+		server.ConnContext, server.ConnState = entry.ConnContext, entry.ConnState
+	}
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return startServer(p, name, address, server) },
 		OnStop:  server.Shutdown,
@@ -316,10 +322,13 @@
 		return fmt.Errorf("listen for %s: %w", name, err)
 	}
 	limit := maxInternalConnections
-	if name == "callers" {
+	if name == callersListener {
 		limit = p.Process.Limits.Connections
 	}
 	listener = limitConnections(listener, limit)
+	if name == callersListener && p.Process.Hosted != nil {
+		listener = p.Entry.CallerListener(listener)
+	}
 	if server.TLSConfig != nil {
 		listener = tls.NewListener(listener, server.TLSConfig)
 	}
