Show that a silent server's stream ends without a replacement

The stand-in of a backend server can fall silent once in each stream, before an event that the test chooses, and go on.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -144,8 +144,15 @@
 	cutAfter guardedInt
 	// eventInterval is the time between two events, in milliseconds.
 	eventInterval guardedInt
+	// silentBefore makes it fall silent once in each stream, before that event, for
+	// silenceMS milliseconds or until goOn; negative means never.
+	silentBefore, silenceMS guardedInt
+	// awake is closed by goOn.
+	awake chan struct{}
 
 	mu sync.Mutex
+	// silent holds the IDs of the requests in whose streams it has fallen silent.
+	silent map[string]bool
 	// runs counts the runs by request ID, headers holds the requests' headers.
 	runs    map[string]int
 	headers map[string]http.Header
@@ -183,9 +190,22 @@
 	return e
 }
 
+// addUnreachable adds an instance to the list at whose address nothing listens.
+func (p *hostedPlatform) addUnreachable(id, service string) {
+	e := newHostedEngine(id, service)
+	e.address = "127.0.0.1:1"
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines = append(p.engines, e)
+}
+
 func newHostedEngine(id, service string) *hostedEngine {
-	e := &hostedEngine{id: id, service: service, runs: make(map[string]int), headers: make(map[string]http.Header)}
+	e := &hostedEngine{
+		id: id, service: service, awake: make(chan struct{}),
+		runs: make(map[string]int), headers: make(map[string]http.Header), silent: make(map[string]bool),
+	}
 	e.cutAfter.Set(-1)
+	e.silentBefore.Set(-1)
 	return e
 }
 
@@ -263,6 +283,9 @@
 		if cut := e.cutAfter.Load(); cut >= 0 && i-first == cut {
 			panic(http.ErrAbortHandler)
 		}
+		if i == e.silentBefore.Load() {
+			e.fallSilent(req)
+		}
 		fmt.Fprintf(w, "id: %d\ndata: part-%d\n\n", i, i)
 		_ = http.NewResponseController(w).Flush()
 		select {
@@ -276,6 +299,34 @@
 	}
 }
 
+// fallSilent waits, once in each stream, until the silence is over or the caller
+// disconnects.
+func (e *hostedEngine) fallSilent(req *http.Request) {
+	id := req.Header.Get("Waxwingcart-Request-Id")
+	e.mu.Lock()
+	again := e.silent[id]
+	e.silent[id] = true
+	e.mu.Unlock()
+	if again {
+		return
+	}
+	select {
+	case <-e.awake:
+	case <-req.Context().Done():
+	case <-time.After(time.Duration(e.silenceMS.Load()) * time.Millisecond):
+	}
+}
+
+// goOn ends the silence of all streams.
+func (e *hostedEngine) goOn() { close(e.awake) }
+
+// hasFallenSilent reports whether it has fallen silent in the stream of a request.
+func (e *hostedEngine) hasFallenSilent(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.silent[id]
+}
+
 // count returns the number of runs and of streams whose caller disconnected.
 func (e *hostedEngine) count() (runs, disconnects int) {
 	e.mu.Lock()
