Failing tests of streams that go on at another version

Cause: nothing reads the version in the platform's list, nor the header Resumes with which a caller names the client attempt that brought the first event.

The stand-in of a backend server gets a version, which the list and each event name. The tests play over real processes what joins two runs of a stream: going on in the same answer, take-ups at other entries while a server leaves, second take-ups, take-ups after the entry that began them was killed and another one restarted, and the end of a version while its streams wait. Further ones check that a take-up of another customer's, an unknown or an ambiguous request is refused as not run, and that with one version only, or a list without versions, nothing needs to be known.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -70,9 +70,11 @@
 		if e.draining.Load() {
 			state = "draining"
 		}
-		instances = append(instances, map[string]any{
+		instance := map[string]any{
 			"id": e.id, "service": e.service, "addr": e.address, "zone": "kochi-a", "state": state, "slots": 8,
-		})
+		}
+		e.versioned.describe(instance)
+		instances = append(instances, instance)
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": instances, "next_token": next})
 }
@@ -128,6 +130,8 @@
 type hostedEngine struct {
 	id, service, address string
 	draining             guardedBool
+	// versioned is set if the list names the engine's software version.
+	versioned *versionedEngine
 	// successor serves the requests after a restart.
 	successor atomic.Pointer[hostedEngine]
 	// refuse makes it answer that it did not run a request.
@@ -249,6 +253,10 @@
 		fmt.Fprintf(w, "%s %s %s", req.Method, req.RequestURI, body)
 		return
 	}
+	if e.versioned != nil {
+		e.versioned.stream(w, req)
+		return
+	}
 	e.stream(w, req)
 }
 
