Send a refusal before the rest of a body has arrived, and linger

Seen by callers: a call that is refused before its body was read (401 or 404, as just after a change) and sends its body in chunks gets no refusal until the body ends, and none at all if it waits for one. With a length over 256 KB it gets the refusal, but the connection is closed half a second later; a caller that still sends gets a broken pipe, and one that reads only after it has sent may miss the refusal.

Cause: net/http reads up to 256 KB of a body before it sends an answer, without a time limit here, and closes a connection with unread bytes after 500 ms, without ending its own direction first, because limitedConn hid CloseWrite.

A refusal with the body unread now says that the connection closes, which makes net/http send it at once; it has a length, so that it is whole at once. The connection then discards what arrives until the caller closes it: at most 16 MB, at most the time that a body may take, and not after a draining entry has stopped to accept requests. A declared length over the limit is refused without reading. Refusals of calls without a body still keep the connection.

--- a/internal/e2e/hosted_edges_test.go
+++ b/internal/e2e/hosted_edges_test.go
@@ -1,11 +1,14 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // rawCaller is a connection to an entry on which a test writes bytes itself.
@@ -36,6 +39,14 @@
 	}
 }
 
+// discardedBytes is more than an entry discards of the body of a refused request.
+const discardedBytes = 20 << 20
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
 // From a request's ID, its lines tell how it ended: cut off at the caller and why no
 // further attempt followed, or refused before its body was read, and how the
 // connection was closed.
@@ -49,7 +60,9 @@
 		t.Error("the stream that its server cut off looks complete")
 	}
 	unread := h.dialRaw("e1")
-	unread.send("POST", "/replies/1", "unread-1", "nobody", "part", "Content-Length: 1000000")
+	unread.send("POST", "/replies/1", "unread-1", "nobody", "", fmt.Sprintf("Content-Length: %d", 2*discardedBytes))
+	// Fails once the entry has closed the connection.
+	go func() { _, _ = io.Copy(unread, io.LimitReader(zeros{}, 2*discardedBytes)) }()
 	for _, want := range []struct{ step, id, fields string }{
 		{"request", "cut-1", ` begun=true revision=1 revision_end=1 failure="broken" not_retried="not-repeatable" silence_ms=`},
 		{"connection", "cut-1", ` cause="aborted" `},
@@ -75,3 +88,90 @@
 		}
 	}
 }
+
+// rawPiece and rawPieces bound the bodies that a raw caller sends piece by piece,
+// rawPause apart: longer in all than a server waits by itself before it closes a
+// connection with unread bytes.
+const (
+	rawPiece  = 16 << 10
+	rawPieces = 24
+	rawPause  = 60 * time.Millisecond
+)
+
+// sendSlowly sends the pieces of a body, in chunks or as they are.
+func (c *rawCaller) sendSlowly(pieces int, chunked bool) error {
+	piece := strings.Repeat("b", rawPiece)
+	if chunked {
+		piece = fmt.Sprintf("%x\r\n%s\r\n", rawPiece, piece)
+	}
+	for range pieces {
+		if _, err := io.WriteString(c, piece); err != nil {
+			return err
+		}
+		time.Sleep(rawPause)
+	}
+	return nil
+}
+
+// refusal reads an answer and returns its status, or 0 if it did not arrive whole.
+func (c *rawCaller) refusal() int {
+	_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		c.t.Logf("reading the answer: %v", err)
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.ReadAll(response.Body); err != nil {
+		c.t.Logf("reading the answer's body: %v", err)
+		return 0
+	}
+	return response.StatusCode
+}
+
+// A call that is refused before its body was read, or because the body is too long,
+// gets its refusal at once and whole: a caller that has sent a part of its body and
+// waits reads it, and one that sends its body slowly to the end may go on and reads it
+// then.
+func TestHostedRefusalOfUnreadBody(t *testing.T) {
+	h := newHostedCluster(t, 1)
+	h.platform.addEngine(t, "i-m1", "models")
+	h.platform.addEngine(t, "i-a1", "ledger")
+	content := document(7)
+	content["limits"] = map[string]any{"max_body_bytes": 4 * rawPiece}
+	h.applyDocument(content)
+	for _, test := range []struct {
+		name, path, key string
+		status          int
+	}{
+		{"unknown key", "/claims/1", "nobody", 401},
+		{"unknown route", "/nowhere/1", callerKey, 404},
+		{"too long", "/claims/1", callerKey, 413},
+	} {
+		for _, chunked := range []bool{false, true} {
+			for _, readFirst := range []bool{false, true} {
+				name := fmt.Sprintf("%s, chunked %t, reads first %t", test.name, chunked, readFirst)
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					c := h.dialRaw("e1")
+					c.t = t
+					length := fmt.Sprintf("Content-Length: %d", rawPieces*rawPiece)
+					if chunked {
+						length = "Transfer-Encoding: chunked"
+					}
+					c.send("POST", test.path, strings.ReplaceAll(name, " ", "-"), test.key, "", length)
+					sent := rawPieces
+					if readFirst {
+						sent = 6
+					}
+					if err := c.sendSlowly(sent, chunked); err != nil {
+						t.Errorf("sending the body: %v", err)
+					}
+					if got := c.refusal(); got != test.status {
+						t.Errorf("got status %d, want a whole refusal with %d", got, test.status)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -151,7 +151,7 @@
 	c.closed = true
 	c.mu.Unlock()
 	if first && open != nil {
-		c.report(open)
+		c.finish(open)
 	}
 	return c.Conn.Close()
 }
@@ -174,13 +174,19 @@
 	return ""
 }
 
-// report logs and counts the close of a connection on which a request was read and
-// not fully answered.
-func (c *callerConn) report(x *exchange) {
+// finish ends the connection of a request that has no whole answer, or whose body was
+// not read: its refusal is not lost if the caller closes the connection first.
+func (c *callerConn) finish(x *exchange) {
 	cause := x.cause()
-	if cause == "" {
+	if cause == "" || cause == closeBodyNotRead && c.linger() {
 		return
 	}
+	c.report(x, cause)
+}
+
+// report logs and counts the close of a connection on which a request was read and
+// not fully answered.
+func (c *callerConn) report(x *exchange, cause string) {
 	c.entry.metrics.connectionsClosed.WithLabelValues(cause).Inc()
 	line := c.entry.logger.Info().Str("step", "connection").Str("request", x.id).Str("cause", cause).
 		Str("peer", c.RemoteAddr().String()).Bool("begun", x.begun).Bool("body_read", x.bodyRead).
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -81,6 +81,10 @@
 	conn := callerConnOf(req.Context())
 	conn.begin(call.RequestID)
 	sink := &routedSink{w: w, entry: e, id: call.RequestID}
+	if req.ContentLength == 0 {
+		sink.bodyRead = true
+		conn.readBody()
+	}
 	defer func() { conn.end(sink.aborted) }()
 	if err != nil {
 		sink.refuse(notRunOutcome(reasonBadRequest, err.Error(), 0), nil)
@@ -194,9 +198,11 @@
 	if configured := config.routes.Limits.BodyBytes; configured > 0 && (limit == 0 || configured < limit) {
 		limit = configured
 	}
+	if req.ContentLength > limit {
+		return nil, tooLargeError(limit)
+	}
 	body, err := e.readBody(w, req, limit)
 	if err != nil {
-		w.Header().Set("Connection", "close")
 		return nil, err
 	}
 	_ = controller.SetReadDeadline(time.Time{})
--- a/internal/entry/routedsink.go
+++ b/internal/entry/routedsink.go
@@ -130,13 +130,26 @@
 		header.Set(headerRetryAfter, retryAfterFraction(outcome.RetryAfter))
 	}
 	s.closeIfDraining()
+	if !s.bodyRead {
+		s.leaveBody()
+	}
+	body, _ := json.Marshal(errorBody{Error: detailOf(s.id, outcome)})
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	s.withWriteTimeout(func() {
 		s.w.WriteHeader(status)
-		_ = json.NewEncoder(s.w).Encode(errorBody{Error: detailOf(s.id, outcome)})
+		_, _ = s.w.Write(body)
 		_ = http.NewResponseController(s.w).Flush()
 	})
 }
 
+// leaveBody lets an answer be sent before the request's body has arrived. net/http
+// reads the rest of a body before it sends an answer, unless the connection is to be
+// closed, and once more after the answer; callerConn discards it instead.
+func (s *routedSink) leaveBody() {
+	s.w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(s.w).SetReadDeadline(time.Now())
+}
+
 // refuseError refuses a call that failed before it had a run.
 func (s *routedSink) refuseError(err error) {
 	outcome := notRunOutcome(reasonBadRequest, err.Error(), 0)
