--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -127,9 +127,10 @@
 	var n ending
 	n.measure(time.Minute)
 	n.attemptBegan(time.Minute)
-	n.sign(time.Minute+time.Second, request.Opened{})
-	n.sign(time.Minute+4*time.Second, request.Token{})
-	n.sign(time.Minute+5*time.Second, request.Failed{Failure: request.Failure{Phase: request.PhaseHandedOver, Silent: true}})
+	n.sign(time.Minute+time.Second, request.Opened{}, false)
+	n.sign(time.Minute+3*time.Second, request.Silence{}, false)
+	n.sign(time.Minute+4*time.Second, request.Token{}, false)
+	n.sign(time.Minute+5*time.Second, request.Failed{Failure: request.Failure{Phase: request.PhaseHandedOver, Silent: true}}, false)
 	if n.silence != 3*time.Second || n.failureName() != "silent" {
 		t.Errorf("got a silence of %s and failure %q, want 3s and silent", n.silence, n.failureName())
 	}
@@ -138,4 +139,9 @@
 	if n.silence != 7*time.Second {
 		t.Errorf("got a silence of %s at the end of a mute attempt, want 7s", n.silence)
 	}
+	n.sign(2*time.Minute+7*time.Second, request.Failed{}, true)
+	n.measure(2*time.Minute + 17*time.Second)
+	if n.silence != 10*time.Second {
+		t.Errorf("got a silence of %s of the attempt that stayed open, want 10s", n.silence)
+	}
 }
--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -37,14 +37,17 @@
 	n.waiting, n.signAt = true, now
 }
 
-// sign notes an event of an attempt.
-func (n *ending) sign(now time.Duration, ev request.Event) {
+// sign notes an event of an attempt. others is true if another attempt stays open.
+func (n *ending) sign(now time.Duration, ev request.Event, others bool) {
+	if _, silent := ev.(request.Silence); silent {
+		return
+	}
 	n.measure(now)
 	switch ev := ev.(type) {
 	case request.Completed:
 		n.waiting = false
 	case request.Failed:
-		n.waiting = false
+		n.waiting = others
 		n.failure = &ev.Failure
 	}
 }
@@ -98,7 +101,7 @@
 		return r.ending.notRetried
 	case !r.spec.Repeatable:
 		return notRepeatable
-	case !r.req.Replaceable():
+	case !r.req.AttemptsLeft():
 		return noAttempts
 	default:
 		return finalFailure
@@ -128,14 +131,6 @@
 	r.entry.metrics.unanswered.WithLabelValues(r.service.Name, strconv.FormatBool(r.begun()), r.ending.failureName(), r.whyNotRetried(), changed).Inc()
 }
 
-// lastServer returns the name of the latest attempt's backend server, or "".
-func (r *run) lastServer() string {
-	if r.attempt == nil {
-		return ""
-	}
-	return r.attempt.server.Name
-}
-
 // timeToFirstToken is the time from arrival to the first token, or zero if
 // none came.
 func (r *run) timeToFirstToken() time.Duration {
