Keep a silent server's attempt until a replacement has gone on

Cause: whether a silent attempt may end was decided when it started, from the retry budget of that moment. After the progress timeout the connection was closed first; only then was the budget charged and a server picked. Without either, nothing was left to go on with.

Change: the call's watchdog reports silence and leaves the connection open. The core asks for another server at that moment, charges the budget only if there is one, and sends a second attempt beside the silent one. The first of the two that delivers the event that the caller lacks is kept and the other one cancelled. A replacement that fails, is refused or is unreachable leaves the silent attempt as it was; without a server, budget or attempt, the next timeout decides again. Requests that may not run twice are never replaced. The project's own streams are left only for a resumption that is allowed then, or for an engine that has been picked.

Why it works: nothing but the deadline, the caller's leaving, the server's own failure or progress of the replacement ends an attempt, so a sound server's silence can't end a stream, whatever the configuration, the list or the other servers do meanwhile. The head of the answer is taken with the first forwarded event, from the attempt that sent it.

Found beside it: an error answer of a server was replaced by the head of a later attempt that broke off, so that the caller got status 200 with an empty body. Starts and pauses of continued streams were recorded in placement for the wrong attempt.

A silence that ends no longer counts as a failure of its server in placement; one that a replacement has overtaken does, as before.

TestReplaceable checks the same four cases at the time of the silence, as Replaceable is gone.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -207,6 +207,10 @@
 	// each event or each read of the body.
 	DialTimeout     time.Duration
 	ProgressTimeout time.Duration
+	// OnSilence, if set, is called whenever the call has made no progress for the
+	// progress timeout, and again after each further timeout. The call then stays open.
+	// Without it, the call is cancelled and fails with PhaseSilent. It must not block.
+	OnSilence func()
 }
 
 // Response is a response whose header has been read.
@@ -232,7 +236,8 @@
 // send sends the request and waits for the response header.
 func (c *Client) send(ctx context.Context, call Call) (*pendingResponse, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	wd := newWatchdog(cancel, call.ProgressTimeout, c.opts.ProgressTimeout)
+	setDefault(&call.ProgressTimeout, c.opts.ProgressTimeout)
+	wd := newWatchdog(cancel, c.silence(call), call.ProgressTimeout)
 	tracker := &writeTracker{}
 	fail := func(err error) error {
 		defer cancel(context.Canceled)
@@ -260,6 +265,17 @@
 	return pending, nil
 }
 
+// silence returns what to do when a call is silent that stays open, or nil.
+func (c *Client) silence(call Call) func() {
+	if call.OnSilence == nil {
+		return nil
+	}
+	return func() {
+		c.CloseIdle(call.Address)
+		call.OnSilence()
+	}
+}
+
 // newRequest builds the HTTP request.
 func (c *Client) newRequest(ctx context.Context, call Call, tracker *writeTracker, wd *watchdog) (*http.Request, error) {
 	trace := &httptrace.ClientTrace{
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -5,35 +5,80 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// watchdog cancels a call that makes no progress.
+// watchdog watches a call that makes no progress. It cancels the call, or reports the
+// silence after each timeout and leaves the call open.
 type watchdog struct {
-	timer   *time.Timer
 	timeout atomic.Int64
 	expired atomic.Bool
 	// responded is set once the response header has arrived. Until then,
 	// sending the request body counts as progress.
 	responded atomic.Bool
+	cancel    context.CancelCauseFunc
+	// onSilence is nil if the call is cancelled.
+	onSilence func()
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// due is when the call counts as silent; zero while it is not watched.
+	due time.Time
 }
 
-func newWatchdog(cancel context.CancelCauseFunc, timeout, fallback time.Duration) *watchdog {
-	setDefault(&timeout, fallback)
-	w := &watchdog{}
+func newWatchdog(cancel context.CancelCauseFunc, onSilence func(), timeout time.Duration) *watchdog {
+	w := &watchdog{cancel: cancel, onSilence: onSilence}
 	w.timeout.Store(int64(timeout))
-	w.timer = time.AfterFunc(timeout, func() {
-		w.expired.Store(true)
-		cancel(errNoProgress)
-	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.due = time.Now().Add(timeout)
+	w.timer = time.AfterFunc(timeout, w.expire)
 	return w
 }
 
-func (w *watchdog) progress()   { w.timer.Reset(time.Duration(w.timeout.Load())) }
-func (w *watchdog) stop()       { w.timer.Stop() }
+func (w *watchdog) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rearm()
+}
+
+// rearm begins a new timeout. The caller holds mu.
+func (w *watchdog) rearm() {
+	timeout := time.Duration(w.timeout.Load())
+	w.due = time.Now().Add(timeout)
+	w.timer.Reset(timeout)
+}
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.due = time.Time{}
+	w.timer.Stop()
+}
+
 func (w *watchdog) fired() bool { return w.expired.Load() }
 
+// expire handles the end of a timeout, unless there has been progress since.
+func (w *watchdog) expire() {
+	w.mu.Lock()
+	if w.due.IsZero() || time.Now().Before(w.due) {
+		w.mu.Unlock()
+		return
+	}
+	if w.onSilence != nil {
+		w.rearm()
+	}
+	w.mu.Unlock()
+	if w.onSilence != nil {
+		w.onSilence()
+		return
+	}
+	w.expired.Store(true)
+	w.cancel(errNoProgress)
+}
+
 // singleUseBody is a request body that a transport cannot rewind, and therefore
 // cannot send again on its own.
 type singleUseBody struct {
--- a/internal/core/request/attempts.go
+++ b/internal/core/request/attempts.go
@@ -5,17 +5,36 @@
 	"time"
 )
 
+// dispatch sends the request to a server as the only attempt.
+func (r *Request) dispatch(server string) []Effect {
+	r.state = stateRunning
+	r.attempt++
+	r.current = r.attempt
+	r.position.Server, r.position.Stream = server, ""
+	r.beginRun()
+	return []Effect{Dispatch{Attempt: r.attempt, Server: server}}
+}
+
+// beginRun resets what is known of the current attempt, which begins a new run.
+func (r *Request) beginRun() {
+	r.looking = false
+	r.resumed, r.attemptDelivered = false, false
+	r.runDelivered, r.replacedFree = false, false
+	r.verified = r.position.Next == 0 || r.spec.Continues
+}
+
 func (r *Request) failed(now time.Duration, ev Failed) []Effect {
-	if !r.current(ev.Attempt) {
+	if r.isSecond(ev.Attempt) {
+		return r.secondFailed(ev.Failure)
+	}
+	if !r.isCurrent(ev.Attempt) {
 		return nil
 	}
-	r.lastFailure = ev.Failure
-	if ev.Failure.Phase == PhaseHandedOver {
-		r.handedOver = true
-	} else {
-		r.unstarted++
+	r.noteFailure(ev.Failure)
+	if r.second.number != 0 {
+		return r.currentFailed()
 	}
-	r.hasErrorAnswer = r.hasErrorAnswer || ev.Failure.Answered
+	r.looking = false
 	if r.canRetry(ev.Failure) {
 		if delay, ok := r.retrier.Retry(now, r.failedAttempt(ev.Failure)); ok && now+delay < r.spec.Deadline {
 			r.prepareRetry(ev.Failure)
@@ -32,6 +51,17 @@
 	})
 }
 
+// noteFailure records the failure of an open attempt.
+func (r *Request) noteFailure(f Failure) {
+	r.lastFailure = f
+	if f.Phase == PhaseHandedOver {
+		r.handedOver = true
+	} else {
+		r.unstarted++
+	}
+	r.hasErrorAnswer = r.hasErrorAnswer || f.Answered
+}
+
 func (r *Request) failedAttempt(f Failure) FailedAttempt {
 	return FailedAttempt{
 		Failure:    f,
@@ -54,12 +84,6 @@
 	return r.attempt-min(r.unstarted, r.spec.MaxUnstarted) < r.spec.MaxAttempts
 }
 
-// Replaceable reports whether another attempt could follow the current one even
-// if the current one has run. If not, the progress timeout must not end it.
-func (r *Request) Replaceable() bool {
-	return r.spec.Repeatable && r.attemptsLeft()
-}
-
 // prepareRetry prepares the next attempt: it resumes the stream if the
 // engine still has it, otherwise it goes to another server.
 func (r *Request) prepareRetry(f Failure) {
@@ -107,19 +131,24 @@
 	r.handedOver = true
 	if ev.Export && r.position.Stream != "" {
 		r.state = stateMoving
-		move := MoveKV{Attempt: r.attempt, From: r.position, Target: ev.Target}
+		effects := r.cancelSecond()
+		move := MoveKV{Attempt: r.current, From: r.position, Target: ev.Target}
 		if waiting {
 			return []Effect{move}
 		}
-		return []Effect{DropAttempt{Attempt: r.attempt}, move}
+		return append(effects, DropAttempt{Attempt: r.current}, move)
 	}
-	cancel := CancelAttempt{Attempt: r.attempt, Server: r.position.Server, Stream: r.position.Stream}
+	effects := []Effect{r.cancelCurrent()}
 	r.excludeServer(ev.Server)
-	return append([]Effect{cancel}, r.pick()...)
+	if r.second.number != 0 {
+		r.promoteSecond()
+		return effects
+	}
+	return append(effects, r.pick()...)
 }
 
 func (r *Request) moved(ev Moved) []Effect {
-	if r.state != stateMoving || ev.Attempt != r.attempt {
+	if r.state != stateMoving || ev.Attempt != r.current {
 		r.late++
 		return nil
 	}
--- a/internal/core/request/faults_test.go
+++ b/internal/core/request/faults_test.go
@@ -97,32 +97,30 @@
 	}
 }
 
-// An attempt is replaceable only while another one could follow it.
+// A replacement is asked for only while another attempt could follow a silent one that has
+// run. The silent attempt is not ended for it.
 func TestReplaceable(t *testing.T) {
-	run := func(spec Spec, failures ...Phase) *Request {
-		spec.Kind, spec.Deadline = KindModel, time.Hour
+	silence := func(spec Spec, failures ...Phase) string {
+		spec.Kind, spec.Continues, spec.Deadline = KindModel, true, time.Hour
 		r := New(spec, alwaysRetrier{})
 		r.Step(0, Start{})
 		r.Step(0, Admitted{})
 		for i, phase := range failures {
-			r.Step(0, Picked{Server: "s"})
+			r.Step(0, Picked{Server: "f"})
 			r.Step(0, Failed{Attempt: i + 1, Failure: Failure{Phase: phase}})
 			r.Step(0, BackoffOver{})
 		}
 		r.Step(0, Picked{Server: "s"})
-		return r
+		return steps(r, Silence{Attempt: len(failures) + 1})
 	}
-	for name, c := range map[string]struct {
-		got  *Request
-		want bool
-	}{
-		"first of two":    {run(Spec{Repeatable: true, MaxAttempts: 2}), true},
-		"second of two":   {run(Spec{Repeatable: true, MaxAttempts: 2}, PhaseHandedOver), false},
-		"not repeatable":  {run(Spec{MaxAttempts: 2}), false},
-		"after a refusal": {run(Spec{Repeatable: true, MaxAttempts: 2, MaxUnstarted: 3}, PhaseRefused), true},
+	for name, c := range map[string]struct{ got, want string }{
+		"first of two":    {silence(Spec{Repeatable: true, MaxAttempts: 2}), "[{Attempt:1 Exclude:[s]}]"},
+		"second of two":   {silence(Spec{Repeatable: true, MaxAttempts: 2}, PhaseHandedOver), "[{Attempt:2 Server:s Decision:waits-no-attempts}]"},
+		"not repeatable":  {silence(Spec{MaxAttempts: 2}), "[{Attempt:1 Server:s Decision:waits-runs-once}]"},
+		"after a refusal": {silence(Spec{Repeatable: true, MaxAttempts: 2, MaxUnstarted: 3}, PhaseRefused), "[{Attempt:2 Exclude:[f s]}]"},
 	} {
-		if got := c.got.Replaceable(); got != c.want {
-			t.Errorf("%s: Replaceable returned %t", name, got)
+		if c.got != c.want {
+			t.Errorf("%s: got %s, want %s", name, c.got, c.want)
 		}
 	}
 }
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -48,8 +48,13 @@
 	spec    Spec
 	retrier Retrier
 	state   state
-	// attempt is the number of the current attempt, counted from 1.
-	attempt int
+	// attempt is the number of the latest attempt, counted from 1, and current that of
+	// the attempt whose events are forwarded.
+	attempt, current int
+	// second is the replacement that is open beside the silent current attempt, and
+	// looking is true while a server for one is asked for.
+	second  secondAttempt
+	looking bool
 	// position is the current position in the answer; Server and Stream are
 	// those of the current attempt.
 	position Position
@@ -63,6 +68,9 @@
 	// runDelivered is true if the latest run, including its resumptions,
 	// delivered new tokens.
 	runDelivered bool
+	// replacedFree is true once a replacement of the latest run was free because that
+	// run had delivered tokens.
+	replacedFree bool
 	exclude      []string
 	reserved     bool
 	// duplicate is true while another request is known to own the key.
@@ -143,6 +151,12 @@
 		return r.completed(ev)
 	case Failed:
 		return r.failed(now, ev)
+	case Silence:
+		return r.silent(now, ev)
+	case ReplacementPicked:
+		return r.replacementPicked(now, ev)
+	case NoReplacement:
+		return r.noReplacement(ev)
 	case BackoffOver:
 		return r.backoffOver()
 	case Move:
@@ -250,13 +264,7 @@
 	if r.state != statePicking {
 		return nil
 	}
-	r.state = stateRunning
-	r.attempt++
-	r.resumed, r.attemptDelivered, r.runDelivered = false, false, false
-	r.position.Server = ev.Server
-	r.position.Stream = ""
-	r.verified = r.position.Next == 0 || r.spec.Continues
-	return []Effect{Dispatch{Attempt: r.attempt, Server: ev.Server}}
+	return r.dispatch(ev.Server)
 }
 
 func (r *Request) noServer(ev NoServer) []Effect {
@@ -312,9 +320,9 @@
 		return nil
 	}
 	if r.state == stateRunning && r.position.Stream != "" {
-		drop := DropAttempt{Attempt: r.attempt}
+		effects := append(r.cancelSecond(), DropAttempt{Attempt: r.current})
 		outcome := Outcome{Kind: OutcomeResumable, Reason: ReasonDraining, Step: "drain"}
-		return append([]Effect{drop}, r.finish(outcome)...)
+		return append(effects, r.finish(outcome)...)
 	}
 	return r.endUnanswered(Outcome{Reason: ReasonDraining, Step: "drain"})
 }
@@ -326,8 +334,8 @@
 	var effects []Effect
 	if r.state == stateRunning || r.state == stateMoving {
 		r.markHandedOver(outcome)
-		cancel := CancelAttempt{Attempt: r.attempt, Server: r.position.Server, Stream: r.position.Stream}
-		effects = append(effects, cancel)
+		effects = append(effects, r.cancelCurrent())
+		effects = append(effects, r.cancelSecond()...)
 	}
 	if r.hasErrorAnswer && !r.callerGone {
 		return append(effects, r.finish(Outcome{Kind: OutcomeAnswered})...)
@@ -364,8 +372,10 @@
 	return append(effects, Respond{Outcome: outcome})
 }
 
-func (r *Request) current(attempt int) bool {
-	if r.state == stateRunning && attempt == r.attempt {
+// isCurrent reports whether an event belongs to the current attempt. Otherwise it
+// counts the event as late.
+func (r *Request) isCurrent(attempt int) bool {
+	if r.state == stateRunning && attempt == r.current {
 		return true
 	}
 	r.late++
--- a/internal/core/request/request_test.go
+++ b/internal/core/request/request_test.go
@@ -97,6 +97,9 @@
 	case Pick:
 		server := fmt.Sprintf("e%d", len(e.Exclude))
 		h.queue(rapid.SampledFrom([]Event{Picked{Server: server}, Picked{Server: server}, NoServer{}}).Draw(h.t, "pick"))
+	case PickReplacement:
+		picked := ReplacementPicked{Attempt: e.Attempt, Server: fmt.Sprintf("e%d", len(e.Exclude))}
+		h.queue(rapid.SampledFrom([]Event{picked, picked, NoReplacement{Attempt: e.Attempt}}).Draw(h.t, "replacement"))
 	case Dispatch:
 		h.dispatches++
 		h.awaitingToken = true
@@ -171,6 +174,8 @@
 		h.step(rapid.SampledFrom([]Event{Tick{}, Drain{}, Abandon{}, CallerGone{}}).Draw(h.t, "other"))
 	case choice >= 55:
 		h.move()
+	case choice == 54:
+		h.step(Silence{Attempt: h.req.attempt})
 	case choice >= 20 && len(h.ready) > 0:
 		i := rapid.IntRange(0, len(h.ready)-1).Draw(h.t, "event")
 		ev := h.ready[i]
--- a/internal/core/request/stream.go
+++ b/internal/core/request/stream.go
@@ -4,13 +4,19 @@
 func (r *Request) resume() []Effect {
 	r.state = stateRunning
 	r.attempt++
+	r.current = r.attempt
+	r.looking = false
 	r.resumed, r.attemptDelivered = true, false
 	r.verified = true
 	return []Effect{ResumeStream{Attempt: r.attempt, Position: r.position}}
 }
 
 func (r *Request) opened(ev Opened) []Effect {
-	if !r.current(ev.Attempt) {
+	if r.isSecond(ev.Attempt) {
+		r.handedOver = true
+		return nil
+	}
+	if !r.isCurrent(ev.Attempt) {
 		return nil
 	}
 	r.handedOver = true
@@ -24,7 +30,10 @@
 // already has are only compared; the request fails if they differ, so that an
 // answer never mixes tokens of two different answers.
 func (r *Request) token(ev Token) []Effect {
-	if !r.current(ev.Attempt) {
+	if r.isSecond(ev.Attempt) {
+		return r.secondToken(ev)
+	}
+	if !r.isCurrent(ev.Attempt) {
 		return nil
 	}
 	if ev.Offset < r.position.Next {
@@ -33,13 +42,14 @@
 	if ev.Offset > r.position.Next || !r.verified {
 		return r.diverged()
 	}
-	r.attemptDelivered, r.runDelivered = true, true
+	effects := r.dropSecond(SilenceWentOn)
+	r.attemptDelivered, r.runDelivered = true, !r.replacedFree
 	// The caller has the beginning of this answer, so an earlier error answer
 	// can no longer replace it.
 	r.hasErrorAnswer = false
 	r.position.Next++
 	r.position.Sum = ev.Sum
-	return []Effect{Forward{Offset: ev.Offset}}
+	return append(effects, Forward{Offset: ev.Offset})
 }
 
 // repeatedToken handles a token that was already forwarded. Only the last of
@@ -61,15 +71,20 @@
 }
 
 func (r *Request) completed(ev Completed) []Effect {
-	if !r.current(ev.Attempt) {
+	var effects []Effect
+	if r.isSecond(ev.Attempt) {
+		effects = r.secondWins()
+	}
+	if !r.isCurrent(ev.Attempt) {
 		return nil
 	}
 	if !r.verified {
 		return r.diverged()
 	}
+	effects = append(effects, r.dropSecond(SilenceWentOn)...)
 	if r.reserved {
 		r.state = stateRecording
-		return []Effect{RecordOutcome{Kind: OutcomeAnswered, Await: true}}
+		return append(effects, RecordOutcome{Kind: OutcomeAnswered, Await: true})
 	}
-	return r.finish(Outcome{Kind: OutcomeAnswered})
+	return append(effects, r.finish(Outcome{Kind: OutcomeAnswered})...)
 }
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -2,8 +2,8 @@
 // reservation of an idempotency key, attempts at backend servers, resumption
 // of streams, and the one final outcome reported to the caller.
 //
-// A Request performs no I/O. At most one attempt is current; events of earlier
-// attempts are dropped and counted.
+// A Request performs no I/O. One attempt is current; while it is silent, a second one may
+// be open to replace it. Events of attempts that have ended are dropped and counted.
 package request
 
 import "time"
@@ -294,6 +294,8 @@
 type Dispatch struct {
 	Attempt int
 	Server  string
+	// Beside is true if the attempt replaces a silent one that stays open.
+	Beside bool
 }
 
 // ResumeStream resumes an existing stream as a new attempt.
@@ -312,7 +314,11 @@
 
 // DropAttempt stops reading the answer of an attempt but leaves it running at
 // the server.
-type DropAttempt struct{ Attempt int }
+type DropAttempt struct {
+	Attempt int
+	// Silent is true if the attempt is dropped for its silence.
+	Silent bool
+}
 
 // MoveKV exports the stream's KV cache and imports it at the target; answered
 // by Moved.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -39,13 +40,11 @@
 	started time.Duration
 	// progressTimeout bounds the wait for the first sign of progress.
 	progressTimeout time.Duration
-	// final is true if no other attempt can follow. Then only the deadline
-	// ends this one.
-	final bool
+	// answer is the head of the server's answer, or its whole answer.
+	answer *answer
 	// firstToken is the time from the attempt's start to its first token.
 	firstToken time.Duration
 	tokens     int
-	ended      bool
 	// job identifies the attempt at other entries; zero if the call is not
 	// routed.
 	job placement.JobID
@@ -65,6 +64,9 @@
 func (r *run) dispatch(e request.Dispatch) {
 	r.dispatched.Store(true)
 	resumeAfter := r.resumeAfter()
+	if !e.Beside {
+		r.endAttempts(routing.ResultFailed)
+	}
 	r.startAttempt(e.Attempt, e.Server, r.firstTokenTimeout(), func(ctx context.Context, a *attempt) {
 		switch {
 		case r.service.Kind == fleet.ServiceApp:
@@ -74,7 +76,7 @@
 			a.runPassThrough(ctx, resumeAfter)
 			return
 		}
-		stream, err := r.entry.backends.Stream(ctx, a.call("dispatch"))
+		stream, err := r.entry.backends.Stream(ctx, a.watchedCall(ctx, "dispatch"))
 		a.runStream(ctx, stream, err, 0)
 	})
 }
@@ -86,8 +88,9 @@
 	if e.Position.Next == 0 {
 		timeout = r.firstTokenTimeout()
 	}
+	r.endAttempts(routing.ResultFailed)
 	r.startAttempt(e.Attempt, e.Position.Server, timeout, func(ctx context.Context, a *attempt) {
-		stream, err := r.entry.backends.Resume(ctx, a.call("resume"), e.Position.Stream, int64(e.Position.Next))
+		stream, err := r.entry.backends.Resume(ctx, a.watchedCall(ctx, "resume"), e.Position.Stream, int64(e.Position.Next))
 		a.runStream(ctx, stream, err, e.Position.Sum)
 	})
 }
@@ -95,7 +98,6 @@
 // startAttempt registers an attempt and runs work in a goroutine of its own.
 // It queues a failure if the server is no longer known.
 func (r *run) startAttempt(number int, name string, timeout time.Duration, work func(context.Context, *attempt)) {
-	r.endAttempt(routing.ResultFailed)
 	server := r.entry.server(r.config, name)
 	if server == nil {
 		r.queue = append(r.queue, request.Failed{Attempt: number, Failure: request.Failure{
@@ -105,10 +107,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &attempt{run: r, number: number, server: server, cancel: cancel, started: r.entry.now(), progressTimeout: timeout}
-	if a.final = !r.replaceable(); a.final {
-		a.progressTimeout = r.untilDeadline()
-	}
-	r.attempt = a
+	r.attempts = append(r.attempts, a)
+	r.lastServer = server.Name
 	if r.routed != nil {
 		r.jobPlaced(a)
 	} else {
@@ -118,14 +118,31 @@
 	go work(ctx, a)
 }
 
-// endAttempt stops the current attempt and reports its result to routing or
-// placement.
-func (r *run) endAttempt(result routing.Result) {
-	a := r.attempt
-	if a == nil || a.ended {
+// openAttempt returns the open attempt with a number, or nil.
+func (r *run) openAttempt(number int) *attempt {
+	for _, a := range r.attempts {
+		if a.number == number {
+			return a
+		}
+	}
+	return nil
+}
+
+// endAttempts ends all open attempts.
+func (r *run) endAttempts(result routing.Result) {
+	for len(r.attempts) > 0 {
+		r.endAttempt(r.attempts[0], result)
+	}
+}
+
+// endAttempt stops an attempt and reports its result to routing or placement. The
+// attempt may be nil.
+func (r *run) endAttempt(a *attempt, result routing.Result) {
+	i := slices.Index(r.attempts, a)
+	if a == nil || i < 0 {
 		return
 	}
-	a.ended = true
+	r.attempts = slices.Delete(r.attempts, i, i+1)
 	a.cancel()
 	r.jobEnded(a, result)
 	r.entry.policy.attemptFinished(a.server.Name, routing.Outcome{
@@ -156,7 +173,7 @@
 
 // cancel ends the attempt and asks the engine to cancel its stream.
 func (r *run) cancel(e request.CancelAttempt) {
-	r.endAttempt(routing.ResultAbandoned)
+	r.endAttempt(r.openAttempt(e.Attempt), routing.ResultAbandoned)
 	server, ok := r.config.servers[e.Server]
 	if e.Stream == "" || !ok {
 		return
@@ -251,12 +268,6 @@
 	return max(r.deadline-r.entry.now(), time.Millisecond)
 }
 
-// replaceable reports whether another attempt could follow the current one of
-// a routed call. Other requests always use their policy's timeouts.
-func (r *run) replaceable() bool {
-	return r.routed == nil || r.req.Replaceable() && r.entry.policy.canRetry(r.service.Name)
-}
-
 func milliseconds(ms float64) time.Duration {
 	return time.Duration(ms * float64(time.Millisecond))
 }
--- a/internal/entry/passthrough.go
+++ b/internal/entry/passthrough.go
@@ -16,7 +16,7 @@
 // backend server sent. An answer that is not a stream is relayed whole. If
 // resumeAfter is not negative, the stream continues after that event.
 func (a *attempt) runPassThrough(ctx context.Context, resumeAfter int64) {
-	call := a.call("dispatch")
+	call := a.watchedCall(ctx, "dispatch")
 	if resumeAfter >= 0 {
 		call.Header = call.Header.Clone()
 		call.Header.Set(headerLastEventID, strconv.FormatInt(resumeAfter, 10))
@@ -71,11 +71,7 @@
 			a.fail(ctx, err)
 			return
 		}
-		if a.final {
-			upstream.SetProgressTimeout(a.run.untilDeadline())
-		} else {
-			upstream.SetProgressTimeout(a.run.progressTimeout())
-		}
+		upstream.SetProgressTimeout(a.run.progressTimeout())
 		token := request.Token{Attempt: a.number, Offset: int(number)}
 		if !a.post(ctx, streamEvent{event: token, data: data}) {
 			return
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -70,18 +70,18 @@
 	}
 }
 
-// jobStarted records that the current attempt's answer has begun, and
-// broadcasts it if the call is announced.
-func (r *run) jobStarted() {
-	if r.routed == nil || r.attempt == nil {
+// jobStarted records that an attempt's answer has begun, and broadcasts it if the call
+// is announced.
+func (r *run) jobStarted(a *attempt) {
+	if r.routed == nil {
 		return
 	}
 	e := r.entry
 	e.policy.mu.Lock()
-	e.policy.placer.Started(e.now(), r.attempt.job, true)
+	e.policy.placer.Started(e.now(), a.job, true)
 	e.policy.mu.Unlock()
 	if r.routed.announced {
-		e.broadcaster.started(r.attempt.job)
+		e.broadcaster.started(a.job)
 	}
 }
 
@@ -90,9 +90,9 @@
 const pausedFraction = 0.8
 
 // jobPaused records and broadcasts, once per call, that the stream of an
-// announced call has paused.
-func (r *run) jobPaused(gap time.Duration) {
-	if r.routed == nil || !r.routed.announced || r.routed.paused || r.attempt == nil || r.routed.route.GapTarget <= 0 {
+// announced call has paused at an attempt's server.
+func (r *run) jobPaused(a *attempt, gap time.Duration) {
+	if r.routed == nil || !r.routed.announced || r.routed.paused || r.routed.route.GapTarget <= 0 {
 		return
 	}
 	if float64(gap) < pausedFraction*float64(r.routed.route.GapTarget) {
@@ -101,9 +101,9 @@
 	r.routed.paused = true
 	e := r.entry
 	e.policy.mu.Lock()
-	e.policy.placer.Paused(e.now(), r.attempt.job)
+	e.policy.placer.Paused(e.now(), a.job)
 	e.policy.mu.Unlock()
-	e.broadcaster.paused(r.attempt.job)
+	e.broadcaster.paused(a.job)
 }
 
 // jobEnded records an attempt's result in placement and broadcasts it. If the
@@ -113,7 +113,7 @@
 		return
 	}
 	e := r.entry
-	ended := jobResult(result, r.answer)
+	ended := jobResult(result, a.answer)
 	e.policy.mu.Lock()
 	e.policy.placer.Ended(e.now(), a.job, ended)
 	e.policy.mu.Unlock()
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -254,13 +254,6 @@
 	p.entry.metrics.retryBudget.WithLabelValues(service).Set(p.retry.Budget(now, service))
 }
 
-// canRetry reports whether the service's budget allows a retry now.
-func (p *policy) canRetry(service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.retry.Budget(p.entry.now(), service) >= 1
-}
-
 // decideRetry asks the retry controller about a failed attempt.
 func (p *policy) decideRetry(attempt retry.Attempt) retry.Decision {
 	p.mu.Lock()
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -322,12 +322,13 @@
 }
 
 // withRelativeOffset converts an event's number at the backend server into its
-// offset from the first event that the caller lacks.
-func (r *run) withRelativeOffset(token request.Token) request.Token {
+// offset from the first event that the caller lacks. open is true if the event's attempt
+// is open.
+func (r *run) withRelativeOffset(token request.Token, open bool) request.Token {
 	if r.routed == nil {
 		return token
 	}
-	if !r.routed.firstEventKnown && r.attempt != nil && token.Attempt == r.attempt.number {
+	if !r.routed.firstEventKnown && open {
 		r.routed.firstEvent, r.routed.firstEventKnown = int64(token.Offset), true
 	}
 	token.Offset -= int(r.routed.firstEvent)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -85,8 +85,14 @@
 	ended     chan struct{}
 
 	// The fields below are used by the loop alone.
-	queue        []request.Event
-	attempt      *attempt
+	queue []request.Event
+	// attempts holds the open attempts: one, or a silent one and its replacement.
+	attempts []*attempt
+	// source is the open attempt whose event is handled, or nil.
+	source *attempt
+	// lastServer is the server of the latest attempt, or of the one that sent the latest
+	// forwarded event.
+	lastServer   string
 	token        []byte
 	answer       *answer
 	replay       *answer
@@ -146,11 +152,10 @@
 
 func (r *run) handleStreamEvent(ev streamEvent) {
 	r.token = ev.data
-	if ev.answer != nil {
-		r.answer = ev.answer
-	}
+	r.source = r.openAttempt(attemptOf(ev.event))
+	r.takeAnswer(ev)
 	if token, ok := ev.event.(request.Token); ok {
-		ev.event = r.withRelativeOffset(token)
+		ev.event = r.withRelativeOffset(token, r.source != nil)
 	}
 	r.trackAttemptEnd(ev.event)
 	r.trackUsage(ev.event)
@@ -161,31 +166,6 @@
 	}
 }
 
-// trackAttemptEnd ends the current attempt if the event completes or fails it.
-func (r *run) trackAttemptEnd(ev request.Event) {
-	switch ev := ev.(type) {
-	case request.Completed:
-		if r.attempt != nil && r.attempt.number == ev.Attempt {
-			r.endAttempt(r.attempt.completedResult())
-		}
-	case request.Failed:
-		if r.attempt != nil && r.attempt.number == ev.Attempt {
-			r.endAttempt(resultOf(ev.Failure))
-		}
-	}
-}
-
-func resultOf(failure request.Failure) routing.Result {
-	switch failure.Phase {
-	case request.PhaseDial:
-		return routing.ResultUnreachable
-	case request.PhaseRefused:
-		return routing.ResultRefused
-	default:
-		return routing.ResultFailed
-	}
-}
-
 // step feeds the event to the state machine, and then the events that its
 // effects queue.
 func (r *run) step(ev request.Event) {
@@ -211,6 +191,8 @@
 		go r.reserve()
 	case request.Pick:
 		r.queue = append(r.queue, r.entry.policy.pickServer(r, e.Exclude))
+	case request.PickReplacement:
+		r.queue = append(r.queue, r.entry.policy.pickReplacement(r, e))
 	case request.Dispatch:
 		r.dispatch(e)
 	case request.ResumeStream:
@@ -218,7 +200,9 @@
 	case request.CancelAttempt:
 		r.cancel(e)
 	case request.DropAttempt:
-		r.endAttempt(routing.ResultAbandoned)
+		r.drop(e)
+	case request.Silenced:
+		r.silenced(e)
 	case request.MoveKV:
 		go r.moveKV(e)
 	case request.Forward:
@@ -235,21 +219,27 @@
 // forward sends the current token to the caller.
 func (r *run) forward(e request.Forward) {
 	now := r.entry.now()
+	a := r.source
+	if a.tokens == 0 {
+		r.jobStarted(a)
+	}
 	if r.firstTokenAt == 0 {
+		r.useAnswer(a)
 		r.firstTokenAt = now
 		r.countUsage()
-		r.jobStarted()
 		r.entry.policy.firstToken(r)
 		r.entry.metrics.firstToken.WithLabelValues(r.service.Name).Observe((now - r.arrived).Seconds())
 	} else {
 		r.entry.metrics.tokenGap.WithLabelValues(r.service.Name).Observe((now - r.lastToken).Seconds())
 		r.longestGap = max(r.longestGap, now-r.lastToken)
-		r.jobPaused(now - r.lastToken)
+		if a.tokens > 0 {
+			r.jobPaused(a, now-r.lastToken)
+		}
 	}
-	r.lastToken = now
+	r.lastToken, r.lastServer = now, a.server.Name
 	r.tokens += r.tokensPerEvent()
 	r.delivered.Store(int64(r.tokens))
-	r.attempt.countTokens(now, r.tokensPerEvent())
+	a.countTokens(now, r.tokensPerEvent())
 	r.sink.token(r.token, r.req.Position())
 }
 
@@ -265,19 +255,10 @@
 	}
 }
 
-// recorded returns the status and header of an answer whose body was not kept,
-// or nil.
-func (r *run) recorded(outcome request.Outcome) *answer {
-	if outcome.Reason != request.ReasonNotKept {
-		return nil
-	}
-	return r.replay
-}
-
 // finish releases what the request holds and records its outcome.
 func (r *run) finish() {
 	answered := r.outcome.Kind == request.OutcomeAnswered
-	r.endAttempt(routing.ResultAbandoned)
+	r.endAttempts(routing.ResultAbandoned)
 	r.entry.policy.endAdmission(r, answered, r.tokens)
 	r.settleQuota()
 	if answered && !r.serverFailed() {
@@ -302,11 +283,6 @@
 	}
 }
 
-// serverFailed reports whether the answer's status is a server error.
-func (r *run) serverFailed() bool {
-	return r.answer != nil && r.answer.status >= http.StatusInternalServerError
-}
-
 func (r *run) recordMetrics(answered bool) {
 	m := r.entry.metrics
 	service := r.service.Name
@@ -324,20 +300,12 @@
 	event.Str("step", "request").Str("request", r.id).Str("customer", r.customer.Name).Str("service", service).
 		Str("outcome", kindName(r.outcome.Kind)).Str("reason", string(r.outcome.Reason)).Str("at", r.outcome.Step).
 		Int("attempts", r.req.Attempts()).Int("tokens", r.tokens).Int("prompt", r.size.PromptTokens).
-		Str("server", r.lastServer()).Int64("placed_ms", r.placedAfter.Milliseconds()).
+		Str("server", r.lastServer).Int64("placed_ms", r.placedAfter.Milliseconds()).
 		Int64("expected_ms", r.expectedFirst.Milliseconds()).Int64("first_ms", r.timeToFirstToken().Milliseconds()).
 		Int64("gap_ms", r.longestGap.Milliseconds()).
 		Int64("elapsed_ms", (r.entry.now() - r.arrived).Milliseconds()).Msg("request ended")
 }
 
-// lastServer returns the name of the latest attempt's backend server, or "".
-func (r *run) lastServer() string {
-	if r.attempt == nil {
-		return ""
-	}
-	return r.attempt.server.Name
-}
-
 // timeToFirstToken is the time from arrival to the first token, or zero if
 // none came.
 func (r *run) timeToFirstToken() time.Duration {
