--- a/internal/core/request/silence_test.go
+++ b/internal/core/request/silence_test.go
@@ -26,11 +26,14 @@
 	retrier *fixedRetrier
 	// sound is true if neither the caller, nor the first server, nor a server after its
 	// first forwarded event fails.
-	sound    bool
-	now      time.Duration
-	ready    []Event
-	runs     []*silentRun
-	open     map[int]bool
+	sound bool
+	now   time.Duration
+	ready []Event
+	runs  []*silentRun
+	open  map[int]bool
+	// servers holds the attempts' servers, and left those that failed or were overtaken.
+	servers  map[int]string
+	left     []string
 	got      int
 	started  int
 	outcomes []Outcome
@@ -69,6 +72,9 @@
 func (h *silentHarness) close(ev Event) {
 	switch ev := ev.(type) {
 	case Failed:
+		if h.open[ev.Attempt] {
+			h.left = append(h.left, h.servers[ev.Attempt])
+		}
 		delete(h.open, ev.Attempt)
 	case Completed:
 		delete(h.open, ev.Attempt)
@@ -84,9 +90,15 @@
 	case Admit:
 		h.ready = append(h.ready, Admitted{})
 	case Pick:
+		h.checkExcluded(h.left, e.Exclude)
 		h.ready = append(h.ready, h.pick(e.Exclude))
 	case PickReplacement:
+		h.checkExcluded(append(slices.Clone(h.left), h.servers[e.Attempt]), e.Exclude)
 		h.pickReplacement(e)
+	case Silenced:
+		if e.Decision == SilenceOvertaken {
+			h.left = append(h.left, e.Server)
+		}
 	case Dispatch:
 		h.dispatch(e)
 	case Backoff:
@@ -107,6 +119,14 @@
 	return false
 }
 
+func (h *silentHarness) checkExcluded(servers, excluded []string) {
+	for _, server := range servers {
+		if !slices.Contains(excluded, server) {
+			h.t.Fatalf("%s is not excluded, only %v", server, excluded)
+		}
+	}
+}
+
 func attemptOf(ev Event) int {
 	switch ev := ev.(type) {
 	case Failed:
@@ -138,7 +158,7 @@
 	if e.Beside != (len(h.open) == 1) {
 		h.t.Fatalf("attempt %d was sent with %d open, Beside %t", e.Attempt, len(h.open), e.Beside)
 	}
-	h.open[e.Attempt] = true
+	h.open[e.Attempt], h.servers[e.Attempt] = true, e.Server
 	failure := Failure{Phase: PhaseDial, Step: "dial", Peer: e.Server}
 	if !h.sound || e.Beside {
 		switch rapid.IntRange(0, 5).Draw(h.t, "dispatch") {
@@ -240,7 +260,7 @@
 			Repeatable: rapid.IntRange(0, 3).Draw(t, "repeatable") < 3, MaxAttempts: rapid.IntRange(1, 4).Draw(t, "attempts"), MaxUnstarted: 3,
 		}
 		retrier := &fixedRetrier{left: rapid.IntRange(0, 3).Draw(t, "budget")}
-		h := &silentHarness{t: t, spec: spec, retrier: retrier, req: New(spec, retrier), open: make(map[int]bool)}
+		h := &silentHarness{t: t, spec: spec, retrier: retrier, req: New(spec, retrier), open: make(map[int]bool), servers: make(map[int]string)}
 		h.sound = rapid.Bool().Draw(t, "sound")
 		h.step(Start{})
 		for range 100 {
