Leave a begun stream at a silent server after 300 ms beside its replacement

A stream that has begun and goes on at another server while the one before works on it for another 400 ms counts as run twice on the platform. With the silent attempt open until its replacement delivers an event, the overlap lasted as long as the replacement's prompt.

Now the silent attempt yields to the replacement after 300 ms: by then connecting has failed, or a refusal has come, in both of which cases the silent attempt is kept as before. A request that has not begun may still run at both servers until one of them goes on.

What it costs: if the replacement accepts the request and then fails or never answers, and the attempts are used up, the stream is lost, though the silent server might have gone on.

--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -157,6 +157,8 @@
 		return r.replacementPicked(now, ev)
 	case NoReplacement:
 		return r.noReplacement(ev)
+	case OverlapOver:
+		return r.overlapOver(ev)
 	case BackoffOver:
 		return r.backoffOver()
 	case Move:
--- a/internal/core/request/silence.go
+++ b/internal/core/request/silence.go
@@ -19,6 +19,10 @@
 // attempt now.
 type NoReplacement struct{ Attempt int }
 
+// OverlapOver reports that the time is over for which a stream that has begun may be at two
+// servers.
+type OverlapOver struct{ Attempt int }
+
 // PickReplacement asks for a backend server that could replace the silent attempt,
 // which stays open; answered by ReplacementPicked or NoReplacement.
 type PickReplacement struct {
@@ -52,6 +56,9 @@
 	SilenceWentOn SilenceDecision = "went-on"
 	// SilenceOvertaken means that the replacement went on first.
 	SilenceOvertaken SilenceDecision = "overtaken"
+	// SilenceYielded means that the silent attempt was cancelled for a replacement that has
+	// neither failed nor gone on.
+	SilenceYielded SilenceDecision = "yielded"
 	// SilenceFailed means that the silent attempt failed beside its replacement.
 	SilenceFailed SilenceDecision = "failed"
 	// SilenceReplacementFailed means that the replacement failed and the silent attempt
@@ -59,6 +66,10 @@
 	SilenceReplacementFailed SilenceDecision = "replacement-failed"
 )
 
+// LimitOverlap asks to report when the replacement and the silent attempt have been open
+// together for the longest allowed time; answered by OverlapOver.
+type LimitOverlap struct{ Attempt int }
+
 // Silenced reports a decision on the silence of an attempt. Nothing has to be done.
 type Silenced struct {
 	Attempt  int
@@ -69,9 +80,11 @@
 func (Silence) isEvent()           {}
 func (ReplacementPicked) isEvent() {}
 func (NoReplacement) isEvent()     {}
+func (OverlapOver) isEvent()       {}
 
 func (PickReplacement) isEffect() {}
 func (Silenced) isEffect()        {}
+func (LimitOverlap) isEffect()    {}
 
 // secondAttempt is the replacement of a silent attempt while both are open. Its number
 // is 0 if there is none.
@@ -153,7 +166,20 @@
 	}
 	r.attempt++
 	r.second = secondAttempt{number: r.attempt, server: ev.Server}
-	return append(effects, Dispatch{Attempt: r.attempt, Server: ev.Server, Beside: true})
+	effects = append(effects, Dispatch{Attempt: r.attempt, Server: ev.Server, Beside: true})
+	if r.position.Next > 0 {
+		effects = append(effects, LimitOverlap{Attempt: r.attempt})
+	}
+	return effects
+}
+
+// overlapOver leaves a stream that has begun to the replacement, which has the request by
+// now and has not refused it: the stream must not go on at two servers.
+func (r *Request) overlapOver(ev OverlapOver) []Effect {
+	if !r.isSecond(ev.Attempt) {
+		return nil
+	}
+	return r.replaceCurrent(SilenceYielded)
 }
 
 // noReplacement keeps the silent attempt. Its next silence asks again.
@@ -183,12 +209,12 @@
 		r.recomputed++
 		return nil
 	}
-	return append(r.secondWins(), r.token(ev)...)
+	return append(r.replaceCurrent(SilenceOvertaken), r.token(ev)...)
 }
 
-// secondWins cancels the silent attempt and makes its replacement the current one.
-func (r *Request) secondWins() []Effect {
-	effects := append(r.silenced(SilenceOvertaken), r.cancelCurrent())
+// replaceCurrent cancels the silent attempt and makes its replacement the current one.
+func (r *Request) replaceCurrent(decision SilenceDecision) []Effect {
+	effects := append(r.silenced(decision), r.cancelCurrent())
 	r.handedOver = true
 	r.excludeServer(r.position.Server)
 	r.promoteSecond()
--- a/internal/core/request/silence_test.go
+++ b/internal/core/request/silence_test.go
@@ -15,6 +15,8 @@
 	// ended is true once the server has sent its last event, and delivered once the
 	// caller has an event of this run.
 	ended, delivered bool
+	// kept is true once the silent attempt has yielded to this run.
+	kept bool
 }
 
 // silentHarness plays the entry and the servers of one request that any server can
@@ -24,16 +26,18 @@
 	req     *Request
 	spec    Spec
 	retrier *fixedRetrier
-	// sound is true if neither the caller, nor the first server, nor a server after its
-	// first forwarded event fails.
+	// sound is true if neither the caller, nor the first server, nor a server that it has
+	// given way to fails.
 	sound bool
 	now   time.Duration
 	ready []Event
 	runs  []*silentRun
 	open  map[int]bool
 	// servers holds the attempts' servers, and left those that failed or were overtaken.
-	servers  map[int]string
-	left     []string
+	servers map[int]string
+	left    []string
+	// limited is the latest attempt whose overlap is limited, or 0.
+	limited  int
 	got      int
 	started  int
 	outcomes []Outcome
@@ -95,8 +99,16 @@
 	case PickReplacement:
 		h.checkExcluded(append(slices.Clone(h.left), h.servers[e.Attempt]), e.Exclude)
 		h.pickReplacement(e)
+	case LimitOverlap:
+		if h.got == 0 {
+			h.t.Fatalf("the overlap of a stream that has not begun is limited")
+		}
+		h.limited = e.Attempt
 	case Silenced:
-		if e.Decision == SilenceOvertaken {
+		if e.Decision == SilenceYielded {
+			h.keep(h.req.current)
+		}
+		if e.Decision == SilenceOvertaken || e.Decision == SilenceYielded {
 			h.left = append(h.left, e.Server)
 		}
 	case Dispatch:
@@ -119,6 +131,13 @@
 	return false
 }
 
+// keep notes that a run is the only one left.
+func (h *silentHarness) keep(attempt int) {
+	for _, r := range h.runs {
+		r.kept = r.kept || r.attempt == attempt
+	}
+}
+
 func (h *silentHarness) checkExcluded(servers, excluded []string) {
 	for _, server := range servers {
 		if !slices.Contains(excluded, server) {
@@ -199,6 +218,8 @@
 		h.step(rapid.SampledFrom([]Event{Tick{}, CallerGone{}, Drain{}}).Draw(h.t, "other"))
 	case choice < 5 && len(h.runs) > 0:
 		h.step(Silence{Attempt: h.runs[rapid.IntRange(0, len(h.runs)-1).Draw(h.t, "silent")].attempt})
+	case choice == 5 && h.runs != nil && h.runs[len(h.runs)-1].attempt == h.limited:
+		h.step(OverlapOver{Attempt: h.limited})
 	case choice < 25 && len(h.ready) > 0:
 		i := rapid.IntRange(0, len(h.ready)-1).Draw(h.t, "event")
 		ev := h.ready[i]
@@ -214,7 +235,7 @@
 	if r.ended {
 		return
 	}
-	own := h.sound && (r.attempt == 1 || r.delivered)
+	own := h.sound && (r.attempt == 1 || r.delivered || r.kept)
 	if !own && rapid.IntRange(0, 7).Draw(h.t, "break") == 7 {
 		r.ended = true
 		answered := h.spec.Kind == KindApp && rapid.Bool().Draw(h.t, "answered")
@@ -251,8 +272,8 @@
 // A silent attempt and its replacement, with random interleavings: each event is forwarded
 // once and in order, by the open current attempt; at most two attempts are open; a silence
 // ends none, and none is given up without another one in progress; a request that may not
-// be repeated runs once; runs stay within the attempts and the budget. If no
-// server fails that the caller has an event of, nor the first one, the answer is whole.
+// be repeated runs once; runs stay within the attempts and the budget. If
+// neither the first server fails nor one that it has given way to, the answer is whole.
 func TestSilentAttempts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		spec := Spec{
@@ -336,3 +357,27 @@
 		}
 	}
 }
+
+// A stream that has begun is left to its replacement once both have been open for the
+// longest allowed time. One that has not begun may run at both until one of them goes on.
+func TestOverlapOfBegunStream(t *testing.T) {
+	replace := func(events ...Event) string {
+		r := New(Spec{Kind: KindModel, Repeatable: true, Continues: true, MaxAttempts: 2, Deadline: time.Second}, alwaysRetrier{})
+		steps(r, Start{}, Admitted{}, Picked{Server: "a"})
+		steps(r, events...)
+		return steps(r, Silence{Attempt: 1}, ReplacementPicked{Attempt: 1, Server: "b"}) + steps(r, OverlapOver{Attempt: 2})
+	}
+	sent := "[{Attempt:1 Server:a Decision:replaced} {Attempt:2 Server:b Beside:true}"
+	if got, want := replace(), sent+"][{Attempt:1 Server:a Decision:yielded} {Attempt:1 Server:a Stream:}]"; got != want {
+		t.Errorf("before the first event: got %s, want %s", got, want)
+	}
+	if got, want := replace(Token{Attempt: 1}), sent+" {Attempt:2}][{Attempt:1 Server:a Decision:yielded} {Attempt:1 Server:a Stream:}]"; got != want {
+		t.Errorf("after the first event: got %s, want %s", got, want)
+	}
+	r := New(Spec{Kind: KindModel, Repeatable: true, Continues: true, MaxAttempts: 2, Deadline: time.Second}, alwaysRetrier{})
+	steps(r, Start{}, Admitted{}, Picked{Server: "a"}, Token{Attempt: 1}, Silence{Attempt: 1}, ReplacementPicked{Attempt: 1, Server: "b"})
+	steps(r, Failed{Attempt: 2, Failure: Failure{Phase: PhaseRefused}})
+	if got := steps(r, OverlapOver{Attempt: 2}); got != "[]" {
+		t.Errorf("after the replacement was refused: got %s, want nothing", got)
+	}
+}
--- a/internal/core/request/stream.go
+++ b/internal/core/request/stream.go
@@ -73,7 +73,7 @@
 func (r *Request) completed(ev Completed) []Effect {
 	var effects []Effect
 	if r.isSecond(ev.Attempt) {
-		effects = r.secondWins()
+		effects = r.replaceCurrent(SilenceOvertaken)
 	}
 	if !r.isCurrent(ev.Attempt) {
 		return nil
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -201,6 +201,8 @@
 		r.cancel(e)
 	case request.DropAttempt:
 		r.drop(e)
+	case request.LimitOverlap:
+		time.AfterFunc(maxOverlap, func() { r.post(request.OverlapOver(e)) })
 	case request.Silenced:
 		r.silenced(e)
 	case request.MoveKV:
--- a/internal/entry/silence.go
+++ b/internal/entry/silence.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"time"
 
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routing"
 )
 
+// maxOverlap is how long a stream that has begun may be at a silent server and at its
+// replacement. The platform counts a stream as run twice if it goes on at another server
+// while the one before works on it 400 ms later. Connecting, or a refusal, takes less.
+const maxOverlap = 300 * time.Millisecond
+
 // watchedCall returns a call whose silence is reported to the request and does not end it.
 func (a *attempt) watchedCall(ctx context.Context, step string) backend.Call {
 	call := a.call(step)
@@ -35,10 +41,10 @@
 	return request.NoReplacement{Attempt: e.Attempt}
 }
 
-// silenced logs and counts a decision on a silent attempt. An attempt that its
-// replacement has overtaken counts as failed at its server.
+// silenced logs and counts a decision on a silent attempt. An attempt that has given way to
+// its replacement counts as failed at its server.
 func (r *run) silenced(e request.Silenced) {
-	if e.Decision == request.SilenceOvertaken {
+	if e.Decision == request.SilenceOvertaken || e.Decision == request.SilenceYielded {
 		r.endAttempt(r.openAttempt(e.Attempt), routing.ResultFailed)
 	}
 	r.entry.metrics.silences.WithLabelValues(r.service.Name, string(e.Decision)).Inc()
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -90,7 +90,15 @@
 	return b.String()
 }
 
+// newSilentPair returns a pair with a stream that has not begun.
 func newSilentPair(t *testing.T) *silentPair {
+	t.Helper()
+	return startSilentPair(t, 0, func(*silentEngine) {})
+}
+
+// startSilentPair lets the first engine begin the stream and waits until the second one has
+// the request too. The silence before the first event is bounded by the prompt's length.
+func startSilentPair(t *testing.T, promptTokens int, begin func(first *silentEngine)) *silentPair {
 	t.Helper()
 	e := newLeavingEntry()
 	e.opts.Routed.Backends = leavingProtocol{}
@@ -106,11 +114,14 @@
 	e.policy.setList(list, 1, 1)
 	p := &silentPair{recorder: httptest.NewRecorder(), ended: make(chan struct{})}
 	p.run = newSilentRun(e, p.recorder)
+	p.run.size.PromptTokens = promptTokens
 	go func() {
 		defer close(p.ended)
 		p.run.serve()
 	}()
-	p.first, p.second = <-arrived, <-arrived
+	p.first = <-arrived
+	begin(p.first)
+	p.second = <-arrived
 	return p
 }
 
@@ -217,3 +228,13 @@
 	p.second.next <- func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 	p.checkStatus(t, http.StatusInternalServerError, p.first.name, "failed\n")
 }
+
+// A stream that has begun does not stay at two servers: the silent one is left, though its
+// replacement has said nothing yet.
+func TestBegunStreamIsNotAtTwoServers(t *testing.T) {
+	const minuteOfPrompt = 60 * minPrefillRate
+	p := startSilentPair(t, minuteOfPrompt, func(first *silentEngine) { first.do(false, first.events(0, 4)) })
+	<-p.first.left
+	p.second.do(true, p.second.events(5, 9))
+	p.check(t, p.first.name, eventsText(0, 9))
+}
