List: read each backend server's software version

Backend servers of several software versions may serve side by side in one service. The platform's list says which version each server runs, and nothing read it: placement could not have told two versions apart.

The version now goes from the platform's list over the leader's list to the entries' directory and placement, and is logged when a server is added or changes. Nothing decides by it yet. The field of the leader's list is new, so that the list of an older build is still read; its servers have the empty version, which is one of its own.

--- a/internal/codec/servers.go
+++ b/internal/codec/servers.go
@@ -11,7 +11,7 @@
 	for _, s := range servers {
 		list = append(list, &wire.ListedServer{
 			Instance: s.Instance, Service: s.Service, Address: s.Address, Zone: s.Zone,
-			Slots: int32(s.Slots), Leaving: s.Leaving, Reclaimable: s.Reclaimable,
+			Slots: int32(s.Slots), Leaving: s.Leaving, Reclaimable: s.Reclaimable, Software: s.Software,
 		})
 	}
 	return list
@@ -23,7 +23,7 @@
 	for _, s := range list {
 		servers = append(servers, discovery.Server{
 			Instance: s.Instance, Service: s.Service, Address: s.Address, Zone: s.Zone,
-			Slots: int(s.Slots), Leaving: s.Leaving, Reclaimable: s.Reclaimable,
+			Slots: int(s.Slots), Leaving: s.Leaving, Reclaimable: s.Reclaimable, Software: s.Software,
 		})
 	}
 	return servers
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -29,6 +29,8 @@
 	Delay time.Duration
 	// Leaving is true if the list says that the server must not get new requests.
 	Leaving bool
+	// Version is the version of the server's software.
+	Version string
 }
 
 // Part is a segment at the beginning of a prompt that other requests share.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -22,6 +22,9 @@
 	Leaving bool
 	// Reclaimable is true if the platform may reclaim the server.
 	Reclaimable bool
+	// Software is the version of the server's software. A list of an older build has
+	// none; the empty version is one of its own.
+	Software string
 }
 
 // Version returns a hash of the content of a list that does not depend on its
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -138,7 +138,7 @@
 		if service == nil {
 			continue
 		}
-		server := placement.Server{Name: found.Instance, Service: found.Service, Slots: max(found.Slots, 1), Leaving: found.Leaving}
+		server := placement.Server{Name: found.Instance, Service: found.Service, Slots: max(found.Slots, 1), Leaving: found.Leaving, Version: found.Software}
 		if service.Engine != nil {
 			server.CacheTokens = service.Engine.CacheTokens
 			server.Slots = max(service.Engine.Slots, 1)
@@ -190,7 +190,7 @@
 	changed, gone := e.policy.setList(list, version, readAt)
 	for _, found := range changed {
 		e.logger.Info().Str("step", "discover").Str("server", found.Instance).Str("service", found.Service).
-			Str("peer", found.Address).Str("server_zone", found.Zone).Bool("leaving", found.Leaving).Msg("backend server added to the list or changed in it")
+			Str("peer", found.Address).Str("server_zone", found.Zone).Str("version", found.Software).Bool("leaving", found.Leaving).Msg("backend server added to the list or changed in it")
 	}
 	for _, instance := range gone {
 		e.logger.Info().Str("step", "discover").Str("server", instance).Msg("backend server no longer listed")
