Lineage: decide at which version a stream may go on

Streams went on at another software version than the one that began them, because no entry knows the version when a caller takes a stream up. What is needed before anything can obey: a decision from what an entry knows, which refuses where that isn't enough.

core/lineage keeps records of the streams that any entry began, with expiry and a bound, and a history of the versions of each service. A stream with a record goes on at its version. One without goes on only if the service has had a single version for as long as a stream can last and the history reaches that far back without a gap. One ID used for streams of two versions is refused.

Nothing uses the package yet.

--- /dev/null
+++ b/internal/core/lineage/snapshot.go
@@ -0,0 +1,73 @@
+package lineage
+
+import "time"
+
+// Snapshot is what one entry tells another one that has started. Times are relative, as
+// entries share no clock.
+type Snapshot struct {
+	// Reach is how far back the history is complete.
+	Reach    time.Duration
+	Versions []LiveVersion
+	Streams  []LiveStream
+}
+
+// LiveVersion is a version that streams may have for a remaining time.
+type LiveVersion struct {
+	Version
+	Left time.Duration
+}
+
+// LiveStream is a record with its remaining time. A stream that has run at several
+// versions appears once for each.
+type LiveStream struct {
+	ID StreamID
+	Version
+	Left time.Duration
+	// Ambiguous is true if the ID was used for streams of two versions.
+	Ambiguous bool
+}
+
+// Snapshot returns the records and the history, oldest record first.
+func (b *Book) Snapshot(now time.Duration) Snapshot {
+	s := Snapshot{Reach: b.Reach(now)}
+	for key, v := range b.versions {
+		left := v.until - now
+		if v.listed {
+			left = max(left, unlistedUse+StreamBound)
+		}
+		if left > 0 {
+			s.Versions = append(s.Versions, LiveVersion{key, left})
+		}
+	}
+	for _, id := range b.order {
+		r := b.records[id]
+		left := r.expires - now
+		if left <= 0 {
+			continue
+		}
+		s.Streams = append(s.Streams, LiveStream{id, r.first.Version, left, r.ambiguous})
+		for _, v := range r.others {
+			s.Streams = append(s.Streams, LiveStream{id, v.Version, left, r.ambiguous})
+		}
+	}
+	return s
+}
+
+// Merge adds another entry's snapshot, which was received at a time. The other's history
+// counts only beside a list of this entry's own: that one tells what came since.
+func (b *Book) Merge(now time.Duration, s Snapshot) {
+	for _, v := range s.Versions {
+		b.claim(v.Version, now+min(v.Left, maxClaim))
+	}
+	for _, stream := range s.Streams {
+		b.Note(now, stream.ID, stream.Version, stream.Left, SourceStart)
+		if stream.Ambiguous {
+			r := b.records[stream.ID]
+			r.ambiguous = true
+			b.records[stream.ID] = r
+		}
+	}
+	if b.listed && now-b.readAt <= maxListAge && s.Reach > 0 {
+		b.since = min(b.since, now-s.Reach)
+	}
+}
