Placement: pick among the servers of one version

A stream may go on only at the software version that began it, and placement picked among all servers of a service.

A request can now be pinned to a version, which all picks obey. For a stream that begins, a version of which a single server takes work gets a small penalty beside one with several: streams that begin there can't go on elsewhere once this server fails or leaves. No request is pinned yet.

--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -69,6 +69,8 @@
 	servers map[string]*server
 	byName  map[string][]*server
 	jobs    map[JobID]*job
+	// versions is the number of versions of each service's servers.
+	versions map[string]int
 	// rate is the learned speed of model engines, in tokens of work per
 	// millisecond, and callTime the learned duration of a call at an application
 	// server, in milliseconds, both by service.
@@ -192,6 +194,7 @@
 		p.servers[config.Name] = s
 		p.byName[config.Service] = append(p.byName[config.Service], s)
 	}
+	p.countVersions()
 	for id, j := range p.jobs {
 		if p.servers[j.Server] == nil {
 			delete(p.jobs, id)
@@ -204,11 +207,15 @@
 	var best *server
 	bestScore := math.Inf(1)
 	var decision Decision
+	lone := p.loneVersions(now, request)
 	for _, s := range p.byName[request.Service] {
-		if !p.Takes(now, s.Name) || slices.Contains(request.Exclude, s.Name) {
+		if !request.allows(s) || !p.Takes(now, s.Name) {
 			continue
 		}
 		score, d := p.evaluate(now, s, &request.Size)
+		if slices.Contains(lone, s.Version) {
+			score += loneVersionPenalty
+		}
 		if score += p.random.Float64() * tieNoise; best == nil || score < bestScore {
 			best, bestScore, decision = s, score, d
 		}
@@ -220,7 +227,7 @@
 // The lowest score is best.
 func (p *Placer) evaluate(now time.Duration, s *server, size *RequestSize) (float64, Decision) {
 	network := milliseconds(2 * s.Delay)
-	d := Decision{Server: s.Name, Running: s.running}
+	d := Decision{Server: s.Name, Version: s.Version, Running: s.running}
 	if s.CacheTokens == 0 {
 		// Requests at application servers wait for a slot and read no prompt.
 		inFlight := float64(s.running + len(s.waiting))
--- a/internal/core/placement/suspension.go
+++ b/internal/core/placement/suspension.go
@@ -76,9 +76,18 @@
 // SoonestReturn returns the time until a server of the service takes work again. It
 // returns false unless all servers that don't leave are suspended.
 func (p *Placer) SoonestReturn(now time.Duration, service string) (time.Duration, bool) {
+	return p.soonestReturn(now, &Request{Service: service})
+}
+
+// SoonestReturnOf is SoonestReturn for the servers of one version.
+func (p *Placer) SoonestReturnOf(now time.Duration, service, version string) (time.Duration, bool) {
+	return p.soonestReturn(now, &Request{Service: service, Pinned: true, Version: version})
+}
+
+func (p *Placer) soonestReturn(now time.Duration, request *Request) (time.Duration, bool) {
 	soonest, found := time.Duration(0), false
-	for _, server := range p.byName[service] {
-		if p.IsLeaving(server.Name) {
+	for _, server := range p.byName[request.Service] {
+		if !request.allows(server) || p.IsLeaving(server.Name) {
 			continue
 		}
 		if p.Takes(now, server.Name) {
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -64,11 +64,20 @@
 	Size    RequestSize
 	// Exclude lists the servers that must not be picked.
 	Exclude []string
+	// Pinned is true if only servers of Version may be picked: the request goes on
+	// with a stream that began there.
+	Pinned  bool
+	Version string
+	// Begins is true if a stream begins that may go on at another server of the
+	// version at which it began.
+	Begins bool
 }
 
 // Decision is the picked server with the prediction for it.
 type Decision struct {
 	Server string
+	// Version is the version of the server's software.
+	Version string
 	// StartDelay is the predicted time from now until the answer begins.
 	StartDelay time.Duration
 	// UncachedTokens is the number of prompt tokens that the server has to read
