Streams: keep and tell the version at which each stream began

No entry knew at which software version a stream of another entry began. Each entry now records the version with the first event that the caller gets, on routes whose streams may be resumed, and tells the others in the datagrams that announce placements (a new field, which older builds ignore and forward). Records of services with one version only are kept as well: when a second version appears, streams of the first one are still in progress, and nobody need decide since when that was.

An entry that starts, or that has read no list for a while, asks another entry for its records and history, and once more a few seconds later: nobody tells it of the streams that begin before the others know it.

Nothing obeys the records yet.

--- a/internal/core/lineage/history.go
+++ b/internal/core/lineage/history.go
@@ -59,10 +59,14 @@
 func (b *Book) advance(readAt time.Duration) {
 	if !b.listed || readAt-b.readAt > maxListGap {
 		b.since = readAt
+		b.resets++
 	}
 	b.readAt, b.listed = readAt, true
 }
 
+// Resets counts how often the history began anew, the first list included.
+func (b *Book) Resets() uint64 { return b.resets }
+
 // claim keeps a version in the history until a time.
 func (b *Book) claim(key Version, until time.Duration) *version {
 	v := b.version(key)
--- a/internal/core/lineage/lineage.go
+++ b/internal/core/lineage/lineage.go
@@ -117,6 +117,7 @@
 	// latest list was read. They are valid if listed is true.
 	since, readAt time.Duration
 	listed        bool
+	resets        uint64
 }
 
 // New returns an empty Book.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -49,6 +49,8 @@
 	// job identifies the attempt at other entries; zero if the call is not
 	// routed.
 	job placement.JobID
+	// version is the software version of the server of a routed call.
+	version string
 	// hedged is true if the hedge's server gave the answer.
 	hedged atomic.Bool
 }
--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -10,7 +10,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/dissemination"
+	"waxwingcart/internal/core/lineage"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/wire"
 )
@@ -121,6 +123,25 @@
 	b.add(true, func(w *wire.News) { w.Leaving = append(w.Leaving, instance) })
 }
 
+// streamBegun reports a stream whose first event the caller gets now. It is urgent, since
+// the caller may take the stream up at another entry at once.
+func (b *broadcaster) streamBegun(id lineage.StreamID, version lineage.Version, left time.Duration) {
+	b.add(true, func(w *wire.News) { w.Begun = codec.AddBegun(w.Begun, id, version, left) })
+}
+
+// peers returns the addresses of the other entries.
+func (b *broadcaster) peers() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	peers := make([]string, 0, len(b.addresses))
+	for address := range b.addresses {
+		if address != b.entry.opts.PeerAddress {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
+
 // result counts the result of a call whose attempts are not broadcast.
 func (b *broadcaster) result(server string, result placement.Result) {
 	b.mu.Lock()
@@ -344,8 +365,9 @@
 	b.scheduleSend(true)
 }
 
-// applyUpdate applies another entry's update to placement.
+// applyUpdate applies another entry's update to placement and to the records of streams.
 func (b *broadcaster) applyUpdate(received *wire.News) {
+	b.entry.streams.told(received.Begun)
 	p := b.entry.policy
 	now := b.entry.now()
 	p.mu.Lock()
@@ -389,5 +411,6 @@
 		b.entry.policy.placer.Expire(b.entry.now())
 		b.entry.policy.mu.Unlock()
 		b.entry.repeatLeaving()
+		b.entry.streams.expire()
 	}
 }
--- a/internal/entry/broadcast_test.go
+++ b/internal/entry/broadcast_test.go
@@ -20,6 +20,7 @@
 		{Name: "b", Service: "models", Slots: 8, CacheTokens: 100_000},
 	})
 	e.broadcaster = newBroadcaster(e)
+	e.streams = newStreams(e)
 	e.broadcaster.setPeers([]*wire.EntryPeer{{Address: "127.0.0.1:1"}, {Address: "127.0.0.1:2"}})
 	return e
 }
--- /dev/null
+++ b/internal/entry/catchup.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/lineage"
+	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/wire"
+)
+
+const (
+	// catchUpInterval is how often an entry checks whether it has to ask another
+	// one for records of streams.
+	catchUpInterval = 250 * time.Millisecond
+	// catchUpTimeout bounds one call.
+	catchUpTimeout = 2 * time.Second
+	// catchUpRepeat is the delay before the second question. The streams that begin
+	// until the other entries know this one are told to it by nobody.
+	catchUpRepeat = 5 * time.Second
+	// maxCatchUps is the number of answers after which an entry asks no more.
+	maxCatchUps = 3
+)
+
+// catchUp is the progress of an entry that lacks records of streams: after its start,
+// and after a time in which it read no list.
+type catchUp struct {
+	// resets is the count of the history's beginnings that the answers belong to.
+	resets  uint64
+	answers int
+	next    time.Duration
+}
+
+// due reports whether to ask another entry now.
+func (c *catchUp) due(now, reach time.Duration, resets uint64) bool {
+	if resets != c.resets {
+		*c = catchUp{resets: resets}
+	}
+	if resets == 0 || now < c.next || c.answers >= maxCatchUps {
+		return false
+	}
+	return c.answers < 2 || reach < lineage.StreamBound
+}
+
+func (c *catchUp) answered(now time.Duration) {
+	c.answers++
+	c.next = now + catchUpRepeat
+}
+
+// runCatchUp asks other entries for their records of streams while this one lacks them.
+func (e *Entry) runCatchUp(ctx context.Context) {
+	var progress catchUp
+	for ctx.Err() == nil {
+		reach, resets := e.streams.reach()
+		if progress.due(e.now(), reach, resets) && e.askForStreams(ctx) {
+			progress.answered(e.now())
+		}
+		wait(ctx, catchUpInterval)
+	}
+}
+
+// askForStreams asks one of the other entries and reports whether it answered.
+func (e *Entry) askForStreams(ctx context.Context) bool {
+	peers := e.broadcaster.peers()
+	if len(peers) == 0 {
+		return false
+	}
+	peer := peers[rand.IntN(len(peers))]
+	snapshot, err := e.fetchStreams(ctx, peer)
+	if err != nil {
+		e.logger.Debug().Str("step", "catch up").Err(err).Msg("asking another entry for its records of streams failed; another one will be asked")
+		return false
+	}
+	e.streams.merge(snapshot)
+	reach, _ := e.streams.reach()
+	e.logger.Info().Str("step", "catch up").Str("peer", peer).Int("records", len(snapshot.Streams)).Int("versions", len(snapshot.Versions)).
+		Int64("peer_reach_ms", snapshot.Reach.Milliseconds()).Int64("reach_ms", reach.Milliseconds()).Msg("got another entry's records of streams")
+	return true
+}
+
+func (e *Entry) fetchStreams(ctx context.Context, peer string) (lineage.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	stub := wire.NewPeerProtobufClient("http://"+peer, e.opts.Client)
+	response, err := stub.Streams(ctx, &wire.StreamsRequest{})
+	if err != nil {
+		return lineage.Snapshot{}, rpc.Wrap("fetch streams", peer, err)
+	}
+	snapshot, err := codec.StreamsFromWire(response)
+	if err != nil {
+		return lineage.Snapshot{}, fmt.Errorf("fetch streams: peer %s: %w", peer, err)
+	}
+	return snapshot, nil
+}
+
+// Streams returns the records and the history of this entry's streams.
+func (s *PeerService) Streams(context.Context, *wire.StreamsRequest) (*wire.StreamsResponse, error) {
+	return codec.StreamsToWire(s.entry.streams.snapshot()), nil
+}
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -187,6 +187,7 @@
 
 // applyList puts a list in use and logs the differences.
 func (e *Entry) applyList(list []discovery.Server, version uint64, readAt time.Duration) {
+	e.streams.listed(list, readAt)
 	changed, gone := e.policy.setList(list, version, readAt)
 	for _, found := range changed {
 		e.logger.Info().Str("step", "discover").Str("server", found.Instance).Str("service", found.Service).
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -99,6 +99,7 @@
 	directory   *directory
 	quota       *quotaClient
 	broadcaster *broadcaster
+	streams     *streams
 	// initialized is closed once routed calls can be served: a configuration
 	// is in force and the list of backend servers has been read.
 	initialized chan struct{}
@@ -141,6 +142,7 @@
 	e.policy = newPolicy(e)
 	e.quota = newQuotaClient(e)
 	e.broadcaster = newBroadcaster(e)
+	e.streams = newStreams(e)
 	e.releaser = newReleaser(e)
 	e.config = newConfigHolder(e)
 	e.members = newMembers(e)
@@ -172,6 +174,7 @@
 		e.spawn(func() { e.runDiscovery(ctx) })
 		e.spawn(func() { e.quota.run(ctx) })
 		e.spawn(func() { e.broadcaster.run(ctx) })
+		e.spawn(func() { e.runCatchUp(ctx) })
 		return
 	}
 	e.shareLimits()
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -59,6 +59,7 @@
 	e := r.entry
 	a.job = placement.JobID{Origin: e.incarnation, Number: e.nextID.Add(1)}
 	decision := r.routed.decision
+	a.version = decision.Version
 	decision.Server = a.server.Name
 	job := placement.NewJob(a.job, decision, r.routed.size)
 	e.policy.mu.Lock()
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -80,7 +80,11 @@
 		return
 	}
 	readAt := requestedAt - time.Duration(response.ListAgeMs)*time.Millisecond
-	if q.entry.directory.confirm(response.List, readAt) || len(response.Servers) == 0 {
+	if q.entry.directory.confirm(response.List, readAt) {
+		q.entry.streams.confirmed(readAt)
+		return
+	}
+	if len(response.Servers) == 0 {
 		return
 	}
 	q.entry.applyList(codec.ServersFromWire(response.Servers), response.List, readAt)
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -9,6 +9,7 @@
 
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/lineage"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routes"
@@ -20,7 +21,9 @@
 type routedCall struct {
 	route *routes.Route
 	call  Call
-	host  string
+	// stream is the stream that the call begins or takes up.
+	stream lineage.StreamID
+	host   string
 	// cost is the number of units charged to the customer's limit.
 	cost         float64
 	usageCounted bool
@@ -233,6 +236,7 @@
 		trace:        &trace{id: call.RequestID, customer: name, service: service.Name, arrived: time.Now()},
 		routed:       &routedCall{route: route, call: call, host: req.Host, tokensPerEvent: 1},
 	}
+	r.routed.stream = streamID(name, call.RequestID)
 	r.spec = request.Spec{
 		ID:           r.id,
 		Kind:         request.KindApp,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -238,6 +238,7 @@
 	if r.firstTokenAt == 0 {
 		r.firstTokenAt = now
 		r.countUsage()
+		r.recordStream()
 		r.jobStarted()
 		r.entry.policy.firstToken(r)
 		r.entry.metrics.firstToken.WithLabelValues(r.service.Name).Observe((now - r.arrived).Seconds())
--- /dev/null
+++ b/internal/entry/streams.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/lineage"
+	"waxwingcart/internal/discovery"
+	"waxwingcart/internal/wire"
+)
+
+// takeUpSlack is added to the time for which a stream can be taken up, for the way of
+// the caller's last attempt.
+const takeUpSlack = 2 * time.Second
+
+// streams holds what this entry knows of the software versions of streams, and tells
+// the other entries of its own.
+type streams struct {
+	entry *Entry
+
+	mu   sync.Mutex
+	book *lineage.Book
+}
+
+func newStreams(e *Entry) *streams { return &streams{entry: e, book: lineage.New()} }
+
+// streamID returns the hash under which a stream is known.
+func streamID(customer, requestID string) lineage.StreamID {
+	digest := xxhash.New()
+	_, _ = digest.Write(binary.AppendUvarint(nil, uint64(len(customer))))
+	_, _ = digest.WriteString(customer)
+	_, _ = digest.WriteString(requestID)
+	return lineage.StreamID(digest.Sum64())
+}
+
+// listed records the versions of a list that was read from the platform.
+func (s *streams) listed(list []discovery.Server, readAt time.Duration) {
+	versions := make([]lineage.Version, 0, len(list))
+	for _, found := range list {
+		versions = append(versions, lineage.Version{Service: found.Service, Name: found.Software})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Listed(readAt, versions)
+}
+
+// confirmed records that the list in use was still the present one at a time.
+func (s *streams) confirmed(readAt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Confirmed(readAt)
+}
+
+// begun records a stream of this entry and tells the other entries.
+func (s *streams) begun(id lineage.StreamID, version lineage.Version, left time.Duration) {
+	s.mu.Lock()
+	s.book.Note(s.entry.now(), id, version, left, lineage.SourceOwn)
+	s.mu.Unlock()
+	s.entry.broadcaster.streamBegun(id, version, left)
+}
+
+// told records streams that another entry began.
+func (s *streams) told(groups []*wire.Begun) {
+	if len(groups) == 0 {
+		return
+	}
+	now := s.entry.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, stream := range codec.BegunFromWire(groups) {
+		s.book.Note(now, stream.ID, stream.Version, stream.Left, lineage.SourceEntry)
+	}
+}
+
+// expire forgets what is over.
+func (s *streams) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Expire(s.entry.now())
+}
+
+func (s *streams) snapshot() lineage.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Snapshot(s.entry.now())
+}
+
+func (s *streams) merge(snapshot lineage.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Merge(s.entry.now(), snapshot)
+}
+
+// reach returns how far back the history of versions is complete, and how often it
+// began anew.
+func (s *streams) reach() (time.Duration, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Reach(s.entry.now()), s.book.Resets()
+}
+
+// recordStream records, with the first event that the caller gets, the version at which
+// a stream that can be taken up has begun or went on.
+func (r *run) recordStream() {
+	if r.routed == nil || !r.routed.route.Stream || !r.spec.Repeatable {
+		return
+	}
+	version := lineage.Version{Service: r.service.Name, Name: r.attempt.version}
+	r.entry.streams.begun(r.routed.stream, version, r.takeUpTime())
+}
+
+// takeUpTime is for how long the caller may take the stream up.
+func (r *run) takeUpTime() time.Duration {
+	if r.routed.call.CallerTimeout <= 0 {
+		return lineage.StreamBound
+	}
+	return r.arrived + r.routed.call.CallerTimeout - r.entry.now() + takeUpSlack
+}
