Lineage: look back as far as the expected streams last

The history had to reach back five minutes, the longest time that is provided for, before a service with a single version needed no records. Streams last as long as their callers wait: after a start of the whole deployment, minutes would pass in which a stream without a record is refused though one version alone serves.

A book now expects what the routes allow (twice the timeout of a route) and what callers have asked for, here or at entries that told it; the history has to reach back that far. On a platform whose lists name no versions nothing has to be known.

--- a/internal/codec/streams.go
+++ b/internal/codec/streams.go
@@ -45,7 +45,7 @@
 
 // StreamsToWire converts an entry's records and history.
 func StreamsToWire(s lineage.Snapshot) *wire.StreamsResponse {
-	response := &wire.StreamsResponse{ReachMs: s.Reach.Milliseconds()}
+	response := &wire.StreamsResponse{ReachMs: s.Reach.Milliseconds(), BoundMs: s.Bound.Milliseconds()}
 	for _, v := range s.Versions {
 		response.Versions = append(response.Versions, &wire.LiveVersion{Service: v.Service, Version: v.Name, LeftMs: v.Left.Milliseconds()})
 	}
@@ -63,7 +63,7 @@
 	if response.ReachMs < 0 {
 		return lineage.Snapshot{}, errNegativeReach
 	}
-	s := lineage.Snapshot{Reach: fromMilliseconds(response.ReachMs), Streams: BegunFromWire(response.Streams)}
+	s := lineage.Snapshot{Reach: fromMilliseconds(response.ReachMs), Bound: fromMilliseconds(response.BoundMs), Streams: BegunFromWire(response.Streams)}
 	for _, v := range response.Versions {
 		s.Versions = append(s.Versions, lineage.LiveVersion{
 			Version: lineage.Version{Service: v.Service, Name: v.Version}, Left: fromMilliseconds(v.LeftMs),
--- a/internal/codec/streams_test.go
+++ b/internal/codec/streams_test.go
@@ -15,6 +15,7 @@
 	v1, v2 := lineage.Version{Service: "models", Name: "v1"}, lineage.Version{Service: "models"}
 	s := lineage.Snapshot{
 		Reach:    time.Minute,
+		Bound:    time.Second,
 		Versions: []lineage.LiveVersion{{Version: v1, Left: time.Minute}, {Version: v2, Left: time.Hour}},
 		Streams: []lineage.LiveStream{
 			{ID: 1, Version: v1, Left: time.Second},
--- a/internal/core/lineage/lineage.go
+++ b/internal/core/lineage/lineage.go
@@ -18,7 +18,8 @@
 
 const (
 	// StreamBound is the longest time from the beginning of a stream to its last
-	// take-up. Records are kept no longer, even if a caller waits longer.
+	// take-up that is provided for. Records are kept no longer, even if a caller waits
+	// longer.
 	StreamBound = 5 * time.Minute
 	// MinLifetime is the shortest time for which a record is kept.
 	MinLifetime = 30 * time.Second
@@ -117,7 +118,9 @@
 	// latest list was read. They are valid if listed is true.
 	since, readAt time.Duration
 	listed        bool
-	resets        uint64
+	// bound is the longest time for which a stream is expected to be taken up.
+	bound  time.Duration
+	resets uint64
 }
 
 // New returns an empty Book.
@@ -125,6 +128,11 @@
 	return &Book{versions: make(map[Version]*version), records: make(map[StreamID]record), limit: MaxRecords}
 }
 
+// Expect records that streams can be taken up for a time.
+func (b *Book) Expect(lifetime time.Duration) {
+	b.bound = max(b.bound, min(lifetime, StreamBound))
+}
+
 // Decide says where a stream may be taken up at a service. named is false if the caller
 // does not name the stream.
 func (b *Book) Decide(now time.Duration, id StreamID, named bool, service string) Decision {
--- a/internal/core/lineage/records.go
+++ b/internal/core/lineage/records.go
@@ -41,6 +41,7 @@
 // Note records that a stream has run at a version and can be taken up for a time. A
 // record that is known is extended; two versions of one service make it ambiguous.
 func (b *Book) Note(now time.Duration, id StreamID, key Version, lifetime time.Duration, source Source) {
+	b.Expect(lifetime)
 	lifetime = max(lifetime, MinLifetime)
 	v := b.claim(key, now+min(lifetime, maxClaim))
 	expires := now + min(lifetime, StreamBound)
--- a/internal/core/lineage/snapshot.go
+++ b/internal/core/lineage/snapshot.go
@@ -6,7 +6,9 @@
 // entries share no clock.
 type Snapshot struct {
 	// Reach is how far back the history is complete.
-	Reach    time.Duration
+	Reach time.Duration
+	// Bound is the longest time for which a stream is expected to be taken up.
+	Bound    time.Duration
 	Versions []LiveVersion
 	Streams  []LiveStream
 }
@@ -29,7 +31,7 @@
 
 // Snapshot returns the records and the history, oldest record first.
 func (b *Book) Snapshot(now time.Duration) Snapshot {
-	s := Snapshot{Reach: b.Reach(now)}
+	s := Snapshot{Reach: b.Reach(now), Bound: b.bound}
 	for key, v := range b.versions {
 		left := v.until - now
 		if v.listed {
@@ -56,6 +58,7 @@
 // Merge adds another entry's snapshot, which was received at a time. The other's history
 // counts only beside a list of this entry's own: that one tells what came since.
 func (b *Book) Merge(now time.Duration, s Snapshot) {
+	b.Expect(s.Bound)
 	for _, v := range s.Versions {
 		b.claim(v.Version, now+min(v.Left, maxClaim))
 	}
@@ -67,7 +70,7 @@
 			b.records[stream.ID] = r
 		}
 	}
-	if b.listed && now-b.readAt <= maxListAge && s.Reach > 0 {
+	if b.fresh(now) && s.Reach > 0 {
 		b.since = min(b.since, now-s.Reach)
 	}
 }
--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -35,14 +35,14 @@
 }
 
 // due reports whether to ask another entry now.
-func (c *catchUp) due(now, reach time.Duration, resets uint64) bool {
+func (c *catchUp) due(now time.Duration, complete bool, resets uint64) bool {
 	if resets != c.resets {
 		*c = catchUp{resets: resets}
 	}
 	if resets == 0 || now < c.next || c.answers >= maxCatchUps {
 		return false
 	}
-	return c.answers < 2 || reach < lineage.StreamBound
+	return c.answers < 2 || !complete
 }
 
 func (c *catchUp) answered(now time.Duration) {
@@ -54,8 +54,8 @@
 func (e *Entry) runCatchUp(ctx context.Context) {
 	var progress catchUp
 	for ctx.Err() == nil {
-		reach, resets := e.streams.reach()
-		if progress.due(e.now(), reach, resets) && e.askForStreams(ctx) {
+		_, complete, resets := e.streams.reach()
+		if progress.due(e.now(), complete, resets) && e.askForStreams(ctx) {
 			progress.answered(e.now())
 		}
 		wait(ctx, catchUpInterval)
@@ -75,7 +75,7 @@
 		return false
 	}
 	e.streams.merge(snapshot)
-	reach, _ := e.streams.reach()
+	reach, _, _ := e.streams.reach()
 	e.logger.Info().Str("step", "catch up").Str("peer", peer).Int("records", len(snapshot.Streams)).Int("versions", len(snapshot.Versions)).
 		Int64("peer_reach_ms", snapshot.Reach.Milliseconds()).Int64("reach_ms", reach.Milliseconds()).Msg("got another entry's records of streams")
 	return true
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -9,6 +9,7 @@
 
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/lineage"
+	"waxwingcart/internal/core/routes"
 	"waxwingcart/internal/discovery"
 	"waxwingcart/internal/wire"
 )
@@ -55,6 +56,21 @@
 	s.book.Confirmed(readAt)
 }
 
+// takeUpFactor is how many times a route's timeout a caller may go on taking a stream up,
+// unless it says that it waits longer.
+const takeUpFactor = 2
+
+// configure records for how long the streams of a routing table can be taken up.
+func (s *streams) configure(table *routes.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range table.Routes {
+		if route := &table.Routes[i]; route.Stream {
+			s.book.Expect(min(route.Timeout, lineage.StreamBound) * takeUpFactor)
+		}
+	}
+}
+
 // begun records a stream of this entry and tells the other entries.
 func (s *streams) begun(id lineage.StreamID, version lineage.Version, left time.Duration) {
 	s.mu.Lock()
@@ -76,6 +92,15 @@
 	}
 }
 
+// decide says at which version a stream may go on at a service, and how far back the
+// history of versions reaches.
+func (s *streams) decide(id lineage.StreamID, named bool, service string) (lineage.Decision, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.entry.now()
+	return s.book.Decide(now, id, named, service), s.book.Reach(now)
+}
+
 // expire forgets what is over.
 func (s *streams) expire() {
 	s.mu.Lock()
@@ -95,12 +120,13 @@
 	s.book.Merge(s.entry.now(), snapshot)
 }
 
-// reach returns how far back the history of versions is complete, and how often it
-// began anew.
-func (s *streams) reach() (time.Duration, uint64) {
+// reach returns how far back the history of versions reaches, whether that is far enough
+// for any stream, and how often the history began anew.
+func (s *streams) reach() (reach time.Duration, complete bool, resets uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Reach(s.entry.now()), s.book.Resets()
+	now := s.entry.now()
+	return s.book.Reach(now), s.book.Complete(now), s.book.Resets()
 }
 
 // recordStream records, with the first event that the caller gets, the version at which
