Streams: go on only at the version that began them

Cause: placement picked among all servers of the service, within an answer and for a caller that takes a stream up at another entry, and Resumes wasn't read.

A call is now bound to a version with the first event that its caller gets, or, if it takes a stream up, before it is charged, by what core/lineage knows of the request that Resumes names. Every later pick obeys, since all go through chooseRouted. A take-up whose version is not known, or has no server left that takes work, is refused at once with 503 as not run; the body says that the caller should begin again without Last-Event-Id. A stream whose version loses its last server is cut off with the reason version-gone.

Ruled out as a way to spare the refusals: a leaving server of the version. A request that is sent later than the drain time after its notice must not reach it, and the entry doesn't know when the notice was given.

--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -15,7 +15,7 @@
 const (
 	// catchUpInterval is how often an entry checks whether it has to ask another
 	// one for records of streams.
-	catchUpInterval = 250 * time.Millisecond
+	catchUpInterval = 50 * time.Millisecond
 	// catchUpTimeout bounds one call.
 	catchUpTimeout = 2 * time.Second
 	// catchUpRepeat is the delay before the second question. The streams that begin
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -56,6 +56,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r.routed.pinned {
+		return p.noServerOf(r.service.Name, r.routed.version)
+	}
 	if p.placer.AllLeaving(r.service.Name) {
 		return request.NoServer{Reason: request.ReasonLeaving, RetryAfter: addJitter(retryAfterNoServer)}
 	}
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -92,6 +92,9 @@
 	return request.ReasonAdmission + "-" + request.Reason(reason.String())
 }
 
+// beginAgain says what the caller of a stream that can't go on may do.
+const beginAgain = "begin it again without Last-Event-Id"
+
 // reasonMessage explains reasons whose name alone could be misread.
 var reasonMessage = map[request.Reason]string{
 	request.ReasonInFlight:    "another request with this key has not ended; send it again for its answer",
@@ -99,6 +102,10 @@
 	request.ReasonNotKept:     "the request with this key ran once and was answered, but the answer was too long to be kept; it is not run again",
 	request.ReasonReservation: "the key can't be reserved here now, and nothing was run for this request; if the key was sent before, that earlier request may have run",
 	request.ReasonKeyExpired:  "the record of this key has expired; whether its request ran is no longer known",
+	reasonStreamUnnamed:       "the software version that began the stream is not known, as Resumes does not name the request that brought its first event; " + beginAgain,
+	reasonStreamUnknown:       "the software version that began the stream is not known here; " + beginAgain,
+	reasonStreamAmbiguous:     "streams of two software versions began under the request ID that Resumes names; " + beginAgain,
+	reasonVersionGone:         "no backend server of the software version that began the stream takes work; " + beginAgain,
 }
 
 // noRetry lists the reasons for which sending the same request again does not
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -16,6 +16,9 @@
 		Service: r.service.Name,
 		Size:    r.routed.size,
 		Exclude: exclude,
+		Pinned:  r.routed.pinned,
+		Version: r.routed.version,
+		Begins:  r.resumable(),
 	})
 	r.routed.decision = decision
 	return routing.Decision{
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -48,6 +48,9 @@
 	// LastEvent.
 	Resumes   bool
 	LastEvent int64
+	// ResumedID is the RequestID of the caller's attempt that brought the stream's
+	// first event; empty if the caller doesn't name it.
+	ResumedID string
 	Prompt    Prompt
 	// Header is the header to send to the backend server.
 	Header http.Header
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -23,7 +23,11 @@
 	call  Call
 	// stream is the stream that the call begins or takes up.
 	stream lineage.StreamID
-	host   string
+	// pinned is true once the stream may go on at version only. Both are guarded by
+	// the policy's lock.
+	pinned  bool
+	version string
+	host    string
 	// cost is the number of units charged to the customer's limit.
 	cost         float64
 	usageCounted bool
@@ -174,6 +178,11 @@
 	r.sink = sink
 	r.message = message{method: req.Method, path: req.RequestURI, header: call.Header, body: body}
 	sink.run = r
+	if refusal := r.bindTakeUp(); refusal != nil {
+		sink.customer = r.customer.Name
+		sink.refuse(*refusal, nil)
+		return nil
+	}
 	if customer == nil {
 		return r
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -238,7 +238,7 @@
 	if r.firstTokenAt == 0 {
 		r.firstTokenAt = now
 		r.countUsage()
-		r.recordStream()
+		r.bindStream()
 		r.jobStarted()
 		r.entry.policy.firstToken(r)
 		r.entry.metrics.firstToken.WithLabelValues(r.service.Name).Observe((now - r.arrived).Seconds())
@@ -325,7 +325,7 @@
 	event.Str("step", "request").Str("request", r.id).Str("customer", r.customer.Name).Str("service", service).
 		Str("outcome", kindName(r.outcome.Kind)).Str("reason", string(r.outcome.Reason)).Str("at", r.outcome.Step).
 		Int("attempts", r.req.Attempts()).Int("tokens", r.tokens).Int("prompt", r.size.PromptTokens).
-		Str("server", r.lastServer()).Int64("placed_ms", r.placedAfter.Milliseconds()).
+		Str("server", r.lastServer()).Str("version", r.lastVersion()).Int64("placed_ms", r.placedAfter.Milliseconds()).
 		Int64("expected_ms", r.expectedFirst.Milliseconds()).Int64("first_ms", r.timeToFirstToken().Milliseconds()).
 		Int64("gap_ms", r.longestGap.Milliseconds()).
 		Int64("elapsed_ms", (r.entry.now() - r.arrived).Milliseconds()).Msg("request ended")
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// expect records that a stream can be taken up for a time.
+func (s *streams) expect(lifetime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Expect(lifetime)
+}
+
 // begun records a stream of this entry and tells the other entries.
 func (s *streams) begun(id lineage.StreamID, version lineage.Version, left time.Duration) {
 	s.mu.Lock()
@@ -129,12 +136,18 @@
 	return s.book.Reach(now), s.book.Complete(now), s.book.Resets()
 }
 
-// recordStream records, with the first event that the caller gets, the version at which
-// a stream that can be taken up has begun or went on.
-func (r *run) recordStream() {
-	if r.routed == nil || !r.routed.route.Stream || !r.spec.Repeatable {
+// resumable reports whether the call's answer is a stream that can be taken up.
+func (r *run) resumable() bool {
+	return r.routed != nil && r.routed.route.Stream && r.spec.Repeatable
+}
+
+// bindStream binds a stream to the version of the server that gave the first event that
+// the caller gets, and records it.
+func (r *run) bindStream() {
+	if !r.resumable() {
 		return
 	}
+	r.entry.policy.pin(r, r.attempt.version)
 	version := lineage.Version{Service: r.service.Name, Name: r.attempt.version}
 	r.entry.streams.begun(r.routed.stream, version, r.takeUpTime())
 }
--- /dev/null
+++ b/internal/entry/takeup.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"waxwingcart/internal/core/lineage"
+	"waxwingcart/internal/core/request"
+)
+
+// Reasons for which only take-ups of streams are refused, or end because their version
+// has no server left.
+const (
+	reasonStreamUnnamed   = request.Reason(lineage.ReasonUnnamed)
+	reasonStreamUnknown   = request.Reason(lineage.ReasonNoRecord)
+	reasonStreamAmbiguous = request.Reason(lineage.ReasonAmbiguous)
+	reasonVersionGone     = request.Reason("version-gone")
+)
+
+// takeUpRetryAfter is the Retry-After delay of a refused take-up, before jitter. By then
+// a record that was on its way has arrived.
+const takeUpRetryAfter = 200 * time.Millisecond
+
+// Results of take-ups that are not sources of lineage or reasons of refusals.
+const takeUpElsewhere = "other-service"
+
+// bindTakeUp binds a call that takes a stream up to the version that began the stream. It
+// returns the refusal of one whose version is not known or has no server left. The call
+// has not been charged to its customer.
+func (r *run) bindTakeUp() *request.Outcome {
+	call := &r.routed.call
+	if !call.Resumes || !r.routed.route.Stream {
+		return nil
+	}
+	named := call.ResumedID != ""
+	if named {
+		r.routed.stream = streamID(r.customer.Name, call.ResumedID)
+	}
+	r.entry.streams.expect(r.takeUpTime())
+	decision, reach := r.entry.streams.decide(r.routed.stream, named, r.service.Name)
+	outcome := r.applyTakeUp(decision, reach)
+	r.logTakeUp(decision, reach, outcome)
+	return outcome
+}
+
+// applyTakeUp pins the call, or returns its refusal.
+func (r *run) applyTakeUp(decision lineage.Decision, reach time.Duration) *request.Outcome {
+	switch decision.Outcome {
+	case lineage.Elsewhere:
+		return nil
+	case lineage.Pinned:
+		r.entry.policy.pin(r, decision.Version)
+		if r.entry.policy.versionStays(r) {
+			return nil
+		}
+		return refusedTakeUp(reasonVersionGone, fmt.Sprintf("no server of version %q of %s takes work", decision.Version, r.service.Name))
+	}
+	return refusedTakeUp(request.Reason(decision.Reason), fmt.Sprintf("no version is known for the stream; all versions of %s are known for %s", r.service.Name, reach.Round(time.Second)))
+}
+
+func refusedTakeUp(reason request.Reason, step string) *request.Outcome {
+	outcome := notRunOutcome(reason, step, addJitter(takeUpRetryAfter))
+	return &outcome
+}
+
+// logTakeUp logs and counts the decision on a take-up.
+func (r *run) logTakeUp(decision lineage.Decision, reach time.Duration, refusal *request.Outcome) {
+	result := string(decision.Source)
+	switch {
+	case refusal != nil:
+		result = string(refusal.Reason)
+	case decision.Outcome == lineage.Elsewhere:
+		result = takeUpElsewhere
+	}
+	e := r.entry
+	e.metrics.takeUps.WithLabelValues(r.service.Name, result).Inc()
+	r.trace.add(time.Now(), "takes up the stream of request %q: %s, version %q, known from %q for %s", r.routed.call.ResumedID, result, decision.Version, decision.Source, decision.Age.Round(time.Millisecond))
+	e.logger.Info().Str("step", "take up").Str("request", r.id).Str("resumes", r.routed.call.ResumedID).Str("customer", r.customer.Name).
+		Str("service", r.service.Name).Str("result", result).Str("version", decision.Version).Str("source", string(decision.Source)).
+		Int64("age_ms", decision.Age.Milliseconds()).Int64("reach_ms", reach.Milliseconds()).Msg("a caller takes a stream up")
+}
+
+// pin binds all later picks of a call to a version. The first one stays.
+func (p *policy) pin(r *run, version string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !r.routed.pinned {
+		r.routed.pinned, r.routed.version = true, version
+	}
+}
+
+// versionStays reports whether a server of the call's version doesn't leave.
+func (p *policy) versionStays(r *run) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placer.VersionStays(r.service.Name, r.routed.version)
+}
+
+// noServerOf says why no server of a version can take a request, and when to come back.
+// The caller holds mu.
+func (p *policy) noServerOf(service, version string) request.NoServer {
+	if !p.placer.VersionStays(service, version) {
+		return request.NoServer{Reason: reasonVersionGone, RetryAfter: addJitter(takeUpRetryAfter)}
+	}
+	if wait, ok := p.placer.SoonestReturnOf(p.entry.now(), service, version); ok {
+		return request.NoServer{Reason: request.ReasonPaused, RetryAfter: addJitter(wait)}
+	}
+	return request.NoServer{RetryAfter: retryAfterNoServer}
+}
+
+// lastVersion returns the software version of the latest attempt's server, or "".
+func (r *run) lastVersion() string {
+	if r.attempt == nil {
+		return ""
+	}
+	return r.attempt.version
+}
+
+// pickedVersion describes the software version of the picked server of a routed call.
+func (r *run) pickedVersion() string {
+	if r.routed == nil {
+		return ""
+	}
+	return fmt.Sprintf(" (version %q)", r.routed.decision.Version)
+}
