Streams: show records and versions in dump and metrics

Why a take-up was refused could be read from its log line alone; how much an entry knows could not be seen. The dump names the number of records, the versions that streams may have and how far back they are known; metrics count the records, those that were evicted, and the reach.

--- a/internal/core/lineage/history.go
+++ b/internal/core/lineage/history.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -105,6 +104,18 @@
 	return names[0], true
 }
 
+// Services returns the sorted services of which versions are known.
+func (b *Book) Services() []string {
+	var services []string
+	for key := range b.versions {
+		if !slices.Contains(services, key.Service) {
+			services = append(services, key.Service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
 // Versions returns the sorted versions that streams of a service may have.
 func (b *Book) Versions(now time.Duration, service string) []string {
 	var names []string
@@ -113,6 +124,6 @@
 			names = append(names, key.Name)
 		}
 	}
-	slices.SortFunc(names, strings.Compare)
+	slices.Sort(names)
 	return names
 }
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -17,6 +17,7 @@
 	Leader      string              `json:"leader,omitempty"`
 	Members     []membership.Member `json:"members"`
 	Limits      limits              `json:"limits"`
+	Streams     streamState         `json:"streams"`
 	Requests    []RequestState      `json:"requests"`
 }
 
@@ -47,6 +48,7 @@
 		Leader:      e.replicas.Leader(),
 		Members:     members,
 		Limits:      e.policy.state(),
+		Streams:     e.streams.state(),
 		Requests:    []RequestState{},
 	}
 	now := time.Now()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,6 +143,7 @@
 	e.quota = newQuotaClient(e)
 	e.broadcaster = newBroadcaster(e)
 	e.streams = newStreams(e)
+	e.streams.register(opts.Registry)
 	e.releaser = newReleaser(e)
 	e.config = newConfigHolder(e)
 	e.members = newMembers(e)
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -236,3 +236,23 @@
 		}
 	}
 }
+
+// The dump and the metrics show how many records there are, and the versions.
+func TestStreamsInDump(t *testing.T) {
+	e := newTakeUpEntry(t, &versionEngine{version: "v2"}, &versionEngine{version: "v1"})
+	e.call("/public/1", "Id", "s")
+	state := e.State().Streams
+	if state.Records != 1 || fmt.Sprint(state.Versions["models"]) != "[v1 v2]" {
+		t.Errorf("got %+v, expected one record and two versions", state)
+	}
+	families, err := e.opts.Registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == "waxwingcart_entry_stream_records" && family.Metric[0].GetGauge().GetValue() == 1 {
+			return
+		}
+	}
+	t.Error("the metric waxwingcart_entry_stream_records is not 1")
+}
