Streams: tell the other entries twice of each stream

A datagram that is lost, or sent before the entry knows the others, left a stream unknown elsewhere for good, so that its take-up was refused there.

Each entry repeats the records of its own streams once, within 5 s, as it repeats which servers leave.

--- a/internal/core/lineage/snapshot.go
+++ b/internal/core/lineage/snapshot.go
@@ -55,6 +55,22 @@
 	return s
 }
 
+// Own returns the records that this entry has made of its own streams since a time.
+func (b *Book) Own(now, since time.Duration) []LiveStream {
+	var list []LiveStream
+	for i := len(b.order) - 1; i >= 0; i-- {
+		id := b.order[i]
+		r := b.records[id]
+		if r.noted < since {
+			break
+		}
+		if r.source == SourceOwn && r.expires > now {
+			list = append(list, LiveStream{id, r.first.Version, r.expires - now, r.ambiguous})
+		}
+	}
+	return list
+}
+
 // Merge adds another entry's snapshot, which was received at a time. The other's history
 // counts only beside a list of this entry's own: that one tells what came since.
 func (b *Book) Merge(now time.Duration, s Snapshot) {
--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -123,10 +123,10 @@
 	b.add(true, func(w *wire.News) { w.Leaving = append(w.Leaving, instance) })
 }
 
-// streamBegun reports a stream whose first event the caller gets now. It is urgent, since
-// the caller may take the stream up at another entry at once.
-func (b *broadcaster) streamBegun(id lineage.StreamID, version lineage.Version, left time.Duration) {
-	b.add(true, func(w *wire.News) { w.Begun = codec.AddBegun(w.Begun, id, version, left) })
+// streamBegun reports a stream that has begun here. It is urgent with the stream's first
+// event, since the caller may take the stream up at another entry at once.
+func (b *broadcaster) streamBegun(id lineage.StreamID, version lineage.Version, left time.Duration, urgent bool) {
+	b.add(urgent, func(w *wire.News) { w.Begun = codec.AddBegun(w.Begun, id, version, left) })
 }
 
 // peers returns the addresses of the other entries.
@@ -411,6 +411,7 @@
 		b.entry.policy.placer.Expire(b.entry.now())
 		b.entry.policy.mu.Unlock()
 		b.entry.repeatLeaving()
+		b.entry.streams.repeat()
 		b.entry.streams.expire()
 	}
 }
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -25,6 +25,8 @@
 
 	mu   sync.Mutex
 	book *lineage.Book
+	// repeatedAt is when the records of this entry's streams were last repeated.
+	repeatedAt time.Duration
 }
 
 func newStreams(e *Entry) *streams { return &streams{entry: e, book: lineage.New()} }
@@ -83,7 +85,20 @@
 	s.mu.Lock()
 	s.book.Note(s.entry.now(), id, version, left, lineage.SourceOwn)
 	s.mu.Unlock()
-	s.entry.broadcaster.streamBegun(id, version, left)
+	s.entry.broadcaster.streamBegun(id, version, left, true)
+}
+
+// repeat tells the other entries a second time of the streams that have begun here since the
+// last call, as datagrams may be lost and the others may not have been known.
+func (s *streams) repeat() {
+	s.mu.Lock()
+	now := s.entry.now()
+	list := s.book.Own(now, s.repeatedAt)
+	s.repeatedAt = now
+	s.mu.Unlock()
+	for _, stream := range list {
+		s.entry.broadcaster.streamBegun(stream.ID, stream.Version, stream.Left, false)
+	}
 }
 
 // told records streams that another entry began.
--- a/internal/entry/streams_test.go
+++ b/internal/entry/streams_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -71,6 +72,39 @@
 	}
 }
 
+// An entry tells the others once more, and only once, of each stream that has begun there.
+func TestStreamsAreToldTwice(t *testing.T) {
+	e := newBroadcastEntry("")
+	v1 := lineage.Version{Service: "models", Name: "v1"}
+	told := func() (ids []uint64) {
+		for _, batch := range e.broadcaster.takePending(0) {
+			for _, update := range batch.updates {
+				for _, group := range update.Begun {
+					ids = append(ids, group.Streams...)
+				}
+			}
+		}
+		return ids
+	}
+	e.streams.told([]*wire.Begun{{Service: "models", Version: "v1", Streams: []uint64{9}, LeftMs: []uint32{60_000}}})
+	for id := range lineage.StreamID(3 * maxUpdateItems) {
+		e.streams.begun(id+100, v1, time.Minute)
+	}
+	if got := told(); len(got) != 3*maxUpdateItems {
+		t.Errorf("told of %d streams at first, expected %d", len(got), 3*maxUpdateItems)
+	}
+	e.streams.repeat()
+	if got := told(); len(got) != 3*maxUpdateItems || slices.Contains(got, 9) {
+		t.Errorf("repeated %v, expected this entry's %d streams", got, 3*maxUpdateItems)
+	}
+	e.streams.begun(7, v1, time.Minute)
+	_ = told()
+	e.streams.repeat()
+	if got := told(); len(got) != 1 || got[0] != 7 {
+		t.Errorf("repeated %v, expected the new stream alone", got)
+	}
+}
+
 // A collector forwards fields of a later build that it doesn't know.
 func TestUnknownFieldsAreForwarded(t *testing.T) {
 	update := &wire.News{Origin: 9}
--- a/internal/entry/streamsbench_test.go
+++ b/internal/entry/streamsbench_test.go
@@ -105,6 +105,9 @@
 		}
 		d.tick(b, time.Duration(tick)*batchDelay)
 	}
+	for _, e := range d.entries {
+		e.streams.repeat()
+	}
 	d.tick(b, time.Duration(ticks)*batchDelay)
 	d.tick(b, time.Duration(ticks)*batchDelay)
 	return streams
