Streams: doubt what began at a server that changed its version

When the list gives an instance another version, the streams that began there in the 10 s before are recorded and told at the new version as well, which makes them ambiguous: a take-up is refused. A call whose stream that instance began goes on nowhere and ends with the reason version-changed. Streams that began there earlier, or elsewhere, go on.

Evidence: TestServerChangesItsVersion. Not covered: a stream of the former version that goes on at such a server before the list shows the change.

--- a/internal/core/placement/versions.go
+++ b/internal/core/placement/versions.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// VersionOf returns the version of a server, and false if the server is not known.
+func (p *Placer) VersionOf(name string) (string, bool) {
+	s := p.servers[name]
+	if s == nil {
+		return "", false
+	}
+	return s.Version, true
+}
+
 // VersionStays reports whether a service has a server of a version that doesn't leave.
 func (p *Placer) VersionStays(service, version string) bool {
 	for _, s := range p.byName[service] {
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -56,6 +56,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.doubtful(r) {
+		return request.NoServer{Reason: reasonVersionChanged, RetryAfter: addJitter(takeUpRetryAfter)}
+	}
 	if r.routed.pinned {
 		return p.noServerOf(r.service.Name, r.routed.version)
 	}
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -105,6 +105,7 @@
 	reasonStreamUnnamed:       "the software version that began the stream is not known, as Resumes does not name the request that brought its first event; " + beginAgain,
 	reasonStreamUnknown:       "the software version that began the stream is not known here; " + beginAgain,
 	reasonStreamAmbiguous:     "streams of two software versions began under the request ID that Resumes names; " + beginAgain,
+	reasonVersionChanged:      "the backend server that began the stream has changed its software version; " + beginAgain,
 	reasonVersionGone:         "no backend server of the software version that began the stream takes work; " + beginAgain,
 }
 
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -12,6 +12,9 @@
 func (p *policy) chooseRouted(r *run, exclude []string) (routing.Decision, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.doubtful(r) {
+		return routing.Decision{}, false
+	}
 	decision, ok := p.placer.Pick(p.entry.now(), &placement.Request{
 		Service: r.service.Name,
 		Size:    r.routed.size,
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -27,7 +27,9 @@
 	// the policy's lock.
 	pinned  bool
 	version string
-	host    string
+	// origin is the instance that began the stream, if this call did.
+	origin string
+	host   string
 	// cost is the number of units charged to the customer's limit.
 	cost         float64
 	usageCounted bool
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -27,9 +27,15 @@
 	book *lineage.Book
 	// repeatedAt is when the records of this entry's streams were last repeated.
 	repeatedAt time.Duration
+	// recent holds the streams that have begun here lately, oldest first, and labels
+	// the versions of instances by the list.
+	recent []beginning
+	labels map[string]label
 }
 
-func newStreams(e *Entry) *streams { return &streams{entry: e, book: lineage.New()} }
+func newStreams(e *Entry) *streams {
+	return &streams{entry: e, book: lineage.New(), labels: make(map[string]label)}
+}
 
 // streamID returns the hash under which a stream is known.
 func streamID(customer, requestID string) lineage.StreamID {
@@ -47,8 +53,10 @@
 		versions = append(versions, lineage.Version{Service: found.Service, Name: found.Software})
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.book.Listed(readAt, versions)
+	changed := s.relabel(list, s.entry.now())
+	s.mu.Unlock()
+	s.markDoubtful(changed)
 }
 
 // confirmed records that the list in use was still the present one at a time.
@@ -80,8 +88,17 @@
 	s.book.Expect(lifetime)
 }
 
-// begun records a stream of this entry and tells the other entries.
-func (s *streams) begun(id lineage.StreamID, version lineage.Version, left time.Duration) {
+// begun records a stream that has begun at an instance and tells the other entries.
+func (s *streams) begun(id lineage.StreamID, version lineage.Version, instance string, left time.Duration) {
+	now := s.entry.now()
+	s.mu.Lock()
+	s.remember(beginning{id: id, instance: instance, at: now, until: now + left})
+	s.mu.Unlock()
+	s.note(id, version, left)
+}
+
+// note records that a stream has run at a version and tells the other entries.
+func (s *streams) note(id lineage.StreamID, version lineage.Version, left time.Duration) {
 	s.mu.Lock()
 	s.book.Note(s.entry.now(), id, version, left, lineage.SourceOwn)
 	s.mu.Unlock()
@@ -162,9 +179,9 @@
 	if !r.resumable() {
 		return
 	}
-	r.entry.policy.pin(r, r.attempt.version)
+	r.entry.policy.pinBegun(r, r.attempt.version, r.attempt.server.Name)
 	version := lineage.Version{Service: r.service.Name, Name: r.attempt.version}
-	r.entry.streams.begun(r.routed.stream, version, r.takeUpTime())
+	r.entry.streams.begun(r.routed.stream, version, r.attempt.server.Name, r.takeUpTime())
 }
 
 // takeUpTime is for how long the caller may take the stream up.
--- a/internal/entry/streams_test.go
+++ b/internal/entry/streams_test.go
@@ -41,7 +41,7 @@
 		id      string
 		version lineage.Version
 	}{{"r1", v1}, {"r2", v2}, {"r3", v1}} {
-		sender.streams.begun(streamID("heirs", stream.id), stream.version, time.Minute)
+		sender.streams.begun(streamID("heirs", stream.id), stream.version, "i-0", time.Minute)
 	}
 	batches := sender.broadcaster.takePending(0)
 	if len(batches) != 1 || len(batches[0].updates) != 1 || len(batches[0].updates[0].Begun) != 2 {
@@ -88,7 +88,7 @@
 	}
 	e.streams.told([]*wire.Begun{{Service: "models", Version: "v1", Streams: []uint64{9}, LeftMs: []uint32{60_000}}})
 	for id := range lineage.StreamID(3 * maxUpdateItems) {
-		e.streams.begun(id+100, v1, time.Minute)
+		e.streams.begun(id+100, v1, "i-0", time.Minute)
 	}
 	if got := told(); len(got) != 3*maxUpdateItems {
 		t.Errorf("told of %d streams at first, expected %d", len(got), 3*maxUpdateItems)
@@ -97,7 +97,7 @@
 	if got := told(); len(got) != 3*maxUpdateItems || slices.Contains(got, 9) {
 		t.Errorf("repeated %v, expected this entry's %d streams", got, 3*maxUpdateItems)
 	}
-	e.streams.begun(7, v1, time.Minute)
+	e.streams.begun(7, v1, "i-0", time.Minute)
 	_ = told()
 	e.streams.repeat()
 	if got := told(); len(got) != 1 || got[0] != 7 {
@@ -144,7 +144,7 @@
 // answer.
 func TestStartingEntryCatchesUp(t *testing.T) {
 	older := newListedEntry()
-	older.streams.begun(streamID("heirs", "r1"), lineage.Version{Service: "models", Name: "v2"}, time.Minute)
+	older.streams.begun(streamID("heirs", "r1"), lineage.Version{Service: "models", Name: "v2"}, "i-0", time.Minute)
 	server := httptest.NewServer(wire.NewPeerServer(older.PeerService()))
 	defer server.Close()
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/entry/streamsbench_test.go
+++ b/internal/entry/streamsbench_test.go
@@ -100,7 +100,7 @@
 			}
 			if recorded {
 				id := streamID("hule930", fmt.Sprintf("%016x", streams))
-				e.streams.begun(id, lineage.Version{Service: "huvo11a", Name: "v1.2"}, benchLifetime)
+				e.streams.begun(id, lineage.Version{Service: "huvo11a", Name: "v1.2"}, "i-0", benchLifetime)
 			}
 		}
 		d.tick(b, time.Duration(tick)*batchDelay)
--- a/internal/entry/takeup.go
+++ b/internal/entry/takeup.go
@@ -15,6 +15,7 @@
 	reasonStreamUnknown   = request.Reason(lineage.ReasonNoRecord)
 	reasonStreamAmbiguous = request.Reason(lineage.ReasonAmbiguous)
 	reasonVersionGone     = request.Reason("version-gone")
+	reasonVersionChanged  = request.Reason("version-changed")
 )
 
 // takeUpRetryAfter is the Retry-After delay of a refused take-up, before jitter. By then
@@ -80,12 +81,20 @@
 		Int64("age_ms", decision.Age.Milliseconds()).Int64("reach_ms", reach.Milliseconds()).Msg("a caller takes a stream up")
 }
 
-// pin binds all later picks of a call to a version. The first one stays.
+// pin binds all picks of a call that takes a stream up to a version.
 func (p *policy) pin(r *run, version string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.routed.pinned, r.routed.version = true, version
+}
+
+// pinBegun binds all later picks of a call to the version of the instance that gave the
+// first event, unless the call is bound already.
+func (p *policy) pinBegun(r *run, version, instance string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !r.routed.pinned {
-		r.routed.pinned, r.routed.version = true, version
+		r.routed.pinned, r.routed.version, r.routed.origin = true, version, instance
 	}
 }
 
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -198,10 +199,10 @@
 	engines := []*versionEngine{{version: "v1"}, {version: "v2"}}
 	e := newTakeUpEntry(t, engines...)
 	v1, v2 := lineage.Version{Service: "models", Name: "v1"}, lineage.Version{Service: "models", Name: "v2"}
-	e.streams.begun(streamID("others", "foreign"), v1, time.Minute)
-	e.streams.begun(streamID("heirs", "twice"), v1, time.Minute)
-	e.streams.begun(streamID("heirs", "twice"), v2, time.Minute)
-	e.streams.begun(streamID("heirs", "gone"), lineage.Version{Service: "models", Name: "v3"}, time.Minute)
+	e.streams.begun(streamID("others", "foreign"), v1, "i-0", time.Minute)
+	e.streams.begun(streamID("heirs", "twice"), v1, "i-0", time.Minute)
+	e.streams.begun(streamID("heirs", "twice"), v2, "i-0", time.Minute)
+	e.streams.begun(streamID("heirs", "gone"), lineage.Version{Service: "models", Name: "v3"}, "i-0", time.Minute)
 	for named, reason := range map[string]request.Reason{
 		"": reasonStreamUnnamed, "never-sent": reasonStreamUnknown, "foreign": reasonStreamUnknown, "twice": reasonStreamAmbiguous, "gone": reasonVersionGone,
 	} {
@@ -222,7 +223,7 @@
 func TestTakeUpFromAnotherService(t *testing.T) {
 	engines := []*versionEngine{{version: "v1"}, {version: "v2"}}
 	e := newTakeUpEntry(t, engines...)
-	e.streams.begun(streamID("", "moved"), lineage.Version{Service: "former", Name: "v7"}, time.Minute)
+	e.streams.begun(streamID("", "moved"), lineage.Version{Service: "former", Name: "v7"}, "i-0", time.Minute)
 	first := versionsIn(e.call("/public/1", "Id", "a", "Resumes", "moved", "Last-Event-Id", "1"))
 	if len(first) != 1 {
 		t.Fatalf("got events of %v, expected one version", first)
@@ -256,3 +257,42 @@
 	}
 	t.Error("the metric waxwingcart_entry_stream_records is not 1")
 }
+
+// A server may start again under its identity with another version, before the list shows
+// it. The streams that began there lately are of a version that is not known: none of them
+// goes on, here or at another entry. Older ones and those of other servers do.
+func TestServerChangesItsVersion(t *testing.T) {
+	engines := []*versionEngine{{version: "v1"}, {version: "v1"}, {version: "v2"}}
+	e := newTakeUpEntry(t, engines...)
+	var offset time.Duration
+	clock := e.clock
+	e.clock = func() time.Duration { return clock() + offset }
+	v1 := lineage.Version{Service: "models", Name: "v1"}
+	e.streams.begun(streamID("", "old"), v1, "i-0", time.Minute)
+	offset += relabelWindow + time.Second
+	e.streams.begun(streamID("", "late"), v1, "i-0", time.Minute)
+	e.streams.begun(streamID("", "other"), v1, "i-1", time.Minute)
+	r := &run{entry: e, routed: &routedCall{}, service: e.config.inForce().services["models"]}
+	e.policy.pinBegun(r, "v1", "i-0")
+	list := slices.Clone(e.directory.list)
+	list[0].Software = "v2"
+	e.applyList(list, 2, e.now())
+	checkTakeUpRefused(t, e.call("/public/1", "Id", "a", "Resumes", "late", "Last-Event-Id", "2"), reasonStreamAmbiguous)
+	for _, id := range []string{"old", "other"} {
+		if got := versionsIn(e.call("/public/1", "Id", "b", "Resumes", id, "Last-Event-Id", "2")); got["v1"] == 0 {
+			t.Errorf("stream %s went on with events of %v, expected v1", id, got)
+		}
+	}
+	if decision, ok := e.policy.chooseRouted(r, nil); ok {
+		t.Errorf("a stream that goes on in its answer was placed at %s", decision.Server)
+	}
+	if got := e.policy.noServer(r); got.Reason != reasonVersionChanged {
+		t.Errorf("got reason %q, expected %q", got.Reason, reasonVersionChanged)
+	}
+	snapshot := e.streams.snapshot()
+	for _, stream := range snapshot.Streams {
+		if stream.Ambiguous != (stream.ID == streamID("", "late")) {
+			t.Errorf("stream %x: ambiguous %t", stream.ID, stream.Ambiguous)
+		}
+	}
+}
