--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -56,7 +56,7 @@
 	switch ev := ev.(type) {
 	case request.Completed:
 		if r.source != nil {
-			r.lastServer = r.source.server.Name
+			r.last = r.source
 			r.endAttempt(r.source, r.source.completedResult())
 		}
 	case request.Failed:
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -48,6 +48,8 @@
 	// job identifies the attempt at other entries; zero if the call is not
 	// routed.
 	job placement.JobID
+	// version is the software version of the server of a routed call.
+	version string
 	// hedged is true if the hedge's server gave the answer.
 	hedged atomic.Bool
 }
@@ -108,7 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &attempt{run: r, number: number, server: server, cancel: cancel, started: r.entry.now(), progressTimeout: timeout}
 	r.attempts = append(r.attempts, a)
-	r.lastServer = server.Name
+	r.last = a
 	if r.routed != nil {
 		r.jobPlaced(a)
 	} else {
--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -131,6 +131,22 @@
 	r.entry.metrics.unanswered.WithLabelValues(r.service.Name, strconv.FormatBool(r.begun()), r.ending.failureName(), r.whyNotRetried(), changed).Inc()
 }
 
+// lastServer returns the name of the latest attempt's backend server, or "".
+func (r *run) lastServer() string {
+	if r.last == nil {
+		return ""
+	}
+	return r.last.server.Name
+}
+
+// lastVersion returns the software version of that server, or "".
+func (r *run) lastVersion() string {
+	if r.last == nil {
+		return ""
+	}
+	return r.last.version
+}
+
 // timeToFirstToken is the time from arrival to the first token, or zero if
 // none came.
 func (r *run) timeToFirstToken() time.Duration {
--- a/internal/entry/linger_test.go
+++ b/internal/entry/linger_test.go
@@ -72,10 +72,10 @@
 	}
 }
 
-// plainCallers parses calls that have an ID alone.
-type plainCallers struct{}
+// idCallers parses calls that have an ID alone.
+type idCallers struct{}
 
-func (plainCallers) Parse(req *http.Request) (Call, error) {
+func (idCallers) Parse(req *http.Request) (Call, error) {
 	return Call{RequestID: req.Header.Get(headerRequestID)}, nil
 }
 
@@ -97,7 +97,7 @@
 // refuses all calls.
 func newCallersEntry() *Entry {
 	e := newStartingEntry(rpc.NewClient(""))
-	e.opts.Routed.Callers = plainCallers{}
+	e.opts.Routed.Callers = idCallers{}
 	return e
 }
 
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -12,10 +12,16 @@
 func (p *policy) chooseRouted(r *run, exclude []string) (routing.Decision, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.doubtful(r) {
+		return routing.Decision{}, false
+	}
 	decision, ok := p.placer.Pick(p.entry.now(), &placement.Request{
 		Service: r.service.Name,
 		Size:    r.routed.size,
 		Exclude: exclude,
+		Pinned:  r.routed.pinned,
+		Version: r.routed.version,
+		Begins:  r.resumable(),
 	})
 	r.routed.decision = decision
 	return routing.Decision{
@@ -59,6 +65,7 @@
 	e := r.entry
 	a.job = placement.JobID{Origin: e.incarnation, Number: e.nextID.Add(1)}
 	decision := r.routed.decision
+	a.version = decision.Version
 	decision.Server = a.server.Name
 	job := placement.NewJob(a.job, decision, r.routed.size)
 	e.policy.mu.Lock()
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -9,6 +9,7 @@
 
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/core/lineage"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routes"
@@ -20,7 +21,15 @@
 type routedCall struct {
 	route *routes.Route
 	call  Call
-	host  string
+	// stream is the stream that the call begins or takes up.
+	stream lineage.StreamID
+	// pinned is true once the stream may go on at version only. Both are guarded by
+	// the policy's lock.
+	pinned  bool
+	version string
+	// origin is the instance that began the stream, if this call did.
+	origin string
+	host   string
 	// cost is the number of units charged to the customer's limit.
 	cost         float64
 	usageCounted bool
@@ -179,6 +188,11 @@
 	sink.bodyRead = true
 	r.message = message{method: req.Method, path: req.RequestURI, header: call.Header, body: body}
 	sink.run = r
+	if refusal := r.bindTakeUp(); refusal != nil {
+		sink.customer = r.customer.Name
+		sink.refuse(*refusal, nil)
+		return nil
+	}
 	if customer == nil {
 		return r
 	}
@@ -244,6 +258,7 @@
 		trace:        &trace{id: call.RequestID, customer: name, service: service.Name, arrived: time.Now()},
 		routed:       &routedCall{route: route, call: call, host: req.Host, tokensPerEvent: 1},
 	}
+	r.routed.stream = streamID(name, call.RequestID)
 	r.spec = request.Spec{
 		ID:           r.id,
 		Kind:         request.KindApp,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -90,9 +90,8 @@
 	attempts []*attempt
 	// source is the open attempt whose event is handled, or nil.
 	source *attempt
-	// lastServer is the server of the latest attempt, or of the one that sent the latest
-	// forwarded event.
-	lastServer   string
+	// last is the latest attempt, or the one that sent the latest forwarded event.
+	last         *attempt
 	token        []byte
 	answer       *answer
 	replay       *answer
@@ -235,6 +234,7 @@
 		r.useAnswer(a)
 		r.firstTokenAt = now
 		r.countUsage()
+		r.bindStream(a)
 		r.entry.policy.firstToken(r)
 		r.entry.metrics.firstToken.WithLabelValues(r.service.Name).Observe((now - r.arrived).Seconds())
 	} else {
@@ -244,7 +244,7 @@
 			r.jobPaused(a, now-r.lastToken)
 		}
 	}
-	r.lastToken, r.lastServer = now, a.server.Name
+	r.lastToken, r.last = now, a
 	r.tokens += r.tokensPerEvent()
 	r.delivered.Store(int64(r.tokens))
 	a.countTokens(now, r.tokensPerEvent())
@@ -308,7 +308,7 @@
 	event.Str("step", "request").Str("request", r.id).Str("customer", r.customer.Name).Str("service", service).
 		Str("outcome", kindName(r.outcome.Kind)).Str("reason", string(r.outcome.Reason)).Str("at", r.outcome.Step).
 		Int("attempts", r.req.Attempts()).Int("tokens", r.tokens).Int("prompt", r.size.PromptTokens).
-		Str("server", r.lastServer).Int64("placed_ms", r.placedAfter.Milliseconds()).
+		Str("server", r.lastServer()).Str("version", r.lastVersion()).Int64("placed_ms", r.placedAfter.Milliseconds()).
 		Int64("expected_ms", r.expectedFirst.Milliseconds()).Int64("first_ms", r.timeToFirstToken().Milliseconds()).
 		Int64("gap_ms", r.longestGap.Milliseconds()).
 		Int64("elapsed_ms", (r.entry.now() - r.arrived).Milliseconds())
