Keep a stream at a leaving engine until another engine has been picked

Found while searching for other places that give something up on the promise of a replacement: a stream that was to be generated again elsewhere was cancelled at its leaving engine before another engine was asked for, and a stream whose KV cache could not be moved was ended if no other engine took it. Without another engine its caller lost the stream, although the leaving engine still had time, or still held it.

Now the engine is asked for first; without one the stream goes on where it is. After a failed move without another engine it is resumed where it was left.

TestMoveWaitsForAnotherEngine and TestFailedMoveWithoutAnotherEngine failed before and pass.

--- a/internal/core/request/attempts.go
+++ b/internal/core/request/attempts.go
@@ -17,7 +17,7 @@
 
 // beginRun resets what is known of the current attempt, which begins a new run.
 func (r *Request) beginRun() {
-	r.looking = false
+	r.looking, r.leaving, r.stranded = false, false, false
 	r.resumed, r.attemptDelivered = false, false
 	r.runDelivered, r.replacedFree = false, false
 	r.verified = r.position.Next == 0 || r.spec.Continues
@@ -34,7 +34,7 @@
 	if r.second.number != 0 {
 		return r.currentFailed()
 	}
-	r.looking = false
+	r.looking, r.leaving = false, false
 	if r.canRetry(ev.Failure) {
 		if delay, ok := r.retrier.Retry(now, r.failedAttempt(ev.Failure)); ok && now+delay < r.spec.Deadline {
 			r.prepareRetry(ev.Failure)
@@ -138,13 +138,15 @@
 		}
 		return append(effects, DropAttempt{Attempt: r.current}, move)
 	}
-	effects := []Effect{r.cancelCurrent()}
-	r.excludeServer(ev.Server)
+	if waiting {
+		r.excludeServer(ev.Server)
+		return append([]Effect{r.cancelCurrent()}, r.pick()...)
+	}
 	if r.second.number != 0 {
-		r.promoteSecond()
-		return effects
+		return r.replaceCurrent(SilenceYielded)
 	}
-	return append(effects, r.pick()...)
+	r.leaving = true
+	return r.lookForReplacement()
 }
 
 func (r *Request) moved(ev Moved) []Effect {
@@ -154,6 +156,7 @@
 	}
 	if ev.Stream == "" {
 		r.excludeServer(r.position.Server)
+		r.stranded = true
 		return r.pick()
 	}
 	r.position.Server = ev.Server
--- a/internal/core/request/move_test.go
+++ b/internal/core/request/move_test.go
@@ -55,3 +55,39 @@
 		t.Fatalf("got %+v, expected the cancellation of s1 and a pick that excludes m1", effects)
 	}
 }
+
+// A stream that is to leave its engine stays there until another engine has been picked for
+// it. Without one, it goes on.
+func TestMoveWaitsForAnotherEngine(t *testing.T) {
+	begin := func() *Request {
+		r := New(Spec{ID: "r1", Kind: KindModel, Repeatable: true, Deadline: time.Minute, MaxAttempts: 4}, &fixedRetrier{})
+		steps(r, Start{}, Admitted{}, Picked{Server: "m1"}, Opened{Attempt: 1, Stream: "s1"}, Token{Attempt: 1, Sum: 7})
+		return r
+	}
+	r := begin()
+	if got, want := steps(r, Move{Server: "m1"}), "[{Attempt:1 Exclude:[m1]}]"; got != want {
+		t.Fatalf("got %s, want %s", got, want)
+	}
+	if got := steps(r, NoReplacement{Attempt: 1}); got != "[]" {
+		t.Errorf("without another engine: got %s, want nothing", got)
+	}
+	if got, want := steps(r, Token{Attempt: 1, Offset: 1, Sum: 8}), "[{Offset:1}]"; got != want {
+		t.Errorf("after that: got %s, want %s", got, want)
+	}
+	r = begin()
+	got := steps(r, Move{Server: "m1"}, ReplacementPicked{Attempt: 1, Server: "m2"})
+	if want := "[{Attempt:1 Server:m1 Stream:s1} {Attempt:2 Server:m2 Beside:false}]"; got != want {
+		t.Errorf("with another engine: got %s, want %s", got, want)
+	}
+}
+
+// A stream whose KV cache could not be moved, and for which there is no other engine, is
+// resumed where it was left.
+func TestFailedMoveWithoutAnotherEngine(t *testing.T) {
+	r := newStalled(t)
+	steps(r, BackoffOver{}, Move{Server: "m1", Export: true, Target: "m2"}, Moved{Attempt: 2})
+	got := steps(r, NoServer{})
+	if want := "[{Attempt:3 Position:{Server:m1 Stream:s1 Next:1 Sum:7}}]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -51,10 +51,13 @@
 	// attempt is the number of the latest attempt, counted from 1, and current that of
 	// the attempt whose events are forwarded.
 	attempt, current int
-	// second is the replacement that is open beside the silent current attempt, and
-	// looking is true while a server for one is asked for.
-	second  secondAttempt
-	looking bool
+	// second is the replacement that is open beside the silent current attempt. looking is
+	// true while a server for a replacement is asked for, and leaving if it is asked for
+	// because the current one's engine leaves.
+	second           secondAttempt
+	looking, leaving bool
+	// stranded is true after a failed move of the KV cache, until another engine is found.
+	stranded bool
 	// position is the current position in the answer; Server and Stream are
 	// those of the current attempt.
 	position Position
@@ -273,6 +276,9 @@
 	if r.state != statePicking {
 		return nil
 	}
+	if r.stranded {
+		return r.resume()
+	}
 	outcome := Outcome{Reason: ReasonNoServer, Step: "pick", RetryAfter: ev.RetryAfter}
 	if ev.Reason != "" {
 		outcome.Reason = ev.Reason
--- a/internal/core/request/request_test.go
+++ b/internal/core/request/request_test.go
@@ -188,9 +188,9 @@
 
 // move asks the request to move away from its engine.
 func (h *harness) move() {
-	before := h.req.state
+	before, leaving := h.req.state, h.req.leaving
 	h.step(Move{Server: h.req.Position().Server, Export: rapid.Bool().Draw(h.t, "export"), Target: "other"})
-	if (before == stateRunning || before == stateBackoff) && h.req.state != before {
+	if (before == stateRunning || before == stateBackoff) && h.req.state != before || h.req.leaving && !leaving {
 		h.moves++
 	}
 }
--- a/internal/core/request/silence.go
+++ b/internal/core/request/silence.go
@@ -9,13 +9,13 @@
 // repeated after each further timeout.
 type Silence struct{ Attempt int }
 
-// ReplacementPicked names the backend server for a replacement of a silent attempt.
+// ReplacementPicked names the backend server for a replacement of an open attempt.
 type ReplacementPicked struct {
 	Attempt int
 	Server  string
 }
 
-// NoReplacement reports that no other backend server can take the request of a silent
+// NoReplacement reports that no other backend server can take the request of an open
 // attempt now.
 type NoReplacement struct{ Attempt int }
 
@@ -23,11 +23,11 @@
 // servers.
 type OverlapOver struct{ Attempt int }
 
-// PickReplacement asks for a backend server that could replace the silent attempt,
-// which stays open; answered by ReplacementPicked or NoReplacement.
+// PickReplacement asks for a backend server that could replace an attempt whose server is
+// silent or leaves. The attempt stays open; answered by ReplacementPicked or NoReplacement.
 type PickReplacement struct {
 	Attempt int
-	// Exclude lists the servers that failed this request and the silent one.
+	// Exclude lists the servers that failed this request and the attempt's own one.
 	Exclude []string
 }
 
@@ -108,6 +108,11 @@
 	if !r.spec.Continues && r.canResume(silentFailure) {
 		return r.resumeSilent(now)
 	}
+	return r.lookForReplacement()
+}
+
+// lookForReplacement asks for a server other than the current one, which keeps the attempt.
+func (r *Request) lookForReplacement() []Effect {
 	r.looking = true
 	exclude := append(slices.Clone(r.exclude), r.position.Server)
 	return []Effect{PickReplacement{Attempt: r.current, Exclude: exclude}}
@@ -140,12 +145,18 @@
 }
 
 // replacementPicked starts a second attempt beside the silent one, if the retry budget
-// allows it. A stream that only its own engine can continue is begun again instead.
+// allows it. A stream that only its own engine can continue, or whose engine leaves, is
+// begun again instead.
 func (r *Request) replacementPicked(now time.Duration, ev ReplacementPicked) []Effect {
 	if !r.lookingFor(ev.Attempt) {
 		return nil
 	}
 	r.looking = false
+	if r.leaving {
+		effects := []Effect{r.cancelCurrent()}
+		r.excludeServer(r.position.Server)
+		return append(effects, r.dispatch(ev.Server)...)
+	}
 	if ev.Server == r.position.Server || slices.Contains(r.exclude, ev.Server) {
 		return r.silenced(SilenceNoServer)
 	}
@@ -182,12 +193,16 @@
 	return r.replaceCurrent(SilenceYielded)
 }
 
-// noReplacement keeps the silent attempt. Its next silence asks again.
+// noReplacement keeps the current attempt. Its next silence asks again.
 func (r *Request) noReplacement(ev NoReplacement) []Effect {
 	if !r.lookingFor(ev.Attempt) {
 		return nil
 	}
 	r.looking = false
+	if r.leaving {
+		r.leaving = false
+		return nil
+	}
 	return r.silenced(SilenceNoServer)
 }
 
@@ -246,7 +261,7 @@
 
 // dropSecond cancels the replacement, if there is one, and reports why.
 func (r *Request) dropSecond(decision SilenceDecision) []Effect {
-	r.looking = false
+	r.looking = r.leaving
 	if r.second.number == 0 {
 		return nil
 	}
--- a/internal/core/request/stream.go
+++ b/internal/core/request/stream.go
@@ -5,7 +5,7 @@
 	r.state = stateRunning
 	r.attempt++
 	r.current = r.attempt
-	r.looking = false
+	r.looking, r.leaving, r.stranded = false, false, false
 	r.resumed, r.attemptDelivered = true, false
 	r.verified = true
 	return []Effect{ResumeStream{Attempt: r.attempt, Position: r.position}}
