Apply the limits of the document in force to callers' connections

Seen by callers: a document that allows connections to rest longer than the process's own idle timeout (60 s) has no effect; a request that is sent after that crosses the close of its connection and gets no answer. A header that the document allows and that is longer than the process's limit (64 KB) is refused with 431. The same holds for the time of a header.

Cause: of a document's limits only that of the body was read. The others came from the settings of the process, which http.Server reads once.

The connection of a caller now replaces the deadlines that net/http sets before a request by the limits in force. When a deadline passes, it asks again: a document that lengthened the limit meanwhile applies at once to connections that wait. After a shorter limit, the highest of the documents of the last minute holds, because callers may still follow an older one. Before a connection is closed, one more read serves bytes that arrived in time while the process was held up, and 5 s are added for a request that is under way. A header over the limit gets its 431 whole. No Keep-Alive header is sent, as before.

--- a/internal/e2e/hosted_edges_test.go
+++ b/internal/e2e/hosted_edges_test.go
@@ -175,3 +175,16 @@
 		}
 	}
 }
+
+// A document may allow longer headers than the settings of the entries' processes.
+func TestHostedHeaderLimit(t *testing.T) {
+	h := newHostedCluster(t, 1)
+	h.platform.addEngine(t, "i-a1", "ledger")
+	content := document(7)
+	content["limits"] = map[string]any{"max_body_bytes": 1 << 20, "max_header_bytes": 200 << 10, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+	h.applyDocument(content)
+	filler := strings.Repeat("f", 100<<10)
+	if got := h.call("e1", "GET", "/records/1", "long-1", callerKey, "", "X-Filler", filler); got.status != 200 {
+		t.Errorf("got status %d for a header within the document's limit, want 200", got.status)
+	}
+}
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -27,7 +27,7 @@
 }
 
 // CallerListener returns a listener whose connections report how their requests
-// ended. Their server uses ConnContext and ConnState.
+// ended, and follow the limits of the document in force. Their server uses ConnContext and ConnState.
 func (e *Entry) CallerListener(listener net.Listener) net.Listener {
 	return &callerListener{Listener: listener, entry: e}
 }
@@ -81,6 +81,7 @@
 	mu sync.Mutex
 	// exchange is the request under way, or nil.
 	exchange *exchange
+	waiting  waiting
 	closed   bool
 }
 
@@ -119,6 +120,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange = nil
+	c.waiting = waiting{phase: phaseIdle}
 }
 
 // Write writes a part of an answer and keeps the first error.
@@ -148,9 +150,14 @@
 func (c *callerConn) Close() error {
 	c.mu.Lock()
 	open, first := c.exchange, !c.closed
+	tooLong := c.waiting.refused
 	c.closed = true
 	c.mu.Unlock()
-	if first && open != nil {
+	switch {
+	case !first:
+	case tooLong:
+		c.linger()
+	case open != nil:
 		c.finish(open)
 	}
 	return c.Conn.Close()
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -216,6 +216,9 @@
 	// Calls see next only once placement has the servers of its services.
 	h.entry.policy.setConfiguration(next)
 	h.current.Store(next)
+	if next.routes != nil {
+		h.entry.callerLimits.set(h.entry.now(), next.routes.Limits)
+	}
 	h.entry.metrics.revision.Set(float64(next.revision))
 	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).
 		Str("peer", next.from).Int64("age_ms", next.age().Milliseconds()).Int64("save_ms", saved.Milliseconds())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,9 @@
 	PeerSecret string
 	// MaxRequests bounds the requests that this entry holds.
 	MaxRequests int
+	// HeaderLimit bounds the header of a routed call in bytes, unless a document
+	// sets a limit.
+	HeaderLimit int
 	// BodyLimit bounds a caller's body in bytes, even if its policy allows
 	// more. Zero applies the policy's limit alone.
 	BodyLimit int64
@@ -69,6 +72,7 @@
 // Defaults of Options.
 const (
 	DefaultMaxRequests  = 4096
+	DefaultHeaderLimit  = 64 << 10
 	DefaultBodyTimeout  = 10 * time.Second
 	DefaultWriteTimeout = 10 * time.Second
 )
@@ -99,6 +103,8 @@
 	directory   *directory
 	quota       *quotaClient
 	broadcaster *broadcaster
+	// callerLimits are the limits of callers' connections.
+	callerLimits callerLimits
 	// initialized is closed once routed calls can be served: a configuration
 	// is in force and the list of backend servers has been read.
 	initialized chan struct{}
@@ -137,6 +143,7 @@
 		idle:        make(chan struct{}),
 		initialized: make(chan struct{}),
 	}
+	e.callerLimits.transit = transitTime
 	e.backends = backend.New(e.backendOptions())
 	e.policy = newPolicy(e)
 	e.quota = newQuotaClient(e)
@@ -153,6 +160,9 @@
 	if opts.MaxRequests == 0 {
 		opts.MaxRequests = DefaultMaxRequests
 	}
+	if opts.HeaderLimit == 0 {
+		opts.HeaderLimit = DefaultHeaderLimit
+	}
 	if opts.BodyTimeout == 0 {
 		opts.BodyTimeout = DefaultBodyTimeout
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -181,6 +181,7 @@
 		DataDir:      process.DataDir,
 		Platform:     process.Platform,
 		PeerSecret:   keys.Peer,
+		HeaderLimit:  process.Limits.HeaderBytes,
 		BodyLimit:    process.Limits.BodyBytes,
 		BodyTimeout:  milliseconds(process.Timeouts.ReadBodyMS),
 		WriteTimeout: milliseconds(process.Timeouts.WriteMS),
@@ -308,6 +309,8 @@
 	}
 	if name == callersListener && p.Process.Hosted != nil {
 		server.ConnContext, server.ConnState = entry.ConnContext, entry.ConnState
+		// The connections follow the limit of the document in force.
+		server.MaxHeaderBytes = entry.MaxHeaderBytes
 	}
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return startServer(p, name, address, server) },
