Let a stream go on after a document has dropped its service

Seen by callers: a resumable stream in progress is cut off when its server breaks off after a document has dropped the stream's service, though other servers of the service serve on.

The same holds for a call that is refused by its first server, or waits in a back-off, around the change.

Placement and budgets now keep the services of a replaced document for the longest time that one of its calls may take. New calls find no route to them, and the servers must still be in the list and take work.

--- a/internal/entry/configure.go
+++ b/internal/entry/configure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"waxwingcart/internal/core/admission"
+	"waxwingcart/internal/core/routes"
 	"waxwingcart/internal/core/routing"
 	"waxwingcart/internal/discovery"
 )
@@ -23,6 +24,7 @@
 	if p.config != nil && p.config.revision >= config.revision {
 		return
 	}
+	p.keepOlder(p.entry.now())
 	p.config = config
 	p.configure(causeConfig)
 }
@@ -50,11 +52,12 @@
 	for _, service := range p.config.Services {
 		services = append(services, service.Name)
 	}
-	p.retry.SetServices(services)
 	if p.config.routes != nil {
+		p.retry.SetServices(append(services, p.droppedInUse(p.entry.now())...))
 		p.configureRouted(cause)
 		return
 	}
+	p.retry.SetServices(services)
 	now := p.entry.now()
 	servers := routing.Servers(p.config.Config, p.entry.opts.Zone)
 	p.router.SetServers(servers)
@@ -71,7 +74,9 @@
 
 // configureRouted is the part of configure for numbered documents.
 func (p *policy) configureRouted(cause string) {
-	servers := p.entry.directory.placementServers(p.config.routes, p.entry.opts.Zone)
+	now := p.entry.now()
+	inUse := func(name string) *routes.Service { return p.serviceInUse(now, name) }
+	servers := p.entry.directory.placementServers(inUse, p.entry.opts.Zone)
 	p.placer.SetServers(servers)
 	p.entry.quota.configure(p.entry.now(), p.config.routes.Table)
 	served := make(map[string]bool)
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -128,13 +128,13 @@
 	return changed, gone
 }
 
-// placementServers returns the servers of a routing table's services.
-func (d *directory) placementServers(table *routes.Index, zone string) []placement.Server {
+// placementServers returns the servers of the services that a lookup knows.
+func (d *directory) placementServers(lookup func(name string) *routes.Service, zone string) []placement.Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var servers []placement.Server
 	for _, found := range d.list {
-		service := table.Service(found.Service)
+		service := lookup(found.Service)
 		if service == nil {
 			continue
 		}
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -72,7 +72,7 @@
 	table := routes.NewIndex(&routes.Table{Services: []routes.Service{{Name: "models"}}})
 	apply := func(list []discovery.Server, readAt time.Duration) {
 		e.policy.setList(list, 1, readAt)
-		e.policy.placer.SetServers(e.directory.placementServers(table, "z"))
+		e.policy.placer.SetServers(e.directory.placementServers(table.Service, "z"))
 	}
 	picks := func() (picked []string) {
 		request := &placement.Request{Service: "models"}
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -31,7 +31,9 @@
 
 	mu sync.Mutex
 	// config is the newest configuration that the policy was given, or nil.
-	config    *configuration
+	config *configuration
+	// older holds the configurations that calls in progress may have begun under.
+	older     []olderConfiguration
 	admission *admission.Controller
 	router    *routing.Router
 	retry     *retry.Controller
