Count no standstill of the entry as its servers' silence

Seen by callers: after the process of an entry stood still for more than a second, as when it is frozen or throttled, streams of sound servers are given up as silent and run again elsewhere; where no attempt is left, they are cut off.

Cause: a watchdog whose time passed during the standstill fires before the reader has read the events that lie unread in the socket.

A timer that fires more than 20 ms late shows that the process stood still. The watchdog then waits 250 ms more, in which the reader catches up and starts it anew. A server that was silent is given up that much later, once.

--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -11,7 +11,7 @@
 
 // watchdog cancels a call that makes no progress.
 type watchdog struct {
-	timer   *time.Timer
+	timer   *silenceTimer
 	timeout atomic.Int64
 	expired atomic.Bool
 	// responded is set once the response header has arrived. Until then,
@@ -23,15 +23,15 @@
 	setDefault(&timeout, fallback)
 	w := &watchdog{}
 	w.timeout.Store(int64(timeout))
-	w.timer = time.AfterFunc(timeout, func() {
+	w.timer = newSilenceTimer(timeout, func() {
 		w.expired.Store(true)
 		cancel(errNoProgress)
 	})
 	return w
 }
 
-func (w *watchdog) progress()   { w.timer.Reset(time.Duration(w.timeout.Load())) }
-func (w *watchdog) stop()       { w.timer.Stop() }
+func (w *watchdog) progress()   { w.timer.start(time.Duration(w.timeout.Load())) }
+func (w *watchdog) stop()       { w.timer.stop() }
 func (w *watchdog) fired() bool { return w.expired.Load() }
 
 // singleUseBody is a request body that a transport cannot rewind, and therefore
