Answer a request that is read while the process shuts down

Seen by callers: a request whose header ends while http.Server shuts down, after the drain, gets no answer. Its connection is closed, and the caller can't know that the request has not run.

Cause: net/http reads the request, sees that it shuts down and closes the connection without calling the handler.

The caller's connection knows that a header was read and nothing was written; it answers 503 with Retry-After before it closes, and counts the close as shutdown. No handler has seen the request, so that it has not run.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +19,7 @@
 	closeWriteFailed  = "write-failed"
 	closeWriteTimeout = "write-timeout"
 	closeBodyNotRead  = "body-not-read"
+	closeShutdown     = "shutdown"
 )
 
 // callerListener accepts the connections of callers.
@@ -128,6 +130,7 @@
 	n, err := c.Conn.Write(data)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waiting.answered = true
 	if c.exchange == nil {
 		return n, err
 	}
@@ -150,19 +153,29 @@
 func (c *callerConn) Close() error {
 	c.mu.Lock()
 	open, first := c.exchange, !c.closed
-	tooLong := c.waiting.refused
+	tooLong, unhandled := c.waiting.refused, c.waiting.unhandled() && open == nil
 	c.closed = true
 	c.mu.Unlock()
 	switch {
 	case !first:
 	case tooLong:
 		c.linger()
+	case unhandled:
+		c.refuseUnhandled()
 	case open != nil:
 		c.finish(open)
 	}
 	return c.Conn.Close()
 }
 
+// refuseUnhandled answers a request that was read and not handled: http.Server drops it
+// when it shuts down at that moment.
+func (c *callerConn) refuseUnhandled() {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.entry.opts.WriteTimeout))
+	_, err := io.WriteString(c.Conn, unhandledAnswer)
+	c.report(&exchange{started: c.entry.now(), err: err}, closeShutdown)
+}
+
 // cause says why a connection was closed before its request was fully answered, or
 // returns "": the answer was whole, or the caller closed the connection.
 func (x *exchange) cause() string {
--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -139,3 +140,60 @@
 		t.Errorf("got a silence of %s at the end of a mute attempt, want 7s", n.silence)
 	}
 }
+
+// A request whose header was read, and that http.Server drops without a handler because
+// it shuts down, is refused. Before the end of a header there is nothing to answer.
+func TestRequestReadAtShutdownIsRefused(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		wait     func(*callerConn)
+		answered bool
+	}{
+		{"header read", func(c *callerConn) {
+			_ = c.SetReadDeadline(time.Now().Add(time.Hour))
+			_ = c.SetReadDeadline(time.Time{})
+		}, true},
+		{"header under way", func(c *callerConn) { _ = c.SetReadDeadline(time.Now().Add(time.Hour)) }, false},
+		{"idle", func(c *callerConn) { _ = c.SetReadDeadline(time.Time{}); ConnState(c, http.StateIdle) }, false},
+		{"refused by http.Server", func(c *callerConn) {
+			_ = c.SetReadDeadline(time.Time{})
+			_, _ = c.Write([]byte("HTTP/1.1 417 Expectation Failed\r\nContent-Length: 0\r\n\r\n"))
+		}, false},
+	} {
+		e, registry, _ := newLoggedEntry()
+		conn, caller := connPair(t, e)
+		test.wait(conn)
+		_ = conn.Close()
+		answer, _ := io.ReadAll(caller)
+		if got := strings.HasPrefix(string(answer), "HTTP/1.1 503 "); got != test.answered {
+			t.Errorf("%s: got %q, want a refusal: %t", test.name, answer, test.answered)
+		}
+		if got := counted(t, registry, "waxwingcart_entry_connections_closed_total")[closeShutdown]; (got == 1) != test.answered {
+			t.Errorf("%s: counted %v, want one: %t", test.name, got, test.answered)
+		}
+	}
+}
+
+// A request whose header ends while http.Server shuts down gets an answer.
+func TestRequestDuringShutdownIsAnswered(t *testing.T) {
+	e := newCallersEntry()
+	server := &http.Server{IdleTimeout: time.Hour, ReadHeaderTimeout: time.Hour}
+	address := serveCallers(t, e, server)
+	conn, answers := dialCaller(t, address)
+	if _, err := io.WriteString(conn, "GET /claims/1 HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	begun := make(chan struct{})
+	server.RegisterOnShutdown(func() { close(begun) })
+	go func() { _ = server.Shutdown(ctx) }()
+	<-begun
+	if _, err := io.WriteString(conn, "Host: desk.example\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(answers, nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("got %v (%v), want status 503", response, err)
+	}
+}
--- a/internal/entry/callerphase.go
+++ b/internal/entry/callerphase.go
@@ -34,6 +34,10 @@
 const tooLongHeader = "HTTP/1.1 431 Request Header Fields Too Large\r\n" +
 	"Content-Type: text/plain; charset=utf-8\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
+// unhandledAnswer is the answer to a request that no handler has seen.
+const unhandledAnswer = "HTTP/1.1 503 Service Unavailable\r\n" +
+	"Retry-After: 0.020\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 var errHeaderTooLong = errors.New("the header of a caller's request is too long")
 
 // waiting is the state of a connection that waits for a request.
@@ -50,8 +54,13 @@
 	headerBytes int
 	// refused is true once an answer was sent because of the header's length.
 	refused bool
+	// answered is true once a byte was written in this phase.
+	answered bool
 }
 
+// unhandled reports whether the header of a request was read and nothing was written.
+func (w *waiting) unhandled() bool { return w.phase == phaseRequest && !w.answered }
+
 // begin starts a phase's time.
 func (w *waiting) begin(phase phase, now, fallback time.Duration) {
 	*w = waiting{phase: phase, begun: true, since: now, fallback: fallback}
