Keep the tests of standstills and dropped services apart from speed

The entry stood still for 1.5 s with a progress timeout of 1.2 s: a machine that was busy for as long could fail the test. It now stands still for 4 s with a timeout of 3 s, and the streams last longer than that, so that they are still under way when it goes on. The test of the dropped service has events every 300 ms instead of every second, below the progress timeout of its route.

--- a/internal/e2e/hosted_changes_test.go
+++ b/internal/e2e/hosted_changes_test.go
@@ -31,7 +31,7 @@
 	h.platform.addEngine(t, "i-a1", "ledger")
 	h.applyDocument(document(7))
 	for _, engine := range []*hostedEngine{first, second} {
-		engine.eventInterval.Set(1000)
+		engine.eventInterval.Set(300)
 	}
 	streamed := make(chan hostedAnswer, 1)
 	go func() {
--- a/internal/e2e/hosted_standstill_test.go
+++ b/internal/e2e/hosted_standstill_test.go
@@ -13,14 +13,22 @@
 func TestHostedPauseOfEntryIsNoSilence(t *testing.T) {
 	h := newHostedCluster(t, 1)
 	for i := range 4 {
-		h.platform.addEngine(t, fmt.Sprintf("i-m%d", i), "models").eventInterval.Set(150)
+		h.platform.addEngine(t, fmt.Sprintf("i-m%d", i), "models").eventInterval.Set(300)
 	}
-	h.applyDocument(document(7))
-	const streams = 8
+	// The streams last longer than the standstill. The progress timeout of the route is
+	// 3 s: longer than servers pause on a busy machine, and shorter than the standstill.
+	h.applyDocument(document(7, map[string]any{
+		"name": "patient", "host": "desk.example", "path_prefix": "/patient/", "type": "stream", "resumable": true, "sticky": true,
+		"timeout_ms": 20000, "slo_ms": 2500, "attempts": 2, "service": "models",
+	}))
+	const (
+		streams    = 8
+		standstill = 4 * time.Second
+	)
 	answers := make(chan hostedAnswer, streams)
 	for i := range streams {
 		go func() {
-			answers <- h.call("e1", "POST", "/dossiers/1", fmt.Sprintf("paused-%d", i), callerKey, "prompt", "Waxwingcart-Token-Count", "50,20")
+			answers <- h.call("e1", "POST", "/patient/1", fmt.Sprintf("paused-%d", i), callerKey, "prompt", "Waxwingcart-Token-Count", "50,20", "Waxwingcart-Deadline-Ms", "19000")
 		}()
 	}
 	h.eventually("the streams run", func() bool {
@@ -33,7 +41,7 @@
 	})
 	time.Sleep(300 * time.Millisecond)
 	h.signal("e1", syscall.SIGSTOP)
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(standstill)
 	h.signal("e1", syscall.SIGCONT)
 	for range streams {
 		if got := <-answers; !got.complete || got.body != streamBody(0) {
