--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +19,7 @@
 	closeWriteFailed  = "write-failed"
 	closeWriteTimeout = "write-timeout"
 	closeBodyNotRead  = "body-not-read"
+	closeShutdown     = "shutdown"
 )
 
 // callerListener accepts the connections of callers.
@@ -27,7 +29,7 @@
 }
 
 // CallerListener returns a listener whose connections report how their requests
-// ended. Their server uses ConnContext and ConnState.
+// ended, and follow the limits of the document in force. Their server uses ConnContext and ConnState.
 func (e *Entry) CallerListener(listener net.Listener) net.Listener {
 	return &callerListener{Listener: listener, entry: e}
 }
@@ -81,6 +83,7 @@
 	mu sync.Mutex
 	// exchange is the request under way, or nil.
 	exchange *exchange
+	waiting  waiting
 	closed   bool
 }
 
@@ -119,6 +122,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange = nil
+	c.waiting = waiting{phase: phaseIdle}
 }
 
 // Write writes a part of an answer and keeps the first error.
@@ -126,6 +130,7 @@
 	n, err := c.Conn.Write(data)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waiting.answered = true
 	if c.exchange == nil {
 		return n, err
 	}
@@ -148,14 +153,29 @@
 func (c *callerConn) Close() error {
 	c.mu.Lock()
 	open, first := c.exchange, !c.closed
+	tooLong, unhandled := c.waiting.refused, c.waiting.unhandled() && open == nil
 	c.closed = true
 	c.mu.Unlock()
-	if first && open != nil {
+	switch {
+	case !first:
+	case tooLong:
+		c.linger()
+	case unhandled:
+		c.refuseUnhandled()
+	case open != nil:
 		c.finish(open)
 	}
 	return c.Conn.Close()
 }
 
+// refuseUnhandled answers a request that was read and not handled: http.Server drops it
+// when it shuts down at that moment.
+func (c *callerConn) refuseUnhandled() {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.entry.opts.WriteTimeout))
+	_, err := io.WriteString(c.Conn, unhandledAnswer)
+	c.report(&exchange{started: c.entry.now(), err: err}, closeShutdown)
+}
+
 // cause says why a connection was closed before its request was fully answered, or
 // returns "": the answer was whole, or the caller closed the connection.
 func (x *exchange) cause() string {
