--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -10,9 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/dissemination"
-	"waxwingcart/internal/core/lineage"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/wire"
 )
@@ -123,25 +121,6 @@
 	b.add(true, func(w *wire.News) { w.Leaving = append(w.Leaving, instance) })
 }
 
-// streamBegun reports a stream that has begun here. It is urgent with the stream's first
-// event, since the caller may take the stream up at another entry at once.
-func (b *broadcaster) streamBegun(id lineage.StreamID, version lineage.Version, left time.Duration, urgent bool) {
-	b.add(urgent, func(w *wire.News) { w.Begun = codec.AddBegun(w.Begun, id, version, left) })
-}
-
-// peers returns the addresses of the other entries.
-func (b *broadcaster) peers() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	peers := make([]string, 0, len(b.addresses))
-	for address := range b.addresses {
-		if address != b.entry.opts.PeerAddress {
-			peers = append(peers, address)
-		}
-	}
-	return peers
-}
-
 // result counts the result of a call whose attempts are not broadcast.
 func (b *broadcaster) result(server string, result placement.Result) {
 	b.mu.Lock()
--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -81,6 +81,19 @@
 	return true
 }
 
+// peers returns the addresses of the other entries.
+func (b *broadcaster) peers() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	peers := make([]string, 0, len(b.addresses))
+	for address := range b.addresses {
+		if address != b.entry.opts.PeerAddress {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
+
 func (e *Entry) fetchStreams(ctx context.Context, peer string) (lineage.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -118,6 +118,12 @@
 	}
 }
 
+// streamBegun reports a stream that has begun here. It is urgent with the stream's first
+// event, since the caller may take the stream up at another entry at once.
+func (b *broadcaster) streamBegun(id lineage.StreamID, version lineage.Version, left time.Duration, urgent bool) {
+	b.add(urgent, func(w *wire.News) { w.Begun = codec.AddBegun(w.Begun, id, version, left) })
+}
+
 // told records streams that another entry began.
 func (s *streams) told(groups []*wire.Begun) {
 	if len(groups) == 0 {
