Streams: ask other entries less often if none answers

Entries of an older build can't answer for records of streams. One of this build that starts among them asked every 50 ms; the delay now doubles up to 5 s.

--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -32,12 +32,14 @@
 	resets  uint64
 	answers int
 	next    time.Duration
+	// delay is the time until the next question after one without an answer.
+	delay time.Duration
 }
 
 // due reports whether to ask another entry now.
 func (c *catchUp) due(now time.Duration, complete bool, resets uint64) bool {
 	if resets != c.resets {
-		*c = catchUp{resets: resets}
+		*c = catchUp{resets: resets, delay: catchUpInterval}
 	}
 	if resets == 0 || now < c.next || c.answers >= maxCatchUps {
 		return false
@@ -50,25 +52,40 @@
 	c.next = now + catchUpRepeat
 }
 
+// failed delays the next question, for longer each time: the other entries may be of a build
+// that can't answer.
+func (c *catchUp) failed(now time.Duration) {
+	c.next = now + c.delay
+	c.delay = min(2*c.delay, catchUpRepeat)
+}
+
 // runCatchUp asks other entries for their records of streams while this one lacks them.
 func (e *Entry) runCatchUp(ctx context.Context) {
 	var progress catchUp
 	for ctx.Err() == nil {
 		_, complete, resets := e.streams.reach()
-		if progress.due(e.now(), complete, resets) && e.askForStreams(ctx) {
-			progress.answered(e.now())
+		if progress.due(e.now(), complete, resets) {
+			e.catchUpOnce(ctx, &progress)
 		}
 		wait(ctx, catchUpInterval)
 	}
 }
 
-// askForStreams asks one of the other entries and reports whether it answered.
-func (e *Entry) askForStreams(ctx context.Context) bool {
+// catchUpOnce asks one of the other entries, if there is any.
+func (e *Entry) catchUpOnce(ctx context.Context, progress *catchUp) {
 	peers := e.broadcaster.peers()
 	if len(peers) == 0 {
-		return false
+		return
 	}
-	peer := peers[rand.IntN(len(peers))]
+	if e.askForStreams(ctx, peers[rand.IntN(len(peers))]) {
+		progress.answered(e.now())
+		return
+	}
+	progress.failed(e.now())
+}
+
+// askForStreams asks another entry and reports whether it answered.
+func (e *Entry) askForStreams(ctx context.Context, peer string) bool {
 	snapshot, err := e.fetchStreams(ctx, peer)
 	if err != nil {
 		e.logger.Debug().Str("step", "catch up").Err(err).Msg("asking another entry for its records of streams failed; another one will be asked")
--- a/internal/entry/streams_test.go
+++ b/internal/entry/streams_test.go
@@ -201,4 +201,15 @@
 	if !c.due(time.Hour, false, 2) {
 		t.Error("not due after a gap")
 	}
+	now := time.Hour
+	for range 20 {
+		c.failed(now)
+		if wait := c.next - now; wait > catchUpRepeat || c.due(now, false, 2) {
+			t.Fatalf("due %s after a question without an answer", wait)
+		}
+		now = c.next
+	}
+	if !c.due(now, false, 2) || c.delay != catchUpRepeat {
+		t.Errorf("after 20 questions without an answer the delay is %s, expected %s", c.delay, catchUpRepeat)
+	}
 }
