Failing test of a server that starts again at another version

What callers saw: streams that hold events of two software versions. One hypothesis is a server that starts again under its ID at another version.

The only server of a version starts again under its ID and address at the other version, and the list says so. Once the entry places requests by a reading from after the restart, a take-up of the earlier version must be refused as not run, and begin again. The time until the list is read is not tested.

--- a/internal/e2e/hosted_versions_platform_test.go
+++ b/internal/e2e/hosted_versions_platform_test.go
@@ -14,9 +14,7 @@
 // name the version; it does not check at which version a stream began.
 type versionedEngine struct {
 	*hostedEngine
-	// version is what the list and the events say. The list leaves it out if unlisted
-	// is set.
-	version  string
+	// unlisted leaves the version out of the list.
 	unlisted bool
 	// breakEvery makes it break off every so many streams of those that begin here,
 	// after breakAfter events; 0 means none.
@@ -24,8 +22,10 @@
 	// gone makes it break off its streams and all connections.
 	gone guardedBool
 
-	mu     sync.Mutex
-	begins int
+	mu sync.Mutex
+	// version is what the list and the events say.
+	version string
+	begins  int
 	// reached holds the IDs of the requests that arrived, run or not.
 	reached map[string]bool
 }
@@ -58,7 +58,7 @@
 // describe adds the version to the engine's entry in the list.
 func (e *versionedEngine) describe(instance map[string]any) {
 	if e != nil && !e.unlisted {
-		instance["version"] = e.version
+		instance["version"] = e.served()
 	}
 }
 
@@ -79,12 +79,12 @@
 		n, _ := strconv.Atoi(last)
 		first = n + 1
 	}
-	breaks := first == 0 && e.nextBreaks()
+	breaks, version := first == 0 && e.nextBreaks(), e.served()
 	for i := first; i < streamEvents; i++ {
 		if breaks && i == breakAfter || e.gone.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s part-%d\n\n", i, e.version, i)
+		fmt.Fprintf(w, "id: %d\ndata: %s part-%d\n\n", i, version, i)
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-req.Context().Done():
@@ -94,6 +94,20 @@
 	}
 }
 
+// served returns the version that the engine serves.
+func (e *versionedEngine) served() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// restartAs starts the engine again under its ID and address, at another version.
+func (e *versionedEngine) restartAs(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = version
+}
+
 // nextBreaks reports whether the stream that begins is one that breaks off.
 func (e *versionedEngine) nextBreaks() bool {
 	e.mu.Lock()
--- a/internal/e2e/hosted_versions_test.go
+++ b/internal/e2e/hosted_versions_test.go
@@ -325,6 +325,28 @@
 	}
 }
 
+// The only engine of a version starts again under its ID at the other version. Once an entry
+// knows the list, streams of the version that is gone are refused, and begin again.
+func TestHostedRestartChangesVersion(t *testing.T) {
+	h, engines := newVersionCluster(t, 1, 1, 1)
+	var older *versionCaller
+	h.eventually("a stream begins at the older version", func() bool {
+		older = newVersionCaller(h)
+		older.begin("e1", stopAfter)
+		return older.version() == olderVersion
+	})
+	engines[0].restartAs(newerVersion)
+	// A reading of the list that shows the second one began after the restart.
+	for i := range 2 {
+		engines = append(engines, h.platform.addVersioned(t, fmt.Sprintf("i-added-%d", i), newerVersion))
+		h.awaitEngines(1, engines)
+	}
+	checkRefused(t, "a stream whose version is gone", older, older.takeUp("e1", allParts), engines)
+	if older.begin("e1", allParts); !older.whole() || older.version() != newerVersion {
+		t.Errorf("the stream that begins again has %d events of version %q, want all of %s", len(older.parts), older.version(), newerVersion)
+	}
+}
+
 // On a platform whose list names no versions, streams go on at any engine, also those of
 // which nothing is known.
 func TestHostedListWithoutVersions(t *testing.T) {
