Soak with silent servers and streams of two versions

The soak had neither streams nor servers that do anything but answer.

TestSoakStreams adds to the plans, with random numbers of their own so that the seeds of TestSoak keep their plans: servers silent for 0.5 to 1.5 s, one or all of a service; servers that ask for a pause or say that they leave; releases that replace a version by the next one server after the other; documents that move a route of streams; ends of entries. Callers keep their connections open, leave streams midway and take them up at other entries.

Checked from outside: an answer that began is whole, and a request that was read whole is answered, unless the entry was ended, or the machine starved, in that time; a stream holds events of one version, each once; of 12 or more take-ups at least half as many go on as new streams begin, while two servers of the version serve. The second of these holds for the plain requests of TestSoak too. The self-test "ran a request twice" now expects it besides, since its request ran and has no answer.

Cause of what fails: an entry that sees no progress for a second gives an attempt up before it has another server (reason no-backend-server), and nothing reads versions.

--- a/internal/soak/check_self_test.go
+++ b/internal/soak/check_self_test.go
@@ -146,7 +146,7 @@
 		{"ran a request twice", func(h *History) {
 			o := observed(secondAck, pathOnce, keyBase, 0, "")
 			h.Observations, h.Runs[o.ID] = []Observation{o}, 2
-		}, []string{promiseOnce}},
+		}, []string{promiseOnce, promiseAnswered}},
 		{"ends by itself", func(h *History) { h.Ends = []string{"e1"} }, []string{promiseRuns}},
 	} {
 		h := newHistory()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -32,6 +32,11 @@
 	promiseAccepted = "a valid document is not refused"
 	promiseOnce     = "a refused request has not run, and one that can't be repeated runs once"
 	promiseRuns     = "a process does not end by itself"
+	promiseAnswered = "a request that was read whole is answered"
+	promiseWhole    = "an answer that began is whole"
+	promiseOrder    = "no event of a stream is missing or comes twice"
+	promiseVersion  = "a stream holds events of one version"
+	promiseGoesOn   = "streams go on at least half as often as new ones begin"
 )
 
 // checker checks a history.
@@ -45,6 +50,9 @@
 	// refusedOutOfTouch counts the requests that would have been violations of
 	// promiseServed had their entries been in touch.
 	refusedOutOfTouch int
+	// goesOn of takeUps streams that callers took up went on, while servers of their
+	// version served.
+	goesOn, takeUps int
 }
 
 // Check returns the promises that a history breaks, in the order of time.
@@ -77,6 +85,8 @@
 	c.checkSendings()
 	c.checkReads()
 	c.checkRuns()
+	c.checkAnswered()
+	c.checkStreams()
 	for _, end := range c.Ends {
 		c.report(promiseRuns, c.End, end, "ended")
 	}
@@ -317,11 +327,10 @@
 
 // checkRuns checks how often requests ran.
 func (c *checker) checkRuns() {
-	notRun := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 	for i := range c.Observations {
 		o := &c.Observations[i]
 		runs := c.Runs[o.ID]
-		if runs > 0 && slices.Contains(notRun, o.Status) || runs > 1 && o.Path == pathOnce {
+		if runs > 0 && promisesNotRun(o.Status) || runs > 1 && o.Path == pathOnce {
 			c.report(promiseOnce, o.From, o.Entry, "%s, and ran %d times", o, runs)
 		}
 	}
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -113,7 +113,9 @@
 	request.Header.Set("Waxwingcart-Request-Id", o.ID)
 	request.Header.Set("Waxwingcart-Deadline-Ms", deadlineMS)
 	request.Header.Set("Authorization", "Bearer "+o.Key)
+	request, sent := traced(request)
 	response, err := client.Do(request)
+	o.Sent = sent()
 	if err != nil {
 		return 0, ""
 	}
--- a/internal/soak/document_test.go
+++ b/internal/soak/document_test.go
@@ -55,6 +55,8 @@
 	Flaw    Flaw
 	// Customers is the number of further customers, which make the document large.
 	Customers int
+	// Streams adds the routes of streams.
+	Streams bool
 }
 
 func serviceOf(label string) string { return "s" + label }
@@ -99,6 +101,10 @@
 	routes := []map[string]any{route(pathBase, "safe", serviceBase), once, route(pathCurrent, "safe", serviceOf(d.Label))}
 	services := []map[string]any{{"name": serviceBase}, {"name": serviceLedger}, {"name": serviceBallast}}
 	customers := []map[string]any{{"name": "customer", "api_keys": []string{keyBase}}}
+	if d.Streams {
+		routes = append(routes, streamRoutes(d.Version, route)...)
+		services = append(services, map[string]any{"name": serviceModels}, map[string]any{"name": serviceSingle})
+	}
 	for _, label := range d.labels() {
 		routes = append(routes, route(pathOf(label), "safe", serviceOf(label)))
 		services = append(services, map[string]any{"name": serviceOf(label)})
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -55,8 +55,10 @@
 // Listing is a time in which a backend server of a service was listed as ready; To is
 // 0 while it is.
 type Listing struct {
-	Service  string
-	From, To time.Duration
+	Service string
+	// Engine and Version are set for the backend servers of streams.
+	Engine, Version string
+	From, To        time.Duration
 }
 
 // Observation is one request and its response. Status is 0 if no complete response
@@ -69,6 +71,9 @@
 	Method, Path, Key string
 	Status            int
 	Service           string
+	// Sent is true if the request was written whole and did not cross the entry's close of its
+	// connection.
+	Sent bool
 }
 
 // History is what a run did and saw.
@@ -83,6 +88,7 @@
 	Reads             []Read
 	Listings          []Listing
 	Observations      []Observation
+	Attempts          []StreamAttempt
 	// Runs counts how often backend servers ran each request, by its ID.
 	Runs map[string]int
 	// Ends lists processes that ended by themselves.
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -22,6 +22,13 @@
 	KindEngine Kind = "engine"
 	// KindBurst sends many requests to each entry at once.
 	KindBurst Kind = "burst"
+	// KindQuiet makes backend servers of a service silent: one, or all if Amount is 0.
+	// KindRefuse makes one ask for a pause, KindLeave makes one say that it leaves, and
+	// KindRelease replaces one of the oldest version by one of the newest.
+	KindQuiet   Kind = "quiet"
+	KindRefuse  Kind = "refuse"
+	KindLeave   Kind = "leave"
+	KindRelease Kind = "release"
 
 	KindPause  Kind = "pause"
 	KindKill   Kind = "kill"
@@ -51,10 +58,12 @@
 type Event struct {
 	At   time.Duration
 	Kind Kind
-	// Target is the process that a fault hits.
+	// Target is the process that a fault hits, or the service of a backend server.
 	Target string
 	// For is how long a fault lasts, or how long a killed process stays away.
 	For time.Duration
+	// Version is the version of a release's new backend server.
+	Version string
 	// Document is the label of the document of KindPut and KindEngine.
 	Document string
 	// Replicas is the order in which a put asks replicas.
@@ -81,6 +90,9 @@
 	if e.AfterList {
 		parts = append(parts, "after the list")
 	}
+	if e.Version != "" {
+		parts = append(parts, "to "+e.Version)
+	}
 	if e.For > 0 {
 		parts = append(parts, "for "+e.For.String())
 	}
@@ -95,6 +107,8 @@
 	Seed              uint64
 	Duration          time.Duration
 	Entries, Replicas int
+	// Streams adds streams, and what their backend servers do.
+	Streams bool
 }
 
 // Plan is a sequence of changes and faults. It depends on its options alone.
@@ -171,6 +185,9 @@
 			p.at += stability
 		}
 	}
+	if options.Streams {
+		p.streamEvents()
+	}
 	p.Events = slices.DeleteFunc(p.Events, func(e Event) bool { return e.At >= options.Duration })
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return &p.Plan
@@ -190,7 +207,7 @@
 	if flaw != FlawNone {
 		label += "x"
 	}
-	document := &Document{Label: label, Version: p.version, Kept: slices.Clone(p.kept), Flaw: flaw, Customers: p.bulk}
+	document := &Document{Label: label, Version: p.version, Kept: slices.Clone(p.kept), Flaw: flaw, Customers: p.bulk, Streams: p.Streams}
 	p.Documents = append(p.Documents, document)
 	return document
 }
--- a/internal/soak/platform_test.go
+++ b/internal/soak/platform_test.go
@@ -34,6 +34,9 @@
 	id, service, address string
 	draining             bool
 	listing              int
+	// version is listed, and named in events, if it is set.
+	version string
+	mood    mood
 }
 
 const engineSlots = 64
@@ -79,7 +82,11 @@
 		if e.draining {
 			state = "draining"
 		}
-		instances = append(instances, map[string]any{"id": e.id, "service": e.service, "addr": e.address, "zone": zoneOf(0), "state": state, "slots": engineSlots})
+		instance := map[string]any{"id": e.id, "service": e.service, "addr": e.address, "zone": zoneOf(0), "state": state, "slots": engineSlots}
+		if e.version != "" {
+			instance["version"] = e.version
+		}
+		instances = append(instances, instance)
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": instances, "next_token": nil})
 	close(p.read)
@@ -94,11 +101,14 @@
 }
 
 // add lists a new backend server of a service.
-func (p *platform) add(service string) error {
+func (p *platform) add(service string) error { return p.addVersion(service, "") }
+
+// addVersion lists a new backend server of a service and a version.
+func (p *platform) addVersion(service, version string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.started++
-	e := &engine{platform: p, id: fmt.Sprintf("i-%s-%d", service, p.started), service: service}
+	e := &engine{platform: p, id: fmt.Sprintf("i-%s-%d", service, p.started), service: service, version: version}
 	var err error
 	if e.address, err = p.serve(e); err != nil {
 		return err
@@ -106,7 +116,7 @@
 	p.engines = append(p.engines, e)
 	p.history.update(func() {
 		e.listing = len(p.history.Listings)
-		p.history.Listings = append(p.history.Listings, Listing{Service: service, From: p.now()})
+		p.history.Listings = append(p.history.Listings, Listing{Service: service, Engine: e.id, Version: e.build(), From: p.now()})
 	})
 	return nil
 }
@@ -148,8 +158,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.mood.refuses(w) {
+		return
+	}
 	e.platform.history.update(func() { e.platform.history.Runs[id]++ })
+	e.mood.await(req.Context())
 	w.Header().Set("Waxwingcart-Stamp", "stamp-"+e.id)
 	w.Header().Set(headerService, e.service)
+	if e.version != "" {
+		e.stream(w, req)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s %s", e.service, id)
 }
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -88,6 +88,9 @@
 			}
 		}
 	}
+	if err := r.beginStreams(); err != nil {
+		return err
+	}
 	first := Event{Kind: KindPut, Document: r.plan.Documents[0].Label}
 	for i := range r.plan.Replicas {
 		first.Replicas = append(first.Replicas, i)
@@ -115,6 +118,9 @@
 		for number := range clientsPerEntry {
 			clients.Go(func() { r.client(running, p, number) })
 		}
+		for number := range r.streamClients() {
+			clients.Go(func() { r.streamClient(running, p, number) })
+		}
 	}
 	start := r.now()
 	for _, e := range r.plan.Events {
@@ -160,6 +166,8 @@
 		r.changeList()
 	case KindBurst:
 		r.burst(e)
+	case KindQuiet, KindRefuse, KindLeave, KindRelease:
+		r.faults.Go(func() { r.changeMood(ctx, e) })
 	default:
 		r.faults.Go(func() { r.fault(ctx, e) })
 	}
@@ -319,6 +327,11 @@
 			add(o.From, "%s: %s", o.Entry, &o)
 		}
 	}
+	for _, s := range h.Attempts {
+		if s.Entry == process && s.From > at-3*time.Second {
+			add(s.From, "%s: %s", s.Entry, &s)
+		}
+	}
 	slices.SortStableFunc(lines, func(a, b line) int { return int(a.at - b.at) })
 	var b strings.Builder
 	for _, l := range lines {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,6 +83,37 @@
 	}
 }
 
+// streamSeeds are the seeds of TestSoakStreams that run by default, with what each is kept
+// for.
+var streamSeeds = []struct {
+	seed   uint64
+	reason string
+}{
+	{23, "entries went on with streams at servers of another version, in the same answer and when callers took them up"},
+	{24, "the only server of a route was silent for over a second and went on; entries cut off its streams, for lack of another server"},
+}
+
+// TestSoakStreams plays plans with streams: their servers fall silent, pause, leave and are
+// replaced by ones of a newer version, and callers take streams up at other entries.
+func TestSoakStreams(t *testing.T) {
+	play := func(seed uint64, reason string) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			t.Logf("kept for: %s", reason)
+			soak(t, Options{Seed: seed, Duration: *durationFlag, Entries: *entriesFlag, Replicas: *replicasFlag, Streams: true})
+		})
+	}
+	if *seedFlag == 0 {
+		for _, kept := range streamSeeds {
+			play(kept.seed, kept.reason)
+		}
+		return
+	}
+	for seed := *seedFlag; seed < *seedFlag+*seedsFlag; seed++ {
+		play(seed, "nothing yet")
+	}
+}
+
 func soak(t *testing.T, options Options) {
 	seed, plan := options.Seed, NewPlan(options)
 	t.Logf("-soak.seed=%d -soak.duration=%s -soak.entries=%d -soak.replicas=%d: %d events, %d documents",
@@ -106,6 +137,9 @@
 	worst, undisturbed, inTouch := c.worstDelay()
 	t.Logf("seed %d: %d requests, %d acknowledgements, %d reads, starved: %s; longest from an acknowledgement to a request handled as before: %.2f s, undisturbed %.2f s, in touch %.2f s; %d requests refused out of touch",
 		seed, len(c.Observations), len(c.Acks), len(c.Reads), c.starved(), worst.Seconds(), undisturbed.Seconds(), inTouch.Seconds(), c.refusedOutOfTouch)
+	if options.Streams {
+		t.Logf("seed %d: %s", seed, c.streams())
+	}
 	if len(violations) == 0 && *keepFlag {
 		run.save(nil)
 		t.Logf("logs and report in %s", dir)
