Bound the time in which an answer may trickle in

What callers saw: a server that sends a byte now and then held a call until its caller's deadline, also where another server could have answered. In heads, chunk extensions and trailers this was so wherever the last attempt, or an application, had the deadline as its progress timeout; in bodies everywhere, since each read counted as progress.

Cause: net/http shows no byte of an unfinished head, chunk extension or trailer, and the watchdog can't tell one byte from many.

Change: the connection itself measures how fast a part of an answer (a head, an event, a body) arrives.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -250,6 +250,7 @@
 	}
 	wd.responded.Store(true)
 	wd.stop()
+	tracker.partRead()
 	pending := &pendingResponse{client: c, call: call, response: response, tracker: tracker, wd: wd, cancel: cancel}
 	// A connection is already idle if its response has no body.
 	pending.ended.Store(response.Body == http.NoBody)
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -4,12 +4,17 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
+
+	"waxwingcart/internal/answers"
 )
 
 var errSealed = errors.New("connection is closed for writing: its attempt was abandoned")
 
 // conn counts the bytes written to the network and can be sealed: bytes that are
-// not in the count that seal returns are never written.
+// not in the count that seal returns are never written. It also measures how fast
+// answers arrive, since net/http hands no byte of an unfinished head, chunk extension
+// or trailer to its caller.
 type conn struct {
 	net.Conn
 
@@ -17,6 +22,22 @@
 	written int64
 	sealed  bool
 	owner   *writeTracker
+	// pace is that of the part of an answer that is being read.
+	pace answers.Pace
+}
+
+// Read fails with an *answers.Error once the answer arrives too slowly.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slow := c.pace.Read(time.Now(), n); slow != nil {
+		return 0, slow
+	}
+	return n, err
 }
 
 // Write adds the bytes to the count before it writes them, so that the count is
@@ -45,9 +66,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.owner = owner
+	c.pace.Reset()
 	return c.written
 }
 
+// resetPace begins a new part if the given owner still owns the connection.
+func (c *conn) resetPace(owner *writeTracker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owner == owner {
+		c.pace.Reset()
+	}
+}
+
 // seal forbids further writes, closes the connection and returns the number of
 // bytes written. If another attempt owns the connection, seal leaves it unchanged
 // and returns false; this happens only after the exchange of the given owner has
@@ -102,6 +133,15 @@
 	t.conns = append(t.conns, trackedConn{counted, base})
 }
 
+// partRead begins the next part of the answer: the one before has been read.
+func (t *writeTracker) partRead() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tracked := range t.conns {
+		tracked.conn.resetPace(t)
+	}
+}
+
 // abandon seals the connections of the attempt and reports whether any byte may
 // have been written. If it returns false, none is written later either.
 func (t *writeTracker) abandon() bool {
--- a/internal/backend/passthrough.go
+++ b/internal/backend/passthrough.go
@@ -36,8 +36,7 @@
 	mediaType, _, _ := mime.ParseMediaType(p.Header.Get("Content-Type"))
 	if p.Status == http.StatusOK && mediaType == "text/event-stream" {
 		p.Events = true
-		pending.byEvent = true
-		p.events = NewEventReader(pending, c.opts.MaxEventBytes)
+		p.events = pending.newEvents()
 	}
 	return p, nil
 }
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"waxwingcart/internal/answers"
 )
 
 // watchdog cancels a call that makes no progress.
@@ -41,6 +43,14 @@
 	wd     *watchdog
 }
 
+// newEvents returns the reader of the body's events, each of which is a part.
+func (r *pendingResponse) newEvents() *EventReader {
+	r.byEvent = true
+	reader := NewEventReader(r, r.client.opts.MaxEventBytes)
+	reader.onEvent = r.tracker.partRead
+	return reader
+}
+
 // Read reads from the body. It counts as progress until the response header has
 // arrived.
 func (b singleUseBody) Read(data []byte) (int, error) {
@@ -86,6 +96,9 @@
 		r.client.CloseIdle(r.call.Address)
 		return n, r.fail(PhaseSilent, errNoProgress)
 	}
+	if answers.KindOf(err) != "" {
+		return n, r.fail(PhaseInvalid, err)
+	}
 	return n, r.fail(PhaseTruncated, err)
 }
 
--- a/internal/backend/sse.go
+++ b/internal/backend/sse.go
@@ -13,6 +13,8 @@
 type EventReader struct {
 	source *bufio.Reader
 	limit  int
+	// onEvent, if set, is called after each complete event, also one without data.
+	onEvent func()
 }
 
 // RawEvent is one server-sent event that has data.
@@ -41,6 +43,7 @@
 		}
 		size += len(line)
 		if len(line) == 0 {
+			r.eventRead()
 			if hasData {
 				return event, nil
 			}
@@ -64,6 +67,12 @@
 	}
 }
 
+func (r *EventReader) eventRead() {
+	if r.onEvent != nil {
+		r.onEvent()
+	}
+}
+
 // readLine returns the next line without its line ending. The slice is valid until
 // the next call.
 func (r *EventReader) readLine(limit int) ([]byte, error) {
@@ -118,6 +127,7 @@
 		}
 		trimmed := trimLineEnding(line)
 		if len(trimmed) == 0 {
+			r.eventRead()
 			return data, id, nil
 		}
 		if field, value := splitField(trimmed); field == "id" {
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -76,12 +76,11 @@
 		pending.Close()
 		return nil, err
 	}
-	pending.byEvent = true
 	return &Stream{
 		ID:      pending.response.Header.Get("X-Stream-Id"),
 		Header:  pending.response.Header,
 		pending: pending,
-		events:  NewEventReader(pending, c.opts.MaxEventBytes),
+		events:  pending.newEvents(),
 		next:    offset,
 	}, nil
 }
