Bound the length of a stream of events

What callers saw: a server that sends events without end kept its call, and the entry's processor, busy until the caller's deadline.

Cause: each event has a bound, a stream had none. Now a stream ends as invalid at 64 MiB, hundreds of times the longest answer of an engine; only one event of it is kept.

--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -46,6 +46,7 @@
 // newEvents returns the reader of the body's events, each of which is a part.
 func (r *pendingResponse) newEvents() *EventReader {
 	r.byEvent = true
+	r.limit = answers.MaxStreamBytes
 	reader := NewEventReader(r, r.client.opts.MaxEventBytes)
 	reader.onEvent = r.tracker.partRead
 	return reader
@@ -76,6 +77,8 @@
 	// byEvent is set if only complete events count as progress, not single
 	// bytes.
 	byEvent bool
+	// received counts the body's bytes of a stream, and limit bounds them.
+	received, limit int64
 }
 
 // Read reads from the body. Any error other than io.EOF is an *Error.
@@ -85,6 +88,10 @@
 		defer r.wd.stop()
 	}
 	n, err := r.response.Body.Read(data)
+	r.received += int64(n)
+	if r.limit > 0 && r.received > r.limit {
+		return 0, r.fail(PhaseInvalid, answers.TooLong(answers.KindBody, r.limit))
+	}
 	if err == nil {
 		return n, nil
 	}
