Bound the memory of all answers that are read at once

What callers saw: with 200 servers that answer without end, an entry on the smallest VM (184 MB) would have run out of memory, and all its callers with it.

Cause: each answer had a bound of its own, all together had none. 200 whole bodies may take 32 MiB each, 200 events 256 KiB each, and heads up to 17 times their 64 KiB. The queue of a stream held 64 events of any size for a caller that reads slowly.

Change: bodies and events share 32 MiB. Once that is used up, an answer may still take 64 KiB, so that short ones are read beside any number of long ones; a longer one fails. Heads end at 16 KiB, 256 lines and 16 interim responses, bodies at 16 MiB (32 MiB before), at once if the length says so. An event of 4 KiB or more is not queued (TestLargeEventsAreNotQueued). What the transport refuses in a body is now called invalid, not truncated.

--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -13,7 +13,7 @@
 const (
 	// MaxHeadBytes bounds the head, together with the interim (1xx) responses
 	// before it.
-	MaxHeadBytes = 32 << 10
+	MaxHeadBytes = 16 << 10
 	// MaxHeadLines bounds the header lines of a head.
 	MaxHeadLines = 256
 	// MaxInterim bounds the interim responses before a head.
--- a/internal/answers/pace.go
+++ b/internal/answers/pace.go
@@ -27,5 +27,8 @@
 	return nil
 }
 
+// Bytes returns the bytes of the part so far.
+func (p *Pace) Bytes() int64 { return p.bytes }
+
 // Reset begins a new part.
 func (p *Pace) Reset() { *p = Pace{} }
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -14,8 +14,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
+
+	"waxwingcart/internal/answers"
 )
 
 // Options configures a Client. Zero values take the defaults.
@@ -64,8 +67,6 @@
 	DefaultMaxErrorBytes    = 4 << 10
 )
 
-const maxHeaderBytes = 64 << 10
-
 func (o Options) withDefaults() Options {
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.ProgressTimeout, DefaultProgressTimeout)
@@ -91,6 +92,8 @@
 // Client calls servers by address. It is safe for concurrent use.
 type Client struct {
 	opts Options
+	// memory is shared by the bodies and events that are being read.
+	memory *answers.Memory
 	// unpooled serves requests that must not run twice, each on a new
 	// connection: a transport sends a request again on its own only if a reused
 	// connection fails.
@@ -104,7 +107,7 @@
 
 // New returns a client.
 func New(opts Options) *Client {
-	c := &Client{opts: opts.withDefaults(), pooled: make(map[string]*http.Transport)}
+	c := &Client{opts: opts.withDefaults(), memory: answers.NewMemory(answers.MaxMemory), pooled: make(map[string]*http.Transport)}
 	c.unpooled = c.newTransport()
 	c.unpooled.DisableKeepAlives = true
 	return c
@@ -152,7 +155,7 @@
 		DialContext:            c.dial,
 		MaxIdleConnsPerHost:    c.opts.MaxIdlePerServer,
 		IdleConnTimeout:        c.opts.IdleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: answers.MaxHeadBytes,
 		DisableCompression:     true,
 	}
 }
@@ -217,8 +220,14 @@
 	// It must be closed. A connection whose body was not read to its end is not
 	// reused.
 	Body io.ReadCloser
+
+	pending *pendingResponse
 }
 
+// ReadAll reads the whole body, which must not exceed limit bytes. Its errors are those
+// of Body.
+func (r *Response) ReadAll(limit int64) ([]byte, error) { return r.pending.readAll(limit) }
+
 // Do sends a request once and returns the response with any status. It returns an
 // error if the server refused to run the request.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
@@ -226,7 +235,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Status: pending.response.StatusCode, Header: pending.response.Header, Body: pending}, nil
+	return &Response{Status: pending.response.StatusCode, Header: pending.response.Header, Body: pending, pending: pending}, nil
 }
 
 // send sends the request and waits for the response header.
@@ -237,7 +246,7 @@
 	fail := func(err error) error {
 		defer cancel(context.Canceled)
 		wd.stop()
-		return c.callError(call, tracker, wd, err)
+		return c.callError(ctx, call, tracker, wd, err)
 	}
 
 	request, err := c.newRequest(ctx, call, tracker, wd)
@@ -251,7 +260,7 @@
 	wd.responded.Store(true)
 	wd.stop()
 	tracker.partRead()
-	pending := &pendingResponse{client: c, call: call, response: response, tracker: tracker, wd: wd, cancel: cancel}
+	pending := &pendingResponse{client: c, call: call, response: response, tracker: tracker, wd: wd, cancel: cancel, share: c.memory.Share()}
 	// A connection is already idle if its response has no body.
 	pending.ended.Store(response.Body == http.NoBody)
 	if err := pending.check(); err != nil {
@@ -264,7 +273,8 @@
 // newRequest builds the HTTP request.
 func (c *Client) newRequest(ctx context.Context, call Call, tracker *writeTracker, wd *watchdog) (*http.Request, error) {
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { tracker.track(info.Conn) },
+		GotConn:        func(info httptrace.GotConnInfo) { tracker.track(info.Conn) },
+		Got1xxResponse: countInterim(),
 	}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	ctx = context.WithValue(ctx, dialTimeoutKey{}, call.DialTimeout)
@@ -286,13 +296,30 @@
 	return request, nil
 }
 
+// countInterim returns a function that fails after too many interim responses. Each of
+// them has the bound of a head.
+func countInterim() func(int, textproto.MIMEHeader) error {
+	seen := 0
+	return func(int, textproto.MIMEHeader) error {
+		if seen++; seen > answers.MaxInterim {
+			return &answers.Error{Kind: answers.KindInterim, Detail: fmt.Sprintf("more than %d interim responses", answers.MaxInterim)}
+		}
+		return nil
+	}
+}
+
 // callError returns the error of a call that got no response.
-func (c *Client) callError(call Call, tracker *writeTracker, wd *watchdog, err error) error {
+func (c *Client) callError(ctx context.Context, call Call, tracker *writeTracker, wd *watchdog, err error) error {
 	callErr := &Error{Step: call.Step, Peer: call.Address, Phase: PhaseDial, Err: err}
+	size, readable := tracker.partSize()
+	headTooLong := readable && size >= answers.MaxHeadBytes && answers.KindOf(err) == "" && ctx.Err() == nil
 	if !tracker.abandon() {
 		return callErr
 	}
 	callErr.Phase = PhaseHandedOver
+	if headTooLong {
+		callErr.Err = answers.TooLong(answers.KindHead, answers.MaxHeadBytes)
+	}
 	if wd.fired() {
 		callErr.Phase = PhaseSilent
 		callErr.Err = errNoProgress
@@ -314,6 +341,9 @@
 	if named, ok := protocol.BelongsTo(r.call, header); !ok {
 		return r.fail(PhaseInvalid, fmt.Errorf("%w: %.60q", errOtherRequest, named))
 	}
+	if lines := headerLines(header); lines > answers.MaxHeadLines {
+		return r.fail(PhaseInvalid, &answers.Error{Kind: answers.KindHead, Detail: fmt.Sprintf("%d header lines, more than %d", lines, answers.MaxHeadLines)})
+	}
 	if notify := r.client.opts.OnLeaving; notify != nil && protocol.Leaving(r.response.StatusCode, header) {
 		notify(r.call)
 	}
@@ -326,6 +356,14 @@
 	return nil
 }
 
+func headerLines(header http.Header) int {
+	lines := 0
+	for _, values := range header {
+		lines += len(values)
+	}
+	return lines
+}
+
 // statusError returns an error with the status and the beginning of the body.
 func (r *pendingResponse) statusError() error {
 	text, _ := io.ReadAll(io.LimitReader(r, r.client.opts.MaxErrorBytes))
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -22,6 +22,8 @@
 	written int64
 	sealed  bool
 	owner   *writeTracker
+	// readErr is the error that ended reading.
+	readErr error
 	// pace is that of the part of an answer that is being read.
 	pace answers.Pace
 }
@@ -29,11 +31,14 @@
 // Read fails with an *answers.Error once the answer arrives too slowly.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.readErr = err
+	}
 	if n == 0 {
 		return n, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if slow := c.pace.Read(time.Now(), n); slow != nil {
 		return 0, slow
 	}
@@ -142,6 +147,20 @@
 	}
 }
 
+// partSize returns the bytes of the part that is being read, and whether its connection
+// can still be read.
+func (t *writeTracker) partSize() (bytes int64, readable bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.conns) == 0 {
+		return 0, false
+	}
+	last := t.conns[len(t.conns)-1].conn
+	last.mu.Lock()
+	defer last.mu.Unlock()
+	return last.pace.Bytes(), last.owner == t && last.readErr == nil
+}
+
 // abandon seals the connections of the attempt and reports whether any byte may
 // have been written. If it returns false, none is written later either.
 func (t *writeTracker) abandon() bool {
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -8,9 +8,9 @@
 	"io"
 	"net/http"
 	"strconv"
-)
 
-var errTooLarge = errors.New("response exceeds the size limit")
+	"waxwingcart/internal/answers"
+)
 
 // Cancel cancels a stream at its engine. It succeeds if the engine does not have
 // the stream.
@@ -153,17 +153,20 @@
 	if pending.response.StatusCode/100 != 2 {
 		return nil, pending.responseError()
 	}
-	if pending.response.ContentLength > limit {
-		return nil, pending.fail(PhaseInvalid, errTooLarge)
+	if limit > answers.MaxBodyBytes {
+		return pending.readLarge(limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(pending, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, pending.fail(PhaseInvalid, errTooLarge)
+	return pending.readAll(limit)
+}
+
+// readLarge reads a body that may be larger than the memory that answers share, such
+// as a KV cache.
+func (r *pendingResponse) readLarge(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, r.fail(PhaseInvalid, answers.TooLong(answers.KindBody, limit))
 	}
-	return body, nil
+	return body, err
 }
 
 // responseError returns the error of a response with an error status.
--- a/internal/backend/endlessmemory_test.go
+++ b/internal/backend/endlessmemory_test.go
@@ -35,9 +35,10 @@
 func TestEndlessAnswersShareMemory(t *testing.T) {
 	const maxMemory = 90 << 20
 	for name, answer := range map[string]string{
-		"bodies": endlessHead + "Content-Length: 100000000\r\n\r\n" + strings.Repeat("x", 1<<20),
-		"events": endlessEvents + "id: 0\ndata: " + strings.Repeat("x", 200<<10),
-		"heads":  manyHeaders(60<<10) + "Content-Length: 100000000\r\n\r\n",
+		"bodies":                 endlessHead + "Content-Length: 10000000\r\n\r\n" + strings.Repeat("x", 1<<20),
+		"events":                 endlessEvents + "id: 0\ndata: " + strings.Repeat("x", 200<<10),
+		"heads":                  manyHeaders(60<<10) + "Content-Length: 100000000\r\n\r\n",
+		"heads within the bound": manyHeaders(15 << 10),
 	} {
 		t.Run(name, func(t *testing.T) {
 			before := liveMemory()
--- a/internal/backend/passthrough.go
+++ b/internal/backend/passthrough.go
@@ -69,11 +69,7 @@
 // Body reads the whole body of a response that is not a stream. The body must not
 // exceed limit bytes.
 func (p *Passthrough) Body(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(p.pending, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, p.pending.fail(PhaseInvalid, fmt.Errorf("response exceeds %d bytes", limit))
-	}
-	return body, err
+	return p.pending.readAll(limit)
 }
 
 // SetProgressTimeout sets the progress timeout from the next event on.
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -49,9 +49,24 @@
 	r.limit = answers.MaxStreamBytes
 	reader := NewEventReader(r, r.client.opts.MaxEventBytes)
 	reader.onEvent = r.tracker.partRead
+	reader.share = r.share
 	return reader
 }
 
+// readAll reads the whole body, which must not exceed limit bytes.
+func (r *pendingResponse) readAll(limit int64) ([]byte, error) {
+	if r.response.ContentLength > limit {
+		return nil, r.fail(PhaseInvalid, answers.TooLong(answers.KindBody, limit))
+	}
+	defer r.share.Close()
+	body, err := r.share.ReadAll(r, limit)
+	var callErr *Error
+	if err != nil && !errors.As(err, &callErr) {
+		return nil, r.fail(PhaseInvalid, err)
+	}
+	return body, err
+}
+
 // Read reads from the body. It counts as progress until the response header has
 // arrived.
 func (b singleUseBody) Read(data []byte) (int, error) {
@@ -79,6 +94,8 @@
 	byEvent bool
 	// received counts the body's bytes of a stream, and limit bounds them.
 	received, limit int64
+	// share is the memory that the body or event takes.
+	share *answers.Share
 }
 
 // Read reads from the body. Any error other than io.EOF is an *Error.
@@ -106,6 +123,10 @@
 	if answers.KindOf(err) != "" {
 		return n, r.fail(PhaseInvalid, err)
 	}
+	if _, readable := r.tracker.partSize(); readable && r.response.Request.Context().Err() == nil {
+		// The transport has refused bytes that have arrived.
+		return n, r.fail(PhaseInvalid, &answers.Error{Kind: answers.KindFraming, Detail: err.Error()})
+	}
 	return n, r.fail(PhaseTruncated, err)
 }
 
@@ -113,6 +134,7 @@
 // and its connection is closed.
 func (r *pendingResponse) Close() error {
 	r.wd.stop()
+	r.share.Close()
 	if !r.ended.Load() {
 		r.tracker.abandon()
 	}
--- a/internal/backend/sse.go
+++ b/internal/backend/sse.go
@@ -5,14 +5,16 @@
 	"bytes"
 	"errors"
 	"io"
-)
 
-var errEventTooLarge = errors.New("event exceeds the size limit")
+	"waxwingcart/internal/answers"
+)
 
 // EventReader reads server-sent events.
 type EventReader struct {
 	source *bufio.Reader
 	limit  int
+	// share, if set, is the memory that an event takes.
+	share *answers.Share
 	// onEvent, if set, is called after each complete event, also one without data.
 	onEvent func()
 }
@@ -36,12 +38,16 @@
 	var event RawEvent
 	hasData := false
 	size := 0
+	_ = r.hold(0)
 	for {
 		line, err := r.readLine(r.limit - size)
 		if err != nil {
 			return RawEvent{}, err
 		}
 		size += len(line)
+		if err := r.hold(size); err != nil {
+			return RawEvent{}, err
+		}
 		if len(line) == 0 {
 			r.eventRead()
 			if hasData {
@@ -67,6 +73,22 @@
 	}
 }
 
+// smallEvent is the size of an event up to which its memory is not counted.
+const smallEvent = 4 << 10
+
+// hold sets the bytes that the current event takes. Its buffers may be twice as large.
+func (r *EventReader) hold(bytes int) error {
+	switch {
+	case r.share == nil:
+		return nil
+	case bytes <= smallEvent:
+		r.share.Close()
+		return nil
+	default:
+		return r.share.Set(2 * int64(bytes))
+	}
+}
+
 func (r *EventReader) eventRead() {
 	if r.onEvent != nil {
 		r.onEvent()
@@ -80,11 +102,14 @@
 	for {
 		part, err := r.source.ReadSlice('\n')
 		if len(whole)+len(part) > limit+2 {
-			return nil, errEventTooLarge
+			return nil, answers.TooLong(answers.KindEvent, int64(r.limit))
 		}
 		if err == nil && whole == nil {
 			return trimLineEnding(part), nil
 		}
+		if err := r.hold(r.limit - limit + len(whole) + len(part)); err != nil {
+			return nil, err
+		}
 		whole = append(whole, part...)
 		if err == nil {
 			return trimLineEnding(whole), nil
@@ -111,10 +136,14 @@
 // line at its end, and its ID, which may be empty. It returns io.EOF at the end
 // of the input, and io.ErrUnexpectedEOF if the input ends within an event.
 func (r *EventReader) NextBytes() (data []byte, id string, err error) {
+	_ = r.hold(0)
 	for {
 		line, err := r.source.ReadSlice('\n')
 		if len(data)+len(line) > r.limit {
-			return nil, "", errEventTooLarge
+			return nil, "", answers.TooLong(answers.KindEvent, int64(r.limit))
+		}
+		if err := r.hold(len(data) + len(line)); err != nil {
+			return nil, "", err
 		}
 		data = append(data, line...)
 		switch {
--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
-	"waxwingcart/internal/backend"
+	"waxwingcart/internal/answers"
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/retry"
@@ -26,8 +24,6 @@
 	http.StatusGatewayTimeout:     true,
 }
 
-var errAnswerTooLarge = errors.New("answer is too large")
-
 // appResult is the result of a call to an application server.
 type appResult struct {
 	answer *answer
@@ -117,10 +113,7 @@
 	}
 	defer response.Body.Close()
 	a.post(ctx, streamEvent{event: request.Opened{Attempt: a.number}})
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = &backend.Error{Step: "read answer", Peer: server.Address, Phase: backend.PhaseInvalid, Err: errAnswerTooLarge}
-	}
+	body, err := response.ReadAll(answers.MaxBodyBytes)
 	if err != nil {
 		result.err = err
 		return result
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -22,7 +22,6 @@
 const (
 	cancelTimeout  = 2 * time.Second
 	moveTimeout    = 20 * time.Second
-	maxAnswerBytes = 32 << 20
 	maxExportBytes = 1 << 30
 )
 
@@ -261,11 +260,26 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// post sends an event to the request's loop, unless the attempt is over. It
-// reports whether it did.
+// largeEvent is the size in bytes from which an event of a stream is not queued: a
+// caller that reads slowly would make the entry hold many of them.
+const largeEvent = 4 << 10
+
+// post sends an event to the request's loop, unless the attempt is over, and waits
+// until a large one has been processed. It reports whether it did.
 func (a *attempt) post(ctx context.Context, ev streamEvent) bool {
+	if len(ev.data) >= largeEvent {
+		ev.handled = make(chan struct{})
+	}
 	select {
 	case a.run.stream <- ev:
+	case <-ctx.Done():
+		return false
+	}
+	if ev.handled == nil {
+		return true
+	}
+	select {
+	case <-ev.handled:
 		return true
 	case <-ctx.Done():
 		return false
--- a/internal/entry/passthrough.go
+++ b/internal/entry/passthrough.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 
+	"waxwingcart/internal/answers"
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/core/request"
 )
@@ -47,7 +48,7 @@
 
 // forwardWholeAnswer posts a whole answer, unless another server should be tried.
 func (a *attempt) forwardWholeAnswer(ctx context.Context, upstream *backend.Passthrough, head *answer) {
-	body, err := upstream.Body(maxAnswerBytes)
+	body, err := upstream.Body(answers.MaxBodyBytes)
 	if err != nil {
 		a.fail(ctx, err)
 		return
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -33,6 +33,8 @@
 	// answer is the whole answer of an application, or the status and header
 	// of a routed call's stream.
 	answer *answer
+	// handled, if set, is closed once the event has been processed.
+	handled chan struct{}
 }
 
 // answer is a whole HTTP answer.
@@ -145,6 +147,9 @@
 }
 
 func (r *run) handleStreamEvent(ev streamEvent) {
+	if ev.handled != nil {
+		defer close(ev.handled)
+	}
 	r.token = ev.data
 	if ev.answer != nil {
 		r.answer = ev.answer
