Bound the answers of other processes

What callers saw: a replica or entry that answers without end could fill the memory of the process that called it.

Cause: only the server's side bounded a call. The client read heads up to 10 MiB, which take a multiple in memory, and bodies up to the call's deadline: at the speed of a local network hundreds of MB.

Change: a head has the bound of a backend server's, a body 16 MiB, several times the longest configuration, and all together share 32 MiB. Answers are no longer accepted compressed, where few bytes may stand for many. Each call has a deadline, so that time is bounded already; an answer that exceeds a bound is never read to its end, so that its connection is closed.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+
+	"waxwingcart/internal/answers"
 )
 
 // Limits on calls between processes.
@@ -26,6 +28,9 @@
 	maxIdleConnsPerPeer = 16
 	// MaxBodyBytes bounds the body of one call.
 	MaxBodyBytes = 64 << 20
+	// maxAnswerBytes bounds the body of one answer, which is several times as long
+	// as the largest configuration.
+	maxAnswerBytes = 16 << 20
 )
 
 // Key authenticates the processes of a deployment to each other.
@@ -72,6 +77,8 @@
 type Client struct {
 	secret string
 	http   *http.Client
+	// memory is shared by the answers that are being read.
+	memory *answers.Memory
 }
 
 // NewClient returns a client that authenticates with the secret.
@@ -79,17 +86,26 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		secret: secret,
+		memory: answers.NewMemory(answers.MaxMemory),
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 			IdleConnTimeout:     idleConnTimeout,
+
+			MaxResponseHeaderBytes: answers.MaxHeadBytes,
+			// A compressed answer could be longer than its bytes.
+			DisableCompression: true,
 		}},
 	}
 }
 
 // Separate returns a client with the same secret and connections of its own, so that
 // closing them affects no other calls.
-func (c *Client) Separate() *Client { return NewClient(c.secret) }
+func (c *Client) Separate() *Client {
+	separate := NewClient(c.secret)
+	separate.memory = c.memory
+	return separate
+}
 
 // CloseIdleConnections makes the next calls use new connections.
 func (c *Client) CloseIdleConnections() { c.http.CloseIdleConnections() }
@@ -100,6 +116,9 @@
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	req.Header.Set("Authorization", "Bearer "+c.secret)
 	response, err := c.http.Do(req)
+	if err == nil {
+		response.Body = answers.LimitBody(response.Body, maxAnswerBytes, c.memory.Share())
+	}
 	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		c.http.CloseIdleConnections()
 	}
