Log and count answers that exceed a bound

Each such answer gives one line, step="endless answer", with the server or peer, the kind and, for backend servers, the request and attempt; and counts in waxwingcart_entry_endless_answers_total (backend servers) or waxwingcart_endless_answers_total (other processes, the platform). Before, only the text of the attempt's error told it, and reports and hedges told nothing.

A body of exactly 16 MiB was refused as exceeding the shared memory, since the last step of its buffer was counted twice; TestLongestBody failed before, passes now.

--- a/internal/answers/body.go
+++ b/internal/answers/body.go
@@ -7,13 +7,24 @@
 	io.ReadCloser
 	limit, read int64
 	share       *Share
+	report      func(error)
 }
 
 // LimitBody returns a body that fails with an *Error once it exceeds limit bytes. The
 // share, which may be nil, holds twice the bytes read until the body is closed, since
-// the reader's buffer grows by copying.
-func LimitBody(body io.ReadCloser, limit int64, share *Share) io.ReadCloser {
-	return &limitedBody{ReadCloser: body, limit: limit, share: share}
+// the reader's buffer grows by copying. Report, which may be nil, is called with the
+// *Error.
+func LimitBody(body io.ReadCloser, limit int64, share *Share, report func(error)) io.ReadCloser {
+	return &limitedBody{ReadCloser: body, limit: limit, share: share, report: report}
+}
+
+// fail reports and returns an error.
+func (b *limitedBody) fail(err error) error {
+	if b.report != nil {
+		b.report(err)
+		b.report = nil
+	}
+	return err
 }
 
 // Read implements io.Reader.
@@ -26,11 +37,11 @@
 	}
 	n, err := b.ReadCloser.Read(data)
 	if b.read += int64(n); b.read > b.limit {
-		return n - 1, TooLong(KindBody, b.limit)
+		return n - 1, b.fail(TooLong(KindBody, b.limit))
 	}
 	if b.share != nil && b.read > firstBytes {
 		if err := b.share.Set(2 * b.read); err != nil {
-			return 0, err
+			return 0, b.fail(err)
 		}
 	}
 	return n, err
--- a/internal/answers/body_test.go
+++ b/internal/answers/body_test.go
@@ -19,11 +19,15 @@
 		{ReservedBytes / 2, 0, ""}, {ReservedBytes, 0, KindMemory},
 	} {
 		m := NewMemory(test.size)
-		body := LimitBody(io.NopCloser(strings.NewReader(strings.Repeat("x", test.length))), limit, m.Share())
+		var reported []Kind
+		body := LimitBody(io.NopCloser(strings.NewReader(strings.Repeat("x", test.length))), limit, m.Share(), func(err error) { reported = append(reported, KindOf(err)) })
 		data, err := io.ReadAll(body)
 		if KindOf(err) != test.want || err == nil && len(data) != test.length || len(data) > limit {
 			t.Errorf("%d bytes, memory of %d: got %d bytes and %v, want kind %q", test.length, test.size, len(data), err, test.want)
 		}
+		if test.want == "" && len(reported) > 0 || test.want != "" && (len(reported) != 1 || reported[0] != test.want) {
+			t.Errorf("%d bytes: reported %q, want %q", test.length, reported, test.want)
+		}
 		if _, again := body.Read(make([]byte, 1)); test.want == KindBody && KindOf(again) != KindBody {
 			t.Errorf("%d bytes: reading on gave %v", test.length, again)
 		}
--- a/internal/answers/memory.go
+++ b/internal/answers/memory.go
@@ -81,7 +81,10 @@
 // grow doubles the capacity, at most to the limit and the byte that exceeds it. Both
 // the old and the new bytes are held while they are copied.
 func (s *Share) grow(data []byte, limit int64) ([]byte, error) {
-	size := min(2*int64(cap(data)), limit+1)
+	size := 2 * int64(cap(data))
+	if size >= limit {
+		size = limit + 1
+	}
 	if err := s.Set(int64(cap(data)) + size); err != nil {
 		return nil, err
 	}
--- a/internal/answers/memory_test.go
+++ b/internal/answers/memory_test.go
@@ -68,3 +68,16 @@
 		t.Errorf("got %v, want the error of the reader", err)
 	}
 }
+
+// One answer alone may be as long as its bound allows.
+func TestLongestBody(t *testing.T) {
+	m := NewMemory(MaxMemory)
+	for length, want := range map[int]Kind{MaxBodyBytes: "", MaxBodyBytes + 1: KindBody} {
+		share := m.Share()
+		data, err := share.ReadAll(bytes.NewReader(make([]byte, length)), MaxBodyBytes)
+		if KindOf(err) != want || err == nil && len(data) != length {
+			t.Errorf("%d bytes: got %d and %v, want kind %q", length, len(data), err, want)
+		}
+		share.Close()
+	}
+}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -53,6 +53,9 @@
 	// OnPause is called in the same way with each call whose response has status 503
 	// and a Retry-After header.
 	OnPause func(call Call, header http.Header)
+	// OnEndless is called in the same way with each call whose response exceeds a
+	// bound; the error is an *answers.Error.
+	OnEndless func(call Call, err error)
 }
 
 // The defaults of Options.
@@ -320,6 +323,7 @@
 	if headTooLong {
 		callErr.Err = answers.TooLong(answers.KindHead, answers.MaxHeadBytes)
 	}
+	c.reportEndless(call, callErr.Err)
 	if wd.fired() {
 		callErr.Phase = PhaseSilent
 		callErr.Err = errNoProgress
@@ -356,6 +360,13 @@
 	return nil
 }
 
+// reportEndless calls OnEndless if the error is that of a response that exceeds a bound.
+func (c *Client) reportEndless(call Call, err error) {
+	if c.opts.OnEndless != nil && answers.KindOf(err) != "" {
+		c.opts.OnEndless(call, err)
+	}
+}
+
 func headerLines(header http.Header) int {
 	lines := 0
 	for _, values := range header {
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -144,6 +144,7 @@
 
 // fail returns an error of the call with the given phase and cause.
 func (r *pendingResponse) fail(phase Phase, err error) *Error {
+	r.client.reportEndless(r.call, err)
 	return &Error{
 		Step:       r.call.Step,
 		Peer:       r.call.Address,
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -23,6 +23,7 @@
 	streamMoves      *prometheus.CounterVec
 	serverPauses     *prometheus.CounterVec
 	serversLeaving   *prometheus.CounterVec
+	endlessAnswers   *prometheus.CounterVec
 }
 
 // latencyBuckets holds the upper bounds of the histograms' buckets in seconds.
@@ -48,6 +49,7 @@
 		serverPrice:      newGaugeVec("backend_server_price_per_hour", "Price of a backend server's VM hour.", "service", "server"),
 		serverPauses:     newCounterVec("server_pauses_total", "Answers with which backend servers asked for a pause, by treatment.", "treatment"),
 		serversLeaving:   newCounterVec("servers_leaving_total", "Backend servers that said that they leave, by how this entry learned it.", "source"),
+		endlessAnswers:   newCounterVec("endless_answers_total", "Answers of backend servers that exceeded a bound, by kind.", "kind"),
 		streamMoves:      newCounterVec("stream_moves_total", "Streams moved off leaving backend servers, by way.", "way"),
 	}
 	m.lateEvents = prometheus.NewCounter(prometheus.CounterOpts{
@@ -55,7 +57,7 @@
 		Help: "Events dropped because their attempt was over.",
 	})
 	registry.MustRegister(m.inFlight, m.draining, m.revision, m.placement, m.withoutServer, m.configFetches, m.outcomes, m.attempts, m.retries, m.retryBudget,
-		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.serversLeaving, m.serverPauses)
+		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.serversLeaving, m.serverPauses, m.endlessAnswers)
 	return m
 }
 
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -46,9 +46,11 @@
 
 func (e *Entry) backendOptions() backend.Options {
 	if e.opts.Routed == nil {
-		return backend.Options{}
+		return backend.Options{OnEndless: e.endlessAnswer}
+	}
+	return backend.Options{
+		Protocol: e.opts.Routed.Backends, OnLeaving: e.serverLeaving, OnPause: e.serverPause, OnEndless: e.endlessAnswer,
 	}
-	return backend.Options{Protocol: e.opts.Routed.Backends, OnLeaving: e.serverLeaving, OnPause: e.serverPause}
 }
 
 // routedConfig returns a configuration with the services of a routing table.
--- a/internal/process/hosted.go
+++ b/internal/process/hosted.go
@@ -97,13 +97,13 @@
 
 // configureHostedReplica adds the interfaces to the hosting platform to a
 // replica's options.
-func configureHostedReplica(process *settings.Process, opts *replica.Options) {
+func configureHostedReplica(process *settings.Process, endless *endlessAnswers, opts *replica.Options) {
 	hosted := process.Hosted
 	if hosted == nil {
 		return
 	}
 	opts.Platform = ""
-	api := platform.NewAPI(process.Platform)
+	api := platform.NewAPI(process.Platform, endless.from(sourcePlatform))
 	opts.Duties = &replica.DutyOptions{
 		UsageWindow:    time.Duration(hosted.UsageWindowS * float64(time.Second)),
 		LeaseWait:      milliseconds(hosted.DutyLeaseMS),
@@ -116,7 +116,7 @@
 
 // configureHostedEntry adds the interfaces to the hosting platform to an entry's
 // options.
-func configureHostedEntry(process *settings.Process, opts *entry.Options) {
+func configureHostedEntry(process *settings.Process, endless *endlessAnswers, opts *entry.Options) {
 	hosted := process.Hosted
 	if hosted == nil {
 		return
@@ -125,7 +125,7 @@
 	opts.AcceptWhileDraining = time.Duration(acceptFraction * hosted.GraceS * float64(time.Second))
 	opts.Routed = &entry.RoutedOptions{
 		Decode:      platform.DecodeDocument,
-		Discover:    platform.NewAPI(process.Platform).List,
+		Discover:    platform.NewAPI(process.Platform, endless.from(sourcePlatform)).List,
 		Callers:     platform.CallerProtocol{},
 		Backends:    platform.BackendProtocol{},
 		UsageWindow: time.Duration(hosted.UsageWindowS * float64(time.Second)),
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -59,6 +59,7 @@
 			observe.NewRegistry,
 			observe.NewDump,
 			readKeys,
+			newEndlessAnswers,
 			newClient,
 			newReplicas,
 			newReplica,
@@ -120,7 +121,11 @@
 	return key, nil
 }
 
-func newClient(keys Keys) *rpc.Client { return rpc.NewClient(keys.Peer) }
+func newClient(keys Keys, endless *endlessAnswers) *rpc.Client {
+	client := rpc.NewClient(keys.Peer)
+	client.OnEndless(endless.from(sourceProcess))
+	return client
+}
 
 func newReplicas(process *settings.Process, client *rpc.Client) *rpc.Replicas {
 	return rpc.NewReplicas(client, replicaAddresses(process))
@@ -135,7 +140,7 @@
 }
 
 // newReplica returns nil if the process does not have the replica role.
-func newReplica(lc fx.Lifecycle, shutdown fx.Shutdowner, process *settings.Process, client *rpc.Client, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) (*replica.Replica, error) {
+func newReplica(lc fx.Lifecycle, shutdown fx.Shutdowner, process *settings.Process, client *rpc.Client, endless *endlessAnswers, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) (*replica.Replica, error) {
 	if !process.HasRole(settings.RoleReplica) {
 		return nil, nil
 	}
@@ -152,7 +157,7 @@
 		Fail:      func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) },
 	}
 	opts.ReplaceAfter = milliseconds(process.ReplaceVoterMS)
-	configureHostedReplica(process, &opts)
+	configureHostedReplica(process, endless, &opts)
 	r, err := replica.New(opts)
 	if err != nil {
 		return nil, err
@@ -166,7 +171,7 @@
 }
 
 // newEntry returns nil if the process does not have the entry role.
-func newEntry(lc fx.Lifecycle, process *settings.Process, keys Keys, client *rpc.Client, replicas *rpc.Replicas, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) *entry.Entry {
+func newEntry(lc fx.Lifecycle, process *settings.Process, keys Keys, client *rpc.Client, replicas *rpc.Replicas, endless *endlessAnswers, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) *entry.Entry {
 	if !process.HasRole(settings.RoleEntry) {
 		return nil
 	}
@@ -190,7 +195,7 @@
 			opts.Peers = append(opts.Peers, entry.Peer(peer))
 		}
 	}
-	configureHostedEntry(process, &opts)
+	configureHostedEntry(process, endless, &opts)
 	e := entry.New(opts)
 	dump.Add("entry", func() any { return e.State() })
 	lc.Append(fx.Hook{
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -79,6 +79,18 @@
 	http   *http.Client
 	// memory is shared by the answers that are being read.
 	memory *answers.Memory
+	// onEndless, if set, is called with each answer that exceeds a bound.
+	onEndless func(peer string, err error)
+}
+
+// OnEndless sets a function that is called with each answer that exceeds a bound, whose
+// error is an *answers.Error. It must be called before the first call.
+func (c *Client) OnEndless(report func(peer string, err error)) { c.onEndless = report }
+
+func (c *Client) reportEndless(peer string, err error) {
+	if c.onEndless != nil && answers.KindOf(err) != "" {
+		c.onEndless(peer, err)
+	}
 }
 
 // NewClient returns a client that authenticates with the secret.
@@ -103,7 +115,7 @@
 // closing them affects no other calls.
 func (c *Client) Separate() *Client {
 	separate := NewClient(c.secret)
-	separate.memory = c.memory
+	separate.memory, separate.onEndless = c.memory, c.onEndless
 	return separate
 }
 
@@ -116,8 +128,11 @@
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	req.Header.Set("Authorization", "Bearer "+c.secret)
 	response, err := c.http.Do(req)
+	err = answers.HeadError(err)
+	c.reportEndless(req.URL.Host, err)
 	if err == nil {
-		response.Body = answers.LimitBody(response.Body, maxAnswerBytes, c.memory.Share())
+		report := func(err error) { c.reportEndless(req.URL.Host, err) }
+		response.Body = answers.LimitBody(response.Body, maxAnswerBytes, c.memory.Share(), report)
 	}
 	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		c.http.CloseIdleConnections()
