Check what callers of servers without end are told

TestHostedEndlessAnswers, with real processes: a request that may be repeated gets the answer of the other server, one that may not gets 502 after one run, a stream does not look complete, and the entry counts each kind. BenchmarkHostedEndless measures other callers' latency and the entry's memory beside 200 such calls.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -59,7 +59,7 @@
 // under test listens on it.
 var nextPort = 10_000 + rand.IntN(15_000)
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for range 1000 {
 		nextPort++
@@ -86,7 +86,7 @@
 // cluster is a deployment under test; servers holds the addresses of the
 // stand-ins by name.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	vms     map[string]*vm
 	servers map[string]string
--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -30,7 +30,7 @@
 	violations []string
 }
 
-func newHostedPlatform(t *testing.T) *hostedPlatform {
+func newHostedPlatform(t testing.TB) *hostedPlatform {
 	p := &hostedPlatform{usage: make(map[uint64]map[string]uint64), holders: make(map[string]string)}
 	router := http.NewServeMux()
 	router.HandleFunc("GET /instances", p.listInstances)
@@ -41,7 +41,7 @@
 }
 
 // serveLoopback serves a handler until the test ends and returns its address.
-func serveLoopback(t *testing.T, address string, handler http.Handler) string {
+func serveLoopback(t testing.TB, address string, handler http.Handler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -138,6 +138,8 @@
 	stall guardedBool
 	// pause makes it refuse requests and ask for a pause of that many seconds.
 	pause guardedInt
+	// endless names the answer without end that it gives to each request, or is "".
+	endless atomic.Pointer[string]
 	// leaving makes all its answers say that it leaves.
 	leaving guardedBool
 	// cutAfter aborts a stream after that many events; negative means never.
@@ -174,7 +176,7 @@
 
 const streamEvents = 20
 
-func (p *hostedPlatform) addEngine(t *testing.T, id, service string) *hostedEngine {
+func (p *hostedPlatform) addEngine(t testing.TB, id, service string) *hostedEngine {
 	e := newHostedEngine(id, service)
 	e.address = serveLoopback(t, "127.0.0.1:0", e)
 	p.mu.Lock()
@@ -239,6 +241,10 @@
 	e.runs[id]++
 	e.headers[id] = req.Header.Clone()
 	e.mu.Unlock()
+	if name := e.endless.Load(); name != nil {
+		e.answerEndless(w, id, *name)
+		return
+	}
 	w.Header().Set("Waxwingcart-Stamp", "stamp-"+e.id)
 	w.Header().Set("Waxwingcart-Load", "1,0,8")
 	if e.fail.Load() {
--- a/internal/e2e/hosted_test.go
+++ b/internal/e2e/hosted_test.go
@@ -29,7 +29,7 @@
 
 // freeNetwork returns the second octet of a range of loopback addresses that no
 // other run of these tests uses.
-func freeNetwork(t *testing.T) int {
+func freeNetwork(t testing.TB) int {
 	t.Helper()
 	for range 1000 {
 		network := 10 + rand.IntN(200)
@@ -47,7 +47,7 @@
 
 // newHostedCluster starts three replicas, all with the bootstrap setting, and
 // entries.
-func newHostedCluster(t *testing.T, entries int) *hostedCluster {
+func newHostedCluster(t testing.TB, entries int) *hostedCluster {
 	t.Helper()
 	h := &hostedCluster{
 		cluster:  &cluster{t: t, dir: t.TempDir(), vms: make(map[string]*vm)},
