Let stand-ins answer without end

A fault of the stand-ins, {"endless": "body"}, plays each kind of answer without end, so that deployments under test, the demo and the soak can have it. The soak doesn't use it yet.

--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -33,6 +33,9 @@
 	HoldAfter *int `json:"hold_after,omitempty"`
 	// Garbage makes load reports and stream events invalid.
 	Garbage *bool `json:"garbage,omitempty"`
+	// Endless answers each request, without running it, with bytes that have no end:
+	// head, interim, framing, event, body or slow; "" turns it off.
+	Endless *string `json:"endless,omitempty"`
 }
 
 // connNumberKey is the context key for the number of a request's connection.
@@ -54,6 +57,7 @@
 	truncateAfter  int
 	holdAfter      int
 	garbage        bool
+	endless        string
 }
 
 func newFaults() *faults {
@@ -69,6 +73,12 @@
 	if !readJSON(w, r, &request) {
 		return
 	}
+	if request.Endless != nil && *request.Endless != "" {
+		if _, known := endlessAnswers[*request.Endless]; !known {
+			http.Error(w, "unknown answer without end", http.StatusBadRequest)
+			return
+		}
+	}
 	f.set(request)
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
@@ -87,6 +97,7 @@
 	assign(&f.truncateAfter, request.TruncateAfter)
 	assign(&f.holdAfter, request.HoldAfter)
 	assign(&f.garbage, request.Garbage)
+	assign(&f.endless, request.Endless)
 	if request.DelayMS != nil {
 		f.delay = time.Duration(*request.DelayMS) * time.Millisecond
 	}
@@ -140,10 +151,15 @@
 		}
 		f.mu.Lock()
 		delay, refusing := f.delay, f.refuse
+		endless, isEndless := endlessAnswers[f.endless]
 		f.mu.Unlock()
 		if !sleep(r.Context(), delay) {
 			panic(http.ErrAbortHandler)
 		}
+		if isEndless {
+			sendEndless(w, endless)
+			return
+		}
 		if refusing {
 			refuse(w, http.StatusServiceUnavailable, "refused")
 			return
