--- a/internal/backend/passthrough.go
+++ b/internal/backend/passthrough.go
@@ -36,8 +36,7 @@
 	mediaType, _, _ := mime.ParseMediaType(p.Header.Get("Content-Type"))
 	if p.Status == http.StatusOK && mediaType == "text/event-stream" {
 		p.Events = true
-		pending.byEvent = true
-		p.events = NewEventReader(pending, c.opts.MaxEventBytes)
+		p.events = pending.newEvents()
 	}
 	return p, nil
 }
@@ -70,11 +69,7 @@
 // Body reads the whole body of a response that is not a stream. The body must not
 // exceed limit bytes.
 func (p *Passthrough) Body(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(p.pending, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, p.pending.fail(PhaseInvalid, fmt.Errorf("response exceeds %d bytes", limit))
-	}
-	return body, err
+	return p.pending.readAll(limit)
 }
 
 // SetProgressTimeout sets the progress timeout from the next event on.
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"waxwingcart/internal/answers"
 )
 
 // watchdog watches a call that makes no progress. It cancels the call, or reports the
@@ -46,6 +48,30 @@
 	wd     *watchdog
 }
 
+// newEvents returns the reader of the body's events, each of which is a part.
+func (r *pendingResponse) newEvents() *EventReader {
+	r.byEvent = true
+	r.limit = answers.MaxStreamBytes
+	reader := NewEventReader(r, r.client.opts.MaxEventBytes)
+	reader.onEvent = r.tracker.partRead
+	reader.share = r.share
+	return reader
+}
+
+// readAll reads the whole body, which must not exceed limit bytes.
+func (r *pendingResponse) readAll(limit int64) ([]byte, error) {
+	if r.response.ContentLength > limit {
+		return nil, r.fail(PhaseInvalid, answers.TooLong(answers.KindBody, limit))
+	}
+	defer r.share.Close()
+	body, err := r.share.ReadAll(r, limit)
+	var callErr *Error
+	if err != nil && !errors.As(err, &callErr) {
+		return nil, r.fail(PhaseInvalid, err)
+	}
+	return body, err
+}
+
 // Read reads from the body. It counts as progress until the response header has
 // arrived.
 func (b singleUseBody) Read(data []byte) (int, error) {
@@ -71,6 +97,10 @@
 	// byEvent is set if only complete events count as progress, not single
 	// bytes.
 	byEvent bool
+	// received counts the body's bytes of a stream, and limit bounds them.
+	received, limit int64
+	// share is the memory that the body or event takes.
+	share *answers.Share
 }
 
 // Read reads from the body. Any error other than io.EOF is an *Error.
@@ -80,6 +110,10 @@
 		defer r.wd.stop()
 	}
 	n, err := r.response.Body.Read(data)
+	r.received += int64(n)
+	if r.limit > 0 && r.received > r.limit {
+		return 0, r.fail(PhaseInvalid, answers.TooLong(answers.KindBody, r.limit))
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -91,6 +125,13 @@
 		r.client.CloseIdle(r.call.Address)
 		return n, r.fail(PhaseSilent, errNoProgress)
 	}
+	if answers.KindOf(err) != "" {
+		return n, r.fail(PhaseInvalid, err)
+	}
+	if _, readable := r.tracker.partSize(); readable && r.response.Request.Context().Err() == nil {
+		// The transport has refused bytes that have arrived.
+		return n, r.fail(PhaseInvalid, &answers.Error{Kind: answers.KindFraming, Detail: err.Error()})
+	}
 	return n, r.fail(PhaseTruncated, err)
 }
 
@@ -98,6 +139,7 @@
 // and its connection is closed.
 func (r *pendingResponse) Close() error {
 	r.wd.stop()
+	r.share.Close()
 	if !r.ended.Load() {
 		r.tracker.abandon()
 	}
@@ -107,6 +149,7 @@
 
 // fail returns an error of the call with the given phase and cause.
 func (r *pendingResponse) fail(phase Phase, err error) *Error {
+	r.client.reportEndless(r.call, err)
 	return &Error{
 		Step:       r.call.Step,
 		Peer:       r.call.Address,
--- a/internal/e2e/hosted_edges_test.go
+++ b/internal/e2e/hosted_edges_test.go
@@ -14,7 +14,7 @@
 // rawCaller is a connection to an entry on which a test writes bytes itself.
 type rawCaller struct {
 	net.Conn
-	t *testing.T
+	t testing.TB
 }
 
 func (h *hostedCluster) dialRaw(entry string) *rawCaller {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -27,6 +27,7 @@
 	takeUps           *prometheus.CounterVec
 	unanswered        *prometheus.CounterVec
 	connectionsClosed *prometheus.CounterVec
+	endlessAnswers    *prometheus.CounterVec
 }
 
 // latencyBuckets holds the upper bounds of the histograms' buckets in seconds.
@@ -56,6 +57,7 @@
 		silences:          newCounterVec("silences_total", "Decisions on silent attempts, by service and decision.", "service", "decision"),
 		unanswered:        newCounterVec("unanswered_total", "Requests that may have run and ended without a whole answer.", "service", "begun", "failure", "not_retried", "changed"),
 		connectionsClosed: newCounterVec("connections_closed_total", "Connections of callers that the entry closed before their request was fully answered, by cause.", "cause"),
+		endlessAnswers:    newCounterVec("endless_answers_total", "Answers of backend servers that exceeded a bound, by kind.", "kind"),
 		streamMoves:       newCounterVec("stream_moves_total", "Streams moved off leaving backend servers, by way.", "way"),
 	}
 	m.lateEvents = prometheus.NewCounter(prometheus.CounterOpts{
@@ -63,7 +65,8 @@
 		Help: "Events dropped because their attempt was over.",
 	})
 	registry.MustRegister(m.inFlight, m.draining, m.revision, m.placement, m.withoutServer, m.configFetches, m.outcomes, m.attempts, m.retries, m.retryBudget,
-		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.silences, m.takeUps, m.serversLeaving, m.serverPauses, m.unanswered, m.connectionsClosed)
+		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.silences, m.takeUps, m.serversLeaving, m.serverPauses, m.unanswered, m.connectionsClosed,
+		m.endlessAnswers)
 	return m
 }
 
