--- a/internal/e2e/hosted_versions_caller_test.go
+++ b/internal/e2e/hosted_versions_caller_test.go
@@ -172,7 +172,7 @@
 }
 
 // checkVersions fails the test for streams of two versions or with missing or repeated events.
-func checkVersions(t *testing.T, callers []*versionCaller) {
+func checkVersions(t testing.TB, callers []*versionCaller) {
 	t.Helper()
 	mixed, disordered := 0, 0
 	for _, c := range callers {
--- a/internal/e2e/hosted_versions_test.go
+++ b/internal/e2e/hosted_versions_test.go
@@ -64,7 +64,7 @@
 
 // checkRefused fails the test unless a client attempt was refused as not run, with the
 // time of a next try, and reached no engine.
-func checkRefused(t *testing.T, what string, c *versionCaller, got partsAnswer, engines []*versionedEngine) {
+func checkRefused(t testing.TB, what string, c *versionCaller, got partsAnswer, engines []*versionedEngine) {
 	t.Helper()
 	if got.status != http.StatusServiceUnavailable || got.retryAfter() <= 0 || got.header.Get("Waxwingcart-Stamp") != "" {
 		t.Errorf("%s: got status %d, Retry-After %q, stamp %q, want status 503 with a positive Retry-After and no stamp",
