Let a learner forget a silent leader, so that it joins again

What callers saw: a new deployment took no document. The leader refused each one with "too many proposals are waiting", and both other replicas followed it.

The leader had removed the learners, which kept it as their leader and therefore did not join again.

Change: a node that does not vote forgets its leader when its election timer ends, one to two election timeouts after the last message of a leader. A voter does the same by campaigning. The join request then has the leader add the node again.

Why it is safe: a learner with no leader may grant a vote in a term in which it followed a leader, but still at most one vote per term, and not before an election timeout after it heard from that leader, on which the lease depends. A voter that campaigned without success is in the same state.

--- a/internal/core/replication/election.go
+++ b/internal/core/replication/election.go
@@ -268,6 +268,11 @@
 	}
 }
 
+// forgetLeader clears the leader of a node that does not vote and heard from no leader
+// until its election timer ended. The leader may have removed it; it gets no entry that
+// says so, and asks to join only while it knows no leader.
+func (n *Node) forgetLeader() { n.leader = NodeID{} }
+
 // scheduleCampaign sets the next election to wait from now plus a random part of
 // a heartbeat interval, which makes split votes rare.
 func (n *Node) scheduleCampaign(wait time.Duration) {
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -230,7 +230,14 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.electionAt && n.isVoter() && !n.stopping {
+	if n.now < n.electionAt {
+		return
+	}
+	if !n.isVoter() {
+		n.forgetLeader()
+		return
+	}
+	if !n.stopping {
 		n.preCampaign()
 	}
 }
