Answer the join request of a node that is a member already

What callers saw: a replica that is a member and knows no leader, as after a restart, asked to join and got no answer. Its request failed after 2 s with "join request failed; retrying ... context deadline exceeded".

Cause: the core answers such a request with the index of the entry that holds the membership, and the replica waited for that entry to be applied. It was applied before. The waiting request was also kept for good.

Change: a request whose entry is applied is answered at once. A proposal is not affected, as its entry is always a new one.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -153,7 +153,7 @@
 		r.reject(rejection)
 	}
 	for _, appended := range effects.Appended {
-		r.appended[appended.Index] = pendingProposal{term: appended.Term, token: appended.Token}
+		r.awaitEntry(appended)
 	}
 	for _, entry := range effects.Committed {
 		r.apply(entry)
@@ -169,6 +169,16 @@
 	}
 }
 
+// awaitEntry has a request answered once the entry that fulfils it is applied. That of
+// a join or a leave may have been applied before the request.
+func (r *Replica) awaitEntry(appended replication.AppendedProposal) {
+	if appended.Index <= r.applied {
+		r.answer(appended.Token, result{})
+		return
+	}
+	r.appended[appended.Index] = pendingProposal{term: appended.Term, token: appended.Token}
+}
+
 func (r *Replica) send(message replication.Message) {
 	address, ok := r.addressOf(message.To)
 	if !ok {
