Test the start of replicas beside a leader that pauses

A leader that was paused for longer than replace_voter_ms finds its learners silent and removes them, although only the leader itself was stopped. A sole voter does not step down after a pause, as it needs no one else's vote.

--- a/internal/core/replication/learner_test.go
+++ b/internal/core/replication/learner_test.go
@@ -72,3 +72,20 @@
 		net.expectVoters(t, seed, 3)
 	}
 }
+
+// The first host of a new log pauses, as on a starved VM, while the others are learners.
+// When it goes on, it finds them silent and removes them. They become voters all the same.
+func TestLeaderPausedAfterStart(t *testing.T) {
+	for seed := range uint64(10) {
+		opts := testOptions()
+		opts.MinVoters = 3
+		net := newNetwork(seed, 3, opts)
+		net.runUntil(t, 10*time.Second, func() bool {
+			m := net.hosts[1].node.log.membership()
+			return m.IsLearner(net.hosts[1].self.ID)
+		})
+		net.hosts[0].pausedUntil = net.now + 2*opts.ReplaceAfter
+		net.run(10 * time.Second)
+		net.expectVoters(t, seed, 3)
+	}
+}
