Say why a leader refuses a command, and log each change of the membership

What operators saw: a leader that lacked voters answered "too many proposals are waiting", as for a full queue, and no log line told which replicas voted.

Change: the core refuses with a reason of its own for too few voters and for a quorum that is silent. The replica answers both, and a second membership change, in words of their own. The status of the answer is as before. Each replica logs a membership when it applies it (step="members" voters= learners=).

--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -75,22 +75,17 @@
 	switch {
 	case n.leaderState == nil:
 		n.reject(p.Token, RejectNotLeader)
-	case !n.canAcceptCommands() || n.leaderState.pendingBytes > n.opts.MaxPendingBytes:
+	case len(n.log.membership().Voters) < n.opts.MinVoters:
+		n.reject(p.Token, RejectFewVoters)
+	case n.now-n.quorumContactAt() >= n.leaderLeaseDuration():
+		n.reject(p.Token, RejectNoQuorum)
+	case n.leaderState.pendingBytes > n.opts.MaxPendingBytes:
 		n.reject(p.Token, RejectBusy)
 	default:
 		n.appendProposal(p.Token, Entry{Kind: EntryCommand, Data: p.Data})
 	}
 }
 
-// canAcceptCommands reports whether there are enough voters and a quorum has
-// acknowledged the leader within its lease duration.
-func (n *Node) canAcceptCommands() bool {
-	if len(n.log.membership().Voters) < n.opts.MinVoters {
-		return false
-	}
-	return n.now-n.quorumContactAt() < n.leaderLeaseDuration()
-}
-
 // appendProposal appends the entry of a proposal and answers the proposal with
 // its index and term.
 func (n *Node) appendProposal(token uint64, e Entry) {
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -107,7 +107,7 @@
 	// the voters.
 	TargetVoters int
 	// MinVoters is the number of voters below which commands are rejected
-	// with RejectBusy, so that no command is stored on too few disks.
+	// with RejectFewVoters, so that no command is stored on too few disks.
 	MinVoters int
 	// ReplaceAfter is the time without contact after which the leader replaces
 	// a voter with a caught-up learner and removes a learner.
@@ -263,9 +263,13 @@
 	// RejectLost: the leader stepped down after it appended the proposal,
 	// which may still be committed.
 	RejectLost
-	// RejectBusy: too many bytes are pending, there are too few voters, or no
-	// quorum has acknowledged the leader within its lease duration.
+	// RejectBusy: too many bytes are pending.
 	RejectBusy
+	// RejectFewVoters: there are fewer voters than Options.MinVoters.
+	RejectFewVoters
+	// RejectNoQuorum: no quorum has acknowledged the leader within its lease
+	// duration.
+	RejectNoQuorum
 )
 
 // AppendedProposal is the answer to a request whose effect is in the log, with
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/replication"
@@ -14,6 +15,9 @@
 	errNotLeader      = errors.New("not the leader")
 	errLeadershipLost = errors.New("leadership was lost before the commit; the outcome is in doubt")
 	errBusy           = errors.New("too many proposals are waiting")
+	errFewVoters      = errors.New("fewer replicas vote than a commit needs")
+	errNoQuorum       = errors.New("no majority of the voting replicas answered in time")
+	errMembership     = errors.New("another membership change is in progress")
 )
 
 // pendingProposal is a proposal that was appended and is not committed yet.
@@ -40,6 +44,7 @@
 	r.applied = entry.Index
 	if entry.Kind == replication.EntryMembership {
 		r.updateAddresses()
+		r.logMembership(entry)
 	}
 	if local {
 		r.answer(proposal.token, result{applied: applied})
@@ -47,6 +52,17 @@
 	r.finishReads()
 }
 
+// logMembership logs the members as of a committed entry. A leader whose voters are too
+// few to commit, or lack a majority, can be found from these lines.
+func (r *Replica) logMembership(entry replication.Entry) {
+	if entry.Membership == nil {
+		return
+	}
+	r.logger.Info().Str("step", "members").Uint64("term", entry.Term).Uint64("index", entry.Index).
+		Str("voters", strings.Join(memberNames(entry.Membership.Voters), ",")).
+		Str("learners", strings.Join(memberNames(entry.Membership.Learners), ",")).Msg("the replicas that keep the log changed")
+}
+
 // takeAppended removes and returns the proposal that an entry came from. If the
 // proposal at the entry's index is of another term, it was lost and is answered
 // with an error.
@@ -132,8 +148,14 @@
 	switch rejection.Reason {
 	case replication.RejectLost:
 		r.answer(rejection.Token, result{err: errLeadershipLost})
-	case replication.RejectBusy, replication.RejectMembership:
+	case replication.RejectBusy:
 		r.answer(rejection.Token, result{err: errBusy})
+	case replication.RejectFewVoters:
+		r.answer(rejection.Token, result{err: errFewVoters})
+	case replication.RejectNoQuorum:
+		r.answer(rejection.Token, result{err: errNoQuorum})
+	case replication.RejectMembership:
+		r.answer(rejection.Token, result{err: errMembership})
 	default:
 		r.answer(rejection.Token, result{err: errNotLeader})
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -73,7 +73,7 @@
 		return nil
 	case errors.Is(err, errNotLeader):
 		return rpc.NotLeader(r.leaderAddress())
-	case errors.Is(err, errBusy):
+	case errors.Is(err, errBusy), errors.Is(err, errFewVoters), errors.Is(err, errNoQuorum), errors.Is(err, errMembership):
 		return twirp.NewError(twirp.ResourceExhausted, err.Error())
 	default:
 		return twirp.NewError(twirp.Unavailable, err.Error())
