--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/replication"
@@ -54,9 +55,12 @@
 // logMembership logs the members as of a committed entry. A leader whose voters are too
 // few to commit, or lack a majority, can be found from these lines.
 func (r *Replica) logMembership(entry replication.Entry) {
+	if entry.Membership == nil {
+		return
+	}
 	r.logger.Info().Str("step", "members").Uint64("term", entry.Term).Uint64("index", entry.Index).
-		Strs("voters", memberNames(entry.Membership.Voters)).
-		Strs("learners", memberNames(entry.Membership.Learners)).Msg("the replicas that keep the log changed")
+		Str("voters", strings.Join(memberNames(entry.Membership.Voters), ",")).
+		Str("learners", strings.Join(memberNames(entry.Membership.Learners), ",")).Msg("the replicas that keep the log changed")
 }
 
 // takeAppended removes and returns the proposal that an entry came from. If the
