Let hosted tests wait until the entries know the servers of the test

TestHostedLeavingServer failed once in each of two runs beside load: its only call got 503, as the entry had read the platform's list before the test added its servers, and was ready. applyDocument waits now until each entry has logged all servers of the list; what the tests check is as before.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -79,6 +79,17 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": instances, "next_token": next})
 }
 
+// listed returns the IDs of the engines in the list.
+func (p *hostedPlatform) listed() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for _, e := range p.engines {
+		ids = append(ids, e.id)
+	}
+	return ids
+}
+
 // checkHolder records a violation if two holders use the same fencing number.
 func (p *hostedPlatform) checkHolder(req *http.Request) {
 	holder, fence := req.Header.Get("Waxwingcart-Holder"), req.Header.Get("Waxwingcart-Fence")
--- a/internal/e2e/hosted_silence_test.go
+++ b/internal/e2e/hosted_silence_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,19 +24,6 @@
 	return servers
 }
 
-// applyListed commits the first document and waits until the entry has read a list with all
-// servers: an entry that has read one without them is ready too.
-func (h *hostedCluster) applyListed(content map[string]any) {
-	h.t.Helper()
-	h.applyDocument(content)
-	for _, engine := range h.platform.engines {
-		h.eventually("the entry knows "+engine.id, func() bool {
-			log, err := os.ReadFile(h.vms["e1"].logPath)
-			return err == nil && strings.Contains(string(log), `step="discover" server="`+engine.id+`"`)
-		})
-	}
-}
-
 // streamAll sends resumable streams at once and fails the test unless all are whole.
 func (h *hostedCluster) streamAll(prefix string, count int) {
 	h.t.Helper()
@@ -73,7 +58,7 @@
 		t.Run(fmt.Sprintf("before event %d", before), func(t *testing.T) {
 			h := newHostedCluster(t, 1)
 			server := h.silentServers(1, before, silence)[0]
-			h.applyListed(document(7))
+			h.applyDocument(document(7))
 			h.streamAll("alone", 4)
 			if runs, _ := server.count(); runs != 4 {
 				t.Errorf("the server ran %d streams, want 4", runs)
@@ -88,7 +73,7 @@
 		t.Run(fmt.Sprintf("before event %d", before), func(t *testing.T) {
 			h := newHostedCluster(t, 1)
 			servers := h.silentServers(2, before, silence)
-			h.applyListed(document(7))
+			h.applyDocument(document(7))
 			h.streamAll("both", 4)
 			first, _ := servers[0].count()
 			second, _ := servers[1].count()
@@ -104,7 +89,7 @@
 func TestHostedSilenceBeyondRetryBudget(t *testing.T) {
 	h := newHostedCluster(t, 1)
 	h.silentServers(4, 0, silence)
-	h.applyListed(document(7))
+	h.applyDocument(document(7))
 	h.streamAll("many", 24)
 }
 
@@ -121,7 +106,7 @@
 			h := newHostedCluster(t, 1)
 			server := h.silentServers(1, 5, 60_000)[0]
 			h.platform.addEngine(t, "i-a1", "ledger")
-			h.applyListed(document(7))
+			h.applyDocument(document(7))
 			answered := make(chan hostedAnswer, 1)
 			go func() { answered <- h.call("e1", "POST", "/dossiers/1", "id-1", callerKey, "prompt") }()
 			h.eventually("the stream is silent", func() bool { return server.hasFallenSilent("id-1") })
@@ -153,7 +138,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHostedCluster(t, 1)
 			servers := h.silentServers(2, 10, silence)
-			h.applyListed(document(7))
+			h.applyDocument(document(7))
 			for _, engine := range servers {
 				engine.eventInterval.Set(300)
 			}
@@ -183,7 +168,7 @@
 		h := newHostedCluster(t, 1)
 		h.silentServers(1, 5, silence)
 		h.platform.addUnreachable("i-m9", "models")
-		h.applyListed(document(7))
+		h.applyDocument(document(7))
 		h.streamAll("unreachable", 4)
 	})
 }
--- a/internal/e2e/hosted_test.go
+++ b/internal/e2e/hosted_test.go
@@ -188,7 +188,8 @@
 }
 
 // applyDocument commits the first document through r1 and waits until all entries
-// are ready.
+// are ready and know all servers: an entry that has read the list before the test added
+// its servers is ready too.
 func (h *hostedCluster) applyDocument(content map[string]any) {
 	h.t.Helper()
 	h.eventually("a replica acknowledges the document", func() bool { return h.put("r1", content) == http.StatusOK })
@@ -205,6 +206,9 @@
 			defer response.Body.Close()
 			return response.StatusCode == http.StatusOK
 		})
+		for _, id := range h.platform.listed() {
+			h.eventually(name+" knows "+id, func() bool { return len(h.linesWith(name, `step="discover" server="`+id+`"`)) > 0 })
+		}
 	}
 }
 
