Limit the time at two servers of a stream that a caller takes up

What callers saw: nothing was reported. A stream that a caller takes up, and that is silent before its first event, was sent to a replacement and stayed at both servers until one of them went on. The platform counts a stream that goes on at another server while the one before works on it for 400 ms as run twice.

Cause: the limit of 300 ms began only if this request had forwarded an event. A taken-up stream has forwarded none, but its first attempt goes on after the caller's last event.

Evidence: with a spec from newRouted for a call with Last-Event-Id, the effects of ReplacementPicked hold no LimitOverlap. Not measured on the platform.

Change: Spec.TakesUp says that the caller has the beginning, and the limit begins for such a stream too. It works because the limit's other end, OverlapOver, doesn't depend on events.

The tests of silence, replacement and take-ups of internal/core/request and internal/entry pass 3 of 3 times.

--- a/internal/core/request/silence.go
+++ b/internal/core/request/silence.go
@@ -167,7 +167,7 @@
 	r.attempt++
 	r.second = secondAttempt{number: r.attempt, server: ev.Server}
 	effects = append(effects, Dispatch{Attempt: r.attempt, Server: ev.Server, Beside: true})
-	if r.position.Next > 0 {
+	if r.position.Next > 0 || r.spec.TakesUp {
 		effects = append(effects, LimitOverlap{Attempt: r.attempt})
 	}
 	return effects
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -51,6 +51,9 @@
 	// stopped, so that a new attempt starts with the first token that the
 	// caller does not have yet.
 	Continues bool
+	// TakesUp is true if the caller has the beginning of the stream from an earlier
+	// request, so that the first attempt goes on with it.
+	TakesUp bool
 	// Resume is the position from which the caller asks to resume, if any.
 	Resume *Position
 }
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -273,6 +273,7 @@
 		r.service = &fleet.Service{Name: service.Name, Kind: fleet.ServiceModel, Short: route.Rank == 0}
 	}
 	if call.Resumes {
+		r.spec.TakesUp = route.Stream
 		r.routed.firstEvent, r.routed.firstEventKnown = call.LastEvent+1, true
 	}
 	r.size = routing.RequestSize{PromptTokens: max(call.Prompt.Tokens, 1), OutputTokens: max(call.Prompt.OutputTokens, 1)}
