Ask a server again that refused to replace a silent attempt

What callers saw: with two servers, of which one was full for a moment, a stream at the other one that fell silent again and did not go on ended at its deadline, though the first had room by then.

Cause: a server that refused a replacement was excluded for the rest of the request.

Change: once no other server is to be had, those that only refused, and did not run, may be asked again at the next silence. Attempts and the retry budget bound it as before.

--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -75,7 +75,9 @@
 	// run had delivered tokens.
 	replacedFree bool
 	exclude      []string
-	reserved     bool
+	// refusedBy lists the excluded servers that only refused a replacement.
+	refusedBy []string
+	reserved  bool
 	// duplicate is true while another request is known to own the key.
 	duplicate bool
 	// hasErrorAnswer is true if the caller gets a server's own error answer
--- a/internal/core/request/silence.go
+++ b/internal/core/request/silence.go
@@ -203,9 +203,17 @@
 		r.leaving = false
 		return nil
 	}
+	r.readmitRefused()
 	return r.silenced(SilenceNoServer)
 }
 
+// readmitRefused lets the servers that refused a replacement be asked again: they may
+// have been full only for a moment, and there is no other one.
+func (r *Request) readmitRefused() {
+	r.exclude = slices.DeleteFunc(r.exclude, func(server string) bool { return slices.Contains(r.refusedBy, server) })
+	r.refusedBy = nil
+}
+
 func (r *Request) lookingFor(attempt int) bool {
 	return r.state == stateRunning && r.looking && attempt == r.current
 }
@@ -240,6 +248,9 @@
 func (r *Request) secondFailed(f Failure) []Effect {
 	r.noteFailure(f)
 	r.excludeServer(r.second.server)
+	if f.Phase == PhaseRefused {
+		r.refusedBy = append(r.refusedBy, r.second.server)
+	}
 	r.second = secondAttempt{}
 	return r.silenced(SilenceReplacementFailed)
 }
