--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -16,6 +16,8 @@
 	// catchUpInterval is how often an entry checks whether it has to ask another
 	// one for records of streams.
 	catchUpInterval = 50 * time.Millisecond
+	// catchUpIdle is that interval once the entry lacks nothing.
+	catchUpIdle = time.Second
 	// catchUpTimeout bounds one call.
 	catchUpTimeout = 2 * time.Second
 	// catchUpRepeat is the delay before the second question. The streams that begin
@@ -67,7 +69,11 @@
 		if progress.due(e.now(), complete, resets) {
 			e.catchUpOnce(ctx, &progress)
 		}
-		wait(ctx, catchUpInterval)
+		if complete && progress.answers > 0 {
+			wait(ctx, catchUpIdle)
+		} else {
+			wait(ctx, catchUpInterval)
+		}
 	}
 }
 
