Move the parsing of chat requests out of the package entry

internal/entry holds decisions' shell for several concerns; the bodies of chat requests need nothing of it. No behaviour changes; the fuzz test moves with the code.

--- a/internal/entry/prompt.go
+++ b/internal/chat/chat.go
@@ -1,4 +1,6 @@
-package entry
+// Package chat reads the bodies of chat and completion requests, and the events of their
+// answers.
+package chat
 
 import (
 	"crypto/sha256"
@@ -33,47 +35,48 @@
 	} `json:"messages"`
 }
 
-// modelRequest is a parsed model request.
-type modelRequest struct {
-	model        string
-	stream       bool
-	promptTokens int
-	outputTokens int
-	// prefix is the prefix hash as backend servers publish it.
-	prefix uint64
-	// forward is the body to send to the engine: the caller's with "stream"
+// Request is a parsed chat or completion request.
+type Request struct {
+	Model  string
+	Stream bool
+	// PromptTokens and OutputTokens are estimates.
+	PromptTokens int
+	OutputTokens int
+	// Prefix is the prefix hash as backend servers publish it.
+	Prefix uint64
+	// Forward is the body to send to the engine: the caller's with "stream"
 	// set.
-	forward []byte
+	Forward []byte
 }
 
-// parseModelRequest parses a chat or completion request.
-func parseModelRequest(body []byte) (modelRequest, error) {
+// Parse parses the body of a chat or completion request.
+func Parse(body []byte) (Request, error) {
 	var parsed modelBody
 	if err := json.Unmarshal(body, &parsed); err != nil {
-		return modelRequest{}, fmt.Errorf("body is not a JSON object: %w", err)
+		return Request{}, fmt.Errorf("body is not a JSON object: %w", err)
 	}
 	if parsed.Model == "" {
-		return modelRequest{}, fmt.Errorf("model: got nothing, expected the name of a model")
+		return Request{}, fmt.Errorf("model: got nothing, expected the name of a model")
 	}
 	if parsed.MaxTokens < 0 || parsed.MaxTokens > maxOutputTokens {
-		return modelRequest{}, fmt.Errorf("max_tokens: got %d, expected 1 to %d", parsed.MaxTokens, maxOutputTokens)
+		return Request{}, fmt.Errorf("max_tokens: got %d, expected 1 to %d", parsed.MaxTokens, maxOutputTokens)
 	}
 	prompt := promptText(parsed)
 	forward, err := withStream(body)
 	if err != nil {
-		return modelRequest{}, err
+		return Request{}, err
 	}
 	output := parsed.MaxTokens
 	if output == 0 {
 		output = defaultMaxTokens
 	}
-	return modelRequest{
-		model:        parsed.Model,
-		stream:       parsed.Stream,
-		promptTokens: 1 + len(prompt)/bytesPerToken,
-		outputTokens: output,
-		prefix:       prefixHash(prompt),
-		forward:      forward,
+	return Request{
+		Model:        parsed.Model,
+		Stream:       parsed.Stream,
+		PromptTokens: 1 + len(prompt)/bytesPerToken,
+		OutputTokens: output,
+		Prefix:       prefixHash(prompt),
+		Forward:      forward,
 	}, nil
 }
 
@@ -112,25 +115,27 @@
 	return json.Marshal(fields)
 }
 
-// chunk holds the fields of a stream's event that the entry uses.
-type chunk struct {
-	ID      string        `json:"id"`
-	Model   string        `json:"model"`
-	Choices []chunkChoice `json:"choices"`
+// Chunk holds the fields of a stream's event that an entry uses.
+type Chunk struct {
+	ID      string   `json:"id"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
 }
 
-type chunkChoice struct {
-	Text         string     `json:"text"`
-	Delta        chunkDelta `json:"delta"`
-	FinishReason string     `json:"finish_reason"`
+// Choice is one of the answers that a stream generates.
+type Choice struct {
+	Text         string `json:"text"`
+	Delta        Delta  `json:"delta"`
+	FinishReason string `json:"finish_reason"`
 }
 
-type chunkDelta struct {
+// Delta is the text that an event adds.
+type Delta struct {
 	Content string `json:"content"`
 }
 
-// content returns the generated text of a chunk.
-func (c chunk) content() string {
+// Text returns the generated text of a chunk.
+func (c Chunk) Text() string {
 	var text strings.Builder
 	for _, choice := range c.Choices {
 		text.WriteString(choice.Text)
--- a/internal/entry/prompt_test.go
+++ b/internal/chat/chat_test.go
@@ -1,4 +1,4 @@
-package entry
+package chat
 
 import (
 	"encoding/json"
@@ -18,23 +18,23 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
-		parsed, err := parseModelRequest(body)
+		parsed, err := Parse(body)
 		if err != nil {
 			return
 		}
-		if parsed.model == "" || parsed.promptTokens < 1 || parsed.outputTokens < 1 || parsed.outputTokens > maxOutputTokens {
+		if parsed.Model == "" || parsed.PromptTokens < 1 || parsed.OutputTokens < 1 || parsed.OutputTokens > maxOutputTokens {
 			t.Fatalf("%q: got %+v, want a model and estimates within their bounds", body, parsed)
 		}
 		var sent, got map[string]json.RawMessage
 		if err := json.Unmarshal(body, &sent); err != nil {
 			t.Fatalf("%q was accepted: %v", body, err)
 		}
-		if err := json.Unmarshal(parsed.forward, &got); err != nil || string(got["stream"]) != "true" {
-			t.Fatalf("%q is forwarded as %q: %v", body, parsed.forward, err)
+		if err := json.Unmarshal(parsed.Forward, &got); err != nil || string(got["stream"]) != "true" {
+			t.Fatalf("%q is forwarded as %q: %v", body, parsed.Forward, err)
 		}
-		again, err := parseModelRequest(parsed.forward)
-		if err != nil || again.model != parsed.model || !again.stream {
-			t.Fatalf("%q is forwarded as %q: parsed as %+v, %v", body, parsed.forward, again, err)
+		again, err := Parse(parsed.Forward)
+		if err != nil || again.Model != parsed.Model || !again.Stream {
+			t.Fatalf("%q is forwarded as %q: parsed as %+v, %v", body, parsed.Forward, again, err)
 		}
 	})
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"waxwingcart/internal/backend"
+	"waxwingcart/internal/chat"
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/core/request"
@@ -332,12 +333,12 @@
 // addToSum extends the running checksum by a token's text. It covers the
 // generated text alone, as an engine's other fields differ between runs.
 func addToSum(sum uint64, data []byte) uint64 {
-	var parsed chunk
+	var parsed chat.Chunk
 	if json.Unmarshal(data, &parsed) != nil {
 		return sum
 	}
 	digest := xxhash.NewWithSeed(sum)
-	_, _ = digest.WriteString(parsed.content())
+	_, _ = digest.WriteString(parsed.Text())
 	return digest.Sum64()
 }
 
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"waxwingcart/internal/chat"
 	"waxwingcart/internal/core/eventid"
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/request"
@@ -130,14 +131,14 @@
 		e.refuseCall(w, id, err)
 		return
 	}
-	parsed, err := parseModelRequest(call.body)
+	parsed, err := chat.Parse(call.body)
 	if err != nil {
 		e.refuseCall(w, id, err)
 		return
 	}
-	service, ok := call.config.models[parsed.model]
+	service, ok := call.config.models[parsed.Model]
 	if !ok {
-		e.refuseCall(w, id, refusal(reasonNoService, "no service has the model %q", parsed.model))
+		e.refuseCall(w, id, refusal(reasonNoService, "no service has the model %q", parsed.Model))
 		return
 	}
 	r, err := e.newRun(id, req, call, service)
@@ -147,8 +148,8 @@
 	}
 	r.spec.Kind = request.KindModel
 	r.spec.Repeatable = true
-	r.size = routing.RequestSize{PromptTokens: parsed.promptTokens, OutputTokens: parsed.outputTokens, Prefix: parsed.prefix}
-	r.message = message{method: http.MethodPost, path: req.URL.Path, header: forwardHeader(req), body: parsed.forward}
+	r.size = routing.RequestSize{PromptTokens: parsed.PromptTokens, OutputTokens: parsed.OutputTokens, Prefix: parsed.Prefix}
+	r.message = message{method: http.MethodPost, path: req.URL.Path, header: forwardHeader(req), body: parsed.Forward}
 	codec := eventid.NewCodec(e.eventKey(), eventid.Binding{Customer: call.customer.Name, Digest: digest(req, call.body)})
 	if err := r.readPosition(req, codec); err != nil {
 		e.refuseCall(w, id, err)
@@ -175,9 +176,9 @@
 	return nil
 }
 
-func (e *Entry) modelSink(w http.ResponseWriter, r *run, parsed modelRequest, codec *eventid.Codec) sink {
-	if !parsed.stream {
-		return &completionSink{w: w, requestID: r.id, writeTimeout: e.opts.WriteTimeout, chat: r.message.path == chatPath, promptTokens: parsed.promptTokens}
+func (e *Entry) modelSink(w http.ResponseWriter, r *run, parsed chat.Request, codec *eventid.Codec) sink {
+	if !parsed.Stream {
+		return &completionSink{w: w, requestID: r.id, writeTimeout: e.opts.WriteTimeout, chat: r.message.path == chatPath, promptTokens: parsed.PromptTokens}
 	}
 	return &streamSink{
 		w:            w,
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"waxwingcart/internal/chat"
 	"waxwingcart/internal/core/eventid"
 	"waxwingcart/internal/core/request"
 )
@@ -160,12 +161,12 @@
 }
 
 func (s *completionSink) token(data []byte, _ request.Position) {
-	var parsed chunk
+	var parsed chat.Chunk
 	if json.Unmarshal(data, &parsed) != nil {
 		return
 	}
 	s.tokens++
-	s.text.WriteString(parsed.content())
+	s.text.WriteString(parsed.Text())
 	s.model = parsed.Model
 	for _, choice := range parsed.Choices {
 		if choice.FinishReason != "" {
