Log the prompt's parts, and whether the server still listens, when an attempt breaks off

An entry now connects once to a server that broke off an attempt before its first event, for prompts with shared parts, and logs both.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -163,6 +163,17 @@
 	}
 }
 
+// Listens reports whether a new connection to a server can be made within the timeout.
+func (c *Client) Listens(ctx context.Context, address string, timeout time.Duration) bool {
+	dialer := net.Dialer{Timeout: timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // dialTimeoutKey is the context key of a call's DialTimeout.
 type dialTimeoutKey struct{}
 
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -60,6 +60,7 @@
 			r.endAttempt(r.source, r.source.completedResult())
 		}
 	case request.Failed:
+		r.noteBrokenOff(r.source, ev.Failure)
 		r.endAttempt(r.source, resultOf(ev.Failure))
 	}
 }
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -58,6 +58,8 @@
 
 // Prompt describes the input of a model engine.
 type Prompt struct {
+	// Model is the model that the call asks for; it may be empty.
+	Model string
 	// Tokens is the length of the prompt, and OutputTokens the longest answer.
 	Tokens       int
 	OutputTokens int
