Failing tests: a part of a prompt crashes one server after the other

Stand-ins of engines end, in the middle of the first event, when they begin an answer on a prompt with the part, reset all connections and come back under their ID after 2 s; ends without such a part are played too. Seen on this code: 28 and 27 requests with the part reach engines later than 3 s after the fifth end (3 allowed).

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -143,6 +143,8 @@
 	draining             guardedBool
 	// versioned is set if the list names the engine's software version.
 	versioned *versionedEngine
+	// crasher, if set, ends the engine under some prompts.
+	crasher *crasher
 	// successor serves the requests after a restart.
 	successor atomic.Pointer[hostedEngine]
 	// refuse makes it answer that it did not run a request.
@@ -290,6 +292,9 @@
 		fmt.Fprintf(w, "%s %s %s", req.Method, req.RequestURI, body)
 		return
 	}
+	if e.crasher != nil && e.crasher.strikes(w, req) {
+		return
+	}
 	if e.versioned != nil {
 		e.versioned.stream(w, req)
 		return
