Bar requests with a prompt part under which backend servers crash

Callers saw: a request with one part in its prompt ended each backend server that began an answer on it; the next such request went to the next server, and sound requests lost the servers that they ran or waited at.

Cause: nothing related the end of a server to what it was answering. Each end counted as a fault of the server, so that the server was avoided and the part was not. Class: a fault of the input that is handled as a fault of the machine.

core/quarantine counts, for each shared part of a prompt, the ends of servers since an answer last began on it; crashguard confirms an end by a connection and shares evidence, acquittals and bars with the other entries. Every choice of a server obeys the bar: first attempts, retries, replacements, take-ups. A refused request has not run and is told when to come back.

Why it works: an answer acquits all parts of its prompt but the crashing one never begins, so that the crashing one is the only part that keeps its count.

--- /dev/null
+++ b/internal/codec/quarantine.go
@@ -0,0 +1,80 @@
+package codec
+
+import (
+	"math"
+	"time"
+
+	"waxwingcart/internal/core/quarantine"
+	"waxwingcart/internal/wire"
+)
+
+// CrashToWire converts a crash, whose times are given as ages.
+func CrashToWire(now time.Duration, c quarantine.Crash) *wire.Crash {
+	return &wire.Crash{
+		Instance: c.Instance, Service: c.Release.Service, Version: c.Release.Version,
+		AgeMs: toMilliseconds(now - c.At), WaitedMs: toMilliseconds(c.At - c.Placed),
+		Request: c.Request, Customer: c.Customer, Head: c.Head, Parts: partsToWire(c.Parts),
+	}
+}
+
+// CrashFromWire is the inverse of CrashToWire. It keeps at most quarantine.MaxParts parts.
+func CrashFromWire(now time.Duration, c *wire.Crash) quarantine.Crash {
+	at := now - fromMilliseconds(int64(c.AgeMs))
+	return quarantine.Crash{
+		Instance: c.Instance, Release: quarantine.Release{Service: c.Service, Version: c.Version},
+		At: at, Placed: at - fromMilliseconds(int64(c.WaitedMs)),
+		Request: c.Request, Customer: c.Customer, Head: c.Head, Parts: PartsFromWire(c.Parts),
+	}
+}
+
+// AcquittedToWire converts parts on which an answer began at a time.
+func AcquittedToWire(now, at time.Duration, release quarantine.Release, parts []quarantine.Part) *wire.Acquitted {
+	return &wire.Acquitted{Service: release.Service, Version: release.Version, Parts: partsToWire(parts), AgeMs: toMilliseconds(now - at)}
+}
+
+// BarToWire converts a bar, whose times are given relative to now.
+func BarToWire(now time.Duration, b quarantine.Bar) *wire.Bar {
+	return &wire.Bar{
+		Part: uint64(b.Part), Service: b.Release.Service, Version: b.Release.Version, Customer: b.Customer, All: b.All,
+		Trials: uint32(b.Trials), NextMs: uint64(max(b.Next-now, 0).Milliseconds()), CrashAgeMs: uint64(max(now-b.LastCrash, 0).Milliseconds()),
+	}
+}
+
+// BarFromWire is the inverse of BarToWire.
+func BarFromWire(now time.Duration, b *wire.Bar) quarantine.Bar {
+	return quarantine.Bar{
+		Part: quarantine.Part(b.Part), Release: quarantine.Release{Service: b.Service, Version: b.Version}, Customer: b.Customer, All: b.All,
+		Trials: int(min(b.Trials, maxTrials)), Next: now + relative(b.NextMs), LastCrash: now - relative(b.CrashAgeMs),
+	}
+}
+
+const (
+	// maxTrials and maxRelative bound what another process may say.
+	maxTrials   = 1 << 10
+	maxRelative = 24 * time.Hour
+)
+
+func relative(ms uint64) time.Duration {
+	return min(fromMilliseconds(int64(min(ms, math.MaxInt64))), maxRelative)
+}
+
+func toMilliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
+func partsToWire(parts []quarantine.Part) []uint64 {
+	list := make([]uint64, len(parts))
+	for i, part := range parts {
+		list[i] = uint64(part)
+	}
+	return list
+}
+
+// PartsFromWire returns at most quarantine.MaxParts parts.
+func PartsFromWire(parts []uint64) []quarantine.Part {
+	list := make([]quarantine.Part, min(len(parts), quarantine.MaxParts))
+	for i := range list {
+		list[i] = quarantine.Part(parts[i])
+	}
+	return list
+}
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -68,6 +68,8 @@
 	// with a stream that began there.
 	Pinned  bool
 	Version string
+	// Barred lists the versions at whose servers the request must not be placed.
+	Barred []string
 	// Begins is true if a stream begins that may go on at another server of the
 	// version at which it began.
 	Begins bool
--- a/internal/core/placement/versions.go
+++ b/internal/core/placement/versions.go
@@ -15,7 +15,7 @@
 	if r.Pinned && s.Version != r.Version {
 		return false
 	}
-	return !slices.Contains(r.Exclude, s.Name)
+	return !slices.Contains(r.Exclude, s.Name) && !slices.Contains(r.Barred, s.Version)
 }
 
 // loneVersions returns the versions of which a single server takes work, if a stream
@@ -56,6 +56,17 @@
 	}
 }
 
+// Versions returns the versions of a service's servers.
+func (p *Placer) Versions(service string) []string {
+	var versions []string
+	for _, s := range p.byName[service] {
+		if !slices.Contains(versions, s.Version) {
+			versions = append(versions, s.Version)
+		}
+	}
+	return versions
+}
+
 // VersionOf returns the version of a server, and false if the server is not known.
 func (p *Placer) VersionOf(name string) (string, bool) {
 	s := p.servers[name]
--- /dev/null
+++ b/internal/core/quarantine/check.go
@@ -0,0 +1,123 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Verdict says where a request must not be placed.
+type Verdict struct {
+	// Barred are the versions at whose servers it must not be placed, RetryAfter is when it
+	// may be tried there.
+	Barred     []string
+	RetryAfter time.Duration
+	// trials are the parts whose trial the request is, by version.
+	trials map[string][]Part
+}
+
+// Allows reports whether the request may be placed at a version.
+func (v *Verdict) Allows(version string) bool { return !slices.Contains(v.Barred, version) }
+
+// Check returns where a request of a customer must not be placed. Mine tells whether this
+// entry makes the trials of a part.
+func (g *Guard) Check(now time.Duration, service string, versions []string, customer uint64, parts []Part, mine func(Part) bool) Verdict {
+	var v Verdict
+	if g.held == 0 {
+		return v
+	}
+	for _, version := range versions {
+		wait, trials := g.check(now, Release{service, version}, customer, parts, mine)
+		switch {
+		case wait > 0:
+			if len(v.Barred) == 0 || wait < v.RetryAfter {
+				v.RetryAfter = wait
+			}
+			v.Barred = append(v.Barred, version)
+		case len(trials) > 0:
+			if v.trials == nil {
+				v.trials = make(map[string][]Part)
+			}
+			v.trials[version] = trials
+		}
+	}
+	return v
+}
+
+// check returns how long a request must not be placed at a release, or the parts whose
+// trial it would be there.
+func (g *Guard) check(now time.Duration, release Release, customer uint64, parts []Part, mine func(Part) bool) (wait time.Duration, trials []Part) {
+	for _, part := range parts {
+		b := g.barFor(now, spot{part, release})
+		if b == nil || !b.binds(customer) {
+			continue
+		}
+		if now >= b.Next && mine(part) {
+			trials = append(trials, part)
+			continue
+		}
+		wait = max(wait, b.Next-now, minRetryAfter)
+	}
+	return wait, trials
+}
+
+// barFor returns the bar of a part at a release. A part that is barred at another release,
+// and on which no answer has begun at this one, has a bar whose first trial is due.
+func (g *Guard) barFor(now time.Duration, s spot) *bar {
+	if b := g.barAt(s); b != nil {
+		return b
+	}
+	other := g.barredElsewhere(s)
+	if other == nil {
+		return nil
+	}
+	if _, begun := g.begun.last(s); begun {
+		return nil
+	}
+	b := &bar{Bar: other.Bar, inherited: true}
+	b.Release, b.Next = s.release, now
+	g.put(now, b)
+	return b
+}
+
+// Tried records that a request was placed at a version. It returns the bars whose trial
+// this is, which the other entries have to be told of.
+func (g *Guard) Tried(now time.Duration, service, version string, v Verdict) []Bar {
+	var tell []Bar
+	for _, part := range v.trials[version] {
+		b := g.barAt(spot{part, Release{service, version}})
+		if b == nil {
+			continue
+		}
+		b.Trials++
+		b.Next, b.inherited = now+trialWait(b.Trials), false
+		tell = append(tell, g.repeated(now, b))
+	}
+	return tell
+}
+
+// trialWait returns the time from a trial, counted from 1, to the next one.
+func trialWait(trials int) time.Duration {
+	wait := firstTrial
+	for range trials {
+		if wait *= trialFactor; wait >= maxTrialWait {
+			return maxTrialWait
+		}
+	}
+	return wait
+}
+
+// Suspicious reports whether servers have ended under one of the parts since an answer
+// last began on it.
+func (g *Guard) Suspicious(service string, parts []Part) bool {
+	for _, part := range parts {
+		if len(g.bars[part]) > 0 {
+			return true
+		}
+		for s := range g.suspects {
+			if s.part == part && s.release.Service == service {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/quarantine/quarantine.go
@@ -0,0 +1,270 @@
+package quarantine
+
+import (
+	"maps"
+	"math/rand/v2"
+	"time"
+)
+
+// Guard is one entry's part in the quarantine.
+type Guard struct {
+	random   *rand.Rand
+	crashes  []*crash
+	suspects map[spot]*suspect
+	begun    *recency
+	// begins counts the answers that have begun here.
+	begins map[Release]uint64
+	bars   map[Part]map[Release]*bar
+	held   int
+}
+
+// bar is a Bar that this entry knows.
+type bar struct {
+	Bar
+	// repeatAt is when it is repeated to the other entries.
+	repeatAt time.Duration
+	// inherited is true if the part is barred at another release only, and this one has
+	// not been tried.
+	inherited bool
+}
+
+// New returns a Guard that bars nothing.
+func New(seed uint64) *Guard {
+	return &Guard{
+		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		suspects: make(map[spot]*suspect),
+		begun:    newRecency(maxBegun),
+		begins:   make(map[Release]uint64),
+		bars:     make(map[Part]map[Release]*bar),
+	}
+}
+
+// Bars returns the number of bars.
+func (g *Guard) Bars() int { return g.held }
+
+// Begun records that an answer has begun here on a prompt with the parts. It returns the
+// parts under suspicion, which the other entries have to be told of, and the bars that
+// end.
+func (g *Guard) Begun(now time.Duration, release Release, parts []Part) (tell []Part, ended []Bar) {
+	if _, known := g.begins[release]; !known && len(g.begins) >= maxBegun {
+		clear(g.begins)
+	}
+	g.begins[release]++
+	for _, part := range parts {
+		s := spot{part, release}
+		suspected := g.suspects[s] != nil || g.barAt(s) != nil
+		ended = append(ended, g.Acquit(now, release, part)...)
+		if suspected {
+			tell = append(tell, part)
+		}
+	}
+	return tell, ended
+}
+
+// Acquit records that an answer began on a part at a time, here or elsewhere. It returns
+// the bar that ends.
+func (g *Guard) Acquit(at time.Duration, release Release, part Part) []Bar {
+	s := spot{part, release}
+	g.begun.note(s, at)
+	if known := g.suspects[s]; known != nil {
+		known.drop(at)
+		if len(known.hits) == 0 {
+			delete(g.suspects, s)
+		}
+	}
+	if b := g.barAt(s); b != nil && b.LastCrash < at {
+		g.remove(s)
+		return []Bar{b.Bar}
+	}
+	return nil
+}
+
+// Crashed records a crash that this or another entry saw. It returns the bars that are new
+// or hold for more customers than before.
+func (g *Guard) Crashed(now time.Duration, c Crash) []Bar {
+	c.At = min(c.At, now)
+	end := g.crashOf(c.Instance, c.At)
+	if changed, explained := g.explain(now, &c); explained {
+		end.explained = true
+		return changed
+	}
+	for _, part := range c.Parts[:min(len(c.Parts), MaxParts)] {
+		s := spot{part, c.Release}
+		if last, known := g.begun.last(s); known && last >= c.At {
+			continue
+		}
+		g.suspectOf(now, s).add(hit{crash: end, placed: c.Placed, request: c.Request, customer: c.Customer, head: c.Head})
+	}
+	if worst, found := g.worst(c.Parts, c.Release); found {
+		return []Bar{g.barSuspect(now, worst)}
+	}
+	return nil
+}
+
+// explain looks for barred parts among those of a crash. It returns the bars that hold for
+// more customers than before.
+func (g *Guard) explain(now time.Duration, c *Crash) (changed []Bar, explained bool) {
+	for _, part := range c.Parts {
+		b := g.barAt(spot{part, c.Release})
+		if b == nil || b.inherited {
+			continue
+		}
+		explained = true
+		b.LastCrash = max(b.LastCrash, c.At)
+		if b.Trials == 0 {
+			b.Next = max(b.Next, c.At+firstTrialAlone)
+		}
+		// A request that was only waiting may have met its server's end by chance.
+		if c.Head && !b.binds(c.Customer) {
+			b.All = true
+			changed = append(changed, g.repeated(now, b))
+		}
+	}
+	return changed, explained
+}
+
+// worst returns the part to bar: the one with the most evidence, and of equal ones the last
+// in the prompt, which the fewest requests share. The evidence against the others is
+// explained then.
+func (g *Guard) worst(parts []Part, release Release) (worst spot, found bool) {
+	heaviest := 0.0
+	for _, part := range parts {
+		s := spot{part, release}
+		if weight := g.guilt(s); weight > 0 && weight >= heaviest {
+			worst, heaviest, found = s, weight, true
+		}
+	}
+	return worst, found
+}
+
+// guilt returns the weight of the evidence against a part as a multiple of what bars it, or
+// 0 if it does not suffice.
+func (g *Guard) guilt(s spot) float64 {
+	known := g.suspects[s]
+	if known == nil {
+		return 0
+	}
+	weight, unexplained := known.weigh()
+	needed := g.needed(s, known)
+	requests, instances := known.distinct()
+	if !unexplained || weight < needed {
+		return 0
+	}
+	several := requests >= requestsNeeded && (instances > 1 || g.othersBegan(s.release, known))
+	if !several && g.barredElsewhere(s) == nil {
+		return 0
+	}
+	return weight / needed
+}
+
+// needed returns the weight that bars a part.
+func (g *Guard) needed(s spot, known *suspect) float64 {
+	if g.barredElsewhere(s) != nil {
+		return crashesElsewhere
+	}
+	needed := crashesNeededAlone
+	if g.othersBegan(s.release, known) {
+		needed = crashesNeeded
+	}
+	if _, acquitted := g.begun.last(s); acquitted {
+		needed *= acquittedFactor
+	}
+	return needed
+}
+
+func (g *Guard) othersBegan(release Release, known *suspect) bool {
+	return g.begins[release]-known.others >= othersNeeded
+}
+
+// barSuspect bars a part and takes the crashes under it as explained.
+func (g *Guard) barSuspect(now time.Duration, s spot) Bar {
+	known := g.suspects[s]
+	last := known.hits[len(known.hits)-1].crash.at
+	wait := firstTrialAlone
+	if g.othersBegan(s.release, known) {
+		wait = firstTrial
+	}
+	for _, h := range known.hits {
+		h.crash.explained = true
+	}
+	customer, one := known.oneCustomer()
+	b := &bar{Bar: Bar{Part: s.part, Release: s.release, Customer: customer, All: !one, Next: last + wait, LastCrash: last}}
+	if other := g.barredElsewhere(s); other != nil {
+		b.Trials, b.Next = other.Trials, max(other.Next, now+firstTrial)
+		b.All = b.All || !other.binds(customer)
+	}
+	delete(g.suspects, s)
+	g.put(now, b)
+	return g.repeated(now, b)
+}
+
+// put adds a bar, and removes the one with the oldest crash if there are too many.
+func (g *Guard) put(now time.Duration, b *bar) {
+	s := spot{b.Part, b.Release}
+	if g.barAt(s) != nil {
+		g.held--
+		delete(g.bars[s.part], s.release)
+	}
+	if g.held >= maxBars {
+		g.Expire(now)
+	}
+	if g.held >= maxBars {
+		g.remove(g.oldest())
+	}
+	if g.bars[s.part] == nil {
+		g.bars[s.part] = make(map[Release]*bar)
+	}
+	g.bars[s.part][s.release] = b
+	g.held++
+}
+
+func (g *Guard) oldest() spot {
+	var oldest *bar
+	for _, byRelease := range g.bars {
+		for _, b := range byRelease {
+			if oldest == nil || b.LastCrash < oldest.LastCrash {
+				oldest = b
+			}
+		}
+	}
+	return spot{oldest.Part, oldest.Release}
+}
+
+func (g *Guard) remove(s spot) {
+	if g.barAt(s) == nil {
+		return
+	}
+	g.held--
+	delete(g.bars[s.part], s.release)
+	for _, b := range g.bars[s.part] {
+		if !b.inherited {
+			return
+		}
+	}
+	// What is left was inherited from the bar that has ended.
+	g.held -= len(g.bars[s.part])
+	delete(g.bars, s.part)
+}
+
+func (g *Guard) barAt(s spot) *bar { return g.bars[s.part][s.release] }
+
+// barredElsewhere returns a bar of the part at another release of the service, or nil.
+func (g *Guard) barredElsewhere(s spot) *bar {
+	for release, b := range g.bars[s.part] {
+		if release != s.release && !b.inherited {
+			return b
+		}
+	}
+	return nil
+}
+
+// Expire forgets bars that are long over.
+func (g *Guard) Expire(now time.Duration) {
+	for _, byRelease := range maps.Clone(g.bars) {
+		for _, b := range maps.Clone(byRelease) {
+			if now-b.LastCrash > barForgotten && now > b.Next {
+				g.remove(spot{b.Part, b.Release})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/crashguard/crashguard.go
@@ -0,0 +1,315 @@
+// Package crashguard runs core/quarantine at an entry: it finds out whether a server that
+// broke off an attempt has ended, exchanges evidence and bars with the other entries, and
+// logs and counts what changes.
+package crashguard
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/core/quarantine"
+	"waxwingcart/internal/wire"
+)
+
+const (
+	// probeTimeout bounds the connection that shows whether a server still listens.
+	probeTimeout = 150 * time.Millisecond
+	// probeReused is how long the result of a probe serves other attempts at the server.
+	probeReused = 250 * time.Millisecond
+	// checkInterval is how often bars are checked for repetition while there are any.
+	checkInterval = 250 * time.Millisecond
+	// expireInterval is how often bars that are long over are looked for.
+	expireInterval = time.Minute
+	// maxLoggedParts and maxLoggedID bound the parts of a prompt in a log line, in parts
+	// and in bytes of a part's ID.
+	maxLoggedParts = 8
+	maxLoggedID    = 24
+)
+
+// Options configures a Guard.
+type Options struct {
+	// Now returns the time since the entry was started.
+	Now      func() time.Duration
+	Seed     uint64
+	Logger   *log.Logger
+	Registry *prometheus.Registry
+	// Send tells the other entries. It must not block.
+	Send func(*wire.News)
+	// Address is this entry's address, and Peers returns those of the other entries.
+	Address string
+	Peers   func() []string
+	// Listens reports whether a new connection to an address can be made within a time.
+	Listens func(ctx context.Context, address string, timeout time.Duration) bool
+	// Leaving reports whether a server is known to leave.
+	Leaving func(instance string) bool
+}
+
+// Guard is safe for concurrent use.
+type Guard struct {
+	opts    Options
+	changes *prometheus.CounterVec
+	// barred wakes Run when there is a first bar.
+	barred chan struct{}
+
+	mu     sync.Mutex
+	core   *quarantine.Guard
+	probes map[string]*probe
+}
+
+// probe is a connection to a server, whose result serves several attempts.
+type probe struct {
+	at      time.Duration
+	done    chan struct{}
+	listens bool
+}
+
+// New returns a Guard. It registers its metrics.
+func New(opts Options) *Guard {
+	g := &Guard{
+		opts: opts, core: quarantine.New(opts.Seed), probes: make(map[string]*probe), barred: make(chan struct{}, 1),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "waxwingcart", Subsystem: "entry", Name: "barred_parts_total",
+			Help: "Prompt parts under which backend servers crash, by change: barred here, adopted from another entry, tried, or ended.",
+		}, []string{"change"}),
+	}
+	if opts.Registry != nil {
+		opts.Registry.MustRegister(g.changes)
+	}
+	return g
+}
+
+// Prompt is a request as the quarantine sees it.
+type Prompt struct {
+	// ID is the request's ID.
+	ID       string
+	service  string
+	model    string
+	request  uint64
+	customer uint64
+	// names are the IDs of the shared parts.
+	names []string
+	parts []quarantine.Part
+}
+
+// NewPrompt returns the Prompt of a request with the IDs of its shared parts, of which it
+// keeps the first and the last.
+func NewPrompt(service, model, customer, requestID string, names []string) Prompt {
+	p := Prompt{ID: requestID, service: service, model: model, request: xxhash.Sum64String(requestID), customer: xxhash.Sum64String(customer)}
+	if len(names) > quarantine.MaxParts {
+		names = slices.Concat(names[:quarantine.MaxParts/2], names[len(names)-quarantine.MaxParts/2:])
+	}
+	p.names = names
+	for _, name := range names {
+		p.parts = append(p.parts, quarantine.NewPart(service, model, name))
+	}
+	return p
+}
+
+// logged returns the first parts, each with its ID and the key that bars are logged under.
+func (p *Prompt) logged() string {
+	var list []string
+	for i, name := range p.names[:min(len(p.names), maxLoggedParts)] {
+		list = append(list, name[:min(len(name), maxLoggedID)]+"/"+key(p.parts[i]))
+	}
+	return strings.Join(list, ",")
+}
+
+func key(part quarantine.Part) string { return strconv.FormatUint(uint64(part), 16) }
+
+// Attempt is an attempt at a server.
+type Attempt struct {
+	Instance string
+	Address  string
+	Version  string
+	// Placed is when it was sent.
+	Placed time.Duration
+}
+
+// BrokenOff records that a server broke off an attempt before its first event. Head is
+// true if the head of the answer had arrived.
+func (g *Guard) BrokenOff(p *Prompt, a Attempt, head bool) {
+	if len(p.parts) == 0 {
+		return
+	}
+	at := g.opts.Now()
+	go g.investigate(p, a, head, at)
+}
+
+// investigate finds out whether the server has ended, and tells the other entries.
+func (g *Guard) investigate(p *Prompt, a Attempt, head bool, at time.Duration) {
+	listens, leaving := g.listens(a), g.opts.Leaving(a.Instance)
+	g.opts.Logger.Info().Str("step", "broken off").Str("request", p.ID).Str("server", a.Instance).Str("peer", a.Address).
+		Str("version", a.Version).Str("model", p.model).Str("parts", p.logged()).
+		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", listens).Bool("leaving", leaving).
+		Msg("a backend server broke off an attempt before its first event")
+	if listens || leaving {
+		return
+	}
+	c := quarantine.Crash{
+		Instance: a.Instance, Release: quarantine.Release{Service: p.service, Version: a.Version}, At: at, Placed: a.Placed,
+		Request: p.request, Customer: p.customer, Head: head, Parts: p.parts,
+	}
+	g.mu.Lock()
+	now := g.opts.Now()
+	bars := g.core.Crashed(now, c)
+	g.mu.Unlock()
+	g.opts.Send(crashNews(now, c))
+	g.announce(bars, "barred", p.ID)
+}
+
+// listens reports whether an attempt's server still accepts connections.
+func (g *Guard) listens(a Attempt) bool {
+	now := g.opts.Now()
+	g.mu.Lock()
+	p := g.probes[a.Instance]
+	if p != nil && now-p.at < probeReused {
+		g.mu.Unlock()
+		<-p.done
+		return p.listens
+	}
+	p = &probe{at: now, done: make(chan struct{})}
+	g.probes[a.Instance] = p
+	g.mu.Unlock()
+	p.listens = g.opts.Listens(context.Background(), a.Address, probeTimeout)
+	close(p.done)
+	time.AfterFunc(probeReused, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.probes[a.Instance] == p {
+			delete(g.probes, a.Instance)
+		}
+	})
+	return p.listens
+}
+
+// Begun records that an answer has begun at a version.
+func (g *Guard) Begun(p *Prompt, version string) {
+	if len(p.parts) == 0 {
+		return
+	}
+	release := quarantine.Release{Service: p.service, Version: version}
+	g.mu.Lock()
+	now := g.opts.Now()
+	suspected, ended := g.core.Begun(now, release, p.parts)
+	g.mu.Unlock()
+	if len(suspected) > 0 {
+		g.opts.Send(acquittedNews(now, now, release, suspected))
+	}
+	g.note(ended, "ended", p.ID)
+}
+
+// Check returns at which of the service's versions a request must not be placed.
+func (g *Guard) Check(p *Prompt, versions []string) quarantine.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Check(g.opts.Now(), p.service, versions, p.customer, p.parts, g.mine)
+}
+
+// Tried records that a request was placed at a version after Check.
+func (g *Guard) Tried(p *Prompt, version string, v quarantine.Verdict) {
+	g.mu.Lock()
+	bars := g.core.Tried(g.opts.Now(), p.service, version, v)
+	g.mu.Unlock()
+	g.announce(bars, "tried", p.ID)
+}
+
+// Suspicious reports whether servers have ended under the parts of a request, without an
+// answer that has begun since.
+func (g *Guard) Suspicious(p *Prompt) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Suspicious(p.service, p.parts)
+}
+
+// mine reports whether this entry makes the trials of a part: of all entries, the one whose
+// address has the highest hash with the part.
+func (g *Guard) mine(part quarantine.Part) bool {
+	own := weight(part, g.opts.Address)
+	for _, peer := range g.opts.Peers() {
+		if weight(part, peer) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func weight(part quarantine.Part, address string) uint64 {
+	return xxhash.Sum64String(key(part) + "/" + address)
+}
+
+// Run repeats the bars to the other entries until the context ends.
+func (g *Guard) Run(ctx context.Context) {
+	expireAt := g.opts.Now() + expireInterval
+	for {
+		g.mu.Lock()
+		now, idle := g.opts.Now(), g.core.Bars() == 0
+		due := g.core.Due(now)
+		if now >= expireAt {
+			expireAt = now + expireInterval
+			g.core.Expire(now)
+		}
+		g.mu.Unlock()
+		for _, b := range due {
+			g.opts.Send(barNews(now, b))
+		}
+		if !sleep(ctx, idle, g.barred) {
+			return
+		}
+	}
+}
+
+// sleep waits for the next check, or for the first bar if there is none. It returns false
+// if the context has ended.
+func sleep(ctx context.Context, idle bool, barred <-chan struct{}) bool {
+	if idle {
+		select {
+		case <-barred:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// announce tells the other entries of bars that changed here.
+func (g *Guard) announce(bars []quarantine.Bar, change, request string) {
+	for _, b := range bars {
+		g.opts.Send(barNews(g.opts.Now(), b))
+	}
+	g.note(bars, change, request)
+}
+
+// note logs and counts changes of bars. The request is the one of this entry that caused
+// them, if any.
+func (g *Guard) note(bars []quarantine.Bar, change, request string) {
+	for _, b := range bars {
+		g.changes.WithLabelValues(change).Inc()
+		now := g.opts.Now()
+		g.opts.Logger.Info().Str("step", "quarantine").Str("change", change).Str("part", key(b.Part)).Str("service", b.Release.Service).
+			Str("version", b.Release.Version).Bool("all_customers", b.All).Int("trials", b.Trials).Str("request", request).
+			Int64("next_trial_ms", (b.Next-now).Milliseconds()).Int64("last_crash_ms", (now - b.LastCrash).Milliseconds()).
+			Msg("the quarantine of a prompt part under which backend servers crash changed")
+	}
+	if len(bars) > 0 {
+		select {
+		case g.barred <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/crashguard/news.go
@@ -0,0 +1,66 @@
+package crashguard
+
+import (
+	"time"
+
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/quarantine"
+	"waxwingcart/internal/wire"
+)
+
+func crashNews(now time.Duration, c quarantine.Crash) *wire.News {
+	return &wire.News{Crashes: []*wire.Crash{codec.CrashToWire(now, c)}}
+}
+
+func acquittedNews(now, at time.Duration, release quarantine.Release, parts []quarantine.Part) *wire.News {
+	return &wire.News{Acquitted: []*wire.Acquitted{codec.AcquittedToWire(now, at, release, parts)}}
+}
+
+func barNews(now time.Duration, b quarantine.Bar) *wire.News {
+	return &wire.News{Bars: []*wire.Bar{codec.BarToWire(now, b)}}
+}
+
+// Told applies what another entry says.
+func (g *Guard) Told(news *wire.News) {
+	if len(news.Crashes)+len(news.Acquitted)+len(news.Bars) == 0 {
+		return
+	}
+	now := g.opts.Now()
+	for _, c := range news.Crashes {
+		g.mu.Lock()
+		bars := g.core.Crashed(now, codec.CrashFromWire(now, c))
+		g.mu.Unlock()
+		g.announce(bars, "barred", "")
+	}
+	for _, a := range news.Acquitted {
+		g.acquit(now, a)
+	}
+	for _, b := range news.Bars {
+		g.adopt(now, codec.BarFromWire(now, b))
+	}
+}
+
+func (g *Guard) acquit(now time.Duration, a *wire.Acquitted) {
+	at := now - time.Duration(a.AgeMs)*time.Millisecond
+	release := quarantine.Release{Service: a.Service, Version: a.Version}
+	var ended []quarantine.Bar
+	g.mu.Lock()
+	for _, part := range codec.PartsFromWire(a.Parts) {
+		ended = append(ended, g.core.Acquit(at, release, part)...)
+	}
+	g.mu.Unlock()
+	g.note(ended, "ended", "")
+}
+
+// adopt applies a bar, or tells the others of the answer that proves it wrong.
+func (g *Guard) adopt(now time.Duration, b quarantine.Bar) {
+	g.mu.Lock()
+	adopted, begun, refuted := g.core.Adopt(now, b)
+	g.mu.Unlock()
+	switch {
+	case refuted:
+		g.opts.Send(acquittedNews(now, begun, b.Release, []quarantine.Part{b.Part}))
+	case adopted:
+		g.note([]quarantine.Bar{b}, "adopted", "")
+	}
+}
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -57,6 +57,7 @@
 	case request.Completed:
 		if r.source != nil {
 			r.last = r.source
+			r.noteWholeAnswer(r.source)
 			r.endAttempt(r.source, r.source.completedResult())
 		}
 	case request.Failed:
--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -158,6 +158,18 @@
 	b.scheduleSend(urgent)
 }
 
+// addAlone adds an update that may be too long to share a message with others.
+func (b *broadcaster) addAlone(news *wire.News) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.topology.Alone() {
+		return
+	}
+	news.Origin = b.entry.incarnation
+	b.own = append([]*wire.News{news}, b.own...)
+	b.scheduleSend(true)
+}
+
 // scheduleSend schedules sending the pending updates, at once if urgent and
 // else after deferredDelay. The caller holds mu.
 func (b *broadcaster) scheduleSend(urgent bool) {
@@ -347,6 +359,7 @@
 // applyUpdate applies another entry's update to placement and to the records of streams.
 func (b *broadcaster) applyUpdate(received *wire.News) {
 	b.entry.streams.told(received.Begun)
+	b.entry.guard.Told(received)
 	p := b.entry.policy
 	now := b.entry.now()
 	p.mu.Lock()
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -1,63 +1,78 @@
 package entry
 
 import (
-	"context"
-	"strings"
-	"time"
+	"net/http"
 
+	"waxwingcart/internal/core/quarantine"
 	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/crashguard"
+	"waxwingcart/internal/wire"
 )
 
-const (
-	// crashProbeTimeout bounds the connection that shows whether a server still listens.
-	crashProbeTimeout = 150 * time.Millisecond
-	// maxLoggedParts and maxLoggedPart bound the parts of a prompt in a log line, in parts
-	// and in bytes of a part's ID.
-	maxLoggedParts = 8
-	maxLoggedPart  = 24
-)
+// reasonCrashingPart means that backend servers crash under a part of the prompt.
+const reasonCrashingPart request.Reason = "crashing-part"
+
+// maxBrokenOff is the number of servers that may break a request off before its first event
+// while a part of its prompt is under suspicion.
+const maxBrokenOff = 2
 
-// brokenOff is an attempt that its server broke off before the first event.
-type brokenOff struct {
-	run     *run
-	server  string
-	address string
-	version string
-	// head is true if the head of the answer had arrived.
-	head   bool
-	waited time.Duration
+func newCrashGuard(e *Entry) *crashguard.Guard {
+	return crashguard.New(crashguard.Options{
+		Now: e.now, Seed: e.incarnation, Logger: e.logger, Registry: e.opts.Registry,
+		Send: func(news *wire.News) { e.broadcaster.addAlone(news) }, Address: e.opts.PeerAddress,
+		Peers: func() []string { return e.broadcaster.peers() }, Listens: e.backends.Listens,
+		Leaving: func(instance string) bool {
+			e.policy.mu.Lock()
+			defer e.policy.mu.Unlock()
+			return e.policy.placer.IsLeaving(instance)
+		},
+	})
 }
 
-// noteBrokenOff finds out whether a server that broke off an attempt before its first
-// event has ended, if the prompt has parts that other requests share.
+// guardPrompt returns the prompt of a call as the quarantine sees it. The last part is the
+// call's own.
+func guardPrompt(call *Call, customer, service string) crashguard.Prompt {
+	var names []string
+	if parts := call.Prompt.Parts; len(parts) > 1 {
+		for _, part := range parts[:len(parts)-1] {
+			names = append(names, part.ID)
+		}
+	}
+	return crashguard.NewPrompt(service, call.Prompt.Model, customer, call.RequestID, names)
+}
+
+// noteBrokenOff reports an attempt that its server broke off before the first event.
 func (r *run) noteBrokenOff(a *attempt, failure request.Failure) {
 	broken := failure.Phase == request.PhaseHandedOver && !failure.Silent && !failure.StreamGone && !failure.Answered
-	if a == nil || !broken || a.tokens > 0 || r.routed == nil || len(r.routed.size.Parts) == 0 {
+	if a == nil || !broken || a.tokens > 0 || r.routed == nil {
 		return
 	}
-	b := brokenOff{
-		run: r, server: a.server.Name, address: a.server.Address, version: a.version,
-		head: failure.Status != 0, waited: r.entry.now() - a.started,
+	r.routed.brokenOff++
+	r.entry.guard.BrokenOff(&r.routed.prompt, crashguard.Attempt{
+		Instance: a.server.Name, Address: a.server.Address, Version: a.version, Placed: a.started,
+	}, failure.Status != 0)
+}
+
+// noteWholeAnswer reports an answer that is no stream and not a server's error.
+func (r *run) noteWholeAnswer(a *attempt) {
+	if r.routed != nil && a.tokens == 0 && a.answer != nil && a.answer.status < http.StatusInternalServerError {
+		r.entry.guard.Begun(&r.routed.prompt, a.version)
 	}
-	go b.probe()
 }
 
-// probe logs whether the server still listens.
-func (b brokenOff) probe() {
-	e := b.run.entry
-	listens := e.backends.Listens(context.Background(), b.address, crashProbeTimeout)
-	e.logger.Info().Str("step", "broken off").Str("request", b.run.id).Str("server", b.server).Str("peer", b.address).
-		Str("version", b.version).Str("model", b.run.routed.call.Prompt.Model).Str("parts", b.run.loggedParts()).
-		Bool("head", b.head).Int64("waited_ms", b.waited.Milliseconds()).Bool("listens", listens).
-		Msg("a backend server broke off an attempt before its first event")
+// mayCrash reports whether the call must not be tried again: servers broke it off, and
+// ended under a part of its prompt on which no answer has begun since.
+func (r *run) mayCrash() bool {
+	return r.routed != nil && r.routed.brokenOff >= maxBrokenOff && r.entry.guard.Suspicious(&r.routed.prompt)
 }
 
-// loggedParts returns the first shared parts of the prompt.
-func (r *run) loggedParts() string {
-	var ids []string
-	parts := r.routed.call.Prompt.Parts
-	for _, part := range parts[:min(len(parts)-1, maxLoggedParts)] {
-		ids = append(ids, part.ID[:min(len(part.ID), maxLoggedPart)])
+// quarantined returns the verdict on a routed call at the versions where it may be placed.
+// The caller holds mu.
+func (p *policy) quarantined(r *run) (verdict quarantine.Verdict, everywhere bool) {
+	versions := p.placer.Versions(r.service.Name)
+	if r.routed.pinned {
+		versions = []string{r.routed.version}
 	}
-	return strings.Join(ids, ",")
+	verdict = p.entry.guard.Check(&r.routed.prompt, versions)
+	return verdict, len(versions) > 0 && len(verdict.Barred) == len(versions)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/bootclock"
 	"waxwingcart/internal/core/admission"
+	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
@@ -104,6 +105,7 @@
 	quota       *quotaClient
 	broadcaster *broadcaster
 	streams     *streams
+	guard       *crashguard.Guard
 	// callerLimits are the limits of callers' connections.
 	callerLimits callerLimits
 	// initialized is closed once routed calls can be served: a configuration
@@ -150,6 +152,7 @@
 	e.quota = newQuotaClient(e)
 	e.broadcaster = newBroadcaster(e)
 	e.streams = newStreams(e)
+	e.guard = newCrashGuard(e)
 	e.streams.register(opts.Registry)
 	e.releaser = newReleaser(e)
 	e.config = newConfigHolder(e)
@@ -186,6 +189,7 @@
 		e.spawn(func() { e.quota.run(ctx) })
 		e.spawn(func() { e.broadcaster.run(ctx) })
 		e.spawn(func() { e.runCatchUp(ctx) })
+		e.spawn(func() { e.guard.Run(ctx) })
 		return
 	}
 	e.shareLimits()
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -59,6 +59,9 @@
 	if p.doubtful(r) {
 		return request.NoServer{Reason: reasonVersionChanged, RetryAfter: addJitter(takeUpRetryAfter)}
 	}
+	if verdict, everywhere := p.quarantined(r); everywhere {
+		return request.NoServer{Reason: reasonCrashingPart, RetryAfter: addJitter(verdict.RetryAfter)}
+	}
 	if r.routed.pinned {
 		return p.noServerOf(r.service.Name, r.routed.version)
 	}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -15,6 +15,7 @@
 	if p.doubtful(r) {
 		return routing.Decision{}, false
 	}
+	verdict, _ := p.quarantined(r)
 	decision, ok := p.placer.Pick(p.entry.now(), &placement.Request{
 		Service: r.service.Name,
 		Size:    r.routed.size,
@@ -22,7 +23,11 @@
 		Pinned:  r.routed.pinned,
 		Version: r.routed.version,
 		Begins:  r.resumable(),
+		Barred:  verdict.Barred,
 	})
+	if ok {
+		p.entry.guard.Tried(&r.routed.prompt, decision.Version, verdict)
+	}
 	r.routed.decision = decision
 	return routing.Decision{
 		Server:             decision.Server,
@@ -87,6 +92,7 @@
 	e.policy.mu.Lock()
 	e.policy.placer.Started(e.now(), a.job, true)
 	e.policy.mu.Unlock()
+	e.guard.Begun(&r.routed.prompt, a.version)
 	if r.routed.announced {
 		e.broadcaster.started(a.job)
 	}
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -14,6 +14,7 @@
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routes"
 	"waxwingcart/internal/core/routing"
+	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/observe"
 )
 
@@ -47,6 +48,10 @@
 	// This is done for calls to model engines, whose load delays other calls.
 	// Other calls are short, and their servers have spare capacity.
 	announced bool
+	// prompt is the call as the quarantine sees it, and brokenOff the number of servers that
+	// broke it off before its first event.
+	prompt    crashguard.Prompt
+	brokenOff int
 	// paused is true once a pause of the stream has been reported.
 	paused bool
 	// tokensPerEvent is the number of tokens in one event of the answer.
@@ -261,6 +266,7 @@
 		routed:       &routedCall{route: route, call: call, host: req.Host, tokensPerEvent: 1},
 	}
 	r.routed.stream = streamID(name, call.RequestID)
+	r.routed.prompt = guardPrompt(&call, name, service.Name)
 	r.spec = request.Spec{
 		ID:           r.id,
 		Kind:         request.KindApp,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -334,6 +334,10 @@
 
 // Retry implements request.Retrier with the entry's retry budget.
 func (r *run) Retry(_ time.Duration, failed request.FailedAttempt) (time.Duration, bool) {
+	if r.mayCrash() {
+		r.ending.notRetried = string(reasonCrashingPart)
+		return 0, false
+	}
 	decision := r.entry.policy.decideRetry(retry.Attempt{
 		Service:    r.service.Name,
 		Error:      errorClass(failed.Failure),
