Read the limit of requests that a backend server names, and log it

The record can't show whether an entry knew of a limit: nothing reads the field. Nothing obeys the limit yet: the shares in core/serverlimit are not used.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -53,6 +53,11 @@
 	// OnPause is called in the same way with each call whose response has status 503
 	// and a Retry-After header.
 	OnPause func(call Call, header http.Header)
+	// OnLimit is called in the same way with each call whose response names a limit of
+	// requests, and with each other call whose instance Limited reports.
+	OnLimit func(call Call, limit Limit)
+	// Limited reports whether an instance is known to limit requests.
+	Limited func(instance string) bool
 	// OnEndless is called in the same way with each call whose response exceeds a
 	// bound; the error is an *answers.Error.
 	OnEndless func(call Call, err error)
@@ -261,6 +266,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	setDefault(&call.ProgressTimeout, c.opts.ProgressTimeout)
 	wd := newWatchdog(cancel, c.silence(call), call.ProgressTimeout)
+	sent := time.Now()
 	tracker := &writeTracker{}
 	fail := func(err error) error {
 		defer cancel(context.Canceled)
@@ -282,7 +288,7 @@
 	pending := &pendingResponse{client: c, call: call, response: response, tracker: tracker, wd: wd, cancel: cancel, share: c.memory.Share()}
 	// A connection is already idle if its response has no body.
 	pending.ended.Store(response.Body == http.NoBody)
-	if err := pending.check(); err != nil {
+	if err := pending.check(time.Since(sent)); err != nil {
 		pending.Close()
 		return nil, err
 	}
@@ -365,9 +371,9 @@
 )
 
 // check returns an error if the server refused to run the request or if the
-// response belongs to another request. It calls OnLeaving and
-// OnPause.
-func (r *pendingResponse) check() error {
+// response belongs to another request. It calls OnLeaving, OnPause and OnLimit. The request
+// was sent as long ago as it took.
+func (r *pendingResponse) check(took time.Duration) error {
 	protocol, header := r.client.opts.Protocol, r.response.Header
 	if named, ok := protocol.BelongsTo(r.call, header); !ok {
 		return r.fail(PhaseInvalid, fmt.Errorf("%w: %.60q", errOtherRequest, named))
@@ -381,12 +387,29 @@
 	if notify := r.client.opts.OnPause; notify != nil && r.response.StatusCode == http.StatusServiceUnavailable && header.Get("Retry-After") != "" {
 		notify(r.call, header)
 	}
+	if r.client.opts.OnLimit != nil {
+		if values, ok := protocol.Limits(r.response.StatusCode, header); ok {
+			r.client.noteLimit(r.call, values, took)
+		}
+	}
 	if protocol.NotRun(r.response.StatusCode, header) {
 		return r.fail(PhaseRefused, r.statusError())
 	}
 	return nil
 }
 
+// noteLimit calls OnLimit if a response names a limit, or if its server limits requests and
+// the response names none.
+func (c *Client) noteLimit(call Call, values []string, took time.Duration) {
+	limit := Limit{Took: took}
+	if len(values) > 0 {
+		limit.PerSecond, limit.Err = ParseLimit(values)
+	} else if !c.opts.Limited(call.Instance) {
+		return
+	}
+	c.opts.OnLimit(call, limit)
+}
+
 // reportEndless calls OnEndless if the error is that of a response that exceeds a bound.
 func (c *Client) reportEndless(call Call, err error) {
 	if c.opts.OnEndless != nil && answers.KindOf(err) != "" {
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -20,6 +20,10 @@
 	// Leaving reports whether a response says that the instance that the call is
 	// meant for takes no new requests.
 	Leaving(status int, header http.Header) bool
+	// Limits returns the values with which a response limits the requests of all callers
+	// together. It returns false if the response may be of another instance than the one
+	// that the call is meant for.
+	Limits(status int, header http.Header) (values []string, ok bool)
 }
 
 // defaultProtocol is the protocol of this project's backend servers.
@@ -66,3 +70,6 @@
 
 // Leaving implements Protocol. Servers of this protocol say it in their load reports.
 func (defaultProtocol) Leaving(int, http.Header) bool { return false }
+
+// Limits implements Protocol. Servers of this protocol name no limits.
+func (defaultProtocol) Limits(int, http.Header) ([]string, bool) { return nil, false }
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -111,6 +111,10 @@
 
 func (leavingProtocol) NotRun(_ int, header http.Header) bool { return header.Get("Not-Run") != "" }
 
+func (leavingProtocol) Limits(_ int, header http.Header) ([]string, bool) {
+	return header.Values("Limit"), true
+}
+
 func (leavingProtocol) Leaving(_ int, header http.Header) bool { return header.Get("Leaving") != "" }
 
 // The word is taken from every kind of answer when its head is read, but not from an
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"waxwingcart/internal/core/admission"
@@ -11,6 +12,7 @@
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/retry"
 	"waxwingcart/internal/core/routing"
+	"waxwingcart/internal/core/serverlimit"
 )
 
 // policyTick is the interval at which admission checks queued requests.
@@ -40,6 +42,10 @@
 	// placer places routed calls; it is nil if the configuration names the
 	// servers.
 	placer *placement.Placer
+	// limits holds what servers of routed calls say of their limits; anyLimit is true if
+	// there is one.
+	limits   *serverlimit.Share
+	anyLimit atomic.Bool
 	// submitted holds the requests passed to admission, by admission ID, until
 	// they end.
 	submitted map[uint64]*run
@@ -54,6 +60,7 @@
 		admission: admission.New(admission.Options{Seed: e.incarnation}),
 		router:    routing.New(routing.Options{Zone: e.opts.Zone, Seed: e.incarnation}),
 		retry:     retry.New(retryOptions(e)),
+		limits:    serverlimit.NewShare(e.incarnation),
 		submitted: make(map[uint64]*run),
 	}
 	if e.opts.Routed != nil {
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -69,6 +69,7 @@
 func (plainBackends) BelongsTo(backend.Call, http.Header) (string, bool) { return "", true }
 func (plainBackends) NotRun(int, http.Header) bool                       { return false }
 func (plainBackends) Leaving(_ int, _ http.Header) bool                  { return false }
+func (plainBackends) Limits(int, http.Header) ([]string, bool)           { return nil, false }
 
 // takeUpTable has a public route whose streams may be resumed, and one that charges.
 func takeUpTable([]byte) (*routes.Table, error) {
