Failing tests: engines get more requests than the limit that they named

Seen on this code, with 3 entries and 30 requests a second: 37 requests in 4 s at one engine of four that names 1.2 a second (12 allowed), and 33 to 41 at each if all four name it, with no request refused.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -143,6 +143,8 @@
 	draining             guardedBool
 	// versioned is set if the list names the engine's software version.
 	versioned *versionedEngine
+	// limiter, if set, names a limit of requests in answers.
+	limiter *limiter
 	// crasher, if set, ends the engine under some prompts.
 	crasher *crasher
 	// successor serves the requests after a restart.
@@ -251,6 +253,9 @@
 	e.mu.Lock()
 	e.arrivals++
 	e.mu.Unlock()
+	if e.limiter != nil {
+		e.limiter.name(w)
+	}
 	if e.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
