--- a/internal/entry/callerlimits.go
+++ b/internal/callerlimits/callerlimits.go
@@ -1,4 +1,6 @@
-package entry
+// Package callerlimits keeps the limits of callers' connections by the documents that
+// callers may follow now.
+package callerlimits
 
 import (
 	"sync"
@@ -11,19 +13,19 @@
 	// MaxHeaderBytes is the highest limit of a request's header that a document may
 	// set. It is the limit of the callers' http.Server.
 	MaxHeaderBytes = 1 << 20
-	// callerLag is how long callers may follow a document after the next one is in
+	// CallerLag is how long callers may follow a document after the next one is in
 	// force here.
-	callerLag = time.Minute
-	// transitTime is how long bytes that a caller sent in time may be under way.
+	CallerLag = time.Minute
+	// TransitTime is how long bytes that a caller sent in time may be under way.
 	// Lost packets are sent again within it.
-	transitTime = 5 * time.Second
+	TransitTime = 5 * time.Second
 )
 
-// callerLimits are the limits of the documents that callers may follow now: the one
-// in force, and older ones for a while.
-type callerLimits struct {
-	// transit is added to all times.
-	transit time.Duration
+// Limits are the limits of the documents that callers may follow now: the one in force,
+// and older ones for a while. It is safe for concurrent use.
+type Limits struct {
+	// Transit is added to all times.
+	Transit time.Duration
 
 	mu    sync.Mutex
 	known []knownLimits
@@ -36,8 +38,8 @@
 	replacedAt time.Duration
 }
 
-// set puts the limits of a new document in force.
-func (l *callerLimits) set(now time.Duration, limits routes.CallerLimits) {
+// Set puts the limits of a new document in force.
+func (l *Limits) Set(now time.Duration, limits routes.CallerLimits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var kept []knownLimits
@@ -45,7 +47,7 @@
 		if known.replacedAt == 0 {
 			known.replacedAt = now
 		}
-		if now-known.replacedAt < callerLag {
+		if now-known.replacedAt < CallerLag {
 			kept = append(kept, known)
 		}
 	}
@@ -54,7 +56,7 @@
 
 // highest returns the highest value of a limit that callers may follow, with fallback
 // for a document that does not set it, and without any document.
-func (l *callerLimits) highest(now, fallback time.Duration, limit func(*routes.CallerLimits) time.Duration) time.Duration {
+func (l *Limits) highest(now, fallback time.Duration, limit func(*routes.CallerLimits) time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.known) == 0 {
@@ -63,32 +65,32 @@
 	highest := time.Duration(0)
 	for i := range l.known {
 		known := &l.known[i]
-		if known.replacedAt > 0 && now-known.replacedAt >= callerLag {
+		if known.replacedAt > 0 && now-known.replacedAt >= CallerLag {
 			continue
 		}
 		value := limit(&known.CallerLimits)
 		if value <= 0 {
 			value = fallback
 		} else {
-			value += l.transit
+			value += l.Transit
 		}
 		highest = max(highest, value)
 	}
 	return highest
 }
 
-// idle returns how long a connection may stay idle now.
-func (l *callerLimits) idle(now, fallback time.Duration) time.Duration {
+// Idle returns how long a connection may stay idle now.
+func (l *Limits) Idle(now, fallback time.Duration) time.Duration {
 	return l.highest(now, fallback, func(limits *routes.CallerLimits) time.Duration { return limits.IdleTimeout })
 }
 
-// header returns how long the header of a request may take now.
-func (l *callerLimits) header(now, fallback time.Duration) time.Duration {
+// Header returns how long the header of a request may take now.
+func (l *Limits) Header(now, fallback time.Duration) time.Duration {
 	return l.highest(now, fallback, func(limits *routes.CallerLimits) time.Duration { return limits.HeaderTimeout })
 }
 
-// headerBytes returns how long the header of a request may be now, in bytes.
-func (l *callerLimits) headerBytes(now time.Duration, fallback int) int {
+// HeaderBytes returns how long the header of a request may be now, in bytes.
+func (l *Limits) HeaderBytes(now time.Duration, fallback int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.known) == 0 {
@@ -97,7 +99,7 @@
 	highest := 0
 	for i := range l.known {
 		known := &l.known[i]
-		if known.replacedAt > 0 && now-known.replacedAt >= callerLag {
+		if known.replacedAt > 0 && now-known.replacedAt >= CallerLag {
 			continue
 		}
 		value := known.HeaderBytes
--- a/internal/entry/callerphase.go
+++ b/internal/entry/callerphase.go
@@ -95,9 +95,9 @@
 func (c *callerConn) timeLeft(now time.Duration) time.Duration {
 	limits, w := &c.entry.callerLimits, &c.waiting
 	if w.phase == phaseIdle {
-		return w.since + limits.idle(now, w.fallback) - now
+		return w.since + limits.Idle(now, w.fallback) - now
 	}
-	return w.since + limits.header(now, w.fallback) - now
+	return w.since + limits.Header(now, w.fallback) - now
 }
 
 // Read reads bytes of a request. A time limit that was lengthened meanwhile is
@@ -143,7 +143,7 @@
 		return true
 	}
 	w.headerBytes += n
-	if w.headerBytes <= c.entry.callerLimits.headerBytes(c.entry.now(), c.entry.opts.HeaderLimit)+headerSlack {
+	if w.headerBytes <= c.entry.callerLimits.HeaderBytes(c.entry.now(), c.entry.opts.HeaderLimit)+headerSlack {
 		return true
 	}
 	w.refused = true
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -217,7 +217,7 @@
 	h.entry.policy.setConfiguration(next)
 	h.current.Store(next)
 	if next.routes != nil {
-		h.entry.callerLimits.set(h.entry.now(), next.routes.Limits)
+		h.entry.callerLimits.Set(h.entry.now(), next.routes.Limits)
 	}
 	h.entry.metrics.revision.Set(float64(next.revision))
 	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/bootclock"
+	"waxwingcart/internal/callerlimits"
 	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/rpc"
@@ -107,7 +108,7 @@
 	streams     *streams
 	guard       *crashguard.Guard
 	// callerLimits are the limits of callers' connections.
-	callerLimits callerLimits
+	callerLimits callerlimits.Limits
 	// initialized is closed once routed calls can be served: a configuration
 	// is in force and the list of backend servers has been read.
 	initialized chan struct{}
@@ -146,7 +147,7 @@
 		idle:        make(chan struct{}),
 		initialized: make(chan struct{}),
 	}
-	e.callerLimits.transit = transitTime
+	e.callerLimits.Transit = callerlimits.TransitTime
 	e.backends = backend.New(e.backendOptions())
 	e.policy = newPolicy(e)
 	e.quota = newQuotaClient(e)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -20,6 +20,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"waxwingcart/internal/callerlimits"
 	"waxwingcart/internal/entry"
 	"waxwingcart/internal/observe"
 	"waxwingcart/internal/operator"
@@ -315,7 +316,7 @@
 	if name == callersListener && p.Process.Hosted != nil {
 		server.ConnContext, server.ConnState = entry.ConnContext, entry.ConnState
 		// The connections follow the limit of the document in force.
-		server.MaxHeaderBytes = entry.MaxHeaderBytes
+		server.MaxHeaderBytes = callerlimits.MaxHeaderBytes
 	}
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return startServer(p, name, address, server) },
