Keep to the limit of requests that a backend server names, all entries together

Callers saw: a server in need got several times the requests that it takes, so that the answers of all of them came late.

Cause: nothing read the field, and no bound on what a server gets was shared by the entries. Class: a limit that holds for all entries and is known to one.

core/serverlimit: the leader holds a bucket for each server that names a limit and grants whole requests to the entries that would send some, with the draws of the customers' units. Placement picks a limited server only with a grant; every attempt takes one, retries and hedges included. If only limits keep a call from the servers and the leader is expected to have a grant, the call waits for one draw; otherwise it is refused as not run with a time computed from the limits, and its work counts as load for scaling.

Why it works: a request needs a grant, and the grants come from one bucket.

--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -202,10 +202,11 @@
 	}
 }
 
-// Pick returns the server with the lowest score, or false if no server is eligible.
+// Pick returns the server with the lowest score, or false if no server is eligible. If a
+// limiter keeps the request from the best one, it learns which that is.
 func (p *Placer) Pick(now time.Duration, request *Request) (Decision, bool) {
-	var best *server
-	bestScore := math.Inf(1)
+	var best, wanted *server
+	bestScore, wantedScore := math.Inf(1), math.Inf(1)
 	var decision Decision
 	lone := p.loneVersions(now, request)
 	for _, s := range p.byName[request.Service] {
@@ -216,10 +217,20 @@
 		if slices.Contains(lone, s.Version) {
 			score += loneVersionPenalty
 		}
-		if score += p.random.Float64() * tieNoise; best == nil || score < bestScore {
+		score += p.random.Float64() * tieNoise
+		if wanted == nil || score < wantedScore {
+			wanted, wantedScore = s, score
+		}
+		if request.Limiter != nil && !request.Limiter.Takes(now, s.Name, request.Rank) {
+			continue
+		}
+		if best == nil || score < bestScore {
 			best, bestScore, decision = s, score, d
 		}
 	}
+	if request.Limiter != nil && wanted != nil {
+		request.Limiter.Want(now, wanted.Name, request.Rank)
+	}
 	return decision, best != nil
 }
 
--- a/internal/core/placement/suspension.go
+++ b/internal/core/placement/suspension.go
@@ -73,6 +73,17 @@
 	return !p.IsLeaving(instance) && (s == nil || s.takes(now))
 }
 
+// Takers returns the servers that may get a request now, whatever limiter it has.
+func (p *Placer) Takers(now time.Duration, request *Request) []string {
+	var takers []string
+	for _, s := range p.byName[request.Service] {
+		if request.allows(s) && p.Takes(now, s.Name) {
+			takers = append(takers, s.Name)
+		}
+	}
+	return takers
+}
+
 // SoonestReturn returns the time until a server of the service takes work again. It
 // returns false unless all servers that don't leave are suspended.
 func (p *Placer) SoonestReturn(now time.Duration, service string) (time.Duration, bool) {
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -70,11 +70,23 @@
 	Version string
 	// Barred lists the versions at whose servers the request must not be placed.
 	Barred []string
+	// Limiter, if set, limits the servers' requests, and Rank is the request's rank there.
+	Limiter Limiter
+	Rank    int
 	// Begins is true if a stream begins that may go on at another server of the
 	// version at which it began.
 	Begins bool
 }
 
+// Limiter tells which servers may get a request now, beside those that leave or pause.
+type Limiter interface {
+	// Takes reports whether a request of a rank may be sent to a server; 0 is the most urgent
+	// rank.
+	Takes(now time.Duration, instance string, rank int) bool
+	// Want records a request that would be sent to a server.
+	Want(now time.Duration, instance string, rank int)
+}
+
 // Decision is the picked server with the prediction for it.
 type Decision struct {
 	Server string
--- a/internal/core/serverlimit/allocator.go
+++ b/internal/core/serverlimit/allocator.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// bucketTime is the time for which an unused limit accumulates, though always one request
-	// does.
+	// bucketTime is the time for which an unused limit accumulates, though minBucket requests
+	// always do.
 	bucketTime = 500 * time.Millisecond
+	minBucket  = 2.0
 )
 
 // Report is what an entry tells the leader.
@@ -22,8 +23,10 @@
 type Grant struct {
 	// Words are those of all servers that have named a limit.
 	Words map[string]Word
-	// Granted is the number of requests that the entry may send to a server.
+	// Granted is the number of requests that the entry may send to a server, and Wait the time
+	// until there is another one.
 	Granted map[string]int
+	Wait    map[string]time.Duration
 }
 
 // Allocator grants requests. Only the leader uses one. A new one grants nothing at once,
@@ -47,7 +50,7 @@
 	for instance, word := range report.Words {
 		a.learn(now, instance, word)
 	}
-	grant := Grant{Words: make(map[string]Word, len(a.buckets)), Granted: make(map[string]int)}
+	grant := Grant{Words: make(map[string]Word, len(a.buckets)), Granted: make(map[string]int), Wait: make(map[string]time.Duration)}
 	for instance, b := range a.buckets {
 		grant.Words[instance] = b.word
 		if b.word.PerSecond == 0 {
@@ -59,6 +62,9 @@
 			b.level -= float64(n)
 			grant.Granted[instance] = n
 		}
+		if b.level < 1 {
+			grant.Wait[instance] = time.Duration((1 - b.level) / b.word.rate() * float64(time.Second))
+		}
 	}
 	return grant
 }
@@ -89,7 +95,7 @@
 }
 
 // most is the number of requests that accumulate.
-func (b *bucket) most() float64 { return max(b.word.rate()*bucketTime.Seconds(), 1) }
+func (b *bucket) most() float64 { return max(b.word.rate()*bucketTime.Seconds(), minBucket) }
 
 func (b *bucket) fill(now time.Duration) {
 	if elapsed := (now - b.filledAt).Seconds(); elapsed > 0 {
--- a/internal/core/serverlimit/share.go
+++ b/internal/core/serverlimit/share.go
@@ -45,9 +45,12 @@
 	expires time.Duration
 	// back is the number of requests that were granted and not used.
 	back int
-	// wanted is the number of requests that would have been sent here since the last
-	// renewal.
-	wanted int
+	// waiting is the number of requests that wait for the next grant, awaitedAt when one last
+	// would have waited if the leader had one to grant, and availableAt when the
+	// leader expects to have one to grant.
+	waiting     int
+	awaitedAt   time.Duration
+	availableAt time.Duration
 	// knownAt is when a grant last knew of the server.
 	knownAt time.Duration
 	// offline is the level of the bucket that is used without a leader.
@@ -126,6 +129,14 @@
 // Limited reports whether a server names a limit.
 func (s *Share) Limited(instance string) bool { return s.known(instance) != nil }
 
+// PerSecond returns the limit of a server, or 0 if it names none.
+func (s *Share) PerSecond(instance string) float64 {
+	if known := s.known(instance); known != nil {
+		return known.word.PerSecond
+	}
+	return 0
+}
+
 // known returns the state of a server that names a limit, or nil.
 func (s *Share) known(instance string) *server {
 	if known := s.servers[instance]; known != nil && known.word.PerSecond > 0 {
@@ -175,7 +186,6 @@
 // Want records a request that would be sent to a server if the limit allowed it.
 func (s *Share) Want(now time.Duration, instance string, rank int) {
 	if known := s.known(instance); known != nil {
-		known.wanted++
 		known.demand[min(max(rank, 0), maxRank)].add(now, 1)
 	}
 }
@@ -199,6 +209,24 @@
 	}
 }
 
+// Await records a request that waits for the next grant of one of the servers. It returns
+// false if the leader is not expected to grant one now.
+func (s *Share) Await(now time.Duration, instances []string) bool {
+	awaits := false
+	for _, instance := range instances {
+		known := s.known(instance)
+		if known == nil {
+			continue
+		}
+		known.awaitedAt = now
+		if now >= known.availableAt && now-known.knownAt < leaderSilent {
+			known.waiting++
+			awaits = true
+		}
+	}
+	return awaits
+}
+
 // Refused records a request that none of the servers could take, and returns when it may
 // be sent again: by then this entry will have been granted a request for each that it has
 // refused lately.
@@ -236,14 +264,36 @@
 		if known.back > 0 {
 			report.Back[instance], known.back = known.back, 0
 		}
-		if wanted := min(known.wanted, maxWanted) - known.granted; wanted > 0 {
+		ahead := known.expected(now, s.random)
+		if known.scarce(now, s.entries) {
+			ahead = 0
+		}
+		if wanted := min(known.waiting+ahead, maxWanted) - known.granted; wanted > 0 {
 			report.Wanted[instance] = wanted
 		}
-		known.wanted = 0
+		known.waiting = 0
 	}
 	return report
 }
 
+// expected returns how many requests the entry will send to the server within the life of a
+// grant, if the limit allows it. The fraction is rounded at random.
+func (k *server) expected(now time.Duration, random *rand.Rand) int {
+	demand := 0.0
+	for rank := range k.demand {
+		demand += k.demand[rank].decayed(now)
+	}
+	return int(demand*grantLife.Seconds()/demandWindow.Seconds() + random.Float64())
+}
+
+// scarce reports whether requests wait for grants, and the limit gives each entry less than
+// one in the life of a grant: those that were granted ahead would be missing where requests
+// wait.
+func (k *server) scarce(now time.Duration, entries int) bool {
+	share := k.word.rate() * grantLife.Seconds() / float64(max(entries, 1))
+	return k.awaitedAt > 0 && now-k.awaitedAt < demandWindow && share < 1
+}
+
 // Granted applies the leader's answer to a report. Entries is the number of entries that
 // share the limits.
 func (s *Share) Granted(now time.Duration, grant Grant, entries int) (changed []string) {
@@ -257,6 +307,7 @@
 			continue
 		}
 		known.knownAt, known.offline = now, 0
+		known.availableAt = now + grant.Wait[instance]
 		if n := grant.Granted[instance]; n > 0 {
 			known.granted += n
 			known.expires = now + grantLife
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -65,6 +65,9 @@
 	if r.routed.pinned {
 		return p.noServerOf(r.service.Name, r.routed.version)
 	}
+	if wait, limited := p.limitRefuses(r); limited {
+		return request.NoServer{Reason: reasonServersLimited, RetryAfter: addJitter(wait)}
+	}
 	if p.placer.AllLeaving(r.service.Name) {
 		return request.NoServer{Reason: request.ReasonLeaving, RetryAfter: addJitter(retryAfterNoServer)}
 	}
@@ -74,12 +77,18 @@
 	return request.NoServer{RetryAfter: retryAfterNoServer}
 }
 
-// takesWork reports whether the server of a routed call takes new work.
+// takesWork reports whether the server of a routed call takes this request once more, and
+// counts it toward the server's limit.
 func (p *policy) takesWork(r *run, server string) bool {
 	if r.routed == nil {
 		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.placer.Takes(p.entry.now(), server)
+	now := p.entry.now()
+	if !p.placer.Takes(now, server) || !p.limits.Takes(now, server, r.routed.priority) {
+		return false
+	}
+	p.limits.Use(now, server)
+	return true
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -24,8 +24,11 @@
 		Version: r.routed.version,
 		Begins:  r.resumable(),
 		Barred:  verdict.Barred,
+		Limiter: p.limiter(),
+		Rank:    r.routed.priority,
 	})
 	if ok {
+		p.limits.Use(p.entry.now(), decision.Server)
 		p.entry.guard.Tried(&r.routed.prompt, decision.Version, verdict)
 	}
 	r.routed.decision = decision
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -190,10 +190,14 @@
 // none is usable or if the answer would come too late.
 func (p *policy) pickServer(r *run, exclude []string) request.Event {
 	decision, ok := p.chooseServer(r, exclude)
+	if !ok && p.awaitGrant(r) {
+		decision, ok = p.chooseServer(r, exclude)
+	}
 	if !ok {
 		return p.noServer(r)
 	}
 	if wait, late := r.wouldBeLate(decision.ExpectedFirstToken); late {
+		p.returnUse(decision.Server)
 		return request.NoServer{Reason: request.ReasonOverload, RetryAfter: wait}
 	}
 	r.expectedFirst = decision.ExpectedFirstToken
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -134,11 +134,17 @@
 	if !q.limiter.RequestUnits(now, customer, cost) {
 		return nil, false
 	}
+	return q.wakeDraw(), false
+}
+
+// wakeDraw requests a draw and returns the channel that is closed when it has ended. The
+// caller holds mu.
+func (q *quotaClient) wakeDraw() <-chan struct{} {
 	select {
 	case q.wake <- struct{}{}:
 	default:
 	}
-	return q.nextDraw, false
+	return q.nextDraw
 }
 
 // await waits for a draw and reports whether it ended in time.
@@ -223,6 +229,7 @@
 	request.Load = load
 	request.Address, request.Zone = q.entry.opts.PeerAddress, q.entry.opts.Zone
 	request.List = q.entry.directory.listVersion()
+	request.Limits = q.entry.policy.limitReport(now)
 	if q.counter == nil {
 		return request
 	}
@@ -249,6 +256,7 @@
 	q.mu.Unlock()
 	if err == nil {
 		q.applyLeaderList(requestedAt, response)
+		q.entry.policy.applyLimits(response)
 		q.entry.broadcaster.setPeers(response.Peers)
 		q.entry.policy.shareRetries(int(response.Entries))
 	}
--- a/internal/entry/serverlimit.go
+++ b/internal/entry/serverlimit.go
@@ -1,8 +1,15 @@
 package entry
 
 import (
+	"slices"
+	"time"
+
 	"waxwingcart/internal/backend"
+	"waxwingcart/internal/codec"
+	"waxwingcart/internal/core/placement"
+	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/serverlimit"
+	"waxwingcart/internal/wire"
 )
 
 // Sources of what an entry knows of a server's limit.
@@ -42,6 +49,90 @@
 		Msg("the limit of requests that a backend server takes from all entries changed; 0 is none")
 }
 
+// reasonServersLimited means that all servers that could take the call limit requests.
+const reasonServersLimited request.Reason = "servers-limited"
+
+// limiter returns the limits for placement, or nil if there are none. The caller holds mu.
+func (p *policy) limiter() placement.Limiter {
+	if !p.limits.Any() {
+		return nil
+	}
+	return p.limits
+}
+
+// returnUse gives back a request to a server that is not sent.
+func (p *policy) returnUse(server string) {
+	if !p.anyLimit.Load() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.Return(p.entry.now(), server)
+}
+
+// limitedTakers returns the servers that could take the call but for their limits. The
+// caller holds mu.
+func (p *policy) limitedTakers(r *run, now time.Duration) []string {
+	verdict, _ := p.quarantined(r)
+	takers := p.placer.Takers(now, &placement.Request{
+		Service: r.service.Name, Pinned: r.routed.pinned, Version: r.routed.version, Barred: verdict.Barred,
+	})
+	return slices.DeleteFunc(takers, func(instance string) bool { return !p.limits.Limited(instance) })
+}
+
+// awaitGrant waits for a grant of the leader if only limits keep a call from the servers, and
+// one is expected. It reports whether to choose again.
+func (p *policy) awaitGrant(r *run) bool {
+	if r.routed == nil || !p.anyLimit.Load() {
+		return false
+	}
+	p.mu.Lock()
+	now := p.entry.now()
+	awaits := p.limits.Await(now, p.limitedTakers(r, now))
+	p.mu.Unlock()
+	if !awaits {
+		return false
+	}
+	q := p.entry.quota
+	q.mu.Lock()
+	done := q.wakeDraw()
+	q.mu.Unlock()
+	return q.await(r.callerCtx, done)
+}
+
+// limitRefuses reports whether servers take work but for their limits, and when to come
+// back then. The refused work counts as load of the service, so that more servers are ordered.
+// The caller holds mu.
+func (p *policy) limitRefuses(r *run) (time.Duration, bool) {
+	if !p.limits.Any() {
+		return 0, false
+	}
+	now := p.entry.now()
+	limited := p.limitedTakers(r, now)
+	if len(limited) == 0 {
+		return 0, false
+	}
+	p.placer.AddWork(now, r.service.Name, placement.NewJob(placement.JobID{}, placement.Decision{UncachedTokens: r.size.PromptTokens}, r.routed.size).Work)
+	return p.limits.Refused(now, limited), true
+}
+
+// limitReport returns what the leader has to know of the servers' limits.
+func (p *policy) limitReport(now time.Duration) []*wire.ServerLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return codec.LimitReportToWire(now, p.limits.Renewal(now))
+}
+
+// applyLimits applies what the leader says of the servers' limits, and grants.
+func (p *policy) applyLimits(response *wire.DrawResponse) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.entry.now()
+	for _, instance := range p.limits.Granted(now, codec.LimitGrantFromWire(now, response.Limits), int(response.Entries)) {
+		p.entry.noteLimit(instance, p.limits.PerSecond(instance), limitFromLeader, "")
+	}
+}
+
 // limited reports whether a server limits requests.
 func (p *policy) limited(instance string) bool {
 	if !p.anyLimit.Load() {
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -8,6 +8,7 @@
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/quota"
 	"waxwingcart/internal/core/replication"
+	"waxwingcart/internal/core/serverlimit"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
@@ -17,7 +18,9 @@
 type limits struct {
 	mu        sync.Mutex
 	allocator *quota.Allocator
-	// term is the term to which allocator belongs.
+	// servers grants requests to backend servers that limit them.
+	servers *serverlimit.Allocator
+	// term is the term to which the allocators belong.
 	term uint64
 	// peers holds the address at which each entry listens for the others, by
 	// process.
@@ -35,7 +38,7 @@
 const peerLifetime = 5 * time.Second
 
 func newLimits() *limits {
-	return &limits{allocator: quota.NewAllocator(), peers: make(map[string]peerEntry)}
+	return &limits{allocator: quota.NewAllocator(), servers: serverlimit.NewAllocator(), peers: make(map[string]peerEntry)}
 }
 
 // updatePeer records an entry's address and returns those of all live entries.
@@ -54,20 +57,20 @@
 	return peers
 }
 
-// renew grants units to an entry. It starts with a new allocator in each term,
+// renew grants units, and requests to limited servers, to an entry. It starts with new allocators in each term,
 // because the grants of earlier terms are not known. It grants nothing and returns
 // false to a call that was accepted in a term that is over.
-func (l *limits) renew(now time.Duration, term uint64, renewal quota.Renewal) (quota.Grant, bool) {
+func (l *limits) renew(now time.Duration, term uint64, renewal quota.Renewal, report serverlimit.Report) (quota.Grant, serverlimit.Grant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if term < l.term {
-		return quota.Grant{}, false
+		return quota.Grant{}, serverlimit.Grant{}, false
 	}
 	if l.term != term {
 		l.term = term
-		l.allocator = quota.NewAllocator()
+		l.allocator, l.servers = quota.NewAllocator(), serverlimit.NewAllocator()
 	}
-	return l.allocator.Renew(now, renewal), true
+	return l.allocator.Renew(now, renewal), l.servers.Renew(now, report), true
 }
 
 // Draw grants units to an entry and records the usage that it reports. It is
@@ -83,11 +86,13 @@
 	if r.duties != nil {
 		r.duties.addUsageAndLoad(req)
 	}
-	grant, ok := r.limits.renew(r.now(), status.Term, codec.RenewalFromWire(req))
+	now := r.now()
+	grant, requests, ok := r.limits.renew(now, status.Term, codec.RenewalFromWire(req), codec.LimitReportFromWire(now, req.Limits))
 	if !ok {
 		return nil, rpc.NotLeader(r.leaderAddress())
 	}
 	response := codec.GrantToWire(grant)
+	response.Limits = codec.LimitGrantToWire(now, requests)
 	response.Peers = r.limits.updatePeer(r.now(), req.Process, &wire.EntryPeer{Address: req.Address, Zone: req.Zone})
 	if r.duties != nil {
 		r.duties.fillList(req, response)
--- a/internal/replica/limits_test.go
+++ b/internal/replica/limits_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"waxwingcart/internal/core/quota"
+	"waxwingcart/internal/core/serverlimit"
 )
 
 // A call that was accepted in a former term must not restart the allocator of the
@@ -11,14 +12,14 @@
 func TestFormerTermKeepsGrants(t *testing.T) {
 	l := newLimits()
 	renewal := quota.Renewal{Number: 1, Limits: map[string]quota.Limit{"heirs": {Rate: 1, Burst: 100}}}
-	if _, ok := l.renew(0, 2, renewal); !ok {
+	if _, _, ok := l.renew(0, 2, renewal, serverlimit.Report{}); !ok {
 		t.Fatal("term 2: not granted")
 	}
 	current := l.allocator
-	if _, ok := l.renew(0, 1, renewal); ok {
+	if _, _, ok := l.renew(0, 1, renewal, serverlimit.Report{}); ok {
 		t.Error("a call of term 1 was granted units in term 2")
 	}
-	if _, ok := l.renew(0, 2, renewal); !ok || l.allocator != current {
+	if _, _, ok := l.renew(0, 2, renewal, serverlimit.Report{}); !ok || l.allocator != current {
 		t.Error("a call of term 1 replaced the allocator of term 2")
 	}
 }
