Take the locks of limits and placement in one order

Callers saw: an entry that took connections and answered nothing, for good, from a moment at which it drew units while a configuration or list came into force.

Cause: the report on servers' limits was built under the quota's lock and took the policy's; a configuration takes them the other way round.

TestDrawBesideConfiguration hangs for 15 s on and takes 0.04 s now, as the report is built first.

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -220,7 +220,7 @@
 }
 
 func (q *quotaClient) request(now time.Duration) *wire.DrawRequest {
-	load := q.entry.serviceLoad()
+	load, limits := q.entry.serviceLoad(), q.entry.policy.limitReport(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.currentDraw, q.nextDraw = q.nextDraw, make(chan struct{})
@@ -229,7 +229,7 @@
 	request.Load = load
 	request.Address, request.Zone = q.entry.opts.PeerAddress, q.entry.opts.Zone
 	request.List = q.entry.directory.listVersion()
-	request.Limits = q.entry.policy.limitReport(now)
+	request.Limits = limits
 	if q.counter == nil {
 		return request
 	}
