Soak: a part of prompts that crashes servers, and servers that name limits

TestSoakTroubles plays both at random moments, overlapping, beside the faults of entries and replicas, and checks from outside that a part under which five servers have crashed reaches at most three more times, that sound requests begin meanwhile, and that no server gets more than its limit allows. The stand-in that can crash moves to internal/standin, for the soak and the end-to-end tests.

--- a/internal/e2e/hosted_crash_engine_test.go
+++ b/internal/e2e/hosted_crash_engine_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"waxwingcart/internal/standin"
 )
 
 const (
@@ -73,83 +75,34 @@
 // crasher ends one engine and starts it again under its ID and address.
 type crasher struct {
 	*crashes
-	engine *hostedEngine
-
-	mu     sync.Mutex
-	server *http.Server
-	conns  map[net.Conn]bool
+	server *standin.Crashable
 }
 
 // addCrashing adds an engine that ends under the crashing part.
 func (p *hostedPlatform) addCrashing(t testing.TB, id string, shared *crashes) *hostedEngine {
 	t.Helper()
 	e := newHostedEngine(id, "models")
-	e.crasher = &crasher{crashes: shared, engine: e}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.address = listener.Addr().String()
-	e.crasher.serve(listener)
-	t.Cleanup(func() { e.crasher.end(false) })
+	server := standin.NewCrashable(listener, e)
+	t.Cleanup(server.Close)
+	e.address, e.crasher = server.Address(), &crasher{crashes: shared, server: server}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engines = append(p.engines, e)
 	return e
 }
 
-func (c *crasher) serve(listener net.Listener) {
-	server := &http.Server{Handler: c.engine, ConnState: c.track}
-	c.mu.Lock()
-	c.server, c.conns = server, make(map[net.Conn]bool)
-	c.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
-}
-
-func (c *crasher) track(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state == http.StateClosed {
-		delete(c.conns, conn)
-	} else {
-		c.conns[conn] = true
-	}
-}
-
-// end resets all connections and refuses new ones, for crashDown if again is true. It
-// returns false if the engine has ended already.
-func (c *crasher) end(again bool) bool {
-	c.mu.Lock()
-	server, conns := c.server, c.conns
-	c.server = nil
-	if server != nil {
-		for conn := range conns {
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-		}
-	}
-	c.mu.Unlock()
-	if server == nil {
-		return false
-	}
-	if again {
-		c.crashes.mu.Lock()
-		c.ends = append(c.ends, time.Now())
-		c.crashes.mu.Unlock()
-		time.AfterFunc(crashDown, c.listenAgain)
-	}
-	_ = server.Close()
-	return true
-}
-
-func (c *crasher) listenAgain() {
-	listener, err := net.Listen("tcp", c.engine.address)
-	if err != nil {
-		time.AfterFunc(pollInterval, c.listenAgain)
+// end ends the engine for crashDown.
+func (c *crasher) end() {
+	if !c.server.Crash(crashDown) {
 		return
 	}
-	c.serve(listener)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ends = append(c.ends, time.Now())
 }
 
 // strikes ends the engine if the prompt has the crashing part, in the middle of the first
@@ -167,6 +120,6 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	fmt.Fprint(w, "id: 0\ndata: par")
 	_ = http.NewResponseController(w).Flush()
-	c.end(true)
+	c.end()
 	return true
 }
--- a/internal/e2e/hosted_crash_test.go
+++ b/internal/e2e/hosted_crash_test.go
@@ -185,7 +185,7 @@
 	load.send(40, "/dossiers/1", true, soundParts)
 	for i := range ends {
 		time.Sleep(crashDown / 3)
-		engines[i%crashEngines].crasher.end(true)
+		engines[i%crashEngines].crasher.end()
 	}
 	time.Sleep(crashDown)
 	load.end()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -87,6 +87,7 @@
 	c.checkRuns()
 	c.checkAnswered()
 	c.checkStreams()
+	c.checkTroubles()
 	for _, end := range c.Ends {
 		c.report(promiseRuns, c.End, end, "ended")
 	}
--- a/internal/soak/document_test.go
+++ b/internal/soak/document_test.go
@@ -57,6 +57,8 @@
 	Customers int
 	// Streams adds the routes of streams.
 	Streams bool
+	// Troubles adds the route of drafts.
+	Troubles bool
 }
 
 func serviceOf(label string) string { return "s" + label }
@@ -105,6 +107,11 @@
 		routes = append(routes, streamRoutes(d.Version, route)...)
 		services = append(services, map[string]any{"name": serviceModels}, map[string]any{"name": serviceSingle})
 	}
+	if d.Troubles {
+		draft := route(pathDraft, "stream", serviceDrafts)
+		draft["resumable"], draft["timeout_ms"] = true, streamTimeoutMS
+		routes, services = append(routes, draft), append(services, map[string]any{"name": serviceDrafts})
+	}
 	for _, label := range d.labels() {
 		routes = append(routes, route(pathOf(label), "safe", serviceOf(label)))
 		services = append(services, map[string]any{"name": serviceOf(label)})
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -89,6 +89,10 @@
 	Listings          []Listing
 	Observations      []Observation
 	Attempts          []StreamAttempt
+	Reached           []Reach
+	Crashes           []Crash
+	Namings           []Naming
+	Drafts            []Draft
 	// Runs counts how often backend servers ran each request, by its ID.
 	Runs map[string]int
 	// Ends lists processes that ended by themselves.
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -109,6 +109,8 @@
 	Entries, Replicas int
 	// Streams adds streams, and what their backend servers do.
 	Streams bool
+	// Troubles adds servers that crash under one part of a prompt or name limits.
+	Troubles bool
 }
 
 // Plan is a sequence of changes and faults. It depends on its options alone.
@@ -188,6 +190,9 @@
 	if options.Streams {
 		p.streamEvents()
 	}
+	if options.Troubles {
+		p.troubleEvents()
+	}
 	p.Events = slices.DeleteFunc(p.Events, func(e Event) bool { return e.At >= options.Duration })
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return &p.Plan
@@ -207,7 +212,7 @@
 	if flaw != FlawNone {
 		label += "x"
 	}
-	document := &Document{Label: label, Version: p.version, Kept: slices.Clone(p.kept), Flaw: flaw, Customers: p.bulk, Streams: p.Streams}
+	document := &Document{Label: label, Version: p.version, Kept: slices.Clone(p.kept), Flaw: flaw, Customers: p.bulk, Streams: p.Streams, Troubles: p.Troubles}
 	p.Documents = append(p.Documents, document)
 	return document
 }
--- a/internal/soak/platform_test.go
+++ b/internal/soak/platform_test.go
@@ -22,6 +22,8 @@
 
 	mu      sync.Mutex
 	engines []*engine
+	drafts  []*draftEngine
+	trouble trouble
 	started int
 	// read is closed when the list is read next.
 	read chan struct{}
@@ -68,6 +70,9 @@
 	for _, server := range p.servers {
 		_ = server.Close()
 	}
+	for _, d := range p.drafts {
+		d.server.Close()
+	}
 }
 
 func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -91,6 +91,9 @@
 	if err := r.beginStreams(); err != nil {
 		return err
 	}
+	if err := r.beginDrafts(); err != nil {
+		return err
+	}
 	first := Event{Kind: KindPut, Document: r.plan.Documents[0].Label}
 	for i := range r.plan.Replicas {
 		first.Replicas = append(first.Replicas, i)
@@ -121,6 +124,9 @@
 		for number := range r.streamClients() {
 			clients.Go(func() { r.streamClient(running, p, number) })
 		}
+		for number := range r.draftCount(draftClients) {
+			clients.Go(func() { r.draftClient(running, p, number > 0) })
+		}
 	}
 	start := r.now()
 	for _, e := range r.plan.Events {
@@ -166,6 +172,8 @@
 		r.changeList()
 	case KindBurst:
 		r.burst(e)
+	case KindCrashing, KindLimit:
+		r.faults.Go(func() { r.changeTrouble(ctx, e) })
 	case KindQuiet, KindRefuse, KindLeave, KindRelease:
 		r.faults.Go(func() { r.changeMood(ctx, e) })
 	default:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,12 +83,15 @@
 	}
 }
 
-// streamSeeds are the seeds of TestSoakStreams that run by default, with what each is kept
-// for.
-var streamSeeds = []struct {
+// keptSeed is a seed with what it is kept for.
+type keptSeed struct {
 	seed   uint64
 	reason string
-}{
+}
+
+// streamSeeds are the seeds of TestSoakStreams that run by default, with what each is kept
+// for.
+var streamSeeds = []keptSeed{
 	{23, "entries went on with streams at servers of another version, in the same answer and when callers took them up"},
 	{24, "the only server of a route was silent for over a second and went on; entries cut off its streams, for lack of another server"},
 }
@@ -96,15 +99,34 @@
 // TestSoakStreams plays plans with streams: their servers fall silent, pause, leave and are
 // replaced by ones of a newer version, and callers take streams up at other entries.
 func TestSoakStreams(t *testing.T) {
+	soakSeeds(t, streamSeeds, Options{Streams: true})
+}
+
+// troubleSeeds are the seeds of TestSoakTroubles that run by default.
+var troubleSeeds = []keptSeed{
+	{1, "an entry took the locks of limits and placement in two orders and answered nothing more"},
+}
+
+// TestSoakTroubles plays plans in which a part of prompts crashes servers, one after the
+// other, and servers name limits of the requests that they take.
+func TestSoakTroubles(t *testing.T) {
+	soakSeeds(t, troubleSeeds, Options{Troubles: true})
+}
+
+// soakSeeds plays the fixed seeds, or those of the flags.
+func soakSeeds(t *testing.T, fixed []keptSeed, options Options) {
+	options.Duration, options.Entries, options.Replicas = *durationFlag, *entriesFlag, *replicasFlag
 	play := func(seed uint64, reason string) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			t.Logf("kept for: %s", reason)
-			soak(t, Options{Seed: seed, Duration: *durationFlag, Entries: *entriesFlag, Replicas: *replicasFlag, Streams: true})
+			seeded := options
+			seeded.Seed = seed
+			soak(t, seeded)
 		})
 	}
 	if *seedFlag == 0 {
-		for _, kept := range streamSeeds {
+		for _, kept := range fixed {
 			play(kept.seed, kept.reason)
 		}
 		return
@@ -140,6 +162,9 @@
 	if options.Streams {
 		t.Logf("seed %d: %s", seed, c.streams())
 	}
+	if options.Troubles {
+		t.Logf("seed %d: %s", seed, c.troubles())
+	}
 	if len(violations) == 0 && *keepFlag {
 		run.save(nil)
 		t.Logf("logs and report in %s", dir)
--- a/internal/soak/troubles_self_test.go
+++ b/internal/soak/troubles_self_test.go
@@ -34,23 +34,23 @@
 	late := fifth + stability
 	for _, test := range []struct {
 		name    string
-		history History
+		history *History
 		want    []string
 	}{
-		{name: "three trials", history: History{Crashes: crashes, Reached: reaches(3, late+time.Second, time.Second, "bad")}},
-		{name: "four requests", history: History{Crashes: crashes, Reached: reaches(4, late+time.Second, time.Second, "bad")}, want: []string{promiseCrash}},
-		{name: "many before the bound", history: History{Crashes: crashes, Reached: reaches(20, fifth, 100*time.Millisecond, "bad")}},
-		{name: "four crashes only", history: History{Crashes: crashes[:4], Reached: reaches(20, late+time.Second, time.Second, "bad")}},
-		{name: "an entry out of touch", history: History{Crashes: crashes, Reached: reaches(20, late+time.Second, time.Second, "bad"), Disturbances: killed}},
-		{name: "sound ones refused", history: History{Crashes: crashes, Drafts: drafts(40, 10), Reached: reaches(1, fifth+20*time.Second, 0, "bad")}, want: []string{promiseSound}},
-		{name: "sound ones begun", history: History{Crashes: crashes, Drafts: drafts(40, 30), Reached: reaches(1, fifth+20*time.Second, 0, "bad")}},
-		{name: "over the limit", history: History{Namings: naming, Reached: reaches(12, at+stability, 300*time.Millisecond, "")}, want: []string{promiseLimit}},
-		{name: "at the limit", history: History{Namings: naming, Reached: reaches(40, at+stability, time.Second, "")}},
-		{name: "over it, not told", history: History{Namings: []Naming{{Engine: "i-1", PerSecond: 1, From: at}}, Reached: reaches(40, at+stability, 100*time.Millisecond, "")}},
+		{name: "three trials", history: &History{Crashes: crashes, Reached: reaches(3, late+time.Second, time.Second, "bad")}},
+		{name: "four requests", history: &History{Crashes: crashes, Reached: reaches(4, late+time.Second, time.Second, "bad")}, want: []string{promiseCrash}},
+		{name: "many before the bound", history: &History{Crashes: crashes, Reached: reaches(20, fifth, 100*time.Millisecond, "bad")}},
+		{name: "four crashes only", history: &History{Crashes: crashes[:4], Reached: reaches(20, late+time.Second, time.Second, "bad")}},
+		{name: "an entry out of touch", history: &History{Crashes: crashes, Reached: reaches(20, late+time.Second, time.Second, "bad"), Disturbances: killed}},
+		{name: "sound ones refused", history: &History{Crashes: crashes, Drafts: drafts(40, 10), Reached: reaches(1, fifth+20*time.Second, 0, "bad")}, want: []string{promiseSound}},
+		{name: "sound ones begun", history: &History{Crashes: crashes, Drafts: drafts(40, 30), Reached: reaches(1, fifth+20*time.Second, 0, "bad")}},
+		{name: "over the limit", history: &History{Namings: naming, Reached: reaches(12, at+stability, 300*time.Millisecond, "")}, want: []string{promiseLimit}},
+		{name: "at the limit", history: &History{Namings: naming, Reached: reaches(40, at+stability, time.Second, "")}},
+		{name: "over it, not told", history: &History{Namings: []Naming{{Engine: "i-1", PerSecond: 1, From: at}}, Reached: reaches(40, at+stability, 100*time.Millisecond, "")}},
 	} {
 		h := test.history
 		h.Entries, h.Replicas, h.End = []string{"e1"}, []string{"r1", "r2", "r3"}, 90*time.Second
-		c := newChecker(&h)
+		c := newChecker(h)
 		c.checkTroubles()
 		var got []string
 		for _, v := range c.violations {
--- a/internal/soak/troubles_test.go
+++ b/internal/soak/troubles_test.go
@@ -154,7 +154,9 @@
 	d.server = standin.NewCrashable(listener, d)
 	d.address, d.listing = d.server.Address(), len(p.history.Listings)
 	p.drafts, p.engines = append(p.drafts, d), append(p.engines, d.engine)
-	p.history.update(func() { p.history.Listings = append(p.history.Listings, Listing{Service: serviceDrafts, From: p.now()}) })
+	p.history.update(func() {
+		p.history.Listings = append(p.history.Listings, Listing{Service: serviceDrafts, From: p.now()})
+	})
 	return nil
 }
 
