--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -153,6 +153,11 @@
 	if listens || leaving {
 		return
 	}
+	g.Crashed(p, a, head, at)
+}
+
+// Crashed records that a server has ended under an attempt, and tells the other entries.
+func (g *Guard) Crashed(p *Prompt, a Attempt, head bool, at time.Duration) {
 	c := quarantine.Crash{
 		Instance: a.Instance, Release: quarantine.Release{Service: p.service, Version: a.Version}, At: at, Placed: a.Placed,
 		Request: p.request, Customer: p.customer, Head: head, Parts: p.parts,
@@ -249,16 +254,10 @@
 func (g *Guard) Run(ctx context.Context) {
 	expireAt := g.opts.Now() + expireInterval
 	for {
-		g.mu.Lock()
-		now, idle := g.opts.Now(), g.core.Bars() == 0
-		due := g.core.Due(now)
-		if now >= expireAt {
+		idle := g.Repeat() == 0
+		if now := g.opts.Now(); now >= expireAt {
 			expireAt = now + expireInterval
-			g.core.Expire(now)
-		}
-		g.mu.Unlock()
-		for _, b := range due {
-			g.opts.Send(barNews(now, b))
+			g.expire(now)
 		}
 		if !sleep(ctx, idle, g.barred) {
 			return
@@ -266,6 +265,24 @@
 	}
 }
 
+// Repeat repeats the bars that are due, and returns the number of bars.
+func (g *Guard) Repeat() int {
+	g.mu.Lock()
+	now, held := g.opts.Now(), g.core.Bars()
+	due := g.core.Due(now)
+	g.mu.Unlock()
+	for _, b := range due {
+		g.opts.Send(barNews(now, b))
+	}
+	return held
+}
+
+func (g *Guard) expire(now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Expire(now)
+}
+
 // sleep waits for the next check, or for the first bar if there is none. It returns false
 // if the context has ended.
 func sleep(ctx context.Context, idle bool, barred <-chan struct{}) bool {
--- a/internal/entry/streamsbench_test.go
+++ b/internal/entry/streamsbench_test.go
@@ -43,6 +43,8 @@
 	entries []*Entry
 	byPeer  map[string]*Entry
 	queue   []queuedDatagram
+	// lost, if set, reports whether a datagram is lost.
+	lost func() bool
 	// datagrams and bytes count what all entries have sent.
 	datagrams, bytes int
 }
@@ -75,13 +77,16 @@
 	queue := d.queue
 	d.queue = nil
 	for _, datagram := range queue {
+		d.datagrams++
+		d.bytes += len(datagram.data)
+		if d.lost != nil && d.lost() {
+			continue
+		}
 		var batch wire.NewsBatch
 		if err := proto.Unmarshal(datagram.data, &batch); err != nil {
 			b.Fatal(err)
 		}
 		d.byPeer[datagram.to].broadcaster.handleBatch(&batch)
-		d.datagrams++
-		d.bytes += len(datagram.data)
 	}
 }
 
