Bound the time without progress of a fetch, not that of its transfer

Cause: a call for the configuration was given up after 900 ms in all, a long document's transfer over a full link included. The entry then asked all other replicas for the same document, each of which fills the link again, and began anew 300 ms later, also beside the calls that bring the list.

Why it works: bytes that arrive show that the source is sound, so that neither the call nor the source is given up, and nothing is transferred twice. A transfer is bounded by 10 s in all.

--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -14,9 +16,12 @@
 	// fetchWait is how long a replica may hold a call until there is a newer
 	// revision. It is short enough that a call over a dead connection ends
 	// before a new configuration must be in force.
-	fetchWait    = 700 * time.Millisecond
+	fetchWait = 700 * time.Millisecond
+	// fetchTimeout is the longest time without progress of a call, and fetchLongest that of
+	// the whole transfer of a long document over a full link.
 	fetchTimeout = 1200 * time.Millisecond
-	// overdueAfter is when an entry stops relying on the replica that confirmed
+	fetchLongest = 10 * time.Second
+	// overdueAfter is the time without progress after which an entry stops relying on the replica that confirmed
 	// last and asks the others as well. It exceeds fetchWait by overdueMargin,
 	// for the round trip and a busy processor.
 	overdueAfter  = fetchWait + overdueMargin
@@ -149,11 +154,11 @@
 // askSource asks the replica that confirmed last. It returns when that replica
 // has answered or is overdue.
 func (s *search) askSource(ctx context.Context, address string) {
-	answered := make(chan struct{})
+	answered, progress := make(chan struct{}), rpc.NewProgress()
 	s.asked[address] = true
 	s.group.Go(func() {
 		request := s.holder.request(fetchWait)
-		response, err := s.holder.fetchFromReplica(ctx, address, request)
+		response, err := s.holder.fetchFromReplica(ctx, address, request, progress)
 		if err == nil {
 			s.accept(ctx, address, response)
 		}
@@ -162,13 +167,22 @@
 	})
 	timer := time.NewTimer(s.holder.overdueAfter)
 	defer timer.Stop()
-	select {
-	case <-answered:
-	case <-ctx.Done():
-	case <-timer.C:
+	for {
+		select {
+		case <-answered:
+			return
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if left := s.holder.overdueAfter - progress.Quiet(); left > 0 {
+			timer.Reset(left)
+			continue
+		}
 		s.holder.sourceFailed(address, errOverdue)
 		// Connections to the other replicas may have been silenced as well.
 		s.holder.entry.replicas.CloseIdleConnections()
+		return
 	}
 }
 
@@ -198,7 +212,7 @@
 		request := s.holder.request(fetchWait)
 		request.AwaitLeader = true
 		started := time.Now()
-		response, err := s.holder.fetchFromReplica(ctx, address, request)
+		response, err := s.holder.fetchFromReplica(ctx, address, request, rpc.NewProgress())
 		if err != nil {
 			wait(ctx, s.retry-time.Since(started))
 			continue
@@ -257,12 +271,16 @@
 	})
 }
 
-// fetchFromReplica makes one call to a replica and records its result.
-func (h *configHolder) fetchFromReplica(ctx context.Context, address string, request *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
-	call, cancel := context.WithTimeout(ctx, h.replicaTimeout)
+// fetchFromReplica makes one call to a replica, which the progress follows, and records its
+// result.
+func (h *configHolder) fetchFromReplica(ctx context.Context, address string, request *wire.FetchConfigRequest, progress *rpc.Progress) (*wire.FetchConfigResponse, error) {
+	call, cancel := progress.Bound(ctx, h.replicaTimeout, max(fetchLongest, h.replicaTimeout))
 	defer cancel()
 	started := time.Now()
 	response, err := h.entry.replicas.Stub(address).FetchConfig(call, request)
+	if err != nil && errors.Is(context.Cause(call), context.DeadlineExceeded) {
+		err = fmt.Errorf("%w: %w", err, context.DeadlineExceeded)
+	}
 	if ctx.Err() != nil {
 		if err != nil && time.Since(started) >= h.overdueAfter {
 			h.entry.metrics.configFetches.WithLabelValues(fetchTimedOut).Inc()
@@ -283,7 +301,7 @@
 }
 
 func (h *configHolder) fetchFromPeer(ctx context.Context, peer Peer) (*wire.FetchConfigResponse, error) {
-	call, cancel := context.WithTimeout(ctx, h.peerTimeout)
+	call, cancel := rpc.NewProgress().Bound(ctx, h.peerTimeout, max(fetchLongest, h.peerTimeout))
 	defer cancel()
 	stub := wire.NewPeerProtobufClient("http://"+peer.Address, h.entry.opts.Client)
 	response, err := stub.Config(call, h.request(0))
--- a/internal/entry/fetch_test.go
+++ b/internal/entry/fetch_test.go
@@ -102,7 +102,7 @@
 		fetchUnreachable: "127.0.0.1:1",
 		fetchRefused:     serveReplica(t, &fakeReplica{}),
 	} {
-		_, _ = e.config.fetchFromReplica(context.Background(), address, e.config.request(0))
+		_, _ = e.config.fetchFromReplica(context.Background(), address, e.config.request(0), rpc.NewProgress())
 		if got := fetchCount(t, e, result); got != 1 {
 			t.Errorf("got %v calls with result %q, want 1", got, result)
 		}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -133,8 +133,11 @@
 	if err == nil {
 		report := func(err error) { c.reportEndless(req.URL.Host, err) }
 		response.Body = answers.LimitBody(response.Body, maxAnswerBytes, c.memory.Share(), report)
+		if progress, ok := req.Context().Value(progressKey{}).(*Progress); ok {
+			response.Body = progressBody{response.Body, progress}
+		}
 	}
-	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
+	if err != nil && errors.Is(context.Cause(req.Context()), context.DeadlineExceeded) {
 		c.http.CloseIdleConnections()
 	}
 	return response, err
