Test answers that end with their connection

One that ends between two events with a plain close can't be told from a whole one and is not covered.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -143,6 +143,8 @@
 	draining             guardedBool
 	// versioned is set if the list names the engine's software version.
 	versioned *versionedEngine
+	// unframed, if set, gives answers with neither a length nor chunks.
+	unframed atomic.Pointer[unframedAnswer]
 	// limiter, if set, names a limit of requests in answers.
 	limiter *limiter
 	// crasher, if set, ends the engine under some prompts.
@@ -287,6 +289,9 @@
 		e.answerEndless(w, id, *name)
 		return
 	}
+	if unframed := e.unframed.Load(); unframed != nil && unframed.answer(w, req, e.id) {
+		return
+	}
 	w.Header().Set("Waxwingcart-Stamp", "stamp-"+e.id)
 	w.Header().Set("Waxwingcart-Load", "1,0,8")
 	if e.fail.Load() {
