Don't let a call with an open attempt wait for a grant

A replacement for a silent attempt waited up to 150 ms for the leader in the loop that also passes on the attempt's events. Found by reading.

--- a/internal/entry/serverlimit.go
+++ b/internal/entry/serverlimit.go
@@ -81,9 +81,10 @@
 }
 
 // awaitGrant waits for a grant of the leader if only limits keep a call from the servers, and
-// one is expected. It reports whether to choose again.
+// one is expected. It reports whether to choose again. A call with an open attempt doesn't
+// wait, as it would not be read meanwhile.
 func (p *policy) awaitGrant(r *run) bool {
-	if r.routed == nil || !p.anyLimit.Load() {
+	if r.routed == nil || len(r.attempts) > 0 || !p.anyLimit.Load() {
 		return false
 	}
 	p.mu.Lock()
