Forget what a server held when it has ended and comes back under its name

Placement went on expecting the parts of prompts in its cache: it sent their requests there first, and predicted answers that came later. The quarantine knows of such ends, at all entries. TestRestartedServerHoldsNothing: the part was expected in the cache (100 instead of 1,000 tokens to read) without the change.

--- a/internal/core/placement/leaving_test.go
+++ b/internal/core/placement/leaving_test.go
@@ -18,6 +18,26 @@
 	}
 }
 
+// A server that has ended comes back under its name with an empty cache: placement expects
+// it to read a prompt whose parts it held before.
+func TestRestartedServerHoldsNothing(t *testing.T) {
+	p := New(1)
+	p.SetServers([]Server{{Name: "a", Service: "models", Slots: 8, CacheTokens: 100_000}})
+	size := RequestSize{PromptTokens: 1_000, OutputTokens: 10, Parts: []Part{{Chain: 7, Tokens: 900}}}
+	pick := func() Decision {
+		d, _ := p.Pick(0, &Request{Service: "models", Size: size})
+		return d
+	}
+	p.Placed(0, NewJob(JobID{Number: 1}, pick(), size))
+	if got := pick().UncachedTokens; got != 100 {
+		t.Fatalf("got %d tokens to read, want 100", got)
+	}
+	p.Restarted("a")
+	if got := pick().UncachedTokens; got != 1_000 {
+		t.Errorf("got %d tokens to read after the restart, want 1000", got)
+	}
+}
+
 // A server that says that it leaves gets no new work, although lists that are read
 // later still show it as ready, and although a configuration drops its service for a
 // moment. Its streams go on.
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -401,6 +401,14 @@
 	s.health.record(now, result)
 }
 
+// Restarted records that a server has ended and comes back under its name: it has nothing in
+// its cache then.
+func (p *Placer) Restarted(server string) {
+	if s := p.servers[server]; s != nil {
+		s.cache = newCache()
+	}
+}
+
 // RecordCounts records how attempts of another entry ended that it reports only as
 // counts.
 func (p *Placer) RecordCounts(now time.Duration, server string, counts Counts) {
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -50,6 +50,8 @@
 	Listens func(ctx context.Context, address string, timeout time.Duration) bool
 	// Leaving reports whether a server is known to leave.
 	Leaving func(instance string) bool
+	// Ended is called with each server that has ended, as this or another entry saw.
+	Ended func(instance string)
 }
 
 // Guard is safe for concurrent use.
@@ -166,6 +168,7 @@
 	now := g.opts.Now()
 	bars := g.core.Crashed(now, c)
 	g.mu.Unlock()
+	g.opts.Ended(c.Instance)
 	g.opts.Send(crashNews(now, c))
 	g.announce(bars, "barred", p.ID)
 }
--- a/internal/crashguard/news.go
+++ b/internal/crashguard/news.go
@@ -30,6 +30,7 @@
 		g.mu.Lock()
 		bars := g.core.Crashed(now, codec.CrashFromWire(now, c))
 		g.mu.Unlock()
+		g.opts.Ended(c.Instance)
 		g.announce(bars, "barred", "")
 	}
 	for _, a := range news.Acquitted {
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -26,6 +26,11 @@
 			defer e.policy.mu.Unlock()
 			return e.policy.placer.IsLeaving(instance)
 		},
+		Ended: func(instance string) {
+			e.policy.mu.Lock()
+			defer e.policy.mu.Unlock()
+			e.policy.placer.Restarted(instance)
+		},
 	})
 }
 
