--- /dev/null
+++ b/internal/crashguard/crashguard_test.go
@@ -0,0 +1,166 @@
+package crashguard
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"waxwingcart/internal/core/quarantine"
+	"waxwingcart/internal/wire"
+)
+
+// guardNet connects the guards of entries, whose clock a test sets.
+type guardNet struct {
+	mu     sync.Mutex
+	now    time.Duration
+	guards []*Guard
+	ended  map[string]int
+	// listens and leaving are what the guards hear of servers.
+	listens, leaving bool
+	probes           int
+}
+
+func (n *guardNet) clock() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.now
+}
+
+func (n *guardNet) advance(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.now += d
+}
+
+func (n *guardNet) add() *Guard {
+	index := len(n.guards)
+	g := New(Options{
+		Now: n.clock, Seed: uint64(index) + 1, Logger: &log.Logger{Level: log.PanicLevel}, Address: fmt.Sprint("entry-", index),
+		Send: func(news *wire.News) {
+			for i, other := range n.guards {
+				if i != index {
+					other.Told(news)
+				}
+			}
+		},
+		Peers: func() []string { return nil },
+		Listens: func(context.Context, string, time.Duration) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.probes++
+			return n.listens
+		},
+		Leaving: func(string) bool { return n.leaving },
+		Ended: func(instance string) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.ended[instance]++
+		},
+	})
+	n.guards = append(n.guards, g)
+	return g
+}
+
+func newGuardNet() *guardNet {
+	n := &guardNet{now: time.Hour, ended: make(map[string]int)}
+	n.add()
+	n.add()
+	return n
+}
+
+func badPrompt(id string) Prompt {
+	return NewPrompt("models", "m", "heirs", id, []string{"f1", "bad0"})
+}
+
+// crash breaks an attempt off at the first entry, a second after the one before.
+func (n *guardNet) crash(i int) {
+	n.advance(time.Second)
+	p, sound := badPrompt(fmt.Sprint("id-", i)), NewPrompt("models", "m", "heirs", "sound", []string{"f1"})
+	for range 4 {
+		n.guards[0].Begun(&sound, "v1")
+	}
+	a := Attempt{Instance: fmt.Sprint("i-", i), Address: "127.0.0.1:1", Version: "v1", Placed: n.clock() - 50*time.Millisecond}
+	n.guards[0].investigate(&p, a, true, n.clock())
+}
+
+func barred(g *Guard) bool {
+	p := badPrompt("new")
+	v := g.Check(&p, []string{"v1"})
+	return !v.Allows("v1")
+}
+
+// Three servers that end under a part bar it at all entries, also at one that starts later.
+func TestBarReachesAllEntries(t *testing.T) {
+	n := newGuardNet()
+	for i := range 3 {
+		if barred(n.guards[0]) || barred(n.guards[1]) {
+			t.Fatalf("the part is barred after %d crashes", i)
+		}
+		n.crash(i)
+	}
+	if !barred(n.guards[0]) || !barred(n.guards[1]) || len(n.ended) != 3 {
+		t.Errorf("barred: %t and %t; %d servers reported as ended, want the part barred at both and 3", barred(n.guards[0]), barred(n.guards[1]), len(n.ended))
+	}
+	later := n.add()
+	for range 2 {
+		n.advance(time.Second)
+		n.guards[0].Repeat()
+		n.guards[1].Repeat()
+	}
+	if !barred(later) {
+		t.Error("the part is not barred at an entry that started after it was")
+	}
+	p := badPrompt("goes-well")
+	n.advance(time.Second)
+	n.guards[1].Begun(&p, "v1")
+	if barred(n.guards[0]) || barred(n.guards[1]) || barred(later) {
+		t.Error("the part is barred though an answer has begun on it")
+	}
+}
+
+// An attempt that a server breaks off is no evidence if the server still listens, or was known
+// to leave.
+func TestNoEvidence(t *testing.T) {
+	for name, set := range map[string]func(*guardNet){
+		"listens": func(n *guardNet) { n.listens = true },
+		"leaving": func(n *guardNet) { n.leaving = true },
+	} {
+		n := newGuardNet()
+		set(n)
+		for i := range 10 {
+			n.crash(i)
+		}
+		if barred(n.guards[0]) || len(n.ended) > 0 {
+			t.Errorf("%s: the part is barred, or %d servers were reported as ended", name, len(n.ended))
+		}
+	}
+}
+
+// Attempts that one server breaks off together cost one connection.
+func TestOneProbeForAServer(t *testing.T) {
+	n := newGuardNet()
+	for i := range 20 {
+		p := badPrompt(fmt.Sprint("id-", i))
+		n.guards[0].investigate(&p, Attempt{Instance: "i-1", Version: "v1", Placed: n.now}, false, n.now)
+	}
+	if n.probes != 1 {
+		t.Errorf("%d connections, want 1", n.probes)
+	}
+}
+
+// Of a prompt with many parts the first and the last are kept.
+func TestLongPrompts(t *testing.T) {
+	var names []string
+	for i := range 1000 {
+		names = append(names, fmt.Sprint("part-", i))
+	}
+	p := NewPrompt("models", "m", "heirs", "id", names)
+	last := quarantine.NewPart("models", "m", "part-999")
+	if len(p.parts) != quarantine.MaxParts || p.parts[0] != quarantine.NewPart("models", "m", "part-0") || p.parts[len(p.parts)-1] != last {
+		t.Errorf("got %d parts, want %d, the first and the last ones", len(p.parts), quarantine.MaxParts)
+	}
+}
