Relate crashes under one part across models

The part crashes servers whatever else the request holds, the model included; the key held the model, so that each further model would have cost three more servers. A model counts like a software version now: with another one a single crash suffices, and until an answer has begun, one entry alone tries the part.

--- a/internal/codec/quarantine.go
+++ b/internal/codec/quarantine.go
@@ -11,7 +11,7 @@
 // CrashToWire converts a crash, whose times are given as ages.
 func CrashToWire(now time.Duration, c quarantine.Crash) *wire.Crash {
 	return &wire.Crash{
-		Instance: c.Instance, Service: c.Release.Service, Version: c.Release.Version,
+		Instance: c.Instance, Service: c.Release.Service, Version: c.Release.Version, Model: c.Release.Model,
 		AgeMs: toMilliseconds(now - c.At), WaitedMs: toMilliseconds(c.At - c.Placed),
 		Request: c.Request, Customer: c.Customer, Head: c.Head, Parts: partsToWire(c.Parts),
 	}
@@ -21,7 +21,7 @@
 func CrashFromWire(now time.Duration, c *wire.Crash) quarantine.Crash {
 	at := now - fromMilliseconds(int64(c.AgeMs))
 	return quarantine.Crash{
-		Instance: c.Instance, Release: quarantine.Release{Service: c.Service, Version: c.Version},
+		Instance: c.Instance, Release: quarantine.Release{Service: c.Service, Version: c.Version, Model: c.Model},
 		At: at, Placed: at - fromMilliseconds(int64(c.WaitedMs)),
 		Request: c.Request, Customer: c.Customer, Head: c.Head, Parts: PartsFromWire(c.Parts),
 	}
@@ -29,13 +29,13 @@
 
 // AcquittedToWire converts parts on which an answer began at a time.
 func AcquittedToWire(now, at time.Duration, release quarantine.Release, parts []quarantine.Part) *wire.Acquitted {
-	return &wire.Acquitted{Service: release.Service, Version: release.Version, Parts: partsToWire(parts), AgeMs: toMilliseconds(now - at)}
+	return &wire.Acquitted{Service: release.Service, Version: release.Version, Model: release.Model, Parts: partsToWire(parts), AgeMs: toMilliseconds(now - at)}
 }
 
 // BarToWire converts a bar, whose times are given relative to now.
 func BarToWire(now time.Duration, b quarantine.Bar) *wire.Bar {
 	return &wire.Bar{
-		Part: uint64(b.Part), Service: b.Release.Service, Version: b.Release.Version, Customer: b.Customer, All: b.All,
+		Part: uint64(b.Part), Service: b.Release.Service, Version: b.Release.Version, Model: b.Release.Model, Customer: b.Customer, All: b.All,
 		Trials: uint32(b.Trials), NextMs: uint64(max(b.Next-now, 0).Milliseconds()), CrashAgeMs: uint64(max(now-b.LastCrash, 0).Milliseconds()),
 	}
 }
@@ -43,7 +43,7 @@
 // BarFromWire is the inverse of BarToWire.
 func BarFromWire(now time.Duration, b *wire.Bar) quarantine.Bar {
 	return quarantine.Bar{
-		Part: quarantine.Part(b.Part), Release: quarantine.Release{Service: b.Service, Version: b.Version}, Customer: b.Customer, All: b.All,
+		Part: quarantine.Part(b.Part), Release: quarantine.Release{Service: b.Service, Version: b.Version, Model: b.Model}, Customer: b.Customer, All: b.All,
 		Trials: int(min(b.Trials, maxTrials)), Next: now + relative(b.NextMs), LastCrash: now - relative(b.CrashAgeMs),
 	}
 }
--- a/internal/core/quarantine/check.go
+++ b/internal/core/quarantine/check.go
@@ -18,15 +18,15 @@
 // Allows reports whether the request may be placed at a version.
 func (v *Verdict) Allows(version string) bool { return !slices.Contains(v.Barred, version) }
 
-// Check returns where a request of a customer must not be placed. Mine tells whether this
-// entry makes the trials of a part.
-func (g *Guard) Check(now time.Duration, service string, versions []string, customer uint64, parts []Part, mine func(Part) bool) Verdict {
+// Check returns at which of the versions a request must not be placed. Mine tells whether
+// this entry makes the trials of a part.
+func (g *Guard) Check(now time.Duration, request *Request, versions []string, mine func(Part) bool) Verdict {
 	var v Verdict
 	if g.held == 0 {
 		return v
 	}
 	for _, version := range versions {
-		wait, trials := g.check(now, Release{service, version}, customer, parts, mine)
+		wait, trials := g.check(now, request, version, mine)
 		switch {
 		case wait > 0:
 			if len(v.Barred) == 0 || wait < v.RetryAfter {
@@ -43,12 +43,12 @@
 	return v
 }
 
-// check returns how long a request must not be placed at a release, or the parts whose
+// check returns how long a request must not be placed at a version, or the parts whose
 // trial it would be there.
-func (g *Guard) check(now time.Duration, release Release, customer uint64, parts []Part, mine func(Part) bool) (wait time.Duration, trials []Part) {
-	for _, part := range parts {
-		b := g.barFor(now, spot{part, release})
-		if b == nil || !b.binds(customer) {
+func (g *Guard) check(now time.Duration, request *Request, version string, mine func(Part) bool) (wait time.Duration, trials []Part) {
+	for _, part := range request.Parts {
+		b := g.barFor(now, spot{part, request.release(version)})
+		if b == nil || !b.binds(request.Customer) {
 			continue
 		}
 		if now >= b.Next && mine(part) {
@@ -81,10 +81,10 @@
 
 // Tried records that a request was placed at a version. It returns the bars whose trial
 // this is, which the other entries have to be told of.
-func (g *Guard) Tried(now time.Duration, service, version string, v Verdict) []Bar {
+func (g *Guard) Tried(now time.Duration, request *Request, version string, v Verdict) []Bar {
 	var tell []Bar
 	for _, part := range v.trials[version] {
-		b := g.barAt(spot{part, Release{service, version}})
+		b := g.barAt(spot{part, request.release(version)})
 		if b == nil {
 			continue
 		}
@@ -106,15 +106,15 @@
 	return wait
 }
 
-// Suspicious reports whether servers have ended under one of the parts since an answer
-// last began on it.
-func (g *Guard) Suspicious(service string, parts []Part) bool {
-	for _, part := range parts {
+// Suspicious reports whether servers have ended under one of a request's parts since an
+// answer last began on it.
+func (g *Guard) Suspicious(request *Request) bool {
+	for _, part := range request.Parts {
 		if len(g.bars[part]) > 0 {
 			return true
 		}
 		for s := range g.suspects {
-			if s.part == part && s.release.Service == service {
+			if s.part == part {
 				return true
 			}
 		}
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -16,7 +16,7 @@
 	differs
 )
 
-var v1, v2 = Release{"models", "v1"}, Release{"models", "v2"}
+var v1, v2 = Release{"models", "v1", "m"}, Release{"models", "v2", "m"}
 
 const (
 	heirs uint64 = iota + 100
@@ -54,7 +54,7 @@
 }
 
 func (g *guardTest) allowed(customer uint64, version string, parts ...Part) bool {
-	v := g.Check(g.now, "models", []string{"v1", "v2"}, customer, parts, never)
+	v := g.Check(g.now, &Request{"models", "m", customer, parts}, []string{"v1", "v2"}, never)
 	return v.Allows(version)
 }
 
@@ -204,14 +204,14 @@
 	if g.allowed(heirs, "v2", parts...) {
 		t.Error("an entry that makes no trials may place the part at another version")
 	}
-	v := g.Check(g.now, "models", []string{"v1", "v2"}, heirs, parts, always)
+	v := g.Check(g.now, &Request{"models", "m", heirs, parts}, []string{"v1", "v2"}, always)
 	if !v.Allows("v2") || v.Allows("v1") {
 		t.Fatalf("got %+v, want a trial at the other version alone", v)
 	}
-	if bars := g.Tried(g.now, "models", "v2", v); len(bars) != 1 || bars[0].Trials != 1 {
+	if bars := g.Tried(g.now, &Request{"models", "m", heirs, parts}, "v2", v); len(bars) != 1 || bars[0].Trials != 1 {
 		t.Errorf("got %+v, want one trial", bars)
 	}
-	again := g.Check(g.now, "models", []string{"v1", "v2"}, heirs, parts, always)
+	again := g.Check(g.now, &Request{"models", "m", heirs, parts}, []string{"v1", "v2"}, always)
 	if again.Allows("v2") || again.RetryAfter < minRetryAfter {
 		t.Errorf("got %+v after the trial, want nothing allowed", again)
 	}
@@ -229,12 +229,12 @@
 func TestTrials(t *testing.T) {
 	g := newGuardTest()
 	g.strike(t, v1, heirs, shared, bad)
-	from, var1 := g.now, []string{"v1"}
+	from, request := g.now, &Request{"models", "m", heirs, []Part{bad}}
 	var at []time.Duration
 	for ; g.now < from+20*time.Minute; g.now += time.Second {
-		v := g.Check(g.now, "models", var1, heirs, []Part{bad}, always)
+		v := g.Check(g.now, request, []string{"v1"}, always)
 		if v.Allows("v1") {
-			g.Tried(g.now, "models", "v1", v)
+			g.Tried(g.now, request, "v1", v)
 			at = append(at, (g.now - from).Round(time.Minute))
 		}
 	}
@@ -303,3 +303,26 @@
 		t.Errorf("%d bars are kept though all are over", g.Bars())
 	}
 }
+
+// A part that crashes servers does so whatever else the prompt asks for: with another model one
+// crash suffices, and until an answer has begun, one entry alone tries it.
+func TestOtherModels(t *testing.T) {
+	g := newGuardTest()
+	g.strike(t, v1, heirs, shared, bad)
+	other, sound := &Request{"models", "n", heirs, []Part{shared, bad}}, &Request{"models", "n", heirs, []Part{shared, subject}}
+	v := g.Check(g.now, other, []string{"v1"}, never)
+	if v.Allows("v1") {
+		t.Error("an entry that makes no trials may place the part with another model")
+	}
+	if v = g.Check(g.now, sound, []string{"v1"}, never); !v.Allows("v1") {
+		t.Error("a sound part is barred with another model")
+	}
+	g.begin(Release{"models", "v1", "n"}, 1, bad)
+	if v = g.Check(g.now, other, []string{"v1"}, never); !v.Allows("v1") {
+		t.Error("the part is barred with the model with which an answer began")
+	}
+	g.crash(Release{"models", "v1", "n"}, heirs, true, bad)
+	if v = g.Check(g.now, other, []string{"v1"}, never); v.Allows("v1") {
+		t.Error("the part crashed a server with the other model too and is allowed there")
+	}
+}
--- a/internal/core/quarantine/simulation_test.go
+++ b/internal/core/quarantine/simulation_test.go
@@ -84,7 +84,7 @@
 // attempt sends a request to a server that listens.
 func (s *simulation) attempt(c *simCall) {
 	mine := func(p Part) bool { return int(p)%len(s.entries) == c.entry }
-	v := s.entries[c.entry].Check(s.now, "models", []string{"v1"}, heirs, c.parts, mine)
+	v := s.entries[c.entry].Check(s.now, &Request{"models", "m", heirs, c.parts}, []string{"v1"}, mine)
 	if !v.Allows("v1") {
 		return
 	}
@@ -97,7 +97,7 @@
 	if len(up) == 0 {
 		return
 	}
-	s.tellBars(c.entry, s.entries[c.entry].Tried(s.now, "models", "v1", v))
+	s.tellBars(c.entry, s.entries[c.entry].Tried(s.now, &Request{"models", "m", heirs, c.parts}, "v1", v))
 	c.server, c.placed = up[s.random.IntN(len(up))], s.now
 	c.begins = s.now + 20*time.Millisecond + time.Duration(s.random.Int64N(int64(150*time.Millisecond)))
 	c.attempts++
--- a/internal/core/quarantine/types.go
+++ b/internal/core/quarantine/types.go
@@ -17,7 +17,7 @@
 // holds. It binds the customers under whose requests servers ended, and all customers as
 // soon as there are several. A bar ends with an answer that begins on the part: rare trials
 // by one entry let it, and the first request at a software version that has none of the
-// ends is one.
+// ends is one. So is the first request with another model.
 //
 // Load pattern: some requests a second with a part that crashes each server, at all
 // entries, beside twenty times as many sound ones.
@@ -85,26 +85,37 @@
 	maxBegun    = 8192
 )
 
-// Part identifies a part of a prompt for one model of a service.
+// Part identifies a part of the prompts of a service.
 type Part uint64
 
 // NewPart returns the Part with an ID, which is independent of its length and of its place
 // in the prompt.
-func NewPart(service, model, id string) Part {
+func NewPart(service, id string) Part {
 	digest := xxhash.New()
-	for _, text := range []string{service, model, id} {
+	for _, text := range []string{service, id} {
 		_, _ = digest.WriteString(text)
 		_, _ = digest.Write([]byte{0})
 	}
 	return Part(digest.Sum64())
 }
 
-// Release is a software version of a service.
+// Release is a software version of a service, with the model that it serves a request with.
 type Release struct {
 	Service string
 	Version string
+	Model   string
 }
 
+// Request is a request as the quarantine sees it. Its customer is a hash.
+type Request struct {
+	Service  string
+	Model    string
+	Customer uint64
+	Parts    []Part
+}
+
+func (r *Request) release(version string) Release { return Release{r.Service, version, r.Model} }
+
 // Crash is the end of a server under an attempt that had delivered no event.
 type Crash struct {
 	Instance string
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -91,26 +91,26 @@
 // Prompt is a request as the quarantine sees it.
 type Prompt struct {
 	// ID is the request's ID.
-	ID       string
-	service  string
-	model    string
-	request  uint64
-	customer uint64
-	// names are the IDs of the shared parts.
-	names []string
-	parts []quarantine.Part
+	ID string
+	// request holds the parts, whose IDs are names, and hash is that of the ID.
+	request quarantine.Request
+	names   []string
+	hash    uint64
 }
 
 // NewPrompt returns the Prompt of a request with the IDs of its shared parts, of which it
 // keeps the first and the last.
 func NewPrompt(service, model, customer, requestID string, names []string) Prompt {
-	p := Prompt{ID: requestID, service: service, model: model, request: xxhash.Sum64String(requestID), customer: xxhash.Sum64String(customer)}
+	p := Prompt{
+		ID: requestID, hash: xxhash.Sum64String(requestID),
+		request: quarantine.Request{Service: service, Model: model, Customer: xxhash.Sum64String(customer)},
+	}
 	if len(names) > quarantine.MaxParts {
 		names = slices.Concat(names[:quarantine.MaxParts/2], names[len(names)-quarantine.MaxParts/2:])
 	}
 	p.names = names
 	for _, name := range names {
-		p.parts = append(p.parts, quarantine.NewPart(service, model, name))
+		p.request.Parts = append(p.request.Parts, quarantine.NewPart(service, name))
 	}
 	return p
 }
@@ -119,11 +119,15 @@
 func (p *Prompt) logged() string {
 	var list []string
 	for i, name := range p.names[:min(len(p.names), maxLoggedParts)] {
-		list = append(list, name[:min(len(name), maxLoggedID)]+"/"+key(p.parts[i]))
+		list = append(list, name[:min(len(name), maxLoggedID)]+"/"+key(p.request.Parts[i]))
 	}
 	return strings.Join(list, ",")
 }
 
+func (p *Prompt) release(version string) quarantine.Release {
+	return quarantine.Release{Service: p.request.Service, Version: version, Model: p.request.Model}
+}
+
 func key(part quarantine.Part) string { return strconv.FormatUint(uint64(part), 16) }
 
 // Attempt is an attempt at a server.
@@ -138,7 +142,7 @@
 // BrokenOff records that a server broke off an attempt before its first event. Head is
 // true if the head of the answer had arrived.
 func (g *Guard) BrokenOff(p *Prompt, a Attempt, head bool) {
-	if len(p.parts) == 0 {
+	if len(p.names) == 0 {
 		return
 	}
 	at := g.opts.Now()
@@ -149,7 +153,7 @@
 func (g *Guard) investigate(p *Prompt, a Attempt, head bool, at time.Duration) {
 	listens, leaving := g.listens(a), g.opts.Leaving(a.Instance)
 	g.opts.Logger.Info().Str("step", "broken off").Str("request", p.ID).Str("server", a.Instance).Str("peer", a.Address).
-		Str("version", a.Version).Str("model", p.model).Str("parts", p.logged()).
+		Str("version", a.Version).Str("model", p.request.Model).Str("parts", p.logged()).
 		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", listens).Bool("leaving", leaving).
 		Msg("a backend server broke off an attempt before its first event")
 	if listens || leaving {
@@ -161,8 +165,8 @@
 // Crashed records that a server has ended under an attempt, and tells the other entries.
 func (g *Guard) Crashed(p *Prompt, a Attempt, head bool, at time.Duration) {
 	c := quarantine.Crash{
-		Instance: a.Instance, Release: quarantine.Release{Service: p.service, Version: a.Version}, At: at, Placed: a.Placed,
-		Request: p.request, Customer: p.customer, Head: head, Parts: p.parts,
+		Instance: a.Instance, Release: p.release(a.Version), At: at, Placed: a.Placed,
+		Request: p.hash, Customer: p.request.Customer, Head: head, Parts: p.request.Parts,
 	}
 	g.mu.Lock()
 	now := g.opts.Now()
@@ -200,13 +204,13 @@
 
 // Begun records that an answer has begun at a version.
 func (g *Guard) Begun(p *Prompt, version string) {
-	if len(p.parts) == 0 {
+	if len(p.names) == 0 {
 		return
 	}
-	release := quarantine.Release{Service: p.service, Version: version}
+	release := p.release(version)
 	g.mu.Lock()
 	now := g.opts.Now()
-	suspected, ended := g.core.Begun(now, release, p.parts)
+	suspected, ended := g.core.Begun(now, release, p.request.Parts)
 	g.mu.Unlock()
 	if len(suspected) > 0 {
 		g.opts.Send(acquittedNews(now, now, release, suspected))
@@ -218,13 +222,13 @@
 func (g *Guard) Check(p *Prompt, versions []string) quarantine.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.core.Check(g.opts.Now(), p.service, versions, p.customer, p.parts, g.mine)
+	return g.core.Check(g.opts.Now(), &p.request, versions, g.mine)
 }
 
 // Tried records that a request was placed at a version after Check.
 func (g *Guard) Tried(p *Prompt, version string, v quarantine.Verdict) {
 	g.mu.Lock()
-	bars := g.core.Tried(g.opts.Now(), p.service, version, v)
+	bars := g.core.Tried(g.opts.Now(), &p.request, version, v)
 	g.mu.Unlock()
 	g.announce(bars, "tried", p.ID)
 }
@@ -234,7 +238,7 @@
 func (g *Guard) Suspicious(p *Prompt) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.core.Suspicious(p.service, p.parts)
+	return g.core.Suspicious(&p.request)
 }
 
 // mine reports whether this entry makes the trials of a part: of all entries, the one whose
@@ -322,7 +326,7 @@
 		g.changes.WithLabelValues(change).Inc()
 		now := g.opts.Now()
 		g.opts.Logger.Info().Str("step", "quarantine").Str("change", change).Str("part", key(b.Part)).Str("service", b.Release.Service).
-			Str("version", b.Release.Version).Bool("all_customers", b.All).Int("trials", b.Trials).Str("request", request).
+			Str("version", b.Release.Version).Str("model", b.Release.Model).Bool("all_customers", b.All).Int("trials", b.Trials).Str("request", request).
 			Int64("next_trial_ms", (b.Next-now).Milliseconds()).Int64("last_crash_ms", (now - b.LastCrash).Milliseconds()).
 			Msg("the quarantine of a prompt part under which backend servers crash changed")
 	}
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -159,8 +159,8 @@
 		names = append(names, fmt.Sprint("part-", i))
 	}
 	p := NewPrompt("models", "m", "heirs", "id", names)
-	last := quarantine.NewPart("models", "m", "part-999")
-	if len(p.parts) != quarantine.MaxParts || p.parts[0] != quarantine.NewPart("models", "m", "part-0") || p.parts[len(p.parts)-1] != last {
-		t.Errorf("got %d parts, want %d, the first and the last ones", len(p.parts), quarantine.MaxParts)
+	last := quarantine.NewPart("models", "part-999")
+	if len(p.request.Parts) != quarantine.MaxParts || p.request.Parts[0] != quarantine.NewPart("models", "part-0") || p.request.Parts[len(p.request.Parts)-1] != last {
+		t.Errorf("got %d parts, want %d, the first and the last ones", len(p.request.Parts), quarantine.MaxParts)
 	}
 }
--- a/internal/crashguard/news.go
+++ b/internal/crashguard/news.go
@@ -43,7 +43,7 @@
 
 func (g *Guard) acquit(now time.Duration, a *wire.Acquitted) {
 	at := now - time.Duration(a.AgeMs)*time.Millisecond
-	release := quarantine.Release{Service: a.Service, Version: a.Version}
+	release := quarantine.Release{Service: a.Service, Version: a.Version, Model: a.Model}
 	var ended []quarantine.Bar
 	g.mu.Lock()
 	for _, part := range codec.PartsFromWire(a.Parts) {
