Take an answer in an unasked encoding as none, from its head on

Callers saw: status 200, and then an answer that was cut off. The entry passed the head on, and its body can't be read as events; one that is no stream was passed on as if it were the server's body. Another server is asked now where that is allowed, and the caller gets 502 otherwise. Answers that were asked for in an encoding pass as before.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -368,6 +368,8 @@
 var (
 	errNoProgress   = errors.New("no progress within the progress timeout")
 	errOtherRequest = errors.New("response belongs to another request")
+	// errUnaskedEncoding is the error of a body that can't be passed on.
+	errUnaskedEncoding = errors.New("response has an encoding that the request did not ask for")
 )
 
 // check returns an error if the server refused to run the request or if the
@@ -395,6 +397,9 @@
 	if protocol.NotRun(r.response.StatusCode, header) {
 		return r.fail(PhaseRefused, r.statusError())
 	}
+	if encoding := header.Get("Content-Encoding"); encoding != "" && encoding != "identity" && r.call.Header.Get("Accept-Encoding") == "" {
+		return r.fail(PhaseInvalid, fmt.Errorf("%w: %.40q", errUnaskedEncoding, encoding))
+	}
 	return nil
 }
 
