Let a take-up wait a moment for a record that is on its way

Cause: entries gather records for 20 ms before they send them. A take-up without a record is decided once more after 80 ms; others are decided at once as before.

--- a/internal/entry/serverlimit.go
+++ b/internal/entry/serverlimit.go
@@ -80,9 +80,8 @@
 	return slices.DeleteFunc(takers, func(instance string) bool { return !p.limits.Limited(instance) })
 }
 
-// awaitGrant waits for a grant of the leader if only limits keep a call from the servers, and
-// one is expected. It reports whether to choose again. A call with an open attempt doesn't
-// wait, as it would not be read meanwhile.
+// awaitGrant waits for a grant if only limits keep a call from the servers and one is expected,
+// and reports whether to choose again. Calls whose attempts have to be read don't wait.
 func (p *policy) awaitGrant(r *run) bool {
 	if r.routed == nil || len(r.attempts) > 0 || !p.anyLimit.Load() {
 		return false
@@ -101,9 +100,8 @@
 	return q.await(r.callerCtx, done)
 }
 
-// limitRefuses reports whether servers take work but for their limits, and when to come
-// back then. The refused work counts as load of the service, so that more servers are ordered.
-// The caller holds mu.
+// limitRefuses reports whether only limits keep a call from the servers, and when to come back.
+// The refused work counts as load, so that more servers are ordered. The caller holds mu.
 func (p *policy) limitRefuses(r *run) (time.Duration, bool) {
 	if !p.limits.Any() {
 		return 0, false
--- a/internal/entry/takeup.go
+++ b/internal/entry/takeup.go
@@ -18,6 +18,10 @@
 	reasonVersionChanged  = request.Reason("version-changed")
 )
 
+// recordWait is how long a take-up waits for a record that may be on its way: it is sent within
+// batchDelay of the first event, and forwarded as late in large deployments.
+const recordWait = 4 * batchDelay
+
 // takeUpRetryAfter is the Retry-After delay of a refused take-up, before jitter. By then
 // a record that was on its way has arrived.
 const takeUpRetryAfter = 200 * time.Millisecond
@@ -39,6 +43,10 @@
 	}
 	r.entry.streams.expect(r.takeUpTime())
 	decision, reach := r.entry.streams.decide(r.routed.stream, named, r.service.Name)
+	if decision.Reason == lineage.ReasonNoRecord {
+		wait(r.callerCtx, recordWait)
+		decision, reach = r.entry.streams.decide(r.routed.stream, named, r.service.Name)
+	}
 	outcome := r.applyTakeUp(decision, reach)
 	r.logTakeUp(decision, reach, outcome)
 	return outcome
