Bind by a bar only customers whose requests crashed servers

A request of another customer that waited at a server when it ended counted as a second customer, so that the bar held for all. A customer could have a sound part barred for others by adding it to prompts that crash servers. Found by reading; TestWaitingCustomersAreNotBound failed before.

--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -81,14 +81,15 @@
 	return len(byRequest), len(byInstance)
 }
 
-// oneCustomer returns the customer of all hits, and false if they have several.
-func (s *suspect) oneCustomer() (uint64, bool) {
-	for _, h := range s.hits {
-		if h.customer != s.hits[0].customer {
-			return 0, false
-		}
+// oneCustomer returns the customer of the hits, and false if they have several. Requests that
+// were only waiting count if there are no others.
+func (s *suspect) oneCustomer() (customer uint64, one bool) {
+	hits := slices.DeleteFunc(slices.Clone(s.hits), func(h hit) bool { return !h.head })
+	if len(hits) == 0 {
+		hits = s.hits
 	}
-	return s.hits[0].customer, true
+	customer = hits[0].customer
+	return customer, !slices.ContainsFunc(hits, func(h hit) bool { return h.customer != customer })
 }
 
 // crashOf returns the crash of a server at a time, which may have been reported before.
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -195,6 +195,20 @@
 	}
 }
 
+// Requests of other customers that only waited when their server ended don't make a bar hold
+// for all: a customer could have a sound part barred by adding it to prompts that crash servers.
+func TestWaitingCustomersAreNotBound(t *testing.T) {
+	g := newGuardTest()
+	for n := 0; g.Bars() == 0 && n < 20; n++ {
+		g.crash(v1, heirs, true, shared, bad)
+		g.Crashed(g.now, Crash{Instance: fmt.Sprint("i-", g.request), Release: v1, At: g.now, Placed: g.now - time.Millisecond, Request: uint64(1000 + n), Customer: guests, Parts: []Part{bad}})
+		g.begin(v1, 4, shared)
+	}
+	if g.allowed(heirs, "v1", bad) || !g.allowed(guests, "v1", bad) {
+		t.Error("want the customer barred whose requests ended servers, and no other")
+	}
+}
+
 // A part is barred at another version after a single crash, and until an answer has begun
 // there, one entry alone tries it.
 func TestOtherVersions(t *testing.T) {
