Forget crashes that lie long back

Evidence against a part was dropped only when the table was full: three ends in months would have barred a part that is seldom asked for. Found by reading; TestOldCrashesDontCount was barred after three crashes half an hour apart.

--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -111,6 +111,7 @@
 // suspectOf returns the evidence against a part, in which a new part has none.
 func (g *Guard) suspectOf(now time.Duration, s spot) *suspect {
 	if known := g.suspects[s]; known != nil {
+		known.drop(now - evidenceKept)
 		return known
 	}
 	if len(g.suspects) >= maxSuspects {
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -209,6 +209,18 @@
 	}
 }
 
+// Crashes that lie long back count no more.
+func TestOldCrashesDontCount(t *testing.T) {
+	g := newGuardTest()
+	for n := range 10 {
+		if bars := g.crash(v1, heirs, true, bad); len(bars) > 0 {
+			t.Fatalf("barred after %d crashes, each half an hour after the one before", n+1)
+		}
+		g.begin(v1, 4, shared)
+		g.now += evidenceKept
+	}
+}
+
 // A part is barred at another version after a single crash, and until an answer has begun
 // there, one entry alone tries it.
 func TestOtherVersions(t *testing.T) {
