--- a/internal/core/quarantine/types.go
+++ b/internal/core/quarantine/types.go
@@ -15,9 +15,9 @@
 //
 // Evidence, acquittals and bars are shared by all entries; a bar is repeated as long as it
 // holds. It binds the customers under whose requests servers ended, and all customers as
-// soon as there are several. A bar ends with an answer that begins on the part: rare trials
-// by one entry let it, and the first request at a software version that has none of the
-// ends is one. So is the first request with another model.
+// soon as there are several. A bar ends with an answer that begins on the part. Rare trials,
+// made by one entry, show whether one does; the first request at another software version or
+// with another model is a trial as well.
 //
 // Load pattern: some requests a second with a part that crashes each server, at all
 // entries, beside twenty times as many sound ones.
@@ -43,7 +43,8 @@
 	// acquittedFactor multiplies what is needed for a part on which answers have begun
 	// before.
 	acquittedFactor = 2.0
-	// crashesElsewhere is the weight that bars a part that is barred at another version.
+	// crashesElsewhere is the weight that bars a part that is barred at another version
+	// or with another model.
 	crashesElsewhere = 1.0
 	// requestsNeeded is the number of requests under which servers must have ended.
 	requestsNeeded = 2
@@ -64,7 +65,7 @@
 	firstTrialAlone = 5 * time.Second
 	trialFactor     = 4
 	maxTrialWait    = time.Hour
-	// barForgotten is the time after the last end or trial at which a bar is forgotten.
+	// barForgotten is the time after the last end at which a bar is forgotten.
 	barForgotten = 4 * time.Hour
 	// minRetryAfter is the shortest time that the caller of a refused request is told.
 	minRetryAfter = 5 * time.Second
