Let peers call a replica that is about to start

Cause: the context that ends a replica's calls was set by Start, while calls of peers read it. A call that is handled before Start dereferences nil; one that is handled while Start runs races with it. The processes listen only after Start, so no caller met it; the tests serve first, as replicas that start together do.

Why it works: New makes the context, so that it never changes while others hold the replica.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -107,8 +107,11 @@
 	limits   *limits
 	duties   *duties
 
-	// The fields below, up to mu, are used by the event loop alone, except for
-	// runCtx.
+	// runCtx is done once the replica stops. It exists from New on, since peers
+	// may call before Start.
+	runCtx context.Context
+
+	// The fields below, up to mu, are used by the event loop alone.
 	node         *replication.Node
 	machine      *state.Machine
 	lastToken    uint64
@@ -123,8 +126,6 @@
 	// applyFailed is true once a committed entry or a snapshot could not be
 	// decoded.
 	applyFailed bool
-	// runCtx is done once the replica stops. Any goroutine may use it.
-	runCtx context.Context
 
 	// mu guards the fields below; view is the state that other goroutines read.
 	mu   sync.Mutex
@@ -174,6 +175,7 @@
 		revisionUpdated: make(chan struct{}),
 		roleUpdated:     make(chan struct{}),
 	}
+	r.runCtx, r.stop = context.WithCancel(context.Background())
 	r.orders = newOrderRunner(r)
 	r.planning = newPlanning(r, opts.Platform)
 	r.limits = newLimits()
@@ -261,9 +263,7 @@
 
 // Start runs the replica in the background.
 func (r *Replica) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
-	r.runCtx = ctx
+	ctx := r.runCtx
 	r.publish()
 	r.spawn(func() { r.runWriter(ctx) })
 	r.spawn(func() { r.runLoop(ctx) })
