Acquit a prompt part only by an answer with success

Callers saw nothing yet: found in a review of what ends a bar. A server that turns a request away with a 4xx of its own, or redirects it, has not begun to write on its prompt. All the same such an answer acquitted the prompt's parts, so that one rejected request ended the bar of a part at all entries, and six more servers had to end before it was barred again.

Cause: every whole answer below status 500 counted as begun.

Evidence: TestRejectionAcquitsNoPart, before: the suspicion is gone after a 400, a 422 and a 307.

Why it works: only an answer with success shows that a server worked on the prompt.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -58,9 +58,10 @@
 	}, failure.Status != 0)
 }
 
-// noteWholeAnswer reports an answer that is no stream and not a server's error.
+// noteWholeAnswer reports a whole answer with success. Others may have been written before
+// anything was done with the prompt.
 func (r *run) noteWholeAnswer(a *attempt) {
-	if r.routed != nil && a.tokens == 0 && a.answer != nil && a.answer.status < http.StatusInternalServerError {
+	if r.routed != nil && a.tokens == 0 && a.answer != nil && a.answer.status/100 == http.StatusOK/100 {
 		r.entry.guard.Begun(&r.routed.prompt, a.version)
 	}
 }
--- /dev/null
+++ b/internal/entry/crash_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"waxwingcart/internal/crashguard"
+)
+
+// A server that turns a request away, or fails, has not begun an answer on its prompt: the
+// parts stay under suspicion.
+func TestRejectionAcquitsNoPart(t *testing.T) {
+	for _, test := range []struct {
+		status  int64
+		suspect bool
+	}{
+		{http.StatusBadRequest, true},
+		{http.StatusUnprocessableEntity, true},
+		{http.StatusTemporaryRedirect, true},
+		{http.StatusInternalServerError, true},
+		{http.StatusNoContent, false},
+		{0, false},
+	} {
+		engine := &versionEngine{version: "v1"}
+		e := newTakeUpEntry(t, engine)
+		p := guardPrompt(&Call{RequestID: "first", Prompt: Prompt{Parts: []PromptPart{{ID: "a"}, {ID: "own"}}}}, "", "models")
+		e.guard.Crashed(&p, crashguard.Attempt{Instance: "i-0", Version: "v1"}, true, e.now())
+		time.Sleep(time.Millisecond)
+
+		engine.rejects.Store(test.status)
+		w := e.call("/public/1", "Id", "second", "Parts", "a own2")
+		if engine.calls.Load() == 0 {
+			t.Fatalf("status %d: the server got no request; the caller got %d", test.status, w.Code)
+		}
+		if got := e.guard.Suspicious(&p); got != test.suspect {
+			t.Errorf("status %d of the server: under suspicion %t, want %t", test.status, got, test.suspect)
+		}
+	}
+}
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -33,11 +33,17 @@
 	version string
 	// breaks makes it break off every stream.
 	breaks atomic.Bool
-	calls  atomic.Int64
+	// rejects is the status of whole answers in place of streams, 0 for none.
+	rejects atomic.Int64
+	calls   atomic.Int64
 }
 
 func (v *versionEngine) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	v.calls.Add(1)
+	if status := v.rejects.Load(); status != 0 {
+		w.WriteHeader(int(status))
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 0
 	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
@@ -60,6 +66,9 @@
 	if last, err := strconv.ParseInt(req.Header.Get("Last-Event-Id"), 10, 64); err == nil {
 		call.Resumes, call.LastEvent = true, last
 	}
+	for _, id := range strings.Fields(req.Header.Get("Parts")) {
+		call.Prompt.Parts = append(call.Prompt.Parts, PromptPart{ID: id, Tokens: 10})
+	}
 	return call, nil
 }
 
