--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -20,56 +20,17 @@
 	catchUpIdle = time.Second
 	// catchUpTimeout bounds one call.
 	catchUpTimeout = 2 * time.Second
-	// catchUpRepeat is the delay before the second question. The streams that begin
-	// until the other entries know this one are told to it by nobody.
-	catchUpRepeat = 5 * time.Second
-	// maxCatchUps is the number of answers after which an entry asks no more.
-	maxCatchUps = 3
 )
 
-// catchUp is the progress of an entry that lacks records of streams: after its start,
-// and after a time in which it read no list.
-type catchUp struct {
-	// resets is the count of the history's beginnings that the answers belong to.
-	resets  uint64
-	answers int
-	next    time.Duration
-	// delay is the time until the next question after one without an answer.
-	delay time.Duration
-}
-
-// due reports whether to ask another entry now.
-func (c *catchUp) due(now time.Duration, complete bool, resets uint64) bool {
-	if resets != c.resets {
-		*c = catchUp{resets: resets, delay: catchUpInterval}
-	}
-	if resets == 0 || now < c.next || c.answers >= maxCatchUps {
-		return false
-	}
-	return c.answers < 2 || !complete
-}
-
-func (c *catchUp) answered(now time.Duration) {
-	c.answers++
-	c.next = now + catchUpRepeat
-}
-
-// failed delays the next question, for longer each time: the other entries may be of a build
-// that can't answer.
-func (c *catchUp) failed(now time.Duration) {
-	c.next = now + c.delay
-	c.delay = min(2*c.delay, catchUpRepeat)
-}
-
 // runCatchUp asks other entries for their records of streams while this one lacks them.
 func (e *Entry) runCatchUp(ctx context.Context) {
-	var progress catchUp
+	var progress lineage.CatchUp
 	for ctx.Err() == nil {
 		_, complete, resets := e.streams.reach()
-		if progress.due(e.now(), complete, resets) {
+		if progress.Due(e.now(), complete, resets) {
 			e.catchUpOnce(ctx, &progress)
 		}
-		if complete && progress.answers > 0 {
+		if complete && progress.Answers() > 0 {
 			wait(ctx, catchUpIdle)
 		} else {
 			wait(ctx, catchUpInterval)
@@ -78,16 +39,16 @@
 }
 
 // catchUpOnce asks one of the other entries, if there is any.
-func (e *Entry) catchUpOnce(ctx context.Context, progress *catchUp) {
+func (e *Entry) catchUpOnce(ctx context.Context, progress *lineage.CatchUp) {
 	peers := e.broadcaster.peers()
 	if len(peers) == 0 {
 		return
 	}
 	if e.askForStreams(ctx, peers[rand.IntN(len(peers))]) {
-		progress.answered(e.now())
+		progress.Answered(e.now())
 		return
 	}
-	progress.failed(e.now())
+	progress.Failed(e.now())
 }
 
 // askForStreams asks another entry and reports whether it answered.
