Ask another entry what is barred before a started entry serves

Callers saw: while entries restart, requests with a barred part end servers again, with all sound requests that run there.

Cause: an entry that starts knew no bar until another entry repeated it, 1 to 2 s later; it serves sooner. Class: what the others know is lost with a restart, and the entry does not ask for it. Same class as the records of streams, which an entry does ask for. Ruled out: lost datagrams, as no bar is sent in that time.

Change: the peer service has a call Bars. Calls that arrive meanwhile wait as they do for the configuration, at most until 1.5 s after the start. An entry that has not asked yet itself refuses to answer, so that entries that restart one after the other don't hand each other an empty answer. A peer of an earlier build answers with an error, and bars are then known once they are repeated, as before.

--- a/internal/core/quarantine/share.go
+++ b/internal/core/quarantine/share.go
@@ -47,6 +47,19 @@
 	return lacks
 }
 
+// All returns the bars that hold.
+func (g *Guard) All() []Bar {
+	var all []Bar
+	for _, byRelease := range g.bars {
+		for _, b := range byRelease {
+			if !b.inherited {
+				all = append(all, b.Bar)
+			}
+		}
+	}
+	return all
+}
+
 // Due returns the bars to repeat now. Each is repeated by whichever entry is first, and the
 // others then wait again.
 func (g *Guard) Due(now time.Duration) []Bar {
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -46,6 +46,8 @@
 	// Address is this entry's address, and Peers returns those of the other entries.
 	Address string
 	Peers   func() []string
+	// Fetch asks another entry for its bars.
+	Fetch func(ctx context.Context, peer string) (*wire.BarsResponse, error)
 	// Listens reports whether a new connection to an address can be made within a time.
 	Listens func(ctx context.Context, address string, timeout time.Duration) bool
 	// Leaving reports whether a server is known to leave.
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -22,6 +23,8 @@
 	// listens and leaving are what the guards hear of servers.
 	listens, leaving bool
 	probes           int
+	// silent is the number of entries, from the first on, that don't answer questions.
+	silent int
 }
 
 func (n *guardNet) clock() time.Duration {
@@ -47,7 +50,22 @@
 				}
 			}
 		},
-		Peers: func() []string { return nil },
+		Peers: func() []string {
+			var peers []string
+			for i := range n.guards {
+				if i != index {
+					peers = append(peers, fmt.Sprint("entry-", i))
+				}
+			}
+			return peers
+		},
+		Fetch: func(_ context.Context, peer string) (*wire.BarsResponse, error) {
+			var i int
+			if _, err := fmt.Sscanf(peer, "entry-%d", &i); err != nil || i < n.silent {
+				return nil, errors.New("no answer")
+			}
+			return n.guards[i].Bars(), nil
+		},
 		Listens: func(context.Context, string, time.Duration) bool {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -122,6 +140,26 @@
 	}
 }
 
+// An entry that starts asks the others what is barred, and does not wait for a repetition. An
+// entry that does not answer is no reason to know nothing.
+func TestStartedEntryAsksForBars(t *testing.T) {
+	for silent := range 3 {
+		n := newGuardNet()
+		for i := range 3 {
+			n.crash(i)
+		}
+		n.silent = silent
+		started := n.add()
+		if barred(started) {
+			t.Fatal("an entry that has just started bars the part")
+		}
+		started.CatchUp(context.Background())
+		if got, want := barred(started), silent < 2; got != want {
+			t.Errorf("%d of 2 entries silent: barred %t, want %t", silent, got, want)
+		}
+	}
+}
+
 // An attempt that a server breaks off is no evidence if the server still listens, or was known
 // to leave.
 func TestNoEvidence(t *testing.T) {
--- a/internal/e2e/hosted_crash_test.go
+++ b/internal/e2e/hosted_crash_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -196,3 +197,39 @@
 		t.Errorf("%d of %d requests were answered whole, want all", whole, len(load.sound))
 	}
 }
+
+// Entries that are killed and start again, one after the other, ask what is barred before they
+// serve.
+func TestHostedRestartedEntryKnowsBars(t *testing.T) {
+	const asked = 2500 * time.Millisecond
+	h, shared, _ := newCrashCluster(t)
+	load := startCrashLoad(h)
+	load.send(20, "/dossiers/1", true, soundParts)
+	shared.set(crashingPart)
+	bad := func() string { return fmt.Sprintf("f1:300,%s:90", crashingPart) }
+	load.send(5, "/dossiers/1", false, bad)
+	for n := range crashEntries {
+		name := fmt.Sprintf("e%d", n+1)
+		h.eventually(name+" bars the part", func() bool { return len(h.linesWith(name, `step="quarantine"`)) > 0 })
+	}
+	load.end()
+	time.Sleep(crashDown)
+	_, before := shared.counts()
+	for n := range crashEntries {
+		name := fmt.Sprintf("e%d", n+1)
+		_ = h.stop(name, syscall.SIGKILL)
+		h.start(name)
+		answers := make(map[int]int)
+		for end := time.Now().Add(asked); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			id := fmt.Sprintf("again-%d-%d", n, time.Now().UnixNano())
+			got := h.call(name, "POST", "/dossiers/1", id, callerKey, "prompt", "Waxwingcart-Token-Count", "450,20",
+				"Waxwingcart-Model", "m", "Waxwingcart-Prefix-Hash", bad()+","+id+":50")
+			answers[got.status]++
+		}
+		_, reached := shared.counts()
+		t.Logf("%s: %d requests with the part reached engines since the first restart; answers by status: %v", name, reached-before, answers)
+	}
+	if _, reached := shared.counts(); reached-before > allowedCrashTrials {
+		t.Errorf("%d requests with a barred part reached engines while entries restarted, want at most %d", reached-before, allowedCrashTrials)
+	}
+}
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 
+	"github.com/twitchtv/twirp"
+
 	"waxwingcart/internal/core/quarantine"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/crashguard"
@@ -21,6 +24,9 @@
 		Now: e.now, Seed: e.incarnation, Logger: e.logger, Registry: e.opts.Registry,
 		Send: func(news *wire.News) { e.broadcaster.addAlone(news) }, Address: e.opts.PeerAddress,
 		Peers: func() []string { return e.broadcaster.peers() }, Listens: e.backends.Listens,
+		Fetch: func(ctx context.Context, peer string) (*wire.BarsResponse, error) {
+			return wire.NewPeerProtobufClient("http://"+peer, e.opts.Client).Bars(ctx, &wire.BarsRequest{})
+		},
 		Leaving: func(instance string) bool {
 			e.policy.mu.Lock()
 			defer e.policy.mu.Unlock()
@@ -34,6 +40,22 @@
 	})
 }
 
+// catchUpBars asks another entry what is barred. Calls that arrive while this entry starts
+// wait for the answer.
+func (e *Entry) catchUpBars(ctx context.Context) {
+	e.guard.CatchUp(ctx)
+	e.barsUnknown.Store(false)
+	e.signalInitialized()
+}
+
+// Bars returns the prompt parts that this entry knows to be barred.
+func (s *PeerService) Bars(context.Context, *wire.BarsRequest) (*wire.BarsResponse, error) {
+	if s.entry.barsUnknown.Load() {
+		return nil, twirp.NewError(twirp.Unavailable, "the entry starts and has not asked for bars itself")
+	}
+	return s.entry.guard.Bars(), nil
+}
+
 // guardPrompt returns the prompt of a call as the quarantine sees it. The last part is the
 // call's own.
 func guardPrompt(call *Call, customer, service string) crashguard.Prompt {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,8 @@
 	// is in force and the list of backend servers has been read.
 	initialized chan struct{}
 	initOnce    sync.Once
+	// barsUnknown is true from the start until another entry has been asked what is barred.
+	barsUnknown atomic.Bool
 
 	nextID     atomic.Uint64
 	stop       context.CancelFunc
@@ -183,6 +185,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.ctx, e.stop = ctx, cancel
 	e.batcher = rpc.NewBatcher(ctx, e.replicas)
+	e.barsUnknown.Store(e.opts.Routed != nil)
 	e.spawn(func() { e.config.run(ctx) })
 	e.spawn(func() { e.releaser.run(ctx) })
 	if e.opts.Routed != nil {
@@ -228,9 +231,10 @@
 }
 
 // signalInitialized releases the calls that wait in awaitInitialized once a
-// configuration is in force and the list of backend servers has been read.
+// configuration is in force, the list of backend servers has been read, and another
+// entry has been asked what is barred.
 func (e *Entry) signalInitialized() {
-	if e.config.inForce() != nil && e.directory.known() {
+	if e.config.inForce() != nil && e.directory.known() && !e.barsUnknown.Load() {
 		e.initOnce.Do(func() { close(e.initialized) })
 	}
 }
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -186,9 +186,13 @@
 	}
 	timer := time.NewTimer(minDrawInterval)
 	defer timer.Stop()
-	failing := false
+	failing, first := false, true
 	for {
 		err := q.draw(ctx)
+		if first || failing && err == nil {
+			first = false
+			q.entry.spawn(func() { q.entry.catchUpBars(ctx) })
+		}
 		if failed := err != nil; failed != failing {
 			failing = failed
 			if failed {
