Count a server that does not answer a connection as weak evidence

Callers saw nothing yet: found in a review of what counts as the end of a server. Servers behind a link that is reset and then cut look like servers that crash one after the other, and a sound part could be barred for a minute.

Cause: the connection that shows whether a server still listens was taken as refused also when it got no answer within 150 ms.

Why it works: only a refusal proves that nobody listens.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -16,6 +16,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"syscall"
 	"time"
 
 	"waxwingcart/internal/answers"
@@ -168,15 +169,16 @@
 	}
 }
 
-// Listens reports whether a new connection to a server can be made within the timeout.
-func (c *Client) Listens(ctx context.Context, address string, timeout time.Duration) bool {
+// Listens reports whether a new connection to a server can be made within the timeout, and
+// whether it was accepted or refused at all.
+func (c *Client) Listens(ctx context.Context, address string, timeout time.Duration) (listens, answered bool) {
 	dialer := net.Dialer{Timeout: timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return false, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
 	_ = conn.Close()
-	return true
+	return true, true
 }
 
 // dialTimeoutKey is the context key of a call's DialTimeout.
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -48,8 +48,9 @@
 	Peers   func() []string
 	// Fetch asks another entry for its bars.
 	Fetch func(ctx context.Context, peer string) (*wire.BarsResponse, error)
-	// Listens reports whether a new connection to an address can be made within a time.
-	Listens func(ctx context.Context, address string, timeout time.Duration) bool
+	// Listens reports whether a new connection to an address can be made within a time, and
+	// whether it was accepted or refused at all.
+	Listens func(ctx context.Context, address string, timeout time.Duration) (listens, answered bool)
 	// Leaving reports whether a server is known to leave.
 	Leaving func(instance string) bool
 	// Ended is called with each server that has ended, as this or another entry saw.
@@ -70,9 +71,9 @@
 
 // probe is a connection to a server, whose result serves several attempts.
 type probe struct {
-	at      time.Duration
-	done    chan struct{}
-	listens bool
+	at                time.Duration
+	done              chan struct{}
+	listens, answered bool
 }
 
 // New returns a Guard. It registers its metrics.
@@ -153,15 +154,17 @@
 
 // investigate finds out whether the server has ended, and tells the other entries.
 func (g *Guard) investigate(p *Prompt, a Attempt, head bool, at time.Duration) {
-	listens, leaving := g.listens(a), g.opts.Leaving(a.Instance)
+	listens, answered := g.listens(a)
+	leaving := g.opts.Leaving(a.Instance)
 	g.opts.Logger.Info().Str("step", "broken off").Str("request", p.ID).Str("server", a.Instance).Str("peer", a.Address).
 		Str("version", a.Version).Str("model", p.request.Model).Str("parts", p.logged()).
-		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", listens).Bool("leaving", leaving).
+		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", listens).Bool("answered", answered).Bool("leaving", leaving).
 		Msg("a backend server broke off an attempt before its first event")
 	if listens || leaving {
 		return
 	}
-	g.Crashed(p, a, head, at)
+	// A server that does not answer may be behind a cut link.
+	g.Crashed(p, a, head && answered, at)
 }
 
 // Crashed records that a server has ended under an attempt, and tells the other entries.
@@ -179,20 +182,21 @@
 	g.announce(bars, "barred", p.ID)
 }
 
-// listens reports whether an attempt's server still accepts connections.
-func (g *Guard) listens(a Attempt) bool {
+// listens reports whether an attempt's server still accepts connections, and whether it
+// answered at all.
+func (g *Guard) listens(a Attempt) (listens, answered bool) {
 	now := g.opts.Now()
 	g.mu.Lock()
 	p := g.probes[a.Instance]
 	if p != nil && now-p.at < probeReused {
 		g.mu.Unlock()
 		<-p.done
-		return p.listens
+		return p.listens, p.answered
 	}
 	p = &probe{at: now, done: make(chan struct{})}
 	g.probes[a.Instance] = p
 	g.mu.Unlock()
-	p.listens = g.opts.Listens(context.Background(), a.Address, probeTimeout)
+	p.listens, p.answered = g.opts.Listens(context.Background(), a.Address, probeTimeout)
 	close(p.done)
 	time.AfterFunc(probeReused, func() {
 		g.mu.Lock()
@@ -201,7 +205,7 @@
 			delete(g.probes, a.Instance)
 		}
 	})
-	return p.listens
+	return p.listens, p.answered
 }
 
 // Begun records that an answer has begun at a version.
