Don't take bytes that trickle in as progress of a fetch

Callers saw: an entry whose replica sends the configuration at a byte a moment serves the old one for up to 10 s.

Cause: the bound on the time without progress, which replaced the one on the whole transfer, took any byte as progress.

Evidence: TestTricklingTransferIsGivenUp, one byte every 10 ms.

Change: bytes count for the time that they take at answers.MinRate (1 kB/s), the lowest rate that answers of backend servers may have. A transfer over a full link is far above it.

TestSlowTransferIsNotCutOff sent a document of some dozen bytes in ten pieces, which is a trickle by this rule and no long transfer; its document has 40 kB now. Its pauses, bounds and checks are unchanged.

--- a/internal/entry/slowfetch_test.go
+++ b/internal/entry/slowfetch_test.go
@@ -32,7 +32,10 @@
 	return len(data), nil
 }
 
-// countingReplica counts the calls of a leaderReplica.
+// longDocument is the length of a countingReplica's document in bytes.
+const longDocument = 40 << 10
+
+// countingReplica counts the calls of a leaderReplica, and answers with a long document.
 type countingReplica struct {
 	leaderReplica
 	calls atomic.Int64
@@ -40,7 +43,12 @@
 
 func (r *countingReplica) FetchConfig(ctx context.Context, req *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
 	r.calls.Add(1)
-	return r.leaderReplica.FetchConfig(ctx, req)
+	response, err := r.leaderReplica.FetchConfig(ctx, req)
+	if err == nil {
+		item := response.Deltas[0].Items[0]
+		item.Json = append(item.Json, strings.Repeat(" ", longDocument)...)
+	}
+	return response, err
 }
 
 // A document whose transfer takes longer than the bounds on a silent call is fetched with a
@@ -89,3 +97,28 @@
 		t.Error("the document of the other replica is not in force")
 	}
 }
+
+// A transfer whose bytes trickle in is given up as one that stops. It held up the configuration
+// for fetchLongest.
+func TestTricklingTransferIsGivenUp(t *testing.T) {
+	trickling := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		w.Header().Set("Content-Length", "100000")
+		for req.Context().Err() == nil {
+			_, _ = w.Write([]byte{0})
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(trickling.Close)
+	address := strings.TrimPrefix(trickling.URL, "http://")
+	e := newStartingEntry(rpc.NewClient(""), address, serveReplica(t, &leaderReplica{}))
+	e.config.replicaTimeout, e.config.overdueAfter = 200*time.Millisecond, 100*time.Millisecond
+	e.config.sourceConfirmed(address)
+	ctx, cancel := context.WithTimeout(context.Background(), fetchLongest/2)
+	defer cancel()
+	e.config.follow(ctx)
+	if e.config.inForce() == nil {
+		t.Error("the document of the other replica is not in force")
+	}
+}
--- a/internal/rpc/progress.go
+++ b/internal/rpc/progress.go
@@ -5,10 +5,13 @@
 	"io"
 	"sync"
 	"time"
+
+	"waxwingcart/internal/answers"
 )
 
 // Progress follows one call whose answer may be long. It bounds the time without progress
-// in place of the time of the whole transfer, which depends on the link.
+// in place of the time of the whole transfer, which depends on the link. Bytes that
+// arrive more slowly than answers.MinRate count for the time that they take at that rate.
 type Progress struct {
 	mu   sync.Mutex
 	last time.Time
@@ -17,17 +20,21 @@
 // NewProgress returns a Progress of a call that is made now.
 func NewProgress() *Progress { return &Progress{last: time.Now()} }
 
-// Quiet returns the time since the call was made or bytes of its answer last arrived.
+// Quiet returns the time since the call was made or last made progress.
 func (p *Progress) Quiet() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return time.Since(p.last)
 }
 
-func (p *Progress) note() {
+// note records bytes of the answer.
+func (p *Progress) note(bytes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.last = time.Now()
+	p.last = p.last.Add(time.Duration(bytes) * time.Second / answers.MinRate)
+	if now := time.Now(); p.last.After(now) {
+		p.last = now
+	}
 }
 
 // progressKey is the context key of a call's Progress.
@@ -65,7 +72,7 @@
 func (b progressBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	if n > 0 {
-		b.progress.note()
+		b.progress.note(n)
 	}
 	return n, err
 }
