--- a/internal/rpc/endless_test.go
+++ b/internal/rpc/endless_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"waxwingcart/internal/standin"
 )
 
 // Checks that the answer of another process that has no end fails long before the
@@ -68,3 +70,43 @@
 		})
 	}
 }
+
+// An answer that trickles in ends with its call's deadline, and its connection is closed.
+func TestTricklingPeerAnswers(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	for name, beginning := range map[string]string{
+		"head line":         "HTTP/1.1 200 OK\r\nX-Long: ",
+		"body":              "HTTP/1.1 200 OK\r\n\r\n",
+		"body of a length":  "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+		"chunk extension":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+		"unfinished status": "HTTP/1.1 200 O",
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			closed := standin.Trickle(listener, beginning, timeout/20)
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+listener.Addr().String(), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := NewClient("secret").Do(req)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+			if err == nil {
+				t.Error("got an answer, want an error")
+			}
+			select {
+			case <-closed:
+			case <-time.After(time.Minute):
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
