Let the leader keep the barred prompt parts for entries that start

Callers saw: after a restart of all entries, requests with a barred part end servers again, with all sound requests that run there.

Cause: bars were known to entries alone, so that a restart of all of them at once forgot them.

Evidence: TestHostedAllEntriesRestartKnowingBars kills three entries at once, starts them and asks each for the part.

Change: an entry's draws tell the leader of the bars that it repeats (each bar once in 1 to 2 s by one of all entries) and of those that have ended. The first draw of an entry gets all of them, and uses them if no other entry answers its question.

--- a/internal/crashguard/catchup.go
+++ b/internal/crashguard/catchup.go
@@ -18,7 +18,8 @@
 )
 
 // CatchUp asks the other entries what is barred, after a time in which this entry heard
-// nothing from them. It returns once one has answered, or maxAsked have not.
+// nothing from them. It returns once one has answered, or maxAsked have not; the leader's
+// bars count then.
 func (g *Guard) CatchUp(ctx context.Context) {
 	peers := g.opts.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
@@ -27,6 +28,7 @@
 			return
 		}
 	}
+	g.adoptLeaderBars()
 }
 
 // ask asks another entry for its bars and reports whether it answered.
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -32,6 +32,9 @@
 	// and in bytes of a part's ID.
 	maxLoggedParts = 8
 	maxLoggedID    = 24
+
+	// changeEnded is the change of a bar that holds no longer, in logs and metrics.
+	changeEnded = "ended"
 )
 
 // Options configures a Guard.
@@ -67,6 +70,9 @@
 	mu     sync.Mutex
 	core   *quarantine.Guard
 	probes map[string]*probe
+	report report
+	// leaderBars is what the leader knew when it was asked last.
+	leaderBars []quarantine.Bar
 }
 
 // probe is a connection to a server, whose result serves several attempts.
@@ -221,7 +227,7 @@
 	if len(suspected) > 0 {
 		g.opts.Send(acquittedNews(now, now, release, suspected))
 	}
-	g.note(ended, "ended", p.ID)
+	g.note(ended, changeEnded, p.ID)
 }
 
 // Check returns at which of the service's versions a request must not be placed.
@@ -283,6 +289,9 @@
 	g.mu.Lock()
 	now, held := g.opts.Now(), g.core.Bars()
 	due := g.core.Due(now)
+	for _, b := range due {
+		g.report.add(now, b, false)
+	}
 	g.mu.Unlock()
 	for _, b := range due {
 		g.opts.Send(barNews(now, b))
@@ -336,6 +345,11 @@
 			Int64("next_trial_ms", (b.Next-now).Milliseconds()).Int64("last_crash_ms", (now - b.LastCrash).Milliseconds()).
 			Msg("the quarantine of a prompt part under which backend servers crash changed")
 	}
+	g.mu.Lock()
+	for _, b := range bars {
+		g.report.add(g.opts.Now(), b, change == changeEnded)
+	}
+	g.mu.Unlock()
 	if len(bars) > 0 {
 		select {
 		case g.barred <- struct{}{}:
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -162,6 +162,47 @@
 	}
 }
 
+// The leader keeps the bars for entries that start while no other one knows them, and forgets
+// those that have ended, also if an entry that did not hear of the end repeats them.
+func TestLeaderKeepsBars(t *testing.T) {
+	n := newGuardNet()
+	alone := Options{Now: n.clock, Logger: &log.Logger{Level: log.PanicLevel}, Send: func(*wire.News) {}, Ended: func(string) {}}
+	leader, deaf := New(alone), New(alone)
+	for i := range 3 {
+		n.crash(i)
+	}
+	told := n.guards[0].Report()
+	leader.Told(told)
+	deaf.Told(told)
+	deaf.Report()
+	if again := n.guards[0].Report(); again != nil {
+		t.Errorf("told %v twice", again)
+	}
+
+	n.silent = len(n.guards)
+	started := n.add()
+	started.LeaderBars(leader.Bars().Bars)
+	started.CatchUp(context.Background())
+	if !barred(started) {
+		t.Error("the part is not barred at an entry that the leader told")
+	}
+
+	n.advance(time.Second)
+	p := badPrompt("goes-well")
+	n.guards[1].Begun(&p, "v1")
+	leader.Told(n.guards[1].Report())
+	n.advance(2 * time.Second)
+	deaf.Repeat()
+	repeated := deaf.Report()
+	if len(repeated.GetBars()) != 1 {
+		t.Fatalf("the entry that did not hear of the end repeats %v, want one bar", repeated)
+	}
+	leader.Told(repeated)
+	if bars := leader.Bars().Bars; len(bars) != 0 {
+		t.Errorf("the leader keeps %v after the bar has ended", bars)
+	}
+}
+
 // An attempt that a server breaks off is no evidence if the server still listens, or was known
 // to leave.
 func TestNoEvidence(t *testing.T) {
--- a/internal/crashguard/news.go
+++ b/internal/crashguard/news.go
@@ -22,7 +22,7 @@
 
 // Told applies what another entry says.
 func (g *Guard) Told(news *wire.News) {
-	if len(news.Crashes)+len(news.Acquitted)+len(news.Bars) == 0 {
+	if news == nil || len(news.Crashes)+len(news.Acquitted)+len(news.Bars) == 0 {
 		return
 	}
 	now := g.opts.Now()
@@ -50,7 +50,7 @@
 		ended = append(ended, g.core.Acquit(at, release, part)...)
 	}
 	g.mu.Unlock()
-	g.note(ended, "ended", "")
+	g.note(ended, changeEnded, "")
 }
 
 // adopt applies a bar, or tells the others of the answer that proves it wrong.
--- a/internal/e2e/hosted_crash_test.go
+++ b/internal/e2e/hosted_crash_test.go
@@ -198,16 +198,17 @@
 	}
 }
 
-// Entries that are killed and start again, one after the other, ask what is barred before they
-// serve.
-func TestHostedRestartedEntryKnowsBars(t *testing.T) {
+// restartsBarred bars the crashing part at all entries, lets restart end entries and start them
+// again, and reports how many requests with the part reach engines from then on. The restart
+// is given a function that asks an entry for the part for a while.
+func restartsBarred(t *testing.T, restart func(h *hostedCluster, ask func(entry string))) int {
 	const asked = 2500 * time.Millisecond
 	h, shared, _ := newCrashCluster(t)
 	load := startCrashLoad(h)
 	load.send(20, "/dossiers/1", true, soundParts)
 	shared.set(crashingPart)
-	bad := func() string { return fmt.Sprintf("f1:300,%s:90", crashingPart) }
-	load.send(5, "/dossiers/1", false, bad)
+	bad := fmt.Sprintf("f1:300,%s:90", crashingPart)
+	load.send(5, "/dossiers/1", false, func() string { return bad })
 	for n := range crashEntries {
 		name := fmt.Sprintf("e%d", n+1)
 		h.eventually(name+" bars the part", func() bool { return len(h.linesWith(name, `step="quarantine"`)) > 0 })
@@ -215,21 +216,52 @@
 	load.end()
 	time.Sleep(crashDown)
 	_, before := shared.counts()
-	for n := range crashEntries {
-		name := fmt.Sprintf("e%d", n+1)
-		_ = h.stop(name, syscall.SIGKILL)
-		h.start(name)
+	restart(h, func(entry string) {
 		answers := make(map[int]int)
 		for end := time.Now().Add(asked); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-			id := fmt.Sprintf("again-%d-%d", n, time.Now().UnixNano())
-			got := h.call(name, "POST", "/dossiers/1", id, callerKey, "prompt", "Waxwingcart-Token-Count", "450,20",
-				"Waxwingcart-Model", "m", "Waxwingcart-Prefix-Hash", bad()+","+id+":50")
+			id := fmt.Sprintf("again-%s-%d", entry, time.Now().UnixNano())
+			got := h.call(entry, "POST", "/dossiers/1", id, callerKey, "prompt", "Waxwingcart-Token-Count", "450,20",
+				"Waxwingcart-Model", "m", "Waxwingcart-Prefix-Hash", bad+","+id+":50")
 			answers[got.status]++
 		}
 		_, reached := shared.counts()
-		t.Logf("%s: %d requests with the part reached engines since the first restart; answers by status: %v", name, reached-before, answers)
+		t.Logf("%s: %d requests with the part reached engines since the first restart; answers by status: %v", entry, reached-before, answers)
+	})
+	_, reached := shared.counts()
+	return reached - before
+}
+
+// Entries that are killed and start again, one after the other, ask what is barred before they
+// serve.
+func TestHostedRestartedEntryKnowsBars(t *testing.T) {
+	reached := restartsBarred(t, func(h *hostedCluster, ask func(string)) {
+		for n := range crashEntries {
+			name := fmt.Sprintf("e%d", n+1)
+			_ = h.stop(name, syscall.SIGKILL)
+			h.start(name)
+			ask(name)
+		}
+	})
+	if reached > allowedCrashTrials {
+		t.Errorf("%d requests with a barred part reached engines while entries restarted, want at most %d", reached, allowedCrashTrials)
 	}
-	if _, reached := shared.counts(); reached-before > allowedCrashTrials {
-		t.Errorf("%d requests with a barred part reached engines while entries restarted, want at most %d", reached-before, allowedCrashTrials)
+}
+
+// All entries are killed at once and start again: the leader knows what was barred.
+func TestHostedAllEntriesRestartKnowingBars(t *testing.T) {
+	reached := restartsBarred(t, func(h *hostedCluster, ask func(string)) {
+		for n := range crashEntries {
+			_ = h.stop(fmt.Sprintf("e%d", n+1), syscall.SIGKILL)
+		}
+		var asking sync.WaitGroup
+		for n := range crashEntries {
+			name := fmt.Sprintf("e%d", n+1)
+			h.start(name)
+			asking.Go(func() { ask(name) })
+		}
+		asking.Wait()
+	})
+	if reached > allowedCrashTrials {
+		t.Errorf("%d requests with a barred part reached engines after all entries restarted, want at most %d", reached, allowedCrashTrials)
 	}
 }
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -224,7 +224,7 @@
 }
 
 func (q *quotaClient) request(now time.Duration) *wire.DrawRequest {
-	load, limits := q.entry.serviceLoad(), q.entry.policy.limitReport(now)
+	load, limits, bars := q.entry.serviceLoad(), q.entry.policy.limitReport(now), q.entry.guard.Report()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.currentDraw, q.nextDraw = q.nextDraw, make(chan struct{})
@@ -234,6 +234,7 @@
 	request.Address, request.Zone = q.entry.opts.PeerAddress, q.entry.opts.Zone
 	request.List = q.entry.directory.listVersion()
 	request.Limits = limits
+	request.Bars, request.AsksBars = bars, q.entry.barsUnknown.Load()
 	if q.counter == nil {
 		return request
 	}
@@ -262,6 +263,7 @@
 		q.applyLeaderList(requestedAt, response)
 		q.entry.policy.applyLimits(response)
 		q.entry.broadcaster.setPeers(response.Peers)
+		q.entry.guard.LeaderBars(response.Bars)
 		q.entry.policy.shareRetries(int(response.Entries))
 	}
 }
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -9,6 +9,7 @@
 	"waxwingcart/internal/core/quota"
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/serverlimit"
+	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
@@ -41,6 +42,14 @@
 	return &limits{allocator: quota.NewAllocator(), servers: serverlimit.NewAllocator(), peers: make(map[string]peerEntry)}
 }
 
+// newBars returns a guard that takes what entries tell, and decides and sends nothing.
+func newBars(r *Replica) *crashguard.Guard {
+	return crashguard.New(crashguard.Options{
+		Now: r.now, Seed: 1, Logger: r.logger,
+		Send: func(*wire.News) {}, Ended: func(string) {},
+	})
+}
+
 // updatePeer records an entry's address and returns those of all live entries.
 func (l *limits) updatePeer(now time.Duration, process string, peer *wire.EntryPeer) []*wire.EntryPeer {
 	l.mu.Lock()
@@ -93,6 +102,10 @@
 	}
 	response := codec.GrantToWire(grant)
 	response.Limits = codec.LimitGrantToWire(now, requests)
+	r.bars.Told(req.Bars)
+	if req.AsksBars {
+		response.Bars = r.bars.Bars().Bars
+	}
 	response.Peers = r.limits.updatePeer(r.now(), req.Process, &wire.EntryPeer{Address: req.Address, Zone: req.Zone})
 	if r.duties != nil {
 		r.duties.fillList(req, response)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,6 +19,7 @@
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
+	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/storage"
 )
@@ -105,7 +106,9 @@
 	orders   *orderRunner
 	planning *planning
 	limits   *limits
-	duties   *duties
+	// bars keeps what entries tell of barred prompt parts, for those that start.
+	bars   *crashguard.Guard
+	duties *duties
 
 	// runCtx is done once the replica stops. It exists from New on, since peers
 	// may call before Start.
@@ -179,6 +182,7 @@
 	r.orders = newOrderRunner(r)
 	r.planning = newPlanning(r, opts.Platform)
 	r.limits = newLimits()
+	r.bars = newBars(r)
 	if opts.Duties != nil {
 		r.duties = newDuties(r, *opts.Duties)
 	}
