--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -23,11 +23,12 @@
 	// KindBurst sends many requests to each entry at once.
 	KindBurst Kind = "burst"
 	// KindQuiet makes backend servers of a service silent: one, or all if Amount is 0.
-	// KindRefuse makes one ask for a pause, KindLeave makes one say that it leaves, and
-	// KindRelease replaces one of the oldest version by one of the newest.
+	// KindRefuse makes one ask for a pause, KindLeave makes one say that it leaves,
+	// KindEndless makes one send answers without end, of the kind Amount, and KindRelease replaces one of the oldest version by one of the newest.
 	KindQuiet   Kind = "quiet"
 	KindRefuse  Kind = "refuse"
 	KindLeave   Kind = "leave"
+	KindEndless Kind = "endless answers"
 	KindRelease Kind = "release"
 
 	KindPause  Kind = "pause"
@@ -189,6 +190,7 @@
 	}
 	if options.Streams {
 		p.streamEvents()
+		p.endlessEvents()
 	}
 	if options.Troubles {
 		p.troubleEvents()
--- a/internal/soak/platform_test.go
+++ b/internal/soak/platform_test.go
@@ -168,6 +168,9 @@
 	}
 	e.platform.history.update(func() { e.platform.history.Runs[id]++ })
 	e.mood.await(req.Context())
+	if e.mood.answersEndless(w, id) {
+		return
+	}
 	w.Header().Set("Waxwingcart-Stamp", "stamp-"+e.id)
 	w.Header().Set(headerService, e.service)
 	if e.version != "" {
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -174,7 +174,7 @@
 		r.burst(e)
 	case KindCrashing, KindLimit:
 		r.faults.Go(func() { r.changeTrouble(ctx, e) })
-	case KindQuiet, KindRefuse, KindLeave, KindRelease:
+	case KindQuiet, KindRefuse, KindLeave, KindEndless, KindRelease:
 		r.faults.Go(func() { r.changeMood(ctx, e) })
 	default:
 		r.faults.Go(func() { r.fault(ctx, e) })
--- a/internal/soak/streams_engine_test.go
+++ b/internal/soak/streams_engine_test.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"waxwingcart/internal/standin"
 )
 
 // The routes of streams: streams of pathDossier and pathMemo are taken up by callers, those
@@ -51,6 +53,21 @@
 	// pause is the end of the pause that it asks for, leaving that it says that it leaves.
 	pause   time.Time
 	leaving bool
+	// endless is the kind of answers without end that it sends, until endlessTo.
+	endless   string
+	endlessTo time.Time
+}
+
+// answersEndless sends an answer without end if the server does.
+func (m *mood) answersEndless(w http.ResponseWriter, id string) bool {
+	m.mu.Lock()
+	kind, left := m.endless, time.Until(m.endlessTo)
+	m.mu.Unlock()
+	if left <= 0 {
+		return false
+	}
+	standin.SendEndless(w, kind, "Waxwingcart-Request-Id: "+id+"\r\n")
+	return true
 }
 
 // await waits until the server is not silent.
@@ -187,6 +204,12 @@
 		one.mood.pause = time.Now().Add(e.For)
 		one.mood.mu.Unlock()
 		sleep(ctx, e.For)
+	case KindEndless:
+		defer r.history.begin(r.now, one.id, string(e.Kind), EffectMoment)()
+		one.mood.mu.Lock()
+		one.mood.endless, one.mood.endlessTo = standin.EndlessKinds[e.Amount], time.Now().Add(e.For)
+		one.mood.mu.Unlock()
+		sleep(ctx, e.For)
 	case KindLeave:
 		r.leave(ctx, e, one)
 	}
--- a/internal/soak/streams_plan_test.go
+++ b/internal/soak/streams_plan_test.go
@@ -4,11 +4,17 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"waxwingcart/internal/standin"
 )
 
 // What backend servers of streams do has random numbers of its own, so that a seed gives
 // the same documents and faults with and without streams.
-const streamNumbers = 2
+const (
+	streamNumbers = 2
+	// endlessNumbers is the stream of random numbers of answers without end.
+	endlessNumbers = 4
+)
 
 const (
 	// minQuiet and maxQuiet bound the silence of a sound backend server.
@@ -65,3 +71,11 @@
 		p.add(quiet)
 	}
 }
+
+// endlessEvents adds times in which a backend server sends answers without end.
+func (p *planner) endlessEvents() {
+	p.rng = rand.New(rand.NewPCG(p.Seed, endlessNumbers))
+	for at := p.between(time.Second, 3*time.Second); at < p.Duration; at += p.between(time.Second, 4*time.Second) {
+		p.add(Event{At: at, Kind: KindEndless, Target: serviceModels, For: p.between(100*time.Millisecond, maxAside), Amount: p.rng.IntN(len(standin.EndlessKinds))})
+	}
+}
--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -27,6 +27,17 @@
 	"slow":    {"HTTP/1.1 200 OK\r\n\r\n", "x", slowPause},
 }
 
+// EndlessKinds are the kinds of answers that SendEndless sends as fast as it can.
+var EndlessKinds = []string{"body", "event", "framing", "head", "interim"}
+
+// SendEndless sends an answer of a kind until the caller closes the connection. The header
+// lines, each with its line end, follow the status line.
+func SendEndless(w http.ResponseWriter, kind, header string) {
+	answer := endlessAnswers[kind]
+	answer.beginning = strings.Replace(answer.beginning, "200 OK\r\n", "200 OK\r\n"+header, 1)
+	sendEndless(w, answer)
+}
+
 // sendEndless sends an answer until the caller closes the connection.
 func sendEndless(w http.ResponseWriter, answer endlessAnswer) {
 	conn, _, err := http.NewResponseController(w).Hijack()
