--- a/internal/rpc/endless_test.go
+++ b/internal/rpc/endless_test.go
@@ -82,15 +82,13 @@
 		"unfinished status": "HTTP/1.1 200 O",
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			address, closed, err := standin.Trickle(beginning, timeout/20)
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer func() { _ = listener.Close() }()
-			closed := standin.Trickle(listener, beginning, timeout/20)
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
-			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+listener.Addr().String(), nil)
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/standin/trickle.go
+++ b/internal/standin/trickle.go
@@ -2,19 +2,26 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"time"
 )
 
-// Trickle answers the first request of one connection with a beginning, and then with a space
-// after each pause until the caller closes. The channel is closed when it has.
-func Trickle(listener net.Listener, beginning string, pause time.Duration) <-chan struct{} {
-	closed := make(chan struct{})
+// Trickle listens at the address that it returns, and answers the first request of one connection
+// with a beginning, and then with a space after each pause until the caller closes. The channel
+// is closed when it has.
+func Trickle(beginning string, pause time.Duration) (address string, closed <-chan struct{}, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, fmt.Errorf("listen for a caller: %w", err)
+	}
+	done := make(chan struct{})
 	go func() {
-		defer close(closed)
+		defer close(done)
 		conn, err := listener.Accept()
+		_ = listener.Close()
 		if err != nil {
 			return
 		}
@@ -26,5 +33,5 @@
 			_, err = io.WriteString(conn, " ")
 		}
 	}()
-	return closed
+	return listener.Addr().String(), done, nil
 }
