Keep no bar for a model that only a caller has named

Callers saw nothing yet: found in a review of the tables' bounds. A customer who sends prompts with a barred part and ever new model names can end the bar, so that servers crash again for everybody.

Cause: the check of a request kept a copy of the bar for its version and model, whether or not it was tried. A thousand such copies displace the bar itself.

Evidence: TestMadeUpModelsDisplaceNoBar, 20,480 models. Before: the bar is gone; after: it is the one that is held.

Change: the bar that a release inherits from others is worked out for each check, and kept only when a request is tried.

--- a/internal/core/quarantine/check.go
+++ b/internal/core/quarantine/check.go
@@ -47,8 +47,8 @@
 // trial it would be there.
 func (g *Guard) check(now time.Duration, request *Request, version string, mine func(Part) bool) (wait time.Duration, trials []Part) {
 	for _, part := range request.Parts {
-		b := g.barFor(now, spot{part, request.release(version)})
-		if b == nil || !b.binds(request.Customer) {
+		b, barred := g.barFor(now, spot{part, request.release(version)})
+		if !barred || !b.binds(request.Customer) {
 			continue
 		}
 		if now >= b.Next && mine(part) {
@@ -60,22 +60,32 @@
 	return wait, trials
 }
 
-// barFor returns the bar of a part at a release. A part that is barred at another release,
-// and on which no answer has begun at this one, has a bar whose first trial is due.
-func (g *Guard) barFor(now time.Duration, s spot) *bar {
-	if b := g.barAt(s); b != nil {
-		return b
+// barFor returns the bar of a part at a release. A part that is barred at other releases, and
+// on which no answer has begun at this one, is barred here as well.
+func (g *Guard) barFor(now time.Duration, s spot) (b Bar, barred bool) {
+	if own := g.barAt(s); own != nil {
+		return own.Bar, true
 	}
-	other := g.barredElsewhere(s)
-	if other == nil {
-		return nil
+	if len(g.bars[s.part]) == 0 {
+		return Bar{}, false
 	}
 	if _, begun := g.begun.last(s); begun {
-		return nil
+		return Bar{}, false
 	}
-	b := &bar{Bar: other.Bar, inherited: true}
-	b.Release, b.Next = s.release, now
-	g.put(now, b)
+	return g.inherited(now, s), true
+}
+
+// inherited returns the bar at a release that follows from those at others. Its first trial
+// is due at once. It is not kept, as callers name the models.
+func (g *Guard) inherited(now time.Duration, s spot) Bar {
+	b := Bar{Part: s.part, Release: s.release}
+	first := true
+	for _, other := range g.bars[s.part] {
+		b.All = b.All || other.All || !first && other.Customer != b.Customer
+		b.Customer, first = other.Customer, false
+		b.Trials, b.LastCrash = max(b.Trials, other.Trials), max(b.LastCrash, other.LastCrash)
+	}
+	b.Next = now
 	return b
 }
 
@@ -84,12 +94,18 @@
 func (g *Guard) Tried(now time.Duration, request *Request, version string, v Verdict) []Bar {
 	var tell []Bar
 	for _, part := range v.trials[version] {
-		b := g.barAt(spot{part, request.release(version)})
-		if b == nil {
+		s := spot{part, request.release(version)}
+		told, barred := g.barFor(now, s)
+		if !barred {
 			continue
 		}
+		b := g.barAt(s)
+		if b == nil {
+			b = &bar{Bar: told}
+			g.put(now, b)
+		}
 		b.Trials++
-		b.Next, b.inherited = now+trialWait(b.Trials), false
+		b.Next = now + trialWait(b.Trials)
 		tell = append(tell, g.repeated(now, b))
 	}
 	return tell
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -23,9 +23,6 @@
 	Bar
 	// repeatAt is when it is repeated to the other entries.
 	repeatAt time.Duration
-	// inherited is true if the part is barred at another release only, and this one has
-	// not been tried.
-	inherited bool
 }
 
 // New returns a Guard that bars nothing.
@@ -106,7 +103,7 @@
 func (g *Guard) explain(now time.Duration, c *Crash) (changed []Bar, explained bool) {
 	for _, part := range c.Parts {
 		b := g.barAt(spot{part, c.Release})
-		if b == nil || b.inherited {
+		if b == nil {
 			continue
 		}
 		explained = true
@@ -236,14 +233,9 @@
 	}
 	g.held--
 	delete(g.bars[s.part], s.release)
-	for _, b := range g.bars[s.part] {
-		if !b.inherited {
-			return
-		}
+	if len(g.bars[s.part]) == 0 {
+		delete(g.bars, s.part)
 	}
-	// What is left was inherited from the bar that has ended.
-	g.held -= len(g.bars[s.part])
-	delete(g.bars, s.part)
 }
 
 func (g *Guard) barAt(s spot) *bar { return g.bars[s.part][s.release] }
@@ -251,7 +243,7 @@
 // barredElsewhere returns a bar of the part at another release of the service, or nil.
 func (g *Guard) barredElsewhere(s spot) *bar {
 	for release, b := range g.bars[s.part] {
-		if release != s.release && !b.inherited {
+		if release != s.release {
 			return b
 		}
 	}
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -352,3 +352,18 @@
 		t.Error("the part crashed a server with the other model too and is allowed there")
 	}
 }
+
+// Requests with made-up models can't displace a bar.
+func TestMadeUpModelsDisplaceNoBar(t *testing.T) {
+	g := newGuardTest()
+	g.strike(t, v1, heirs, shared, bad)
+	for i := range 20 * maxBars {
+		g.Check(g.now, &Request{"models", fmt.Sprint("model-", i), heirs, []Part{shared, bad}}, []string{"v1", "v2"}, never)
+	}
+	if g.allowed(heirs, "v1", shared, bad) {
+		t.Error("the bar is gone")
+	}
+	if g.Bars() != 1 {
+		t.Errorf("%d bars are held, want 1", g.Bars())
+	}
+}
--- a/internal/core/quarantine/share.go
+++ b/internal/core/quarantine/share.go
@@ -27,10 +27,8 @@
 // merge adds what another entry knows to a bar. It reports whether the other entry lacks
 // something.
 func (g *Guard) merge(b *bar, told Bar) (lacks bool) {
-	wasInherited := b.inherited
-	b.inherited = false
-	if told.Trials > b.Trials || wasInherited {
-		b.Trials, b.Next = max(told.Trials, b.Trials), max(told.Next, b.Next)
+	if told.Trials > b.Trials {
+		b.Trials, b.Next = told.Trials, max(told.Next, b.Next)
 	} else if told.Trials < b.Trials {
 		lacks = true
 	}
@@ -52,9 +50,7 @@
 	var all []Bar
 	for _, byRelease := range g.bars {
 		for _, b := range byRelease {
-			if !b.inherited {
-				all = append(all, b.Bar)
-			}
+			all = append(all, b.Bar)
 		}
 	}
 	return all
@@ -66,7 +62,7 @@
 	var due []Bar
 	for _, byRelease := range g.bars {
 		for _, b := range byRelease {
-			if !b.inherited && now >= b.repeatAt {
+			if now >= b.repeatAt {
 				due = append(due, g.repeated(now, b))
 			}
 		}
