Share the trials of a barred part among the models of a version

With each model that callers ask for, a barred part ended one more server at once.

Cause: the first request with another model was always a trial, however many models the part had crashed servers with.

Evidence: TestManyModelsShareTrials, ten models after the first. Before: 10 trials; after: 1. A new version is still tried at once.

Why it works: two models say that the model makes no difference; further ones follow the trials of the bars that there are.

--- a/internal/core/quarantine/check.go
+++ b/internal/core/quarantine/check.go
@@ -76,16 +76,22 @@
 }
 
 // inherited returns the bar at a release that follows from those at others. Its first trial
-// is due at once. It is not kept, as callers name the models.
+// is due at once, unless servers of the same version have crashed under the part with several
+// models: which model it is makes no difference then. It is not kept, as callers name the
+// models.
 func (g *Guard) inherited(now time.Duration, s spot) Bar {
 	b := Bar{Part: s.part, Release: s.release}
-	first := true
-	for _, other := range g.bars[s.part] {
-		b.All = b.All || other.All || !first && other.Customer != b.Customer
-		b.Customer, first = other.Customer, false
-		b.Trials, b.LastCrash = max(b.Trials, other.Trials), max(b.LastCrash, other.LastCrash)
+	models, sameVersion := make(map[string]bool), false
+	for release, other := range g.bars[s.part] {
+		b.All = b.All || other.All || len(models) > 0 && other.Customer != b.Customer
+		b.Customer = other.Customer
+		b.Trials, b.Next, b.LastCrash = max(b.Trials, other.Trials), max(b.Next, other.Next), max(b.LastCrash, other.LastCrash)
+		models[release.Model] = true
+		sameVersion = sameVersion || release.Version == s.release.Version
+	}
+	if !sameVersion || len(models) == 1 {
+		b.Next = now
 	}
-	b.Next = now
 	return b
 }
 
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -353,6 +353,29 @@
 	}
 }
 
+// Once a part has crashed servers with two models, further models have no trials of their own.
+func TestManyModelsShareTrials(t *testing.T) {
+	g := newGuardTest()
+	g.strike(t, v1, heirs, shared, bad)
+	tried := 0
+	for i := range 10 {
+		request := &Request{"models", fmt.Sprint("model-", i), heirs, []Part{shared, bad}}
+		v := g.Check(g.now, request, []string{"v1"}, always)
+		if v.Allows("v1") {
+			tried++
+			g.Tried(g.now, request, "v1", v)
+			g.crash(request.release("v1"), heirs, true, request.Parts...)
+		}
+	}
+	if tried != 1 {
+		t.Errorf("%d models were tried, want one beside the first", tried)
+	}
+	v := g.Check(g.now, &Request{"models", "m", heirs, []Part{shared, bad}}, []string{"v2"}, always)
+	if !v.Allows("v2") {
+		t.Error("a new version is not tried")
+	}
+}
+
 // Requests with made-up models can't displace a bar.
 func TestMadeUpModelsDisplaceNoBar(t *testing.T) {
 	g := newGuardTest()
