Don't take a lost count of answers for answers that began

After answers at more than 8,192 releases (models that callers name), three crashes bar a part though nothing shows that servers work without it; five are needed.

Cause: the counts are cleared then, and the difference to a former count wraps around.

Evidence: TestLostCountOfAnswers, before: barred after 3 crashes; after: not with 4.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -170,7 +170,7 @@
 }
 
 func (g *Guard) othersBegan(release Release, known *suspect) bool {
-	return g.begins[release]-known.others >= othersNeeded
+	return g.begins[release] >= known.others+othersNeeded
 }
 
 // barSuspect bars a part and takes the crashes under it as explained.
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -390,3 +390,19 @@
 		t.Errorf("%d bars are held, want 1", g.Bars())
 	}
 }
+
+// The count of answers that begin is lost when there are too many releases. A part is then
+// barred as if nothing else began, not as if much did.
+func TestLostCountOfAnswers(t *testing.T) {
+	g := newGuardTest()
+	g.begin(v1, 10, shared)
+	g.crash(v1, heirs, true, bad)
+	for i := range maxBegun {
+		g.begin(Release{"models", "v1", fmt.Sprint("model-", i)}, 1, subject)
+	}
+	for n := 2; n < int(crashesNeededAlone); n++ {
+		if bars := g.crash(v1, heirs, true, bad); len(bars) > 0 {
+			t.Fatalf("barred after %d crashes though no other answer is known to have begun since", n)
+		}
+	}
+}
