Log which request a server broke off, also without prompt parts

The logs lacked whether two requests are the same one, and for requests without parts whether their server had ended. The identity is a hash of customer, method, host, path and body; headers and the ID are left out. No decision depends on it yet: requests without parts are investigated and logged, and are no evidence.

--- a/internal/core/quarantine/types.go
+++ b/internal/core/quarantine/types.go
@@ -27,6 +27,9 @@
 package quarantine
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,6 +103,19 @@
 	return Part(digest.Sum64())
 }
 
+// NewWhole returns the Part that stands for a whole request: its customer and all that
+// reaches the server but headers. Callers choose their bodies, so that the hash has to
+// withstand a search for two with the same one.
+func NewWhole(customer, method, host, target string, body []byte) Part {
+	digest := sha256.New()
+	for _, text := range []string{customer, method, host, target} {
+		_, _ = digest.Write(binary.AppendUvarint(nil, uint64(len(text))))
+		_, _ = io.WriteString(digest, text)
+	}
+	_, _ = digest.Write(body)
+	return Part(binary.BigEndian.Uint64(digest.Sum(nil)))
+}
+
 // Release is a software version of a service, with the model that it serves a request with.
 type Release struct {
 	Service string
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -5,9 +5,6 @@
 
 import (
 	"context"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -28,11 +25,6 @@
 	checkInterval = 250 * time.Millisecond
 	// expireInterval is how often bars that are long over are looked for.
 	expireInterval = time.Minute
-	// maxLoggedParts and maxLoggedID bound the parts of a prompt in a log line, in parts
-	// and in bytes of a part's ID.
-	maxLoggedParts = 8
-	maxLoggedID    = 24
-
 	// changeEnded is the change of a bar that holds no longer, in logs and metrics.
 	changeEnded = "ended"
 )
@@ -97,48 +89,6 @@
 	return g
 }
 
-// Prompt is a request as the quarantine sees it.
-type Prompt struct {
-	// ID is the request's ID.
-	ID string
-	// request holds the parts, whose IDs are names, and hash is that of the ID.
-	request quarantine.Request
-	names   []string
-	hash    uint64
-}
-
-// NewPrompt returns the Prompt of a request with the IDs of its shared parts, of which it
-// keeps the first and the last.
-func NewPrompt(service, model, customer, requestID string, names []string) Prompt {
-	p := Prompt{
-		ID: requestID, hash: xxhash.Sum64String(requestID),
-		request: quarantine.Request{Service: service, Model: model, Customer: xxhash.Sum64String(customer)},
-	}
-	if len(names) > quarantine.MaxParts {
-		names = slices.Concat(names[:quarantine.MaxParts/2], names[len(names)-quarantine.MaxParts/2:])
-	}
-	p.names = names
-	for _, name := range names {
-		p.request.Parts = append(p.request.Parts, quarantine.NewPart(service, name))
-	}
-	return p
-}
-
-// logged returns the first parts, each with its ID and the key that bars are logged under.
-func (p *Prompt) logged() string {
-	var list []string
-	for i, name := range p.names[:min(len(p.names), maxLoggedParts)] {
-		list = append(list, name[:min(len(name), maxLoggedID)]+"/"+key(p.request.Parts[i]))
-	}
-	return strings.Join(list, ",")
-}
-
-func (p *Prompt) release(version string) quarantine.Release {
-	return quarantine.Release{Service: p.request.Service, Version: version, Model: p.request.Model}
-}
-
-func key(part quarantine.Part) string { return strconv.FormatUint(uint64(part), 16) }
-
 // Attempt is an attempt at a server.
 type Attempt struct {
 	Instance string
@@ -150,23 +100,20 @@
 
 // BrokenOff records that a server broke off an attempt before its first event. Head is
 // true if the head of the answer had arrived.
-func (g *Guard) BrokenOff(p *Prompt, a Attempt, head bool) {
-	if len(p.names) == 0 {
-		return
-	}
+func (g *Guard) BrokenOff(p *Request, a Attempt, head bool) {
 	at := g.opts.Now()
 	go g.investigate(p, a, head, at)
 }
 
 // investigate finds out whether the server has ended, and tells the other entries.
-func (g *Guard) investigate(p *Prompt, a Attempt, head bool, at time.Duration) {
+func (g *Guard) investigate(p *Request, a Attempt, head bool, at time.Duration) {
 	listens, answered := g.listens(a)
 	leaving := g.opts.Leaving(a.Instance)
 	g.opts.Logger.Info().Str("step", "broken off").Str("request", p.ID).Str("server", a.Instance).Str("peer", a.Address).
-		Str("version", a.Version).Str("model", p.request.Model).Str("parts", p.logged()).
+		Str("version", a.Version).Str("model", p.request.Model).Str("parts", p.logged()).Str("whole", key(p.whole)).
 		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", listens).Bool("answered", answered).Bool("leaving", leaving).
 		Msg("a backend server broke off an attempt before its first event")
-	if listens || leaving {
+	if listens || leaving || len(p.names) == 0 {
 		return
 	}
 	// A server that does not answer may be behind a cut link.
@@ -174,7 +121,7 @@
 }
 
 // Crashed records that a server has ended under an attempt, and tells the other entries.
-func (g *Guard) Crashed(p *Prompt, a Attempt, head bool, at time.Duration) {
+func (g *Guard) Crashed(p *Request, a Attempt, head bool, at time.Duration) {
 	c := quarantine.Crash{
 		Instance: a.Instance, Release: p.release(a.Version), At: at, Placed: a.Placed,
 		Request: p.hash, Customer: p.request.Customer, Head: head, Parts: p.request.Parts,
@@ -215,7 +162,7 @@
 }
 
 // Begun records that an answer has begun at a version.
-func (g *Guard) Begun(p *Prompt, version string) {
+func (g *Guard) Begun(p *Request, version string) {
 	if len(p.names) == 0 {
 		return
 	}
@@ -231,14 +178,14 @@
 }
 
 // Check returns at which of the service's versions a request must not be placed.
-func (g *Guard) Check(p *Prompt, versions []string) quarantine.Verdict {
+func (g *Guard) Check(p *Request, versions []string) quarantine.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.core.Check(g.opts.Now(), &p.request, versions, g.mine)
 }
 
 // Tried records that a request was placed at a version after Check.
-func (g *Guard) Tried(p *Prompt, version string, v quarantine.Verdict) {
+func (g *Guard) Tried(p *Request, version string, v quarantine.Verdict) {
 	g.mu.Lock()
 	bars := g.core.Tried(g.opts.Now(), &p.request, version, v)
 	g.mu.Unlock()
@@ -247,7 +194,7 @@
 
 // Suspicious reports whether servers have ended under the parts of a request, without an
 // answer that has begun since.
-func (g *Guard) Suspicious(p *Prompt) bool {
+func (g *Guard) Suspicious(p *Request) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.core.Suspicious(&p.request)
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -92,14 +92,14 @@
 	return n
 }
 
-func badPrompt(id string) Prompt {
-	return NewPrompt("models", "m", "heirs", id, []string{"f1", "bad0"})
+func badRequest(id string) Request {
+	return NewRequest(Call{ID: id, Service: "models", Model: "m", Customer: "heirs", Parts: []string{"f1", "bad0", id}})
 }
 
 // crash breaks an attempt off at the first entry, a second after the one before.
 func (n *guardNet) crash(i int) {
 	n.advance(time.Second)
-	p, sound := badPrompt(fmt.Sprint("id-", i)), NewPrompt("models", "m", "heirs", "sound", []string{"f1"})
+	p, sound := badRequest(fmt.Sprint("id-", i)), NewRequest(Call{ID: "sound", Service: "models", Model: "m", Customer: "heirs", Parts: []string{"f1", "own"}})
 	for range 4 {
 		n.guards[0].Begun(&sound, "v1")
 	}
@@ -108,7 +108,7 @@
 }
 
 func barred(g *Guard) bool {
-	p := badPrompt("new")
+	p := badRequest("new")
 	v := g.Check(&p, []string{"v1"})
 	return !v.Allows("v1")
 }
@@ -134,7 +134,7 @@
 	if !barred(later) {
 		t.Error("the part is not barred at an entry that started after it was")
 	}
-	p := badPrompt("goes-well")
+	p := badRequest("goes-well")
 	n.advance(time.Second)
 	n.guards[1].Begun(&p, "v1")
 	if barred(n.guards[0]) || barred(n.guards[1]) || barred(later) {
@@ -188,7 +188,7 @@
 	}
 
 	n.advance(time.Second)
-	p := badPrompt("goes-well")
+	p := badRequest("goes-well")
 	n.guards[1].Begun(&p, "v1")
 	leader.Told(n.guards[1].Report())
 	n.advance(2 * time.Second)
@@ -241,7 +241,7 @@
 func TestOneProbeForAServer(t *testing.T) {
 	n := newGuardNet()
 	for i := range 20 {
-		p := badPrompt(fmt.Sprint("id-", i))
+		p := badRequest(fmt.Sprint("id-", i))
 		n.guards[0].investigate(&p, Attempt{Instance: "i-1", Version: "v1", Placed: n.now}, false, n.now)
 	}
 	if n.probes != 1 {
@@ -255,7 +255,7 @@
 	for i := range 1000 {
 		names = append(names, fmt.Sprint("part-", i))
 	}
-	p := NewPrompt("models", "m", "heirs", "id", names)
+	p := NewRequest(Call{ID: "id", Service: "models", Model: "m", Customer: "heirs", Parts: append(names, "own")})
 	last := quarantine.NewPart("models", "part-999")
 	if len(p.request.Parts) != quarantine.MaxParts || p.request.Parts[0] != quarantine.NewPart("models", "part-0") || p.request.Parts[len(p.request.Parts)-1] != last {
 		t.Errorf("got %d parts, want %d, the first and the last ones", len(p.request.Parts), quarantine.MaxParts)
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -56,16 +56,17 @@
 	return s.entry.guard.Bars(), nil
 }
 
-// guardPrompt returns the prompt of a call as the quarantine sees it. The last part is the
-// call's own.
-func guardPrompt(call *Call, customer, service string) crashguard.Prompt {
-	var names []string
-	if parts := call.Prompt.Parts; len(parts) > 1 {
-		for _, part := range parts[:len(parts)-1] {
-			names = append(names, part.ID)
-		}
+// guarded returns a routed call as the quarantine sees it.
+func (r *run) guarded() crashguard.Request {
+	call := &r.routed.call
+	var parts []string
+	for _, part := range call.Prompt.Parts {
+		parts = append(parts, part.ID)
 	}
-	return crashguard.NewPrompt(service, call.Prompt.Model, customer, call.RequestID, names)
+	return crashguard.NewRequest(crashguard.Call{
+		ID: call.RequestID, Service: r.service.Name, Model: call.Prompt.Model, Customer: r.customer.Name, Parts: parts,
+		Method: r.message.method, Host: r.routed.host, Target: r.message.path, Body: r.message.body,
+	})
 }
 
 // noteBrokenOff reports an attempt that its server broke off before the first event.
@@ -75,7 +76,7 @@
 		return
 	}
 	r.routed.brokenOff++
-	r.entry.guard.BrokenOff(&r.routed.prompt, crashguard.Attempt{
+	r.entry.guard.BrokenOff(&r.routed.guarded, crashguard.Attempt{
 		Instance: a.server.Name, Address: a.server.Address, Version: a.version, Placed: a.started,
 	}, failure.Status != 0)
 }
@@ -84,14 +85,14 @@
 // anything was done with the prompt.
 func (r *run) noteWholeAnswer(a *attempt) {
 	if r.routed != nil && a.tokens == 0 && a.answer != nil && a.answer.status/100 == http.StatusOK/100 {
-		r.entry.guard.Begun(&r.routed.prompt, a.version)
+		r.entry.guard.Begun(&r.routed.guarded, a.version)
 	}
 }
 
 // mayCrash reports whether the call must not be tried again: servers broke it off, and
 // ended under a part of its prompt on which no answer has begun since.
 func (r *run) mayCrash() bool {
-	return r.routed != nil && r.routed.brokenOff >= maxBrokenOff && r.entry.guard.Suspicious(&r.routed.prompt)
+	return r.routed != nil && r.routed.brokenOff >= maxBrokenOff && r.entry.guard.Suspicious(&r.routed.guarded)
 }
 
 // quarantined returns the verdict on a routed call at the versions where it may be placed.
@@ -101,6 +102,6 @@
 	if r.routed.pinned {
 		versions = []string{r.routed.version}
 	}
-	verdict = p.entry.guard.Check(&r.routed.prompt, versions)
+	verdict = p.entry.guard.Check(&r.routed.guarded, versions)
 	return verdict, len(versions) > 0 && len(verdict.Barred) == len(versions)
 }
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -24,7 +24,7 @@
 	} {
 		engine := &versionEngine{version: "v1"}
 		e := newTakeUpEntry(t, engine)
-		p := guardPrompt(&Call{RequestID: "first", Prompt: Prompt{Parts: []PromptPart{{ID: "a"}, {ID: "own"}}}}, "", "models")
+		p := crashguard.NewRequest(crashguard.Call{ID: "first", Service: "models", Parts: []string{"a", "own"}})
 		e.guard.Crashed(&p, crashguard.Attempt{Instance: "i-0", Version: "v1"}, true, e.now())
 		time.Sleep(time.Millisecond)
 
--- a/internal/entry/crashbench_test.go
+++ b/internal/entry/crashbench_test.go
@@ -26,10 +26,10 @@
 			e.startedAt, e.clock, e.logger = 0, func() time.Duration { return now }, &log.Logger{Level: log.PanicLevel}
 			e.guard = newCrashGuard(e)
 		}
-		prompt := func(id string) crashguard.Prompt {
-			return crashguard.NewPrompt("models", "m", "heirs", id, []string{"f1", "5a", "bad0"})
+		prompt := func(id string) crashguard.Request {
+			return crashguard.NewRequest(crashguard.Call{ID: id, Service: "models", Model: "m", Customer: "heirs", Parts: []string{"f1", "5a", "bad0", id}})
 		}
-		sound := crashguard.NewPrompt("models", "m", "heirs", "sound", []string{"f1"})
+		sound := crashguard.NewRequest(crashguard.Call{ID: "sound", Service: "models", Model: "m", Customer: "heirs", Parts: []string{"f1", "own"}})
 		d.lost = func() bool { return random.Float64() < benchLoss }
 		tick := func() {
 			d.tick(b, now)
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -29,7 +29,7 @@
 	})
 	if ok {
 		p.limits.Use(p.entry.now(), decision.Server)
-		p.entry.guard.Tried(&r.routed.prompt, decision.Version, verdict)
+		p.entry.guard.Tried(&r.routed.guarded, decision.Version, verdict)
 	}
 	r.routed.decision = decision
 	return routing.Decision{
@@ -95,7 +95,7 @@
 	e.policy.mu.Lock()
 	e.policy.placer.Started(e.now(), a.job, true)
 	e.policy.mu.Unlock()
-	e.guard.Begun(&r.routed.prompt, a.version)
+	e.guard.Begun(&r.routed.guarded, a.version)
 	if r.routed.announced {
 		e.broadcaster.started(a.job)
 	}
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -48,9 +48,9 @@
 	// This is done for calls to model engines, whose load delays other calls.
 	// Other calls are short, and their servers have spare capacity.
 	announced bool
-	// prompt is the call as the quarantine sees it, and brokenOff the number of servers that
+	// guarded is the call as the quarantine sees it, and brokenOff the number of servers that
 	// broke it off before its first event.
-	prompt    crashguard.Prompt
+	guarded   crashguard.Request
 	brokenOff int
 	// paused is true once a pause of the stream has been reported.
 	paused bool
@@ -195,6 +195,7 @@
 	r.sink = sink
 	sink.bodyRead = true
 	r.message = message{method: req.Method, path: req.RequestURI, header: call.Header, body: body}
+	r.routed.guarded = r.guarded()
 	sink.run = r
 	if refusal := r.bindTakeUp(); refusal != nil {
 		sink.customer = r.customer.Name
@@ -267,7 +268,6 @@
 		routed:       &routedCall{route: route, call: call, host: req.Host, tokensPerEvent: 1},
 	}
 	r.routed.stream = streamID(name, call.RequestID)
-	r.routed.prompt = guardPrompt(&call, name, service.Name)
 	r.spec = request.Spec{
 		ID:           r.id,
 		Kind:         request.KindApp,
