--- a/internal/e2e/hosted_crash_engine_test.go
+++ b/internal/e2e/hosted_crash_engine_test.go
@@ -25,7 +25,13 @@
 	// part is the ID of the prompt part that ends an engine which begins to write an answer
 	// on it; "" for none.
 	part string
-	// ends holds when engines ended, reached when requests with the part reached one.
+	// mark is what the path or the body of a request holds that ends each server which begins
+	// to run it; "" for none.
+	mark string
+	// behindProxy makes servers that have ended accept connections and reset them.
+	behindProxy bool
+	// ends holds when engines ended, reached when requests with the part or the mark reached
+	// one.
 	ends, reached []time.Time
 }
 
@@ -72,16 +78,33 @@
 	return false
 }
 
+func (c *crashes) setMark(mark string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mark, c.ends, c.reached = mark, nil, nil
+}
+
+// holdsMark reports whether a request has the mark.
+func (c *crashes) holdsMark(req *http.Request, body string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mark == "" || !strings.Contains(req.RequestURI+body, c.mark) {
+		return false
+	}
+	c.reached = append(c.reached, time.Now())
+	return true
+}
+
 // crasher ends one engine and starts it again under its ID and address.
 type crasher struct {
 	*crashes
 	server *standin.Crashable
 }
 
-// addCrashing adds an engine that ends under the crashing part.
-func (p *hostedPlatform) addCrashing(t testing.TB, id string, shared *crashes) *hostedEngine {
+// addCrashing adds a server that ends under the crashing part or mark.
+func (p *hostedPlatform) addCrashing(t testing.TB, id, service string, shared *crashes) *hostedEngine {
 	t.Helper()
-	e := newHostedEngine(id, "models")
+	e := newHostedEngine(id, service)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -97,12 +120,29 @@
 
 // end ends the engine for crashDown.
 func (c *crasher) end() {
-	if !c.server.Crash(crashDown) {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ends = append(c.ends, time.Now())
+	crash := c.server.Crash
+	if c.behindProxy {
+		crash = c.server.CrashBehindProxy
+	}
+	if crash(crashDown) {
+		c.ends = append(c.ends, time.Now())
+	}
+}
+
+// strikesMark ends the server if a request has the mark, before its answer has a head. It
+// reports whether it did.
+func (c *crasher) strikesMark(req *http.Request, body string) bool {
+	if !c.holdsMark(req, body) {
+		return false
+	}
+	select {
+	case <-time.After(crashPrefill):
+		c.end()
+	case <-req.Context().Done():
+	}
+	return true
 }
 
 // strikes ends the engine if the prompt has the crashing part, in the middle of the first
--- a/internal/e2e/hosted_crash_test.go
+++ b/internal/e2e/hosted_crash_test.go
@@ -109,7 +109,7 @@
 	shared := &crashes{}
 	var engines []*hostedEngine
 	for i := range crashEngines {
-		e := h.platform.addCrashing(t, fmt.Sprintf("i-m%d", i), shared)
+		e := h.platform.addCrashing(t, fmt.Sprintf("i-m%d", i), "models", shared)
 		e.eventInterval.Set(10)
 		engines = append(engines, e)
 	}
--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -47,6 +47,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveAt(t, listener, handler)
+}
+
+// serveAt serves a handler at a listener until the test ends and returns its address.
+func serveAt(t testing.TB, listener net.Listener, handler http.Handler) string {
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -205,12 +210,22 @@
 const streamEvents = 20
 
 func (p *hostedPlatform) addEngine(t testing.TB, id, service string) *hostedEngine {
+	t.Helper()
 	e := newHostedEngine(id, service)
-	e.address = serveLoopback(t, "127.0.0.1:0", e)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.addAt(t, e, listener)
+	return e
+}
+
+// addAt adds an engine that serves at a listener.
+func (p *hostedPlatform) addAt(t testing.TB, e *hostedEngine, listener net.Listener) {
+	e.address = serveAt(t, listener, e)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engines = append(p.engines, e)
-	return e
 }
 
 // addUnreachable adds an instance to the list at whose address nothing listens.
@@ -298,6 +313,9 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
+	if e.crasher != nil && e.crasher.strikesMark(req, string(body)) {
+		return
+	}
 	if req.Method == http.MethodGet || string(body) == "call" {
 		fmt.Fprintf(w, "%s %s %s", req.Method, req.RequestURI, body)
 		return
--- a/internal/standin/crashable.go
+++ b/internal/standin/crashable.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,10 +20,35 @@
 
 	mu     sync.Mutex
 	server *http.Server
+	gate   *gate
 	conns  map[net.Conn]bool
 	closed bool
 }
 
+// gate is a listener that resets the connections that it accepts while it is shut.
+type gate struct {
+	net.Listener
+	shut atomic.Bool
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.Listener.Accept()
+		if err != nil || !g.shut.Load() {
+			return conn, err
+		}
+		resetOnClose(conn)
+		_ = conn.Close()
+	}
+}
+
+// resetOnClose makes closing a connection reset it.
+func resetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // NewCrashable serves a handler at a listener's address until Close.
 func NewCrashable(listener net.Listener, handler http.Handler) *Crashable {
 	c := &Crashable{address: listener.Addr().String(), handler: handler}
@@ -41,8 +67,9 @@
 		_ = listener.Close()
 		return
 	}
-	c.server, c.conns = server, make(map[net.Conn]bool)
-	go func() { _ = server.Serve(listener) }()
+	gate := &gate{Listener: listener}
+	c.server, c.gate, c.conns = server, gate, make(map[net.Conn]bool)
+	go func() { _ = server.Serve(gate) }()
 }
 
 func (c *Crashable) track(conn net.Conn, state http.ConnState) {
@@ -65,6 +92,25 @@
 	return true
 }
 
+// CrashBehindProxy ends the server as one behind a proxy or a supervisor that still listens:
+// new connections are accepted and reset for a time. It returns false if the server has ended
+// already.
+func (c *Crashable) CrashBehindProxy(down time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.server == nil || c.gate.shut.Load() {
+		return false
+	}
+	gate := c.gate
+	gate.shut.Store(true)
+	for conn := range c.conns {
+		resetOnClose(conn)
+		go func() { _ = conn.Close() }()
+	}
+	time.AfterFunc(down, func() { gate.shut.Store(false) })
+	return true
+}
+
 // Close ends the server for good.
 func (c *Crashable) Close() {
 	c.mu.Lock()
@@ -79,10 +125,7 @@
 	c.server = nil
 	if server != nil {
 		for conn := range c.conns {
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				// Closing resets the connection then.
-				_ = tcp.SetLinger(0)
-			}
+			resetOnClose(conn)
 		}
 	}
 	c.mu.Unlock()
