Stand-in: a server that has ended behind a proxy sends no answer

The handler of the crashing request returned, so that net/http could send an empty answer with success before the connection was reset: TestHostedCrashingRequestBehindProxy then saw answers where a crashed server gives none. It aborts now.

--- a/internal/e2e/hosted_crash_engine_test.go
+++ b/internal/e2e/hosted_crash_engine_test.go
@@ -140,9 +140,11 @@
 	select {
 	case <-time.After(crashPrefill):
 		c.end()
+		// A handler that returns writes an empty answer, which may be sent before the reset.
+		panic(http.ErrAbortHandler)
 	case <-req.Context().Done():
+		return true
 	}
-	return true
 }
 
 // strikes ends the engine if the prompt has the crashing part, in the middle of the first
