--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -19,6 +19,7 @@
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routing"
 	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/traces"
 )
 
 // Headers that callers may send.
@@ -80,9 +81,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	e.metrics.outcomes.WithLabelValues("", outcomeNotRun, string(outcome.Reason)).Inc()
-	refused := &trace{id: requestID, arrived: time.Now(), refused: true}
-	refused.end(refused.arrived, "refused before it was admitted: %s: %s", outcome.Reason, outcome.Step)
-	e.history.put(refused)
+	refused := &traces.Trace{ID: requestID, Arrived: time.Now(), Refused: true}
+	refused.End(refused.Arrived, "refused before it was admitted: %s: %s", outcome.Reason, outcome.Step)
+	e.history.Put(refused)
 	writeRefusal(w, requestID, outcome, nil)
 }
 
@@ -307,7 +308,7 @@
 		stream:       make(chan streamEvent, streamQueue),
 		callerCtx:    req.Context(),
 		ended:        make(chan struct{}),
-		trace:        &trace{id: id, customer: call.customer.Name, service: service.Name, arrived: time.Now()},
+		trace:        &traces.Trace{ID: id, Customer: call.customer.Name, Service: service.Name, Arrived: time.Now()},
 	}
 	r.spec.ID = id
 	r.spec.Deadline = r.deadline
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -60,7 +60,7 @@
 			ID:         r.id,
 			Customer:   r.customer.Name,
 			Service:    r.service.Name,
-			AgeS:       now.Sub(r.trace.arrived).Seconds(),
+			AgeS:       now.Sub(r.trace.Arrived).Seconds(),
 			Dispatched: r.dispatched.Load(),
 		})
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
 )
 
@@ -98,7 +99,7 @@
 	batcher     *rpc.Batcher
 	policy      *policy
 	config      *configHolder
-	history     *history
+	history     *traces.History
 	releaser    *releaser
 	members     *members
 	reports     reportState
@@ -144,7 +145,7 @@
 		clock:       bootclock.Now,
 		directory:   newDirectory(),
 		replicas:    opts.Replicas,
-		history:     newHistory(),
+		history:     traces.NewHistory(),
 		runs:        make(map[string]*run),
 		idle:        make(chan struct{}),
 		initialized: make(chan struct{}),
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -56,7 +56,7 @@
 }
 
 func (r *run) explain(format string, args ...any) {
-	r.trace.add(time.Now(), format, args...)
+	r.trace.Add(time.Now(), format, args...)
 }
 
 func streamText(stream string) string {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
 )
 
@@ -32,7 +33,7 @@
 		response.State = runState(r)
 		return response, nil
 	}
-	response.State = endedState(s.entry.history.get(req.RequestId))
+	response.State = endedState(s.entry.history.Get(req.RequestId))
 	return response, nil
 }
 
@@ -77,11 +78,11 @@
 	return wire.AttemptState_ATTEMPT_STATE_WAITING
 }
 
-func endedState(t *trace) wire.AttemptState {
+func endedState(t *traces.Trace) wire.AttemptState {
 	switch {
-	case t == nil || t.refused:
+	case t == nil || t.Refused:
 		return wire.AttemptState_ATTEMPT_STATE_ABSENT
-	case t.dispatched:
+	case t.Dispatched:
 		return wire.AttemptState_ATTEMPT_STATE_FINISHED
 	default:
 		return wire.AttemptState_ATTEMPT_STATE_ABANDONED
@@ -102,10 +103,10 @@
 // whether it has one.
 func (e *Entry) Explain(requestID string) ([]string, bool) {
 	if r := e.findRun(requestID); r != nil {
-		return r.trace.lines(), true
+		return r.trace.Lines(), true
 	}
-	if t := e.history.get(requestID); t != nil {
-		return t.lines(), true
+	if t := e.history.Get(requestID); t != nil {
+		return t.Lines(), true
 	}
 	return nil, false
 }
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -202,7 +202,7 @@
 	}
 	r.expectedFirst = decision.ExpectedFirstToken
 	r.placedAfter = p.entry.now() - r.arrived
-	r.trace.add(time.Now(), "picked %s%s: %s, first token expected in %s", decision.Server, r.pickedVersion(), decision.Reason, decision.ExpectedFirstToken.Round(time.Millisecond))
+	r.trace.Add(time.Now(), "picked %s%s: %s, first token expected in %s", decision.Server, r.pickedVersion(), decision.Reason, decision.ExpectedFirstToken.Round(time.Millisecond))
 	return request.Picked{Server: decision.Server}
 }
 
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -83,9 +83,9 @@
 			return request.Reserved{Result: request.ReserveInFlight, RetryAfter: inFlightRetryAfter}
 		}
 		awaitedRequest = response.RequestId
-		r.trace.add(time.Now(), "the key is reserved by request %s at %s", response.RequestId, response.Owner.GetVm())
+		r.trace.Add(time.Now(), "the key is reserved by request %s at %s", response.RequestId, response.Owner.GetVm())
 		state := r.resolveOwner(ctx, response)
-		r.trace.add(time.Now(), "the owner of the key is %s", state)
+		r.trace.Add(time.Now(), "the owner of the key is %s", state)
 	}
 }
 
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -16,6 +16,7 @@
 	"waxwingcart/internal/core/routing"
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/observe"
+	"waxwingcart/internal/traces"
 )
 
 // routedCall holds the fields of a run that only routed calls use.
@@ -264,7 +265,7 @@
 		stream:       make(chan streamEvent, streamQueue),
 		callerCtx:    req.Context(),
 		ended:        make(chan struct{}),
-		trace:        &trace{id: call.RequestID, customer: name, service: service.Name, arrived: time.Now()},
+		trace:        &traces.Trace{ID: call.RequestID, Customer: name, Service: service.Name, Arrived: time.Now()},
 		routed:       &routedCall{route: route, call: call, host: req.Host, tokensPerEvent: 1},
 	}
 	r.routed.stream = streamID(name, call.RequestID)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -10,6 +10,7 @@
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/retry"
 	"waxwingcart/internal/core/routing"
+	"waxwingcart/internal/traces"
 )
 
 // Capacities of a run's channels.
@@ -73,7 +74,7 @@
 	message       message
 	reservation   *reservation
 	sink          sink
-	trace         *trace
+	trace         *traces.Trace
 
 	controls  chan control
 	stream    chan streamEvent
@@ -278,10 +279,10 @@
 		r.entry.policy.success(r.service.Name, &r.policy)
 	}
 	r.recordMetrics(answered)
-	r.trace.dispatched = r.req.Dispatched()
-	r.trace.end(time.Now(), "%s", endText(r))
-	r.entry.history.put(r.trace)
-	if r.inDoubt && !r.trace.dispatched {
+	r.trace.Dispatched = r.req.Dispatched()
+	r.trace.End(time.Now(), "%s", endText(r))
+	r.entry.history.Put(r.trace)
+	if r.inDoubt && !r.trace.Dispatched {
 		r.entry.releaser.release(r.reservation, r.id)
 	}
 	close(r.ended)
@@ -349,7 +350,7 @@
 		Policy:     &r.policy,
 	})
 	if !decision.Retry {
-		r.trace.add(time.Now(), "not tried again: %s", decision.Reason)
+		r.trace.Add(time.Now(), "not tried again: %s", decision.Reason)
 		r.ending.notRetried = decision.Reason.String()
 	} else if r.entry.now()+decision.Delay >= r.deadline {
 		r.ending.notRetried = noTime
--- a/internal/entry/takeup.go
+++ b/internal/entry/takeup.go
@@ -83,7 +83,7 @@
 	}
 	e := r.entry
 	e.metrics.takeUps.WithLabelValues(r.service.Name, result).Inc()
-	r.trace.add(time.Now(), "takes up the stream of request %q: %s, version %q, known from %q for %s", r.routed.call.ResumedID, result, decision.Version, decision.Source, decision.Age.Round(time.Millisecond))
+	r.trace.Add(time.Now(), "takes up the stream of request %q: %s, version %q, known from %q for %s", r.routed.call.ResumedID, result, decision.Version, decision.Source, decision.Age.Round(time.Millisecond))
 	e.logger.Info().Str("step", "take up").Str("request", r.id).Str("resumes", r.routed.call.ResumedID).Str("customer", r.customer.Name).
 		Str("service", r.service.Name).Str("result", result).Str("version", decision.Version).Str("source", string(decision.Source)).
 		Int64("age_ms", decision.Age.Milliseconds()).Int64("reach_ms", reach.Milliseconds()).Msg("a caller takes a stream up")
--- a/internal/traces/traces.go
+++ b/internal/traces/traces.go
@@ -1,4 +1,5 @@
-package entry
+// Package traces keeps what happened to the requests of an entry, for operators, in bounded memory.
+package traces
 
 import (
 	"fmt"
@@ -18,24 +19,25 @@
 // maxTraceSteps bounds the steps in one trace.
 const maxTraceSteps = 64
 
-// trace records what happened to one request, for operators.
-type trace struct {
-	id       string
-	customer string
-	service  string
-	arrived  time.Time
-	// dispatched is true if an attempt was sent to a server. It is set before
+// Trace records what happened to one request, for operators.
+type Trace struct {
+	ID       string
+	Customer string
+	Service  string
+	Arrived  time.Time
+	// Dispatched is true if an attempt was sent to a server. It is set before
 	// the request ends.
-	dispatched bool
-	// refused is true if the request ended before it had a run.
-	refused bool
+	Dispatched bool
+	// Refused is true if the request ended before it had a run.
+	Refused bool
 
 	mu           sync.Mutex
 	steps        []string
 	droppedSteps int
 }
 
-func (t *trace) add(now time.Time, format string, args ...any) {
+// Add adds a step.
+func (t *Trace) Add(now time.Time, format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.steps) >= maxTraceSteps {
@@ -45,8 +47,8 @@
 	t.steps = append(t.steps, t.line(now, format, args...))
 }
 
-// end adds the last step, even if the trace is full.
-func (t *trace) end(now time.Time, format string, args ...any) {
+// End adds the last step, even if the trace is full.
+func (t *Trace) End(now time.Time, format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.droppedSteps > 0 {
@@ -55,70 +57,72 @@
 	t.steps = append(t.steps, t.line(now, format, args...))
 }
 
-func (t *trace) line(now time.Time, format string, args ...any) string {
-	offset := now.Sub(t.arrived).Round(100 * time.Microsecond)
+func (t *Trace) line(now time.Time, format string, args ...any) string {
+	offset := now.Sub(t.Arrived).Round(100 * time.Microsecond)
 	return fmt.Sprintf("+%s %s", offset, fmt.Sprintf(format, args...))
 }
 
-// lines returns a heading and the steps.
-func (t *trace) lines() []string {
-	head := "request " + t.id
-	if t.customer != "" {
-		head += " of customer " + t.customer
+// Lines returns a heading and the steps.
+func (t *Trace) Lines() []string {
+	head := "request " + t.ID
+	if t.Customer != "" {
+		head += " of customer " + t.Customer
 	}
-	if t.service != "" {
-		head += " to service " + t.service
+	if t.Service != "" {
+		head += " to service " + t.Service
 	}
-	head += " arrived " + t.arrived.UTC().Format(time.RFC3339Nano)
+	head += " arrived " + t.Arrived.UTC().Format(time.RFC3339Nano)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return append([]string{head}, slices.Clone(t.steps)...)
 }
 
-// history holds the traces of recently ended requests.
-type history struct {
+// History holds the traces of recently ended requests.
+type History struct {
 	mu      sync.Mutex
-	ended   traces
-	refused traces
+	ended   set
+	refused set
 }
 
-// traces holds a bounded number of traces by request ID.
-type traces struct {
+// set holds a bounded number of traces by request ID.
+type set struct {
 	limit int
-	byID  map[string]*trace
+	byID  map[string]*Trace
 	order []string
 }
 
-func newHistory() *history {
-	return &history{ended: newTraces(maxEndedTraces), refused: newTraces(maxRefusedTraces)}
+// NewHistory returns an empty History.
+func NewHistory() *History {
+	return &History{ended: newSet(maxEndedTraces), refused: newSet(maxRefusedTraces)}
 }
 
-func newTraces(limit int) traces {
-	return traces{limit: limit, byID: make(map[string]*trace)}
+func newSet(limit int) set {
+	return set{limit: limit, byID: make(map[string]*Trace)}
 }
 
 // put stores a trace and evicts the oldest one beyond the limit.
-func (t *traces) put(added *trace) {
-	t.byID[added.id] = added
-	t.order = append(t.order, added.id)
+func (t *set) put(added *Trace) {
+	t.byID[added.ID] = added
+	t.order = append(t.order, added.ID)
 	if len(t.order) > t.limit {
 		delete(t.byID, t.order[0])
 		t.order = t.order[1:]
 	}
 }
 
-// put stores the trace of an ended request.
-func (h *history) put(t *trace) {
+// Put stores the trace of an ended request.
+func (h *History) Put(t *Trace) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if t.refused {
+	if t.Refused {
 		h.refused.put(t)
 		return
 	}
 	h.ended.put(t)
 }
 
-func (h *history) get(id string) *trace {
+// Get returns the trace of a request, or nil.
+func (h *History) Get(id string) *Trace {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if t := h.ended.byID[id]; t != nil {
