Ask other entries whether a server that broke off an attempt has ended

Callers saw: where something still accepts the connections of a server that has ended, and resets them, a request goes on to end servers.

Cause: one connection of one entry decided. An accepted connection counted as a server that listens, and a refused one as an end. Class: a conclusion about a server from what a single observer sees, who may be the faulty one.

Change: the connection has to stay open for 30 ms. If it does not, three other entries drawn at random say how a connection of theirs goes and how old the last answer is that they had (new call Sight; entries of an earlier build answer with an error, and then this entry's own sight counts as before). A reset after the accept may also come from a server with too many connections, so that answers are looked for 350 ms later. Entries that are told of an end contradict it by later answers. core/quarantine decides.

TestOneProbeForAServer now counts two connections, one of each entry: the attempts still share one of their own, and ask once.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -169,16 +170,21 @@
 	}
 }
 
-// Listens reports whether a new connection to a server can be made within the timeout, and
-// whether it was accepted or refused at all.
-func (c *Client) Listens(ctx context.Context, address string, timeout time.Duration) (listens, answered bool) {
+// resetTime is how soon a connection is reset by what accepts it for a server that has ended.
+const resetTime = 30 * time.Millisecond
+
+// Listens reports whether a new connection to a server can be made within the timeout and
+// stays open, whether it was accepted, and whether it was accepted or refused at all.
+func (c *Client) Listens(ctx context.Context, address string, timeout time.Duration) (listens, accepted, answered bool) {
 	dialer := net.Dialer{Timeout: timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		return false, false, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
-	_ = conn.Close()
-	return true, true
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(resetTime))
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded), true, true
 }
 
 // dialTimeoutKey is the context key of a call's DialTimeout.
--- a/internal/codec/quarantine.go
+++ b/internal/codec/quarantine.go
@@ -91,3 +91,17 @@
 	}
 	return list
 }
+
+// SightingToWire converts a sighting, whose time is given as an age.
+func SightingToWire(now time.Duration, s quarantine.Sighting) *wire.SightResponse {
+	return &wire.SightResponse{Contact: wire.Contact(s.Contact), Answered: s.Answered, AnswerAgeMs: toMilliseconds(now - s.AnsweredAt)}
+}
+
+// SightingFromWire is the inverse of SightingToWire.
+func SightingFromWire(now time.Duration, s *wire.SightResponse) quarantine.Sighting {
+	contact := quarantine.Contact(s.Contact)
+	if s.Contact < 0 || contact > quarantine.ContactOpen {
+		contact = quarantine.ContactNone
+	}
+	return quarantine.Sighting{Contact: contact, Answered: s.Answered, AnsweredAt: now - fromMilliseconds(int64(s.AnswerAgeMs))}
+}
--- a/internal/crashguard/catchup.go
+++ b/internal/crashguard/catchup.go
@@ -35,7 +35,7 @@
 func (g *Guard) ask(ctx context.Context, peer string) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	response, err := g.opts.Fetch(ctx, peer)
+	response, err := g.opts.Peer(peer).Bars(ctx, &wire.BarsRequest{})
 	if err != nil {
 		g.opts.Logger.Info().Str("step", "quarantine").Str("peer", peer).Err(err).
 			Msg("asking another entry for the barred prompt parts failed; bars are known once they are repeated")
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -17,10 +17,6 @@
 )
 
 const (
-	// probeTimeout bounds the connection that shows whether a server still listens.
-	probeTimeout = 150 * time.Millisecond
-	// probeReused is how long the result of a probe serves other attempts at the server.
-	probeReused = 250 * time.Millisecond
 	// checkInterval is how often bars are checked for repetition while there are any.
 	checkInterval = 250 * time.Millisecond
 	// expireInterval is how often bars that are long over are looked for.
@@ -41,11 +37,13 @@
 	// Address is this entry's address, and Peers returns those of the other entries.
 	Address string
 	Peers   func() []string
-	// Fetch asks another entry for its bars.
-	Fetch func(ctx context.Context, peer string) (*wire.BarsResponse, error)
-	// Listens reports whether a new connection to an address can be made within a time, and
-	// whether it was accepted or refused at all.
-	Listens func(ctx context.Context, address string, timeout time.Duration) (listens, answered bool)
+	// Peer returns a client of another entry.
+	Peer func(address string) wire.Peer
+	// Listens reports whether a new connection to an address can be made within a time and
+	// stays open, whether it was accepted, and whether it was accepted or refused at all.
+	Listens func(ctx context.Context, address string, timeout time.Duration) (listens, accepted, answered bool)
+	// Server returns the address of a server, and false if it is not known.
+	Server func(instance string) (address string, known bool)
 	// Leaving reports whether a server is known to leave.
 	Leaving func(instance string) bool
 	// Ended is called with each server that has ended, as this or another entry saw.
@@ -59,25 +57,23 @@
 	// barred wakes Run when there is a first bar.
 	barred chan struct{}
 
-	mu     sync.Mutex
-	core   *quarantine.Guard
-	probes map[string]*probe
-	report report
+	mu   sync.Mutex
+	core *quarantine.Guard
+	// sights and verdicts are under way or just over, by server.
+	sights   map[string]*sight
+	verdicts map[string]*verdict
+	// answered holds when servers last answered a request.
+	answered map[string]time.Duration
+	report   report
 	// leaderBars is what the leader knew when it was asked last.
 	leaderBars []quarantine.Bar
 }
 
-// probe is a connection to a server, whose result serves several attempts.
-type probe struct {
-	at                time.Duration
-	done              chan struct{}
-	listens, answered bool
-}
-
 // New returns a Guard. It registers its metrics.
 func New(opts Options) *Guard {
 	g := &Guard{
-		opts: opts, core: quarantine.New(opts.Seed), probes: make(map[string]*probe), barred: make(chan struct{}, 1),
+		opts: opts, core: quarantine.New(opts.Seed), barred: make(chan struct{}, 1),
+		sights: make(map[string]*sight), verdicts: make(map[string]*verdict), answered: make(map[string]time.Duration),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "waxwingcart", Subsystem: "entry", Name: "barred_parts_total",
 			Help: "Prompt parts and requests under which backend servers crash, by change: barred here, adopted from another entry, tried, or ended.",
@@ -107,16 +103,16 @@
 
 // investigate finds out whether the server has ended, and tells the other entries.
 func (g *Guard) investigate(p *Request, a Attempt, head bool, at time.Duration) {
-	listens, answered := g.listens(a)
+	v := g.confirm(context.Background(), a, at)
 	leaving := g.opts.Leaving(a.Instance)
 	g.opts.Logger.Info().Str("step", "broken off").Str("request", p.ID).Str("server", a.Instance).Str("peer", a.Address).
 		Str("version", a.Version).Str("model", p.request.Model).Str("parts", p.logged()).Str("whole", key(p.whole())).
-		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", listens).Bool("answered", answered).Bool("leaving", leaving).
+		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", v.contact == quarantine.ContactOpen).
+		Bool("answered", v.contact != quarantine.ContactNone).Bool("ended", v.ended).Bool("sure", v.sure).Bool("leaving", leaving).
 		Msg("a backend server broke off an attempt before its first event")
-	if listens || leaving {
-		return
+	if v.ended && !leaving {
+		g.Crashed(p, a, head, !v.sure, at)
 	}
-	g.Crashed(p, a, head, !answered, at)
 }
 
 // Crashed records that a server has ended under an attempt, and tells the other entries.
@@ -136,32 +132,6 @@
 	g.announce(bars, "barred", p.ID)
 }
 
-// listens reports whether an attempt's server still accepts connections, and whether it
-// answered at all.
-func (g *Guard) listens(a Attempt) (listens, answered bool) {
-	now := g.opts.Now()
-	g.mu.Lock()
-	p := g.probes[a.Instance]
-	if p != nil && now-p.at < probeReused {
-		g.mu.Unlock()
-		<-p.done
-		return p.listens, p.answered
-	}
-	p = &probe{at: now, done: make(chan struct{})}
-	g.probes[a.Instance] = p
-	g.mu.Unlock()
-	p.listens, p.answered = g.opts.Listens(context.Background(), a.Address, probeTimeout)
-	close(p.done)
-	time.AfterFunc(probeReused, func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if g.probes[a.Instance] == p {
-			delete(g.probes, a.Instance)
-		}
-	})
-	return p.listens, p.answered
-}
-
 // Begun records that an answer has begun at a version.
 func (g *Guard) Begun(p *Request, version string) {
 	g.mu.Lock()
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -22,13 +22,45 @@
 	ended  map[string]int
 	// listens and leaving are what the guards hear of servers.
 	listens, leaving bool
-	// cut is true if no answer comes to an attempt to connect.
-	cut    bool
-	probes int
+	// cut is true if no answer comes to an attempt to connect, resets if connections are
+	// accepted and reset, and reachable if all entries but the first reach the servers.
+	cut, resets, reachable bool
+	probes                 int
+	// onProbe is called before the first entry tries a connection, if set.
+	onProbe func()
 	// silent is the number of entries, from the first on, that don't answer questions.
 	silent int
 }
 
+// serverAddress is the address at which the first entry's attempts are.
+const serverAddress = "127.0.0.1:1"
+
+// crashesUntilBarred is the number of ends, one after the other, that bar a part.
+const crashesUntilBarred = 3
+
+// netPeer is an entry as another one calls it.
+type netPeer struct {
+	wire.Peer
+	net   *guardNet
+	index int
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (p *netPeer) Bars(context.Context, *wire.BarsRequest) (*wire.BarsResponse, error) {
+	if p.index < p.net.silent {
+		return nil, errNoAnswer
+	}
+	return p.net.guards[p.index].Bars(), nil
+}
+
+func (p *netPeer) Sight(ctx context.Context, req *wire.SightRequest) (*wire.SightResponse, error) {
+	if p.index < p.net.silent {
+		return nil, errNoAnswer
+	}
+	return p.net.guards[p.index].Sight(ctx, req.Instance), nil
+}
+
 func (n *guardNet) clock() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -61,18 +93,23 @@
 			}
 			return peers
 		},
-		Fetch: func(_ context.Context, peer string) (*wire.BarsResponse, error) {
+		Peer: func(address string) wire.Peer {
 			var i int
-			if _, err := fmt.Sscanf(peer, "entry-%d", &i); err != nil || i < n.silent {
-				return nil, errors.New("no answer")
-			}
-			return n.guards[i].Bars(), nil
+			_, _ = fmt.Sscanf(address, "entry-%d", &i)
+			return &netPeer{net: n, index: i}
 		},
-		Listens: func(context.Context, string, time.Duration) (bool, bool) {
+		Server: func(string) (string, bool) { return fmt.Sprint("seen-by-", index), true },
+		Listens: func(_ context.Context, address string, _ time.Duration) (bool, bool, bool) {
+			if n.onProbe != nil && index == 0 {
+				n.onProbe()
+			}
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.probes++
-			return n.listens, !n.cut
+			if n.reachable && address != "seen-by-0" && address != serverAddress {
+				return true, true, true
+			}
+			return n.listens, n.listens || n.resets, !n.cut
 		},
 		Leaving: func(string) bool { return n.leaving },
 		Ended: func(instance string) {
@@ -103,7 +140,7 @@
 	for range 4 {
 		n.guards[0].Begun(&sound, "v1")
 	}
-	a := Attempt{Instance: fmt.Sprint("i-", i), Address: "127.0.0.1:1", Version: "v1", Placed: n.clock() - 50*time.Millisecond}
+	a := Attempt{Instance: fmt.Sprint("i-", i), Address: serverAddress, Version: "v1", Placed: n.clock() - 50*time.Millisecond}
 	n.guards[0].investigate(&p, a, true, n.clock())
 }
 
@@ -258,15 +295,81 @@
 	}
 }
 
-// Attempts that one server breaks off together cost one connection.
+// An entry that is cut off from servers sees them refuse or reset its connections. Others reach
+// them, or get answers: that is no evidence, here or there.
+func TestCutOffEntryBarsNothing(t *testing.T) {
+	for name, set := range map[string]func(n *guardNet, i int){
+		"refused, others reach the server":    func(n *guardNet, _ int) { n.reachable = true },
+		"reset, others reach the server":      func(n *guardNet, _ int) { n.reachable, n.resets = true, true },
+		"no answer, others reach the server":  func(n *guardNet, _ int) { n.reachable, n.cut = true, true },
+		"refused, answers on old connections": func(n *guardNet, i int) { n.answerLater(0, i) },
+		"refused, others get answers": func(n *guardNet, i int) {
+			n.onProbe = func() {
+				n.advance(time.Second)
+				n.guards[1].Answered(fmt.Sprint("i-", i))
+			}
+		},
+	} {
+		n := newGuardNet()
+		for i := range 10 {
+			set(n, i+1)
+			n.crash(i + 1)
+		}
+		if barred(n.guards[0]) || barred(n.guards[1]) || len(n.ended) > 0 {
+			t.Errorf("%s: the part is barred, or %d servers were reported as ended", name, len(n.ended))
+		}
+	}
+}
+
+// answerLater lets the server of the i-th crash answer an entry after that crash.
+func (n *guardNet) answerLater(entry, i int) {
+	n.advance(2 * time.Second)
+	n.guards[entry].Answered(fmt.Sprint("i-", i))
+	n.advance(-2 * time.Second)
+}
+
+// Something may still accept the connections of a server that has ended, and reset them. All
+// entries see that, and none of them gets an answer.
+func TestEndedBehindProxyCounts(t *testing.T) {
+	n := newGuardNet()
+	n.resets = true
+	for i := range crashesUntilBarred {
+		if barred(n.guards[0]) {
+			t.Fatalf("the part is barred after %d crashes", i)
+		}
+		n.crash(i)
+	}
+	if !barred(n.guards[0]) || !barred(n.guards[1]) {
+		t.Error("the part is not barred though the servers reset all connections")
+	}
+}
+
+// An entry that is told of the end of a server takes it for none if the server has answered
+// it since.
+func TestToldEndIsContradicted(t *testing.T) {
+	n := newGuardNet()
+	n.silent = len(n.guards)
+	for i := range crashesUntilBarred {
+		n.answerLater(1, i)
+		n.advance(time.Second)
+		p := badRequest(fmt.Sprint("id-", i))
+		n.guards[0].investigate(&p, Attempt{Instance: fmt.Sprint("i-", i), Version: "v1", Placed: n.clock()}, true, n.clock())
+	}
+	if barred(n.guards[1]) {
+		t.Error("an entry bars a part for ends of servers that have answered it since")
+	}
+}
+
+// Attempts that one server breaks off together cost one connection of this entry, and one of
+// the other entry, which is asked once.
 func TestOneProbeForAServer(t *testing.T) {
 	n := newGuardNet()
 	for i := range 20 {
 		p := badRequest(fmt.Sprint("id-", i))
 		n.guards[0].investigate(&p, Attempt{Instance: "i-1", Version: "v1", Placed: n.now}, false, n.now)
 	}
-	if n.probes != 1 {
-		t.Errorf("%d connections, want 1", n.probes)
+	if n.probes != 2 {
+		t.Errorf("%d connections, want 2", n.probes)
 	}
 }
 
--- a/internal/crashguard/news.go
+++ b/internal/crashguard/news.go
@@ -27,11 +27,7 @@
 	}
 	now := g.opts.Now()
 	for _, c := range news.Crashes {
-		g.mu.Lock()
-		bars := g.core.Crashed(now, codec.CrashFromWire(now, c))
-		g.mu.Unlock()
-		g.opts.Ended(c.Instance)
-		g.announce(bars, "barred", "")
+		g.crashTold(now, codec.CrashFromWire(now, c))
 	}
 	for _, a := range news.Acquitted {
 		g.acquit(now, a)
@@ -41,6 +37,23 @@
 	}
 }
 
+// crashTold applies a crash that another entry saw, unless its server has answered here since:
+// the other entry is cut off from it then.
+func (g *Guard) crashTold(now time.Duration, c quarantine.Crash) {
+	g.mu.Lock()
+	at, answered := g.answered[c.Instance]
+	if ended, _ := quarantine.Ended(c.At, []quarantine.Sighting{{Answered: answered, AnsweredAt: at}}); !ended {
+		g.mu.Unlock()
+		g.opts.Logger.Info().Str("step", "quarantine").Str("server", c.Instance).Int64("since_ms", (at - c.At).Milliseconds()).
+			Msg("another entry takes a backend server as ended that has answered since")
+		return
+	}
+	bars := g.core.Crashed(now, c)
+	g.mu.Unlock()
+	g.opts.Ended(c.Instance)
+	g.announce(bars, "barred", "")
+}
+
 func (g *Guard) acquit(now time.Duration, a *wire.Acquitted) {
 	g.mu.Lock()
 	ended := g.core.Acquit(codec.AcquittedFromWire(now, a))
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -32,6 +32,7 @@
 	}
 	if ev.answer != nil {
 		r.source.answer = ev.answer
+		r.entry.guard.Answered(r.source.server.Name)
 	}
 	switch ev.event.(type) {
 	case request.Completed:
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -28,8 +28,13 @@
 		Now: e.now, Seed: e.incarnation, Logger: e.logger, Registry: e.opts.Registry,
 		Send: func(news *wire.News) { e.broadcaster.addAlone(news) }, Address: e.opts.PeerAddress,
 		Peers: func() []string { return e.broadcaster.peers() }, Listens: e.backends.Listens,
-		Fetch: func(ctx context.Context, peer string) (*wire.BarsResponse, error) {
-			return wire.NewPeerProtobufClient("http://"+peer, e.opts.Client).Bars(ctx, &wire.BarsRequest{})
+		Peer: func(peer string) wire.Peer { return wire.NewPeerProtobufClient("http://"+peer, e.opts.Client) },
+		Server: func(instance string) (string, bool) {
+			server := e.directory.server(instance)
+			if server == nil {
+				return "", false
+			}
+			return server.Address, true
 		},
 		Leaving: func(instance string) bool {
 			e.policy.mu.Lock()
@@ -73,6 +78,11 @@
 	})
 }
 
+// Sight says what this entry can say of a backend server.
+func (s *PeerService) Sight(ctx context.Context, req *wire.SightRequest) (*wire.SightResponse, error) {
+	return s.entry.guard.Sight(ctx, req.Instance), nil
+}
+
 // noteBrokenOff reports an attempt that its server broke off before the first event.
 func (r *run) noteBrokenOff(a *attempt, failure request.Failure) {
 	broken := failure.Phase == request.PhaseHandedOver && !failure.Silent && !failure.StreamGone && !failure.Answered
