Don't take an entry that has just started as one that knows all streams

Callers saw: when most entries are killed and start again, take-ups at some of them are refused for 5 s (stream-not-known) though an entry that was left knows the streams.

Found by a test for the users' report on streams that were taken up after all entries were killed.

Cause: an entry that starts asks one other entry, drawn at random, and the next one 5 s later. The answer of one that had started at the same moment counted, though it is empty.

--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -44,25 +44,19 @@
 	if len(peers) == 0 {
 		return
 	}
-	if e.askForStreams(ctx, peers[rand.IntN(len(peers))]) {
-		progress.Answered(e.now())
-		return
-	}
-	progress.Failed(e.now())
-}
-
-// askForStreams asks another entry and reports whether it answered.
-func (e *Entry) askForStreams(ctx context.Context, peer string) bool {
+	peer := peers[rand.IntN(len(peers))]
 	snapshot, err := e.fetchStreams(ctx, peer)
 	if err != nil {
 		e.logger.Debug().Str("step", "catch up").Err(err).Msg("asking another entry for its records of streams failed; another one will be asked")
-		return false
+		progress.Failed(e.now())
+		return
 	}
+	before, _, _ := e.streams.reach()
 	e.streams.merge(snapshot)
+	progress.Answered(e.now(), before, &snapshot)
 	reach, _, _ := e.streams.reach()
 	e.logger.Info().Str("step", "catch up").Str("peer", peer).Int("records", len(snapshot.Streams)).Int("versions", len(snapshot.Versions)).
 		Int64("peer_reach_ms", snapshot.Reach.Milliseconds()).Int64("reach_ms", reach.Milliseconds()).Msg("got another entry's records of streams")
-	return true
 }
 
 // peers returns the addresses of the other entries.
