--- a/internal/e2e/hosted_crash_request_test.go
+++ b/internal/e2e/hosted_crash_request_test.go
@@ -69,14 +69,17 @@
 	return h.call(entry, k.method, path, fmt.Sprintf("%s-%d", mark, n), callerKey, body, header...)
 }
 
-// soundLoad sends sound requests of a kind to all entries in turn until stop is closed. The
-// returned function waits for the calls and counts those that were sent between two times,
-// and those that got a whole answer.
-func (k *markedRequest) soundLoad(h *hostedCluster, perSecond int, stop <-chan struct{}) func(from, to time.Time) (sent, whole int) {
-	var calls sync.WaitGroup
-	var mu sync.Mutex
-	var list []soundCall
-	calls.Go(func() {
+// soundCalls are the sound requests of a kind, and their answers.
+type soundCalls struct {
+	calls sync.WaitGroup
+	mu    sync.Mutex
+	list  []soundCall
+}
+
+// soundLoad sends sound requests of a kind to all entries in turn until stop is closed.
+func (k *markedRequest) soundLoad(h *hostedCluster, perSecond int, stop <-chan struct{}) *soundCalls {
+	c := &soundCalls{}
+	c.calls.Go(func() {
 		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 		defer ticker.Stop()
 		for n := 0; ; n++ {
@@ -85,33 +88,42 @@
 				return
 			case <-ticker.C:
 			}
-			calls.Go(func() {
-				id, sent := fmt.Sprintf("sound-%s-%d", k.name, n), time.Now()
+			c.calls.Go(func() {
+				id, entry, sent := fmt.Sprintf("sound-%s-%d", k.name, n), fmt.Sprintf("e%d", 1+n%crashEntries), time.Now()
 				var header []string
 				if k.header != nil {
 					header = k.header(id)
 				}
-				got := h.call(fmt.Sprintf("e%d", 1+n%crashEntries), k.method, k.soundPath(), id, callerKey, k.soundBody, header...)
+				got := h.call(entry, k.method, k.soundPath(), id, callerKey, k.soundBody, header...)
 				whole := got.status == 200 && got.complete && (!k.wholeIsStream || got.body == streamBody(0))
-				mu.Lock()
-				defer mu.Unlock()
-				list = append(list, soundCall{sent: sent, whole: whole})
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.list = append(c.list, soundCall{entry: entry, sent: sent, whole: whole})
 			})
 		}
 	})
-	return func(from, to time.Time) (sent, whole int) {
-		calls.Wait()
-		for _, call := range list {
-			if call.sent.Before(from) || call.sent.After(to) {
-				continue
-			}
-			sent++
-			if call.whole {
-				whole++
-			}
+	return c
+}
+
+// count counts the calls that were sent between two times, and those of them that got a whole
+// answer. It is for use once the load has been stopped.
+func (c *soundCalls) count(from, to time.Time) (sent, whole int) {
+	return c.countAt(from, to, func(string) bool { return true })
+}
+
+// countAt counts calls at some entries.
+func (c *soundCalls) countAt(from, to time.Time, at func(entry string) bool) (sent, whole int) {
+	c.calls.Wait()
+	for _, call := range c.list {
+		if call.sent.Before(from) || call.sent.After(to) || !at(call.entry) {
+			continue
+		}
+		sent++
+		if call.whole {
+			whole++
 		}
-		return sent, whole
 	}
+	return sent, whole
 }
 
 // playMarked sends one crashing request again and again, beside sound ones, and checks how
@@ -122,7 +134,7 @@
 		judge = 4 * time.Second
 	)
 	stop := make(chan struct{})
-	count := k.soundLoad(h, 20, stop)
+	sound := k.soundLoad(h, 20, stop)
 	began := time.Now()
 	time.Sleep(calm)
 	mark := fmt.Sprintf("mark-%s-%d", k.name, rand.IntN(1<<30))
@@ -142,8 +154,8 @@
 	repeats.Wait()
 	ends, reached := shared.counts()
 	after := shared.reachedAfter(crashesAllowed, crashStability)
-	calmSent, calmWhole := count(began, struck)
-	sent, whole := count(ended.Add(-judge), ended)
+	calmSent, calmWhole := sound.count(began, struck)
+	sent, whole := sound.count(ended.Add(-judge), ended)
 	t.Logf("%d servers ended, the request reached servers %d times, %d of them later than %s after the third end; sound ones: %d of %d whole before, %d of %d in the last %s",
 		ends, reached, after, crashStability, calmWhole, calmSent, whole, sent, judge)
 	if after > allowedCrashTrials {
@@ -184,7 +196,7 @@
 	h, shared, _ := newMarkCluster(t, markServers)
 	k, mark := &markedRequests[0], "mark-restart"
 	stop := make(chan struct{})
-	count := k.soundLoad(h, 20, stop)
+	sound := k.soundLoad(h, 20, stop)
 	shared.setMark(mark)
 	var number atomic.Int64
 	for began := time.Now(); time.Since(began) < 2*crashStability; time.Sleep(markEvery) {
@@ -192,7 +204,7 @@
 		k.marked(h, fmt.Sprintf("e%d", 1+n%crashEntries), mark, n)
 	}
 	close(stop)
-	count(time.Time{}, time.Time{})
+	sound.count(time.Time{}, time.Time{})
 	time.Sleep(crashDown)
 	_, before := shared.counts()
 	for n := range crashEntries {
@@ -226,16 +238,15 @@
 	popular.soundPath = func() string { return "/records/popular" }
 	stop := make(chan struct{})
 	began := time.Now()
-	count := popular.soundLoad(h, 20, stop)
-	countOthers := markedRequests[2].soundLoad(h, 20, stop)
+	lookups, claims := popular.soundLoad(h, 20, stop), markedRequests[2].soundLoad(h, 20, stop)
 	for i := range ends {
 		time.Sleep(crashDown / 3)
 		apps[i%smallService].crasher.end()
 	}
 	time.Sleep(crashDown)
 	close(stop)
-	sent, whole := count(began, time.Now())
-	unsafeSent, unsafeWhole := countOthers(began, time.Now())
+	sent, whole := lookups.count(began, time.Now())
+	unsafeSent, unsafeWhole := claims.count(began, time.Now())
 	ended, _ := shared.counts()
 	t.Logf("%d servers ended; %d of %d lookups of one record and %d of %d claims were answered whole", ended, whole, sent, unsafeWhole, unsafeSent)
 	for n := range crashEntries {
--- a/internal/e2e/hosted_crash_test.go
+++ b/internal/e2e/hosted_crash_test.go
@@ -23,6 +23,8 @@
 
 // soundCall is one client attempt that does not hold the crashing part.
 type soundCall struct {
+	// entry is set if it matters.
+	entry        string
 	sent         time.Time
 	begun, whole bool
 }
--- a/internal/e2e/hosted_cut_test.go
+++ b/internal/e2e/hosted_cut_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"encoding/hex"
 	"fmt"
 	"net"
 	"os"
@@ -26,7 +25,8 @@
 )
 
 // links are the links between entries and the servers that listen through it. Which process
-// a connection comes from is read from /proc, before the first byte.
+// a connection comes from is read from /proc, when a link is cut and for each new connection
+// while one is.
 type links struct {
 	mu    sync.Mutex
 	pids  map[string]int
@@ -43,7 +43,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cuts[entry] = kind
+	owned := socketPorts(l.pids[entry])
 	for c := range l.conns {
+		if owned[c.port] {
+			c.entry = entry
+		}
 		if c.entry == entry && kind == cutReset {
 			_ = c.TCPConn.SetLinger(0)
 			_ = c.TCPConn.Close()
@@ -51,10 +55,29 @@
 	}
 }
 
-func (l *links) of(entry string) cut {
+// of returns how the link of a connection is cut.
+func (l *links) of(c *linkConn) cut {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.cuts[entry]
+	return l.cuts[c.entry]
+}
+
+// owner returns the entry with a cut link whose process has the socket at a local port, or "".
+func (l *links) owner(port int) string {
+	l.mu.Lock()
+	pids := make(map[string]int)
+	for entry, kind := range l.cuts {
+		if kind != "" {
+			pids[entry] = l.pids[entry]
+		}
+	}
+	l.mu.Unlock()
+	for entry, pid := range pids {
+		if socketPorts(pid)[port] {
+			return entry
+		}
+	}
+	return ""
 }
 
 // listen returns a listener at a free address whose connections these links carry.
@@ -78,8 +101,9 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &linkConn{TCPConn: raw, links: l.links, entry: l.links.owner(raw.RemoteAddr().(*net.TCPAddr).Port)}
-		if kind := l.links.of(c.entry); kind == cutReset || kind == cutLive {
+		c := &linkConn{TCPConn: raw, links: l.links, port: raw.RemoteAddr().(*net.TCPAddr).Port}
+		c.entry = l.links.owner(c.port)
+		if kind := l.links.of(c); kind == cutReset || kind == cutLive {
 			_ = raw.SetLinger(0)
 			_ = raw.Close()
 			continue
@@ -91,16 +115,18 @@
 	}
 }
 
-// linkConn is a connection of an entry.
+// linkConn is a connection to a server. Its entry is known once a link was cut.
 type linkConn struct {
 	*net.TCPConn
 	links *links
+	port  int
+	// entry is guarded by the links' lock.
 	entry string
 }
 
 // await waits while the link hangs.
 func (c *linkConn) await() {
-	for c.links.of(c.entry) == cutHang {
+	for c.links.of(c) == cutHang {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -123,43 +149,29 @@
 	return c.TCPConn.Close()
 }
 
-// owner returns the entry whose process has the socket at a local port, or "".
-func (l *links) owner(port int) string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	inode := socketInode(port)
-	for entry, pid := range l.pids {
-		if inode != "" && hasSocket(pid, inode) {
-			return entry
+// socketPorts returns the local ports of a process's sockets.
+func socketPorts(pid int) map[int]bool {
+	inodes := make(map[string]bool)
+	files, _ := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/fd/*")
+	for _, file := range files {
+		target, _ := os.Readlink(file)
+		if inode, ok := strings.CutPrefix(target, "socket:["); ok {
+			inodes[strings.TrimSuffix(inode, "]")] = true
 		}
 	}
-	return ""
-}
-
-// socketInode returns the inode of the socket at a local port of the loopback network.
-func socketInode(port int) string {
+	ports := make(map[int]bool)
 	table, _ := os.ReadFile("/proc/net/tcp")
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line)
-		if len(fields) < 10 {
+		if len(fields) < 10 || !inodes[fields[9]] {
 			continue
 		}
-		_, hexPort, _ := strings.Cut(fields[1], ":")
-		if raw, err := hex.DecodeString(hexPort); err == nil && len(raw) == 2 && int(raw[0])<<8|int(raw[1]) == port && fields[9] != "0" {
-			return fields[9]
+		_, port, _ := strings.Cut(fields[1], ":")
+		if number, err := strconv.ParseUint(port, 16, 16); err == nil {
+			ports[int(number)] = true
 		}
 	}
-	return ""
-}
-
-func hasSocket(pid int, inode string) bool {
-	files, _ := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/fd/*")
-	for _, file := range files {
-		if target, _ := os.Readlink(file); target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
+	return ports
 }
 
 // watch lets the links know the processes of all entries.
@@ -197,7 +209,7 @@
 	lookups, streams := markedRequests[0], markedRequests[3]
 	lookups.soundPath = func() string { return "/records/popular" }
 	stop := make(chan struct{})
-	count, countStreams := lookups.soundLoad(h, 20, stop), streams.soundLoad(h, 20, stop)
+	soundLookups, soundStreams := lookups.soundLoad(h, 20, stop), streams.soundLoad(h, 20, stop)
 	time.Sleep(time.Second)
 	for range 3 {
 		l.set("e3", cutReset)
@@ -208,8 +220,8 @@
 	joined := time.Now().Add(time.Second)
 	time.Sleep(3 * time.Second)
 	close(stop)
-	sent, whole := count(joined, time.Now())
-	streamsSent, streamsWhole := countStreams(joined, time.Now())
+	sent, whole := soundLookups.count(joined, time.Now())
+	streamsSent, streamsWhole := soundStreams.count(joined, time.Now())
 	t.Logf("after the cut: %d of %d lookups of one record and %d of %d streams whole", whole, sent, streamsWhole, streamsSent)
 	for n := range crashEntries {
 		name := fmt.Sprintf("e%d", n+1)
@@ -221,3 +233,48 @@
 		t.Errorf("%d of %d lookups and %d of %d streams were whole after the cut, want all", whole, sent, streamsWhole, streamsSent)
 	}
 }
+
+// Callers of an entry that is cut off from all servers are served nearly as well as those of the
+// others, from the stability time after the cut on, and as before soon after it.
+func TestHostedCutOffEntryServes(t *testing.T) {
+	const (
+		cutEntry = "e3"
+		cutFor   = 9 * time.Second
+		backIn   = time.Second
+		// atCut and among give the share that callers of the cut entry are served of what those
+		// of the others are, at least.
+		atCut, among = 2, 3
+	)
+	for _, kind := range []cut{cutReset, cutHang, cutLive} {
+		t.Run(string(kind), func(t *testing.T) {
+			h, l := newLinkedCluster(t, crashEntries, 6)
+			stop := make(chan struct{})
+			var loads []*soundCalls
+			for i := range markedRequests {
+				loads = append(loads, markedRequests[i].soundLoad(h, 15, stop))
+			}
+			time.Sleep(2 * time.Second)
+			began := time.Now()
+			l.set(cutEntry, kind)
+			time.Sleep(cutFor)
+			l.set(cutEntry, "")
+			ended := time.Now()
+			time.Sleep(3 * time.Second)
+			close(stop)
+			for i, load := range loads {
+				from, to := began.Add(crashStability), ended.Add(-time.Second)
+				sent, whole := load.countAt(from, to, func(entry string) bool { return entry == cutEntry })
+				othersSent, othersWhole := load.countAt(from, to, func(entry string) bool { return entry != cutEntry })
+				afterSent, afterWhole := load.countAt(ended.Add(backIn), time.Now(), func(entry string) bool { return entry == cutEntry })
+				name := markedRequests[i].name
+				t.Logf("%s: %d of %d whole at the cut entry, %d of %d at the others; %d of %d after the cut", name, whole, sent, othersWhole, othersSent, afterWhole, afterSent)
+				if among*whole*othersSent < atCut*othersWhole*sent {
+					t.Errorf("%s: %d of %d were whole at the cut entry and %d of %d at the others, want at least two thirds as many", name, whole, sent, othersWhole, othersSent)
+				}
+				if 10*othersWhole < 9*othersSent || 10*afterWhole < 9*afterSent {
+					t.Errorf("%s: %d of %d were whole at the others and %d of %d after the cut, want nine tenths", name, othersWhole, othersSent, afterWhole, afterSent)
+				}
+			}
+		})
+	}
+}
--- a/internal/soak/troubles_check_test.go
+++ b/internal/soak/troubles_check_test.go
@@ -3,18 +3,21 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
 // The promises of what servers in trouble get.
 const (
-	promiseCrash = "a part under which five servers have crashed reaches no more than three times"
-	promiseSound = "sound requests begin while another part crashes servers"
-	promiseLimit = "a server gets no more requests than the limit that it names"
+	promiseCrash      = "a part under which five servers have crashed reaches no more than three times"
+	promiseCrashWhole = "a request under which three servers have crashed reaches no more than three times"
+	promiseSound      = "sound requests begin while another part crashes servers"
+	promiseLimit      = "a server gets no more requests than the limit that it names"
 )
 
 const (
 	crashesKnown  = 5
+	wholeKnown    = 3
 	trialsAllowed = 3
 	// enoughSound is the number of sound requests from which on their share is judged.
 	enoughSound = 20
@@ -43,16 +46,20 @@
 }
 
 func (c *checker) checkCrashingPart(bad string, crashes []time.Duration) {
-	known := crashes[min(crashesKnown, len(crashes))-1]
+	enough, promise := crashesKnown, promiseCrash
+	if strings.HasPrefix(bad, wholePrefix) {
+		enough, promise = wholeKnown, promiseCrashWhole
+	}
+	known := crashes[min(enough, len(crashes))-1]
 	late, last := 0, known
 	for _, reach := range c.Reached {
 		if reach.Bad != bad {
 			continue
 		}
 		last = max(last, reach.At)
-		if len(crashes) >= crashesKnown && reach.At > known+stability && c.inTouch(reach.Entry, reach.At) {
+		if len(crashes) >= enough && reach.At > known+stability && c.inTouch(reach.Entry, reach.At) {
 			if late++; late == trialsAllowed+1 {
-				c.report(promiseCrash, reach.At, reach.Entry, "%s: %d servers have crashed, the fifth at %.3f s", bad, len(crashes), known.Seconds())
+				c.report(promise, reach.At, reach.Entry, "%s: %d servers have crashed, number %d at %.3f s", bad, len(crashes), enough, known.Seconds())
 			}
 		}
 	}
--- a/internal/soak/troubles_self_test.go
+++ b/internal/soak/troubles_self_test.go
@@ -15,6 +15,11 @@
 		crashes = append(crashes, Crash{Bad: "bad", At: at + time.Duration(i)*time.Second})
 	}
 	fifth := crashes[crashesKnown-1].At
+	var whole []Crash
+	for _, crash := range crashes[:wholeKnown] {
+		whole = append(whole, Crash{Bad: wholePrefix, At: crash.At})
+	}
+	wholeThird := whole[wholeKnown-1].At
 	reaches := func(n int, from, step time.Duration, bad string) []Reach {
 		var list []Reach
 		for i := range n {
@@ -39,6 +44,8 @@
 	}{
 		{name: "three trials", history: &History{Crashes: crashes, Reached: reaches(3, late+time.Second, time.Second, "bad")}},
 		{name: "four requests", history: &History{Crashes: crashes, Reached: reaches(4, late+time.Second, time.Second, "bad")}, want: []string{promiseCrash}},
+		{name: "a whole request, four times after the third crash", history: &History{Crashes: whole, Reached: reaches(4, wholeThird+stability+time.Second, time.Second, whole[0].Bad)}, want: []string{promiseCrashWhole}},
+		{name: "a whole request, three times", history: &History{Crashes: whole, Reached: reaches(3, wholeThird+stability+time.Second, time.Second, whole[0].Bad)}},
 		{name: "many before the bound", history: &History{Crashes: crashes, Reached: reaches(20, fifth, 100*time.Millisecond, "bad")}},
 		{name: "four crashes only", history: &History{Crashes: crashes[:4], Reached: reaches(20, late+time.Second, time.Second, "bad")}},
 		{name: "an entry out of touch", history: &History{Crashes: crashes, Reached: reaches(20, late+time.Second, time.Second, "bad"), Disturbances: killed}},
--- a/internal/soak/troubles_test.go
+++ b/internal/soak/troubles_test.go
@@ -33,22 +33,34 @@
 	// soundPause and badPause are the mean times between a caller's requests.
 	soundPause = 200 * time.Millisecond
 	badPause   = time.Second
-	// troubleNumbers is the stream of random numbers of these events.
+	// troubleNumbers and crashNumbers are streams of random numbers of these events.
 	troubleNumbers = 3
+	crashNumbers   = 4
+	// wholePrefix begins the mark of a whole request that crashes servers.
+	wholePrefix = "whole"
 )
 
-// The kinds of trouble: a part crashes servers, or one of them or all (Amount below 0) name a
-// limit of Amount tenths of a request a second.
+// The kinds of trouble: a part or a whole request crashes servers (Amount is of the ways below),
+// or one of them or all (Amount below 0) name a limit of Amount tenths of a request a second.
 const (
 	KindCrashing Kind = "crashing part"
 	KindLimit    Kind = "limit"
 )
 
+// The ways in which servers crash, as bits: a whole request is the cause, not a part; and their
+// connections are still accepted, and reset.
+const (
+	crashWhole = 1 << iota
+	crashBehindProxy
+	crashWays
+)
+
 // troubleEvents adds crashing parts and limits, which may overlap, and ends of entries.
 func (p *planner) troubleEvents() {
 	p.rng = rand.New(rand.NewPCG(p.Seed, troubleNumbers))
+	ways := rand.New(rand.NewPCG(p.Seed, crashNumbers))
 	for at := p.between(time.Second, 3*time.Second); at < p.Duration; {
-		e := Event{At: at, Kind: KindCrashing, Target: serviceDrafts, For: p.between(9*time.Second, 14*time.Second)}
+		e := Event{At: at, Kind: KindCrashing, Target: serviceDrafts, For: p.between(9*time.Second, 14*time.Second), Amount: ways.IntN(crashWays)}
 		p.add(e)
 		at += e.For + p.between(0, 4*time.Second)
 	}
@@ -66,13 +78,13 @@
 }
 
 // Reach is a request that reached a server of drafts. Bad is the crashing part that its prompt
-// holds, if any.
+// holds, or the mark of its body, if any.
 type Reach struct {
 	Engine, Entry, Bad string
 	At                 time.Duration
 }
 
-// Crash is the end of a server under a part.
+// Crash is the end of a server under a part or a request.
 type Crash struct {
 	Bad string
 	At  time.Duration
@@ -96,22 +108,29 @@
 
 // trouble is what the servers of drafts are in.
 type trouble struct {
-	mu  sync.Mutex
-	bad string
+	mu          sync.Mutex
+	bad         string
+	behindProxy bool
 }
 
-func (t *trouble) set(bad string) {
+func (t *trouble) set(bad string, behindProxy bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.bad = bad
+	t.bad, t.behindProxy = bad, behindProxy
 }
 
-// holds returns the crashing part if a prompt has it, which is never its last one.
-func (t *trouble) holds(parts string) string {
+func (t *trouble) current() (bad string, behindProxy bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.bad != "" && strings.Contains(parts, t.bad+":") {
-		return t.bad
+	return t.bad, t.behindProxy
+}
+
+// holds returns the crashing part if a prompt has it, which is never its last one, or the mark if
+// it is the body.
+func (t *trouble) holds(parts, body string) string {
+	bad, _ := t.current()
+	if bad != "" && (strings.Contains(parts, bad+":") || body == bad) {
+		return bad
 	}
 	return ""
 }
@@ -168,7 +187,8 @@
 		return
 	}
 	entry, _, _ := strings.Cut(id, "-")
-	bad := p.trouble.holds(req.Header.Get("Waxwingcart-Prefix-Hash"))
+	body, _ := io.ReadAll(req.Body)
+	bad := p.trouble.holds(req.Header.Get("Waxwingcart-Prefix-Hash"), string(body))
 	p.history.update(func() {
 		p.history.Reached = append(p.history.Reached, Reach{Engine: d.id, Entry: entry, Bad: bad, At: p.now()})
 		p.history.Runs[id]++
@@ -183,12 +203,18 @@
 	w.Header().Set("Waxwingcart-Stamp", "stamp-"+d.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	if bad != "" {
-		_, _ = io.WriteString(w, "id: 0\ndata: par")
-		_ = http.NewResponseController(w).Flush()
-		if d.server.Crash(crashDown) {
+		if !strings.HasPrefix(bad, wholePrefix) {
+			_, _ = io.WriteString(w, "id: 0\ndata: par")
+			_ = http.NewResponseController(w).Flush()
+		}
+		crash := d.server.Crash
+		if _, behindProxy := p.trouble.current(); behindProxy {
+			crash = d.server.CrashBehindProxy
+		}
+		if crash(crashDown) {
 			p.history.update(func() { p.history.Crashes = append(p.history.Crashes, Crash{Bad: bad, At: p.now()}) })
 		}
-		return
+		panic(http.ErrAbortHandler)
 	}
 	first := 0
 	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
@@ -222,9 +248,13 @@
 // changeTrouble starts a trouble and ends it after its time.
 func (r *run) changeTrouble(ctx context.Context, e Event) {
 	if e.Kind == KindCrashing {
-		r.platform.trouble.set(fmt.Sprintf("bad%d", e.At.Milliseconds()))
+		bad := fmt.Sprintf("bad%d", e.At.Milliseconds())
+		if e.Amount&crashWhole != 0 {
+			bad = fmt.Sprintf("%s%d", wholePrefix, e.At.Milliseconds())
+		}
+		r.platform.trouble.set(bad, e.Amount&crashBehindProxy != 0)
 		sleep(ctx, e.For)
-		r.platform.trouble.set("")
+		r.platform.trouble.set("", false)
 		return
 	}
 	engines, perSecond := r.platform.drafts, float64(e.Amount)/10
@@ -261,22 +291,24 @@
 	}
 	for i := 0; ctx.Err() == nil; i++ {
 		sleep(ctx, time.Duration(rand.Int64N(int64(2*pause))))
-		parts := fmt.Sprintf("f1:300,5%x:100", rand.IntN(16))
+		parts, body := fmt.Sprintf("f1:300,5%x:100", rand.IntN(16)), fmt.Sprintf("prompt-%d", rand.IntN(1<<20))
 		if !sound {
-			r.platform.trouble.mu.Lock()
-			bad := r.platform.trouble.bad
-			r.platform.trouble.mu.Unlock()
+			bad, _ := r.platform.trouble.current()
 			if bad == "" {
 				continue
 			}
-			parts = fmt.Sprintf("f1:300,%s:%d,7%x:20", bad, 50+rand.IntN(50), rand.IntN(1<<20))
+			if strings.HasPrefix(bad, wholePrefix) {
+				body = bad
+			} else {
+				parts = fmt.Sprintf("f1:300,%s:%d,7%x:20", bad, 50+rand.IntN(50), rand.IntN(1<<20))
+			}
 		}
-		r.draft(client, p, fmt.Sprintf("%s-draft-%t-%d", p.name, sound, i), parts, sound)
+		r.draft(client, p, fmt.Sprintf("%s-draft-%t-%d", p.name, sound, i), parts, body, sound)
 	}
 }
 
-func (r *run) draft(client *http.Client, p *process, id, parts string, sound bool) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+p.address(callersPort)+pathDraft+"x", strings.NewReader("prompt"))
+func (r *run) draft(client *http.Client, p *process, id, parts, body string, sound bool) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.address(callersPort)+pathDraft+"x", strings.NewReader(body))
 	if err != nil {
 		return
 	}
@@ -288,13 +320,13 @@
 	request.Header.Set("Authorization", "Bearer "+keyBase)
 	from := r.now()
 	response, err := client.Do(request)
-	body := []byte{}
+	answer := []byte{}
 	if err == nil {
-		body, _ = io.ReadAll(response.Body)
+		answer, _ = io.ReadAll(response.Body)
 		_ = response.Body.Close()
 	}
 	if sound {
-		begun := err == nil && response.StatusCode == http.StatusOK && strings.HasPrefix(string(body), "id: 0\n")
+		begun := err == nil && response.StatusCode == http.StatusOK && strings.HasPrefix(string(answer), "id: 0\n")
 		r.history.update(func() { r.history.Drafts = append(r.history.Drafts, Draft{Entry: p.name, From: from, Begun: begun}) })
 	}
 }
