--- a/internal/core/quarantine/simulation_test.go
+++ b/internal/core/quarantine/simulation_test.go
@@ -58,6 +58,14 @@
 	do func()
 }
 
+func newSimulation(t *rapid.T, seed uint64, entries, servers int) *simulation {
+	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, upAt: make([]time.Duration, servers)}
+	for i := range entries {
+		s.entries = append(s.entries, New(seed+uint64(i)))
+	}
+	return s
+}
+
 func (s *simulation) after(d time.Duration, do func()) {
 	s.later = append(s.later, simEvent{s.now + d, do})
 }
@@ -212,10 +220,8 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		entries, servers := rapid.IntRange(1, 12).Draw(rt, "entries"), rapid.IntRange(4, 16).Draw(rt, "servers")
 		place, rate := rapid.IntRange(0, 2).Draw(rt, "place"), rapid.IntRange(1, 12).Draw(rt, "rate")
-		s := &simulation{t: rt, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, bad: 50, known: 5, upAt: make([]time.Duration, servers)}
-		for i := range entries {
-			s.entries = append(s.entries, New(seed+uint64(i)))
-		}
+		s := newSimulation(rt, seed, entries, servers)
+		s.bad, s.known = 50, 5
 		from := s.now
 		soundEvery, badEvery := time.Second/20, time.Second/time.Duration(rate)
 		for s.now < from+simLength {
@@ -249,10 +255,8 @@
 		entries, servers := rapid.IntRange(1, 12).Draw(rt, "entries"), rapid.IntRange(4, 16).Draw(rt, "servers")
 		rate, sound := rapid.IntRange(1, 12).Draw(rt, "rate"), rapid.IntRange(0, 20).Draw(rt, "sound")
 		withParts, burst := rapid.Bool().Draw(rt, "parts"), rapid.IntRange(1, 3).Draw(rt, "burst")
-		s := &simulation{t: rt, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, bad: 50, known: 3, upAt: make([]time.Duration, servers)}
-		for i := range entries {
-			s.entries = append(s.entries, New(seed+uint64(i)))
-		}
+		s := newSimulation(rt, seed, entries, servers)
+		s.bad, s.known = 50, 3
 		from := s.now
 		badEvery := time.Second / time.Duration(rate)
 		for s.now < from+simLength {
@@ -291,10 +295,7 @@
 		entries, servers := rapid.IntRange(1, 12).Draw(rt, "entries"), rapid.IntRange(4, 16).Draw(rt, "servers")
 		every := time.Duration(rapid.IntRange(300, 3000).Draw(rt, "every ms")) * time.Millisecond
 		together := rapid.IntRange(1, servers-1).Draw(rt, "together")
-		s := &simulation{t: rt, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, upAt: make([]time.Duration, servers)}
-		for i := range entries {
-			s.entries = append(s.entries, New(seed+uint64(i)))
-		}
+		s := newSimulation(rt, seed, entries, servers)
 		from := s.now
 		for s.now < from+simLength {
 			at := s.now - from
@@ -324,10 +325,7 @@
 		together := rapid.IntRange(1, servers/2).Draw(rt, "together")
 		shortest := 2 * int(simDown.Milliseconds()) * together / servers
 		every := time.Duration(rapid.IntRange(shortest, 3*shortest).Draw(rt, "every ms")) * time.Millisecond
-		s := &simulation{t: rt, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, upAt: make([]time.Duration, servers)}
-		for i := range entries {
-			s.entries = append(s.entries, New(seed+uint64(i)))
-		}
+		s := newSimulation(rt, seed, entries, servers)
 		from := s.now
 		for s.now < from+simLength {
 			at := s.now - from
--- a/internal/e2e/hosted_cut_test.go
+++ b/internal/e2e/hosted_cut_test.go
@@ -87,32 +87,56 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &linkListener{listener.(*net.TCPListener), l}
+	linked := &linkListener{TCPListener: listener.(*net.TCPListener), links: l, accepted: make(chan net.Conn)}
+	go linked.run()
+	return linked
 }
 
+// linkListener accepts connections one beside the other, as finding out whose they are takes
+// long on a busy machine.
 type linkListener struct {
 	*net.TCPListener
-	links *links
+	links    *links
+	accepted chan net.Conn
 }
 
-func (l *linkListener) Accept() (net.Conn, error) {
+func (l *linkListener) run() {
+	var admitting sync.WaitGroup
+	defer func() { go func() { admitting.Wait(); close(l.accepted) }() }()
 	for {
 		raw, err := l.AcceptTCP()
 		if err != nil {
-			return nil, err
-		}
-		c := &linkConn{TCPConn: raw, links: l.links, port: raw.RemoteAddr().(*net.TCPAddr).Port}
-		c.entry = l.links.owner(c.port)
-		if kind := l.links.of(c); kind == cutReset || kind == cutLive {
-			_ = raw.SetLinger(0)
-			_ = raw.Close()
-			continue
+			return
 		}
-		l.links.mu.Lock()
-		l.links.conns[c] = true
-		l.links.mu.Unlock()
-		return c, nil
+		admitting.Go(func() { l.admit(raw) })
+	}
+}
+
+// admit hands a connection to the server, or resets it if its link is cut.
+func (l *linkListener) admit(raw *net.TCPConn) {
+	c := &linkConn{TCPConn: raw, links: l.links, port: raw.RemoteAddr().(*net.TCPAddr).Port}
+	c.entry = l.links.owner(c.port)
+	if kind := l.links.of(c); kind == cutReset || kind == cutLive {
+		_ = raw.SetLinger(0)
+		_ = raw.Close()
+		return
+	}
+	l.links.mu.Lock()
+	l.links.conns[c] = true
+	l.links.mu.Unlock()
+	select {
+	case l.accepted <- c:
+	case <-time.After(waitTimeout):
+		_ = c.Close()
+	}
+}
+
+func (l *linkListener) Accept() (net.Conn, error) {
+	c, ok := <-l.accepted
+	if !ok {
+		return nil, net.ErrClosed
 	}
+	return c, nil
 }
 
 // linkConn is a connection to a server. Its entry is known once a link was cut.
@@ -247,6 +271,7 @@
 	)
 	for _, kind := range []cut{cutReset, cutHang, cutLive} {
 		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
 			h, l := newLinkedCluster(t, crashEntries, 6)
 			stop := make(chan struct{})
 			var loads []*soundCalls
--- a/internal/e2e/hosted_versions_restart_test.go
+++ b/internal/e2e/hosted_versions_restart_test.go
@@ -30,6 +30,7 @@
 		{name: "the list is empty at first", unlisted: true, gone: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			h, engines := newVersionCluster(t, entries, 2, 2)
 			older, newer := engines[:2], engines[2:]
 			for _, engine := range engines {
