Don't hedge a barred lookup at the server that has it

Callers saw nothing yet: found in the review of what sends a request once it is barred.

Cause: a lookup that is not answered in time goes once more to its own server if no other one may take it, and that path asked whether the server takes work, not whether the request is barred. Class: one of several ways to a server that does not go through the one function that obeys.

Evidence: TestBarredLookupIsNotHedged fails before and passes after.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/crashguard"
 )
 
@@ -39,3 +41,27 @@
 		}
 	}
 }
+
+// A lookup that is not answered in time is not sent once more, to the same server, after it has
+// been barred.
+func TestBarredLookupIsNotHedged(t *testing.T) {
+	e := newTakeUpEntry(t, &versionEngine{version: "v1"})
+	call := crashguard.Call{ID: "first", Service: "models", Method: http.MethodGet, Target: "/records/1"}
+	r := &run{entry: e, service: &fleet.Service{Name: "models"}, routed: &routedCall{guarded: crashguard.NewRequest(call)}}
+	if !e.policy.takesWork(r, "i-0") {
+		t.Fatal("the server does not take a sound lookup")
+	}
+	for i := range 9 {
+		call.ID = fmt.Sprint("again-", i)
+		again := crashguard.NewRequest(call)
+		at := e.now()
+		e.guard.Crashed(&again, crashguard.Attempt{Instance: fmt.Sprint("ended-", i), Version: "v1", Placed: at}, false, false, at)
+		time.Sleep(time.Millisecond)
+	}
+	if verdict := e.guard.Check(&r.routed.guarded, []string{"v1"}); verdict.Allows("v1") {
+		t.Fatal("the lookup is not barred")
+	}
+	if e.policy.takesWork(r, "i-0") {
+		t.Error("a barred lookup may be sent to its server once more")
+	}
+}
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -85,6 +85,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if _, everywhere := p.quarantined(r); everywhere {
+		return false
+	}
 	now := p.entry.now()
 	if !p.placer.Takes(now, server) || !p.limits.Takes(now, server, r.routed.priority) {
 		return false
