--- a/internal/crashguard/confirm.go
+++ b/internal/crashguard/confirm.go
@@ -34,8 +34,8 @@
 	found quarantine.Sighting
 }
 
-// verdict is whether a server has ended, which several attempts at it want to know.
-type verdict struct {
+// finding is whether a server has ended, which serves all attempts that it broke off together.
+type finding struct {
 	at          time.Duration
 	done        chan struct{}
 	contact     quarantine.Contact
@@ -106,27 +106,27 @@
 }
 
 // confirm finds out whether a server that broke off an attempt at a time has ended.
-func (g *Guard) confirm(ctx context.Context, a Attempt, at time.Duration) *verdict {
+func (g *Guard) confirm(ctx context.Context, a Attempt, at time.Duration) *finding {
 	g.mu.Lock()
-	v := g.verdicts[a.Instance]
-	if v != nil && at-v.at < sightReused {
+	f := g.findings[a.Instance]
+	if f != nil && at-f.at < sightReused {
 		g.mu.Unlock()
-		<-v.done
-		return v
+		<-f.done
+		return f
 	}
-	v = &verdict{at: at, done: make(chan struct{})}
-	g.verdicts[a.Instance] = v
+	f = &finding{at: at, done: make(chan struct{})}
+	g.findings[a.Instance] = f
 	g.mu.Unlock()
-	v.contact, v.ended, v.sure = g.findOut(ctx, a, at)
-	close(v.done)
+	f.contact, f.ended, f.sure = g.findOut(ctx, a, at)
+	close(f.done)
 	time.AfterFunc(sightReused, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if g.verdicts[a.Instance] == v {
-			delete(g.verdicts, a.Instance)
+		if g.findings[a.Instance] == f {
+			delete(g.findings, a.Instance)
 		}
 	})
-	return v
+	return f
 }
 
 // findOut asks other entries, unless the server still listens.
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -59,9 +59,9 @@
 
 	mu   sync.Mutex
 	core *quarantine.Guard
-	// sights and verdicts are under way or just over, by server.
+	// sights and findings are under way or just over, by server.
 	sights   map[string]*sight
-	verdicts map[string]*verdict
+	findings map[string]*finding
 	// answered holds when servers last answered a request.
 	answered map[string]time.Duration
 	report   report
@@ -73,7 +73,7 @@
 func New(opts Options) *Guard {
 	g := &Guard{
 		opts: opts, core: quarantine.New(opts.Seed), barred: make(chan struct{}, 1),
-		sights: make(map[string]*sight), verdicts: make(map[string]*verdict), answered: make(map[string]time.Duration),
+		sights: make(map[string]*sight), findings: make(map[string]*finding), answered: make(map[string]time.Duration),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "waxwingcart", Subsystem: "entry", Name: "barred_parts_total",
 			Help: "Prompt parts and requests under which backend servers crash, by change: barred here, adopted from another entry, tried, or ended.",
@@ -103,15 +103,15 @@
 
 // investigate finds out whether the server has ended, and tells the other entries.
 func (g *Guard) investigate(p *Request, a Attempt, head bool, at time.Duration) {
-	v := g.confirm(context.Background(), a, at)
+	found := g.confirm(context.Background(), a, at)
 	leaving := g.opts.Leaving(a.Instance)
 	g.opts.Logger.Info().Str("step", "broken off").Str("request", p.ID).Str("server", a.Instance).Str("peer", a.Address).
 		Str("version", a.Version).Str("model", p.request.Model).Str("parts", p.logged()).Str("whole", key(p.whole())).
-		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", v.contact == quarantine.ContactOpen).
-		Bool("answered", v.contact != quarantine.ContactNone).Bool("ended", v.ended).Bool("sure", v.sure).Bool("leaving", leaving).
+		Bool("head", head).Int64("waited_ms", (at-a.Placed).Milliseconds()).Bool("listens", found.contact == quarantine.ContactOpen).
+		Bool("answered", found.contact != quarantine.ContactNone).Bool("ended", found.ended).Bool("sure", found.sure).Bool("leaving", leaving).
 		Msg("a backend server broke off an attempt before its first event")
-	if v.ended && !leaving {
-		g.Crashed(p, a, head, !v.sure, at)
+	if found.ended && !leaving {
+		g.Crashed(p, a, head, !found.sure, at)
 	}
 }
 
--- a/internal/soak/troubles_check_test.go
+++ b/internal/soak/troubles_check_test.go
@@ -126,5 +126,5 @@
 	for _, d := range c.Drafts {
 		begun += count(d.Begun)
 	}
-	return fmt.Sprintf("%d crashes under %d requests with a part, %d limits named, %d of %d sound drafts begun", len(c.Crashes), reached, len(c.Namings), begun, len(c.Drafts))
+	return fmt.Sprintf("%d crashes under %d requests with a crashing part or mark, %d limits named, %d of %d sound drafts begun", len(c.Crashes), reached, len(c.Namings), begun, len(c.Drafts))
 }
