Log messages to replicas without a known address, and why a leader removes a member

A warning for each such node with the index of the membership in force here, a counter, and a line with the last index and the silence of each member that the leader proposes to remove.

--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -60,6 +60,11 @@
 	if !ok {
 		return
 	}
+	for _, member := range n.leaderState.others {
+		if !next.Contains(member.ID) {
+			n.effects.Removing = append(n.effects.Removing, n.peerStatus(member))
+		}
+	}
 	n.append(Entry{Kind: EntryMembership, Membership: &next})
 }
 
--- a/internal/core/replication/status.go
+++ b/internal/core/replication/status.go
@@ -72,16 +72,21 @@
 		return s
 	}
 	for _, member := range n.leaderState.others {
-		p := n.leaderState.peers[member.ID]
-		s.Peers = append(s.Peers, PeerStatus{
-			Member:        member,
-			Voter:         n.log.membership().IsVoter(member.ID),
-			Match:         p.match,
-			Next:          p.next,
-			Silent:        n.now - p.contactAt,
-			Lost:          p.lostEntries,
-			NeedsSnapshot: p.state == progressSnapshot,
-		})
+		s.Peers = append(s.Peers, n.peerStatus(member))
 	}
 	return s
 }
+
+// peerStatus returns the leader's view of another member.
+func (n *Node) peerStatus(member Member) PeerStatus {
+	p := n.leaderState.peers[member.ID]
+	return PeerStatus{
+		Member:        member,
+		Voter:         n.log.membership().IsVoter(member.ID),
+		Match:         p.match,
+		Next:          p.next,
+		Silent:        n.now - p.contactAt,
+		Lost:          p.lostEntries,
+		NeedsSnapshot: p.state == progressSnapshot,
+	}
+}
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -228,6 +228,8 @@
 	Appended []AppendedProposal
 	// Reads lists the reads that may proceed.
 	Reads []ReadResult
+	// Removing lists the members that the leader proposed to remove, as it saw them.
+	Removing []PeerStatus
 	// Role is set when the node's role, term or known leader changed.
 	Role *RoleChange
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -150,6 +150,11 @@
 	for _, message := range effects.Send {
 		r.send(message)
 	}
+	for _, peer := range effects.Removing {
+		r.logger.Info().Str("step", "repair").Str("peer", peer.Member.ID.String()).Bool("voter", peer.Voter).
+			Uint64("match", peer.Match).Int64("silent_ms", peer.Silent.Milliseconds()).Bool("lost", peer.Lost).
+			Msg("proposing to remove a member")
+	}
 	if effects.Install != nil {
 		r.install(effects.Install)
 	}
@@ -186,8 +191,10 @@
 func (r *Replica) send(message replication.Message) {
 	address, ok := r.addressOf(message.To)
 	if !ok {
+		r.logUnaddressed(message)
 		return
 	}
+	delete(r.unaddressed, message.To)
 	data, err := codec.EncodeMessage(message)
 	if err != nil {
 		r.logger.Error().Str("step", "encode message").Err(err).Msg("encoding a message for another replica failed")
@@ -196,6 +203,21 @@
 	r.senderTo(address).send(data)
 }
 
+// maxUnaddressed bounds the nodes without an address for which a line was written.
+const maxUnaddressed = 64
+
+// logUnaddressed counts a message for a node whose address is unknown. The first one for
+// a node is logged, until an address is known.
+func (r *Replica) logUnaddressed(message replication.Message) {
+	r.metrics.unaddressed.Inc()
+	if r.unaddressed[message.To] || len(r.unaddressed) >= maxUnaddressed {
+		return
+	}
+	r.unaddressed[message.To] = true
+	r.logger.Warn().Str("step", "deliver").Str("peer", message.To.String()).Uint64("term", message.Term).
+		Uint64("members_index", r.node.Status().MembershipIndex).Msg("no address is known for another replica; messages for it are dropped")
+}
+
 // runWriter writes and syncs in order. It never retries after an error, because
 // the contents of the disk are unknown after a failed sync.
 func (r *Replica) runWriter(ctx context.Context) {
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -18,6 +18,8 @@
 	duties       *prometheus.CounterVec
 	// deliveryFailures has the labels peer and reason.
 	deliveryFailures *prometheus.CounterVec
+	// unaddressed counts the messages for nodes whose address is unknown.
+	unaddressed prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -50,7 +52,11 @@
 		Namespace: "waxwingcart", Subsystem: "replica", Name: "delivery_failures_total",
 		Help: "Deliveries of messages to another replica that failed or were overdue, by peer and reason.",
 	}, []string{"peer", "reason"})
-	registry.MustRegister(m.reservations, m.orders, m.duties, m.deliveryFailures)
+	m.unaddressed = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "waxwingcart", Subsystem: "replica", Name: "messages_unaddressed_total",
+		Help: "Messages for other replicas that were dropped because this replica knew no address for them.",
+	})
+	registry.MustRegister(m.reservations, m.orders, m.duties, m.deliveryFailures, m.unaddressed)
 	return m
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -123,9 +123,11 @@
 	pendingReads []replication.ReadResult
 	senders      map[string]*sender
 	addresses    map[replication.NodeID]string
-	applied      uint64
-	compactedAt  uint64
-	compacting   bool
+	// unaddressed holds the nodes for which messages were dropped, as no address is known.
+	unaddressed map[replication.NodeID]bool
+	applied     uint64
+	compactedAt uint64
+	compacting  bool
 	// applyFailed is true once a committed entry or a snapshot could not be
 	// decoded.
 	applyFailed bool
@@ -175,6 +177,7 @@
 		appended:        make(map[uint64]pendingProposal),
 		senders:         make(map[string]*sender),
 		addresses:       make(map[replication.NodeID]string),
+		unaddressed:     make(map[replication.NodeID]bool),
 		revisionUpdated: make(chan struct{}),
 		roleUpdated:     make(chan struct{}),
 	}
