Answer other nodes at the address that they name

Cause: a node took the addresses for its answers from the membership in its own log. A replica that lost its disk replays the log from its start, and until it has caught up its membership is the one of that time. If that does not hold the leader's current incarnation, which is so once the leader has lost its own disk, or joined, after what fits into the first message of 256 KiB, every answer is dropped. The leader hears nothing, repeats the first message, removes the learner after replace_voter_ms and adds it again, for ever. Each further lost disk then costs a voter. The same holds for a voter whose log ends before the membership that made a candidate a voter: its vote is lost.

Change: each delivery names its sender's address. The core keeps it beside the membership and decides which is newer. It also follows the membership at the end of the log in place of the one applied last, as the rest of the core does. The leader's address is known to callers and for join requests too while the membership lacks it.

The simulation of the core found every node by its VM's name; it delivers by these addresses now, and a host that loses its disk returns at another address.

--- a/internal/core/replication/network_test.go
+++ b/internal/core/replication/network_test.go
@@ -58,7 +58,10 @@
 // packet is a message in transit, which arrives when it is due.
 type packet struct {
 	message Message
-	due     time.Duration
+	// from is the address of the sender when it sent the message, and to the one at which it
+	// looks for the receiver.
+	from, to string
+	due      time.Duration
 }
 
 // expectedRead holds the smallest index at which a read may be answered.
@@ -95,6 +98,7 @@
 	leaderByTerm  map[uint64]NodeID
 	expectedReads map[uint64]expectedRead
 	lastToken     uint64
+	lastAddress   int
 	readsServed   int
 	violations    []string
 }
@@ -117,6 +121,7 @@
 		}
 		h.clockOffset = time.Duration(net.rand.Int64N(int64(time.Hour)))
 		h.self.ID.Incarnation = net.rand.Uint64() | 1
+		h.self.Address = fmt.Sprint("address-", i)
 		net.hosts = append(net.hosts, h)
 	}
 	first := Bootstrap([]Member{net.hosts[0].self})
@@ -165,12 +170,14 @@
 	h.node, h.pendingWrite, h.unsyncedWrite = nil, nil, nil
 }
 
-// wipe kills a host and erases its disk.
+// wipe kills a host and erases its disk. It returns at another address.
 func (net *network) wipe(h *host) {
 	h.node, h.pendingWrite, h.unsyncedWrite = nil, nil, nil
 	h.disk = disk{}
 	if !net.reuseIncarnation {
 		h.self.ID.Incarnation = net.rand.Uint64() | 1
+		net.lastAddress++
+		h.self.Address = fmt.Sprint("later-address-", net.lastAddress)
 	}
 }
 
@@ -221,7 +228,7 @@
 		if !net.ackBeforeSync && !h.disk.hasSynced(&m) {
 			net.reportViolation("%v sent a message that depends on unsynced state: %+v", h.self.ID, m)
 		}
-		net.enqueue(m)
+		net.enqueue(h, m)
 	}
 	if effects.Install != nil {
 		net.installSnapshot(h, effects.Install)
@@ -242,7 +249,8 @@
 
 // enqueue puts a message in transit, with the delay, loss and duplication that the
 // network currently has.
-func (net *network) enqueue(m Message) {
+func (net *network) enqueue(from *host, m Message) {
+	address := from.node.AddressOf(m.To)
 	copies := 1
 	if net.rand.Float64() < net.lossRate {
 		copies = net.rand.IntN(2) * 2
@@ -252,7 +260,7 @@
 		if net.rand.Float64() < net.delayRate {
 			delay += time.Duration(net.rand.Int64N(int64(2 * net.opts.ElectionTimeout)))
 		}
-		net.packets = append(net.packets, packet{m, net.now + delay})
+		net.packets = append(net.packets, packet{m, from.self.Address, address, net.now + delay})
 	}
 }
 
@@ -343,18 +351,19 @@
 
 // deliverDue delivers the messages that are due, in random order.
 func (net *network) deliverDue() {
-	var due []Message
+	var due []packet
 	net.packets = slices.DeleteFunc(net.packets, func(p packet) bool {
 		if p.due <= net.now {
-			due = append(due, p.message)
+			due = append(due, p)
 		}
 		return p.due <= net.now
 	})
 	net.rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
-	for _, m := range due {
-		to := net.host(m.To.VM)
-		if !net.blocked(net.host(m.From.VM), to) {
-			net.step(to, Receive{Message: m})
+	for _, p := range due {
+		// Nothing arrives at an address that no host has, or has any more.
+		i := slices.IndexFunc(net.hosts, func(h *host) bool { return h.self.Address == p.to })
+		if i >= 0 && !net.blocked(net.host(p.message.From.VM), net.hosts[i]) {
+			net.step(net.hosts[i], Receive{Message: p.message, Address: p.from})
 		}
 	}
 }
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -48,6 +48,9 @@
 	// leaderState is set only while the node is the leader.
 	leaderState *leadership
 
+	// heard holds the addresses that other nodes named, since the membership may lack them.
+	heard map[NodeID]heardAddress
+
 	incomingSnapshot *incomingSnapshot
 	writes           writes
 	// emitted is the last index that was returned in Effects.Committed or
@@ -146,6 +149,8 @@
 		vote: restored.HardState.Vote,
 		log:  newEntryLog(restored),
 
+		heard: make(map[NodeID]heardAddress),
+
 		leaseHolder:     restored.HardState.LeaseHolder,
 		leaseHolderTerm: restored.HardState.LeaseHolderTerm,
 	}
@@ -172,6 +177,7 @@
 	case Tick:
 		n.tick()
 	case Receive:
+		n.hear(ev.Message.From, ev.Address)
 		n.receive(&ev.Message)
 	case Persisted:
 		n.persisted(ev.Sequence)
@@ -180,6 +186,7 @@
 	case ProposeMembership:
 		n.proposeMembership(ev.Token, ev.Membership)
 	case Join:
+		n.hear(ev.Member.ID, ev.Member.Address)
 		n.join(ev)
 	case Leave:
 		n.leave(ev)
@@ -302,8 +309,8 @@
 	return *a == *b
 }
 
-// leaderMember returns the current leader, or nil if it is unknown. Only the ID
-// is set if the membership does not hold the leader yet.
+// leaderMember returns the current leader, or nil if it is unknown. Its zone is
+// empty if the membership does not hold the leader yet.
 func (n *Node) leaderMember() *Member {
 	if n.leader.IsZero() {
 		return nil
@@ -312,7 +319,7 @@
 		found := *member
 		return &found
 	}
-	return &Member{ID: n.leader}
+	return &Member{ID: n.leader, Address: n.AddressOf(n.leader)}
 }
 
 func (n *Node) self() NodeID { return n.opts.Self.ID }
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -132,7 +132,11 @@
 type Tick struct{}
 
 // Receive delivers a message from another node.
-type Receive struct{ Message Message }
+type Receive struct {
+	Message Message
+	// Address is the address that the sender named, or empty.
+	Address string
+}
 
 // Persisted reports that the Persist effect with this sequence number and all
 // earlier ones are synced.
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -43,7 +43,6 @@
 	}
 	r.applied = entry.Index
 	if entry.Kind == replication.EntryMembership {
-		r.updateAddresses()
 		r.logMembership(entry)
 	}
 	if local {
@@ -111,7 +110,6 @@
 func (r *Replica) install(snapshot *replication.Snapshot) {
 	r.applied = snapshot.Index
 	r.compactedAt = snapshot.Index
-	r.updateAddresses()
 	if len(snapshot.Data) == 0 {
 		return
 	}
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -97,7 +97,6 @@
 		return fmt.Errorf("bootstrap: create node: %w", err)
 	}
 	r.node = node
-	r.updateAddresses()
 	r.logger.Info().Str("step", "bootstrap").Uint64("incarnation", self.ID.Incarnation).Msg("new log started")
 	return nil
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -189,8 +189,8 @@
 }
 
 func (r *Replica) send(message replication.Message) {
-	address, ok := r.addressOf(message.To)
-	if !ok {
+	address := r.addressOf(message.To)
+	if address == "" {
 		r.logUnaddressed(message)
 		return
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -122,7 +122,6 @@
 	appended     map[uint64]pendingProposal
 	pendingReads []replication.ReadResult
 	senders      map[string]*sender
-	addresses    map[replication.NodeID]string
 	// unaddressed holds the nodes for which messages were dropped, as no address is known.
 	unaddressed map[replication.NodeID]bool
 	applied     uint64
@@ -176,7 +175,6 @@
 		waiting:         make(map[uint64]waiter),
 		appended:        make(map[uint64]pendingProposal),
 		senders:         make(map[string]*sender),
-		addresses:       make(map[replication.NodeID]string),
 		unaddressed:     make(map[replication.NodeID]bool),
 		revisionUpdated: make(chan struct{}),
 		roleUpdated:     make(chan struct{}),
@@ -216,7 +214,6 @@
 			r.machine.Restore(state)
 		}
 	}
-	r.updateAddresses()
 	return nil
 }
 
@@ -366,29 +363,18 @@
 	r.roleUpdated = make(chan struct{})
 }
 
-// updateAddresses reads the members' addresses from the current membership.
-func (r *Replica) updateAddresses() {
-	membership := r.node.Status().Membership
-	clear(r.addresses)
-	for _, members := range [][]replication.Member{membership.Voters, membership.Learners} {
-		for _, member := range members {
-			r.addresses[member.ID] = member.Address
-		}
-	}
-}
-
-// addressOf returns the address of a node: that of the member, or else the one
-// that the settings give for its VM.
-func (r *Replica) addressOf(id replication.NodeID) (string, bool) {
-	if address, ok := r.addresses[id]; ok {
-		return address, true
+// addressOf returns the address of a node: that which the node knows, or else the one
+// that the settings give for its VM, or else "".
+func (r *Replica) addressOf(id replication.NodeID) string {
+	if address := r.node.AddressOf(id); address != "" {
+		return address
 	}
 	for _, peer := range r.opts.Peers {
 		if peer.VM == id.VM {
-			return peer.Address, true
+			return peer.Address
 		}
 	}
-	return "", false
+	return ""
 }
 
 // KnownReplicas returns the addresses of the replicas that this one knows, and
@@ -397,10 +383,13 @@
 	return r.replicaAddresses(), r.leaderAddress()
 }
 
-// replicaAddresses returns the addresses of this replica and of all members,
-// sorted and without duplicates.
+// replicaAddresses returns the addresses of this replica, of all members and of the leader,
+// which may be none of the members by this replica's log, sorted and without duplicates.
 func (r *Replica) replicaAddresses() []string {
 	addresses := []string{r.opts.Self.Address}
+	if leader := r.leaderAddress(); leader != "" {
+		addresses = append(addresses, leader)
+	}
 	membership := r.status().Membership
 	for _, members := range [][]replication.Member{membership.Voters, membership.Learners} {
 		for _, member := range members {
@@ -415,7 +404,7 @@
 func (r *Replica) senderTo(address string) *sender {
 	s, ok := r.senders[address]
 	if !ok {
-		s = newSender(address, r.opts.Client, r.logger, r.metrics)
+		s = newSender(address, r.opts.Self.Address, r.opts.Client, r.logger, r.metrics)
 		r.senders[address] = s
 		r.spawn(func() { s.run(r.runCtx) })
 	}
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -36,7 +36,9 @@
 // while the peer answers in time, and otherwise beside the overdue ones, which
 // reorders messages. Messages may also be dropped; the protocol sends them again.
 type sender struct {
-	peer    string
+	peer string
+	// self is the address of this replica, for the peer's answers.
+	self    string
 	client  *rpc.Client
 	stub    wire.Replica
 	queue   chan []byte
@@ -54,10 +56,11 @@
 	overdueAfter time.Duration
 }
 
-func newSender(peer string, client *rpc.Client, logger *log.Logger, metrics *metrics) *sender {
+func newSender(peer, self string, client *rpc.Client, logger *log.Logger, metrics *metrics) *sender {
 	separate := client.Separate()
 	return &sender{
 		peer:    peer,
+		self:    self,
 		client:  separate,
 		stub:    newStub(peer, separate),
 		queue:   make(chan []byte, senderQueueLength),
@@ -142,7 +145,7 @@
 func (s *sender) call(ctx context.Context, messages [][]byte) error {
 	callCtx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	_, err := s.stub.Deliver(callCtx, &wire.DeliverRequest{Messages: messages})
+	_, err := s.stub.Deliver(callCtx, &wire.DeliverRequest{Messages: messages, Address: s.self})
 	if err != nil && ctx.Err() == nil {
 		s.metrics.deliveryFailures.WithLabelValues(s.peer, "failed").Inc()
 	}
--- a/internal/replica/sender_test.go
+++ b/internal/replica/sender_test.go
@@ -145,7 +145,7 @@
 	server.Start()
 	registry := prometheus.NewRegistry()
 	logger := observe.NewLogger(logs, "info", "r0", "z0")
-	s := newSender(strings.TrimPrefix(server.URL, "http://"), rpc.NewClient(""), logger, newMetrics(registry))
+	s := newSender(strings.TrimPrefix(server.URL, "http://"), "127.0.0.1:1", rpc.NewClient(""), logger, newMetrics(registry))
 	s.timeout, s.overdueAfter = timeout, overdueAfter
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(func() {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -37,7 +37,7 @@
 			return nil, twirp.InvalidArgumentError("messages", err.Error())
 		}
 		select {
-		case s.replica.inbox <- task{event: replication.Receive{Message: message}}:
+		case s.replica.inbox <- task{event: replication.Receive{Message: message, Address: req.Address}}:
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.ResourceExhausted, "replica is overloaded")
 		case <-s.replica.runCtx.Done():
