Separate the list of backend servers into entries before any is decoded

Cause: a page was decoded as a whole before its entries were, and encoding/json gives up a document at 10,000 levels; so it does for a bare word or bytes that are no JSON. The entries that were decoded were checked too little: ports out of range, host names, control characters in a name that is sent in a header, and numbers of slots that 32 bits between processes don't hold were taken as servers.

Change: a page is separated by brackets and quotes alone, without recursion; each entry is decoded by itself and must have an IP address with a port, names of printable characters up to 256 bytes, and 0 to 2^20 slots. The number of entries that are skipped is logged when it changes.

The platforms of the tests over processes and of the soak always have such entries in their lists.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -58,7 +60,10 @@
 	return listener.Addr().String()
 }
 
-// listInstances serves pages of two instances, each page after one invalid instance.
+// deepEntry is an entry of the list that nests more levels than encoding/json reads.
+var deepEntry = strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000)
+
+// listInstances serves pages of two instances, each page after two invalid instances.
 func (p *hostedPlatform) listInstances(w http.ResponseWriter, req *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -81,7 +86,8 @@
 		e.versioned.describe(instance)
 		instances = append(instances, instance)
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": instances, "next_token": next})
+	data, _ := json.Marshal(map[string]any{"instances": instances, "next_token": next})
+	_, _ = w.Write(bytes.Replace(data, []byte(`"instances":[`), []byte(`"instances":[`+deepEntry+`,`), 1))
 }
 
 // listed returns the IDs of the engines in the list.
--- a/internal/process/hosted.go
+++ b/internal/process/hosted.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"waxwingcart/internal/entry"
 	"waxwingcart/internal/replica"
 	"waxwingcart/internal/settings"
@@ -95,6 +97,16 @@
 	return peers
 }
 
+// newPlatformAPI returns a client of the platform that logs list entries which can't be used.
+func newPlatformAPI(process *settings.Process, endless *endlessAnswers, logger *log.Logger) *platform.API {
+	api := platform.NewAPI(process.Platform, endless.from(sourcePlatform))
+	api.OnInvalid(func(peer string, entries int) {
+		logger.Warn().Str("step", "discover").Str("peer", peer).Int("entries", entries).
+			Msg("the list of backend servers has entries that can't be used")
+	})
+	return api
+}
+
 // configureHostedReplica adds the interfaces to the hosting platform to a
 // replica's options.
 func configureHostedReplica(process *settings.Process, endless *endlessAnswers, opts *replica.Options) {
@@ -103,7 +115,7 @@
 		return
 	}
 	opts.Platform = ""
-	api := platform.NewAPI(process.Platform, endless.from(sourcePlatform))
+	api := newPlatformAPI(process, endless, opts.Logger)
 	opts.Duties = &replica.DutyOptions{
 		UsageWindow:    time.Duration(hosted.UsageWindowS * float64(time.Second)),
 		LeaseWait:      milliseconds(hosted.DutyLeaseMS),
@@ -125,7 +137,7 @@
 	opts.AcceptWhileDraining = time.Duration(acceptFraction * hosted.GraceS * float64(time.Second))
 	opts.Routed = &entry.RoutedOptions{
 		Decode:      platform.DecodeDocument,
-		Discover:    platform.NewAPI(process.Platform, endless.from(sourcePlatform)).List,
+		Discover:    newPlatformAPI(process, endless, opts.Logger).List,
 		Callers:     platform.CallerProtocol{},
 		Backends:    platform.BackendProtocol{},
 		UsageWindow: time.Duration(hosted.UsageWindowS * float64(time.Second)),
--- a/internal/soak/platform_test.go
+++ b/internal/soak/platform_test.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -75,10 +77,14 @@
 	}
 }
 
+// deepEntry is an entry of the list that nests more levels than encoding/json reads.
+var deepEntry = strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000)
+
+// list serves the list, which always begins with two entries of another writer.
 func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	instances := []map[string]any{}
+	instances := []map[string]any{{"id": "i-odd", "service": serviceBallast, "addr": "127.0.0.1:70000", "zone": zoneOf(0), "state": "ready"}}
 	for i := range p.ballast {
 		instances = append(instances, map[string]any{"id": fmt.Sprintf("i-ballast-%d", i), "service": serviceBallast, "addr": p.address, "zone": zoneOf(0), "state": "ready", "slots": engineSlots})
 	}
@@ -93,7 +99,8 @@
 		}
 		instances = append(instances, instance)
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": instances, "next_token": nil})
+	data, _ := json.Marshal(map[string]any{"instances": instances, "next_token": nil})
+	_, _ = w.Write(bytes.Replace(data, []byte(`"instances":[`), []byte(`"instances":[`+deepEntry+`,`), 1))
 	close(p.read)
 	p.read = make(chan struct{})
 }
