Don't send a request again on a connection on which it has failed

Cause: the faulty server writes its refusal once more before the answer to the next request on a kept connection. Answers name the request, not the attempt, so that the copy matches the same request.

Change: a connection remembers the latest 128 requests to which it brought a refusal or an error. An attempt of one of them that gets this connection writes nothing to it and uses a new one. Weighed: closing a connection after each refusal costs a connection for each refusal of a full server, and one without a body is in use again before it can be closed.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -104,9 +104,9 @@
 	opts Options
 	// memory is shared by the bodies and events that are being read.
 	memory *answers.Memory
-	// unpooled serves requests that must not run twice, each on a new
-	// connection: a transport sends a request again on its own only if a reused
-	// connection fails.
+	// unpooled serves requests that must not run twice, and those that have failed on
+	// a kept connection before, each on a new connection: a transport sends a request again on its own
+	// only if a reused connection fails.
 	unpooled *http.Transport
 
 	mu sync.Mutex
@@ -275,7 +275,7 @@
 	setDefault(&call.ProgressTimeout, c.opts.ProgressTimeout)
 	wd := newWatchdog(cancel, c.silence(call), call.ProgressTimeout)
 	sent := time.Now()
-	tracker := &writeTracker{}
+	tracker := &writeTracker{request: call.RequestID}
 	fail := func(err error) error {
 		defer cancel(context.Canceled)
 		wd.stop()
@@ -287,6 +287,11 @@
 		return nil, fail(err)
 	}
 	response, err := c.transportFor(call).RoundTrip(request)
+	if err != nil && tracker.failedBefore() {
+		if request, err = c.newRequest(ctx, call, tracker, wd); err == nil {
+			response, err = c.unpooled.RoundTrip(request)
+		}
+	}
 	if err != nil {
 		return nil, fail(err)
 	}
@@ -388,6 +393,9 @@
 	if named, ok := protocol.BelongsTo(r.call, header); !ok {
 		return r.fail(PhaseInvalid, fmt.Errorf("%w: %.60q", errOtherRequest, named))
 	}
+	if r.call.RequestID != "" && (r.response.StatusCode >= http.StatusBadRequest || protocol.NotRun(r.response.StatusCode, header)) {
+		r.tracker.noteFailed()
+	}
 	if lines := headerLines(header); lines > answers.MaxHeadLines {
 		return r.fail(PhaseInvalid, &answers.Error{Kind: answers.KindHead, Detail: fmt.Sprintf("%d header lines, more than %d", lines, answers.MaxHeadLines)})
 	}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,12 +3,18 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingcart/internal/answers"
 )
 
+// maxFailed bounds the latest failed requests that a connection remembers.
+const maxFailed = 128
+
 var errSealed = errors.New("connection is closed for writing: its attempt was abandoned")
 
 // conn counts the bytes written to the network and can be sealed: bytes that are
@@ -22,6 +28,9 @@
 	written int64
 	sealed  bool
 	owner   *writeTracker
+	// failed holds the hashes of the latest requests whose answer on this connection was a
+	// refusal or an error.
+	failed []uint64
 	// readErr is the error that ended reading.
 	readErr error
 	// pace is that of the part of an answer that is being read.
@@ -65,14 +74,24 @@
 	return n, err
 }
 
-// setOwner makes an attempt the owner and returns the number of bytes written
-// before.
-func (c *conn) setOwner(owner *writeTracker) int64 {
+// setOwner makes an attempt the owner and returns the number of bytes written before, and whether
+// the same request has failed on the connection before.
+func (c *conn) setOwner(owner *writeTracker) (written int64, failed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.owner = owner
 	c.pace.Reset()
-	return c.written
+	return c.written, len(c.failed) > 0 && slices.Contains(c.failed, xxhash.Sum64String(owner.request))
+}
+
+// noteFailed remembers a request that failed on the connection.
+func (c *conn) noteFailed(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.failed) == maxFailed {
+		c.failed = append(c.failed[:0], c.failed[1:]...)
+	}
+	c.failed = append(c.failed, xxhash.Sum64String(request))
 }
 
 // resetPace begins a new part if the given owner still owns the connection.
@@ -109,9 +128,16 @@
 
 // writeTracker tracks whether any byte of one attempt was written to the network.
 type writeTracker struct {
+	// request is the request's ID, or empty.
+	request string
+
 	mu        sync.Mutex
 	abandoned bool
-	conns     []trackedConn
+	// again is true if the attempt got a connection on which its request has failed before. If the
+	// server writes that answer once more, it would be taken for the answer to this attempt, as
+	// both bear the request's ID. Nothing is written to such a connection.
+	again bool
+	conns []trackedConn
 }
 
 // trackedConn is a connection and the number of bytes written to it before the
@@ -130,14 +156,32 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	base := counted.setOwner(t)
-	if t.abandoned {
+	base, failed := counted.setOwner(t)
+	if t.abandoned || failed {
+		t.again = t.again || failed
 		counted.seal(t)
 		return
 	}
 	t.conns = append(t.conns, trackedConn{counted, base})
 }
 
+// failedBefore reports whether no byte of the attempt was written because its request had failed
+// on the connection before.
+func (t *writeTracker) failedBefore() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.again && len(t.conns) == 0
+}
+
+// noteFailed records that the attempt's answer is a refusal or an error.
+func (t *writeTracker) noteFailed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tracked := range t.conns {
+		tracked.conn.noteFailed(t.request)
+	}
+}
+
 // partRead begins the next part of the answer: the one before has been read.
 func (t *writeTracker) partRead() {
 	t.mu.Lock()
