Check the list of servers before a stream goes on at the only known version

What callers saw: nothing yet. Reported by other operators: during a release, streams that had begun at servers of a new version were taken up at an entry that had been out of touch for some seconds, and went on at another version.

Cause: a take-up without a record goes on if the service has had one version only, by a list that is up to 3 s old. An entry that was cut off from the leader, the platform and the other entries for less than that does not know that servers of another version have joined, and has no record of streams that began there.

Change: that there is one version only must have been checked since the take-up arrived. The entry draws from the leader at once, whose list all entries in touch use; without an answer it reads the platform's list, at most as often as the platform's rate allows for all entries together. If neither answers, the take-up is refused as not run, with a time. The decision is core/lineage's.

--- a/internal/core/lineage/history.go
+++ b/internal/core/lineage/history.go
@@ -61,6 +61,7 @@
 		b.resets++
 	}
 	b.readAt, b.listed = readAt, true
+	b.Checked(readAt)
 }
 
 // Resets counts how often the history began anew, the first list included.
--- a/internal/core/lineage/lineage.go
+++ b/internal/core/lineage/lineage.go
@@ -91,6 +91,8 @@
 	ReasonNoRecord Reason = "stream-not-known"
 	// ReasonAmbiguous means that one ID was used for streams of two versions.
 	ReasonAmbiguous Reason = "stream-ambiguous"
+	// ReasonUnchecked means that the service has one version by a list that may be out of date.
+	ReasonUnchecked Reason = "list-not-checked"
 )
 
 // Decision says where a stream may go on.
@@ -118,6 +120,8 @@
 	// latest list was read. They are valid if listed is true.
 	since, readAt time.Duration
 	listed        bool
+	// checkedAt is the latest time at which the list in use was the newest that any entry could have.
+	checkedAt time.Duration
 	// bound is the longest time for which a stream is expected to be taken up.
 	bound  time.Duration
 	resets uint64
@@ -150,6 +154,25 @@
 	return Decision{Reason: ReasonNoRecord}
 }
 
+// TakeUp is Decide for a take-up that arrived at a time. That a service has one version only
+// must have been checked since then: while this entry was out of touch, servers of another version
+// may have joined, and the stream may have begun at them through an entry that knows them.
+func (b *Book) TakeUp(now, arrived time.Duration, id StreamID, named bool, service string) Decision {
+	decision := b.Decide(now, id, named, service)
+	// Where no version has a name, there is none to tell apart.
+	if decision.Source == SourceHistory && decision.Version != "" && !b.CheckedSince(arrived) {
+		return Decision{Reason: ReasonUnchecked}
+	}
+	return decision
+}
+
+// Checked records that at a time the list in use was the newest that any entry could have. Reading a
+// list from the platform is such a check.
+func (b *Book) Checked(at time.Duration) { b.checkedAt = max(b.checkedAt, at) }
+
+// CheckedSince reports whether the list was checked at a time or later.
+func (b *Book) CheckedSince(at time.Duration) bool { return b.listed && b.checkedAt >= at }
+
 // recorded decides by the stream's record. It returns false if there is none.
 func (b *Book) recorded(now time.Duration, id StreamID, service string) (Decision, bool) {
 	r, ok := b.records[id]
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -31,6 +31,10 @@
 
 // directory holds the discovered backend servers.
 type directory struct {
+	// checking is held while a call reads the list to check it, last at checkedAt.
+	checking  sync.Mutex
+	checkedAt time.Duration
+
 	mu      sync.Mutex
 	loaded  bool
 	list    []discovery.Server
@@ -173,6 +177,30 @@
 	}
 }
 
+// checkInterval is the shortest time, for each entry, between two reads of the platform's list
+// that check whether the list in use is out of date.
+const checkInterval = 30 * time.Millisecond
+
+// checkList asks the leader, and without an answer the platform, whether the list in use is still
+// the newest.
+func (e *Entry) checkList(ctx context.Context) {
+	asked := e.now()
+	if e.quota.drawSoon(ctx) && e.streams.checkedSince(asked) {
+		return
+	}
+	d := e.directory
+	d.checking.Lock()
+	defer d.checking.Unlock()
+	// Another call may have read the list meanwhile. All entries share the platform's rate.
+	if e.streams.checkedSince(asked) || d.checkedAt != 0 && e.now()-d.checkedAt < time.Duration(max(e.quota.entries(), readsPerInterval))*checkInterval {
+		return
+	}
+	d.checkedAt = e.now()
+	if err := e.discover(ctx); err != nil {
+		e.logger.Warn().Str("step", "discover").Err(err).Msg("checking the list of backend servers failed")
+	}
+}
+
 func (e *Entry) discover(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -106,6 +106,7 @@
 	reasonStreamUnknown:       "the software version that began the stream is not known here; " + beginAgain,
 	reasonStreamAmbiguous:     "streams of two software versions began under the request ID that Resumes names; " + beginAgain,
 	reasonVersionChanged:      "the backend server that began the stream has changed its software version; " + beginAgain,
+	reasonListUnchecked:       "whether other software versions have joined could not be checked; " + beginAgain,
 	reasonVersionGone:         "no backend server of the software version that began the stream takes work; " + beginAgain,
 }
 
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -80,14 +80,26 @@
 		return
 	}
 	readAt := requestedAt - time.Duration(response.ListAgeMs)*time.Millisecond
-	if q.entry.directory.confirm(response.List, readAt) {
+	switch {
+	case q.entry.directory.confirm(response.List, readAt):
 		q.entry.streams.confirmed(readAt)
+	case len(response.Servers) == 0:
 		return
+	default:
+		q.entry.applyList(codec.ServersFromWire(response.Servers), response.List, readAt)
 	}
-	if len(response.Servers) == 0 {
-		return
+	// Beyond that age other entries may have read a newer list themselves.
+	if requestedAt-readAt < maxListAge {
+		q.entry.streams.checked(requestedAt)
 	}
-	q.entry.applyList(codec.ServersFromWire(response.Servers), response.List, readAt)
+}
+
+// drawSoon waits for a draw that begins from now on, and reports whether it ended in time.
+func (q *quotaClient) drawSoon(ctx context.Context) bool {
+	q.mu.Lock()
+	done := q.wakeDraw()
+	q.mu.Unlock()
+	return q.await(ctx, done)
 }
 
 func (q *quotaClient) granted() bool {
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -66,6 +66,20 @@
 	s.book.Confirmed(readAt)
 }
 
+// checked records that the list in use was the leader's newest at a time.
+func (s *streams) checked(at time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Checked(at)
+}
+
+// checkedSince reports whether the list was checked after a time.
+func (s *streams) checkedSince(at time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.CheckedSince(at)
+}
+
 // takeUpFactor is how many times a route's timeout a caller may go on taking a stream up,
 // unless it says that it waits longer.
 const takeUpFactor = 2
@@ -137,13 +151,13 @@
 	}
 }
 
-// decide says at which version a stream may go on at a service, and how far back the
-// history of versions reaches.
-func (s *streams) decide(id lineage.StreamID, named bool, service string) (lineage.Decision, time.Duration) {
+// decide says at which version a stream whose take-up arrived at a time may go on at a service, and
+// how far back the history of versions reaches.
+func (s *streams) decide(arrived time.Duration, id lineage.StreamID, named bool, service string) (lineage.Decision, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.entry.now()
-	return s.book.Decide(now, id, named, service), s.book.Reach(now)
+	return s.book.TakeUp(now, arrived, id, named, service), s.book.Reach(now)
 }
 
 // expire forgets what is over.
--- a/internal/entry/streams_test.go
+++ b/internal/entry/streams_test.go
@@ -26,7 +26,7 @@
 }
 
 func (s *streams) decideNamed(customer, requestID string) lineage.Decision {
-	decision, _ := s.decide(streamID(customer, requestID), true, "models")
+	decision, _ := s.decide(s.entry.now(), streamID(customer, requestID), true, "models")
 	return decision
 }
 
--- a/internal/entry/takeup.go
+++ b/internal/entry/takeup.go
@@ -14,6 +14,7 @@
 	reasonStreamUnnamed   = request.Reason(lineage.ReasonUnnamed)
 	reasonStreamUnknown   = request.Reason(lineage.ReasonNoRecord)
 	reasonStreamAmbiguous = request.Reason(lineage.ReasonAmbiguous)
+	reasonListUnchecked   = request.Reason(lineage.ReasonUnchecked)
 	reasonVersionGone     = request.Reason("version-gone")
 	reasonVersionChanged  = request.Reason("version-changed")
 )
@@ -42,10 +43,17 @@
 		r.routed.stream = streamID(r.customer.Name, call.ResumedID)
 	}
 	r.entry.streams.expect(r.takeUpTime())
-	decision, reach := r.entry.streams.decide(r.routed.stream, named, r.service.Name)
+	decide := func() (lineage.Decision, time.Duration) {
+		return r.entry.streams.decide(r.arrived, r.routed.stream, named, r.service.Name)
+	}
+	decision, reach := decide()
+	if decision.Reason == lineage.ReasonUnchecked {
+		r.entry.checkList(r.callerCtx)
+		decision, reach = decide()
+	}
 	if decision.Reason == lineage.ReasonNoRecord {
 		wait(r.callerCtx, recordWait)
-		decision, reach = r.entry.streams.decide(r.routed.stream, named, r.service.Name)
+		decision, reach = decide()
 	}
 	outcome := r.applyTakeUp(decision, reach)
 	r.logTakeUp(decision, reach, outcome)
