--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -27,14 +27,11 @@
 	book *lineage.Book
 	// repeatedAt is when the records of this entry's streams were last repeated.
 	repeatedAt time.Duration
-	// recent holds the streams that have begun here lately, oldest first, and labels
-	// the versions of instances by the list.
-	recent []beginning
-	labels map[string]label
+	labels     lineage.Labels
 }
 
 func newStreams(e *Entry) *streams {
-	return &streams{entry: e, book: lineage.New(), labels: make(map[string]label)}
+	return &streams{entry: e, book: lineage.New()}
 }
 
 // streamID returns the hash under which a stream is known.
@@ -106,7 +103,7 @@
 func (s *streams) begun(id lineage.StreamID, version lineage.Version, instance string, left time.Duration) {
 	now := s.entry.now()
 	s.mu.Lock()
-	s.remember(beginning{id: id, instance: instance, at: now, until: now + left})
+	s.labels.Begun(lineage.Beginning{ID: id, Instance: instance, At: now, Until: now + left})
 	s.mu.Unlock()
 	s.note(id, version, left)
 }
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -279,7 +279,7 @@
 	e.clock = func() time.Duration { return clock() + offset }
 	v1 := lineage.Version{Service: "models", Name: "v1"}
 	e.streams.begun(streamID("", "old"), v1, "i-0", time.Minute)
-	offset += relabelWindow + time.Second
+	offset += lineage.RelabelWindow + time.Second
 	e.streams.begun(streamID("", "late"), v1, "i-0", time.Minute)
 	e.streams.begun(streamID("", "other"), v1, "i-1", time.Minute)
 	r := &run{entry: e, routed: &routedCall{}, service: e.config.inForce().services["models"]}
