Soak: replicas lose their disks in series

TestSoakDisks plays lost disks every 5 to 6 s, of the leader more often than of the others, power losses of all processes beside some of them, and long documents.

--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -113,6 +113,8 @@
 	Streams, Endless bool
 	// Troubles adds servers that crash under one part of a prompt or name limits.
 	Troubles bool
+	// Disks makes the faults of replicas lost disks, and all processes lose power.
+	Disks bool
 }
 
 // Plan is a sequence of changes and faults. It depends on its options alone.
@@ -171,6 +173,10 @@
 		p.Order = append(p.Order, i+1)
 	}
 	p.bulk, p.Ballast = 10+p.rng.IntN(3000), p.rng.IntN(400)
+	if options.Disks {
+		// The log takes several messages.
+		p.bulk += minDiskBulk
+	}
 	for i := range options.Entries {
 		if p.chance(0.5) {
 			p.MaxProcs[fmt.Sprintf("e%d", i+1)] = 1 + p.rng.IntN(2)
@@ -180,6 +186,10 @@
 	p.at = 200 * time.Millisecond
 	// A third of the plans has faults of replicas only, a third changes of the list.
 	for theme := p.rng.IntN(3); p.at < options.Duration; {
+		if options.Disks {
+			p.diskCycle()
+			continue
+		}
 		if theme != 0 {
 			p.listCycle()
 			p.listCycle()
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -236,7 +236,7 @@
 		p.signal(syscall.SIGSTOP, false)
 		sleep(ctx, e.For)
 		p.signal(syscall.SIGCONT, false)
-	case KindKill, KindTerm:
+	case KindKill, KindTerm, KindWipe:
 		r.restart(ctx, p, e)
 	default:
 		r.faultLinks(ctx, p.proxy, e)
@@ -246,7 +246,7 @@
 // restart ends a process and starts it again. One that was asked to stop is killed
 // when its grace period is over.
 func (r *run) restart(ctx context.Context, p *process, e Event) {
-	if e.Kind == KindKill {
+	if e.Kind != KindTerm {
 		p.signal(syscall.SIGKILL, true)
 	} else {
 		p.signal(syscall.SIGTERM, true)
@@ -254,6 +254,11 @@
 		defer timer.Stop()
 	}
 	p.await()
+	if e.Kind == KindWipe {
+		if err := r.wipe(p); err != nil {
+			r.history.update(func() { r.history.Ends = append(r.history.Ends, err.Error()) })
+		}
+	}
 	sleep(ctx, e.For)
 	if err := r.deployment.start(p); err != nil {
 		r.history.update(func() { r.history.Ends = append(r.history.Ends, err.Error()) })
