Keep the list of backend servers on the replicas' disks

Cause: the list of backend servers lived in memory alone, in the leader and the entries. Both were empty after the power loss.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -21,6 +21,9 @@
 type hostedPlatform struct {
 	address string
 
+	// silent makes the list answer nothing.
+	silent atomic.Bool
+
 	mu      sync.Mutex
 	engines []*hostedEngine
 	// usage holds the reported counts by window, holders the last fencing number
@@ -65,6 +68,10 @@
 
 // listInstances serves pages of two instances, each page after two invalid instances.
 func (p *hostedPlatform) listInstances(w http.ResponseWriter, req *http.Request) {
+	if p.silent.Load() {
+		<-req.Context().Done()
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	from, _ := strconv.Atoi(req.URL.Query().Get("page_token"))
--- a/internal/e2e/hosted_powerloss_test.go
+++ b/internal/e2e/hosted_powerloss_test.go
@@ -7,10 +7,14 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
-// powerOff ends all processes at once, erases the disk of one replica, and starts all
-// again. It can't take away what a process wrote but did not sync: that is part of
+// followerReads is longer than the interval at which a replica that does not lead reads the list.
+const followerReads = 6 * time.Second
+
+// powerOff ends all processes at once, erases the disk of one replica unless its name is empty, and
+// starts all again. It can't take away what a process wrote but did not sync: that is part of
 // the crash tests of the storage package.
 func (h *hostedCluster) powerOff(wiped string) {
 	h.t.Helper()
@@ -21,11 +25,12 @@
 		_ = v.cmd.Wait()
 		v.cmd = nil
 	}
-	lost := h.vms[wiped]
-	if err := os.RemoveAll(lost.dataDir); err != nil {
-		h.t.Fatal(err)
+	if lost := h.vms[wiped]; lost != nil {
+		if err := os.RemoveAll(lost.dataDir); err != nil {
+			h.t.Fatal(err)
+		}
+		h.writeHostedSettings(lost, false)
 	}
-	h.writeHostedSettings(lost, false)
 	for name := range h.vms {
 		h.start(name)
 	}
@@ -87,3 +92,41 @@
 		}
 	}
 }
+
+// All VMs lose power while the platform does not answer, once with the disk of the leader. Entries serve by
+// the list of backend servers that a replica kept, and follow the platform's list when it answers again.
+func TestHostedPowerLostByAllWithoutPlatform(t *testing.T) {
+	for name, wiped := range map[string]bool{"with all disks": false, "with a lost disk": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHostedCluster(t, 2)
+			h.platform.addEngine(t, "i-a1", "ledger")
+			h.applyDocument(document(7))
+			h.eventually("the replicas are complete", h.repaired)
+			// Replicas that do not lead read the list now and then.
+			time.Sleep(followerReads)
+			h.platform.silent.Store(true)
+			lost := ""
+			if wiped {
+				lost = h.leader("")
+			}
+			h.powerOff(lost)
+			served := func(entry string) func() bool {
+				sent := 0
+				return func() bool {
+					sent++
+					return h.call(entry, "GET", "/notices/1", fmt.Sprintf("%s-%s-%d", name, entry, sent), "", "").status == http.StatusOK
+				}
+			}
+			for _, entry := range []string{"e1", "e2"} {
+				h.eventually(entry+" serves while the platform is silent", served(entry))
+			}
+			added := h.platform.addEngine(t, "i-a2", "ledger")
+			h.platform.silent.Store(false)
+			h.eventually("a server that joined later is used", func() bool {
+				served("e1")()
+				runs, _ := added.count()
+				return runs > 0
+			})
+		})
+	}
+}
--- a/internal/entry/stalledsave_test.go
+++ b/internal/entry/stalledsave_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	buffer := make([]byte, 1<<20)
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if strings.Contains(string(buffer[:runtime.Stack(buffer, true)]), "savedconfig.writeFileSynced") {
+		if strings.Contains(string(buffer[:runtime.Stack(buffer, true)]), "savedfile.writeSynced") {
 			return
 		}
 	}
--- a/internal/replica/duties.go
+++ b/internal/replica/duties.go
@@ -24,6 +24,9 @@
 	// servers, for scaling and on behalf of all entries. A reclaimed server is
 	// gone about two seconds after the list shows it as leaving.
 	listInterval = 500 * time.Millisecond
+	// followerListInterval is how often a replica that does not lead reads the list, to keep it
+	// for the time when it leads and the platform does not answer.
+	followerListInterval = 5 * time.Second
 	// dutyTimeout bounds one call to the platform. A call that starts within the
 	// lease ends before a new leader may act.
 	dutyTimeout = 1500 * time.Millisecond
@@ -83,6 +86,12 @@
 	// list is the latest reading of the platform's list. It is also passed to the
 	// entries.
 	list serverList
+	// saved is the list that this replica kept on disk. Entries get it until a list has been read;
+	// orders are never based on it. listChanged has a value when a list is to be saved.
+	saved       serverList
+	listChanged chan struct{}
+	// nextRead is when this replica reads the list next although it does not lead.
+	nextRead time.Duration
 	// decoded belongs to runScaling.
 	decoded decodedTable
 }
@@ -113,7 +122,11 @@
 // loadLifetime is how long a load report counts if the entry sends no newer one.
 const loadLifetime = 3 * time.Second
 
-func newDuties(r *Replica, opts DutyOptions) *duties { return &duties{replica: r, opts: opts} }
+func newDuties(r *Replica, opts DutyOptions) *duties {
+	d := &duties{replica: r, opts: opts, listChanged: make(chan struct{}, 1)}
+	d.loadList()
+	return d
+}
 
 func wallTime() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
@@ -167,6 +180,7 @@
 		})
 	})
 	d.replica.spawn(func() { d.runScaling(ctx, listRead) })
+	d.replica.spawn(func() { d.runSave(ctx) })
 	periodic.Run(ctx, dutyInterval, func() { d.reportUsage(ctx) })
 }
 
@@ -245,10 +259,11 @@
 	return d.opts.SendUsage(ctx, holder, report)
 }
 
-// readList reads the platform's list if this replica leads, and reports whether
-// it did. It needs no lease, as it does no harm if two replicas read the list.
+// readList reads the platform's list, rarely if this replica does not lead, and reports whether it
+// did as leader. It needs no lease, as it does no harm if two replicas read the list.
 func (d *duties) readList(ctx context.Context) bool {
-	if d.replica.status().Role != replication.RoleLeader {
+	leads := d.replica.status().Role == replication.RoleLeader
+	if !leads && !d.listDue() {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, dutyTimeout)
@@ -266,6 +281,20 @@
 		d.replica.logger.Info().Str("step", "discover").Int("servers", len(servers)).Uint64("version", version).Msg("list of backend servers changed")
 	}
 	d.list = serverList{servers: servers, version: version, at: askedAt}
+	signal(d.listChanged)
+	return leads
+}
+
+// listDue reports whether a replica that does not lead should read the list. A reading that fails
+// counts, so that an unreachable platform is not called more often.
+func (d *duties) listDue() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.replica.now()
+	if now < d.nextRead {
+		return false
+	}
+	d.nextRead = now + followerListInterval
 	return true
 }
 
@@ -274,13 +303,17 @@
 func (d *duties) fillList(req *wire.DrawRequest, response *wire.DrawResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.list.version == 0 {
+	list, age := d.list, d.replica.now()-d.list.at
+	if list.version == 0 {
+		list, age = d.saved, savedListAge
+	}
+	if list.version == 0 {
 		return
 	}
-	response.List = d.list.version
-	response.ListAgeMs = (d.replica.now() - d.list.at).Milliseconds()
-	if req.List != d.list.version {
-		response.Servers = codec.ServersToWire(d.list.servers)
+	response.List = list.version
+	response.ListAgeMs = age.Milliseconds()
+	if req.List != list.version {
+		response.Servers = codec.ServersToWire(list.servers)
 	}
 }
 
