Pass on a list that was read before the term as an old one

Found on reading the change: a replica that does not lead reads the list of servers now and then, to keep it. Once it led, it passed this list on with its age of some seconds. An entry that asked whether its own list is still the newest took that for a confirmation, although the leader before may have passed on a newer one: a stream could go on at another version. Such a list has the age of one from disk now, until the leader has read the list itself.

TestListFromBeforeTheTermIsOld.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -177,9 +177,9 @@
 	}
 }
 
-// checkInterval is the shortest time, for each entry, between two reads of the platform's list
-// that check whether the list in use is out of date.
-const checkInterval = 30 * time.Millisecond
+// checkIntervalPerEntry is multiplied by the number of entries to get the shortest time between two
+// reads of the platform's list by which one entry checks whether the list in use is out of date.
+const checkIntervalPerEntry = 30 * time.Millisecond
 
 // checkList asks the leader, and without an answer the platform, whether the list in use is still
 // the newest.
@@ -192,7 +192,7 @@
 	d.checking.Lock()
 	defer d.checking.Unlock()
 	// Another call may have read the list meanwhile. All entries share the platform's rate.
-	if e.streams.checkedSince(asked) || d.checkedAt != 0 && e.now()-d.checkedAt < time.Duration(max(e.quota.entries(), readsPerInterval))*checkInterval {
+	if e.streams.checkedSince(asked) || d.checkedAt != 0 && e.now()-d.checkedAt < time.Duration(max(e.quota.entries(), readsPerInterval))*checkIntervalPerEntry {
 		return
 	}
 	d.checkedAt = e.now()
--- a/internal/replica/duties.go
+++ b/internal/replica/duties.go
@@ -86,9 +86,7 @@
 	// list is the latest reading of the platform's list. It is also passed to the
 	// entries.
 	list serverList
-	// saved is the list that this replica kept on disk. Entries get it until a list has been read;
-	// orders are never based on it. listChanged has a value when a list is to be saved.
-	saved       serverList
+	// listChanged has a value when list is to be saved.
 	listChanged chan struct{}
 	// nextRead is when this replica reads the list next although it does not lead.
 	nextRead time.Duration
@@ -109,8 +107,10 @@
 	// version identifies the content, and is the same at every leader for the same
 	// content. It is 0 before the first reading.
 	version uint64
-	// at is when the reading started.
-	at time.Duration
+	// at is when the reading started, and term the term in which this replica led at that time: 0 if
+	// it did not, or if the list is from its disk. Orders are never based on such a list.
+	at   time.Duration
+	term uint64
 }
 
 // entryLoad is the load that an entry reported last, by service.
@@ -262,8 +262,11 @@
 // readList reads the platform's list, rarely if this replica does not lead, and reports whether it
 // did as leader. It needs no lease, as it does no harm if two replicas read the list.
 func (d *duties) readList(ctx context.Context) bool {
-	leads := d.replica.status().Role == replication.RoleLeader
-	if !leads && !d.listDue() {
+	status := d.replica.status()
+	term := uint64(0)
+	if status.Role == replication.RoleLeader {
+		term = status.Term
+	} else if !d.listDue() {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, dutyTimeout)
@@ -280,9 +283,9 @@
 	if version != d.list.version {
 		d.replica.logger.Info().Str("step", "discover").Int("servers", len(servers)).Uint64("version", version).Msg("list of backend servers changed")
 	}
-	d.list = serverList{servers: servers, version: version, at: askedAt}
+	d.list = serverList{servers: servers, version: version, at: askedAt, term: term}
 	signal(d.listChanged)
-	return leads
+	return term != 0
 }
 
 // listDue reports whether a replica that does not lead should read the list. A reading that fails
@@ -303,17 +306,18 @@
 func (d *duties) fillList(req *wire.DrawRequest, response *wire.DrawResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list, age := d.list, d.replica.now()-d.list.at
-	if list.version == 0 {
-		list, age = d.saved, savedListAge
-	}
-	if list.version == 0 {
+	if d.list.version == 0 {
 		return
 	}
-	response.List = list.version
+	age := d.replica.now() - d.list.at
+	if d.list.term != d.replica.status().Term {
+		// The leader before may have passed on a newer list.
+		age = max(age, savedListAge)
+	}
+	response.List = d.list.version
 	response.ListAgeMs = age.Milliseconds()
-	if req.List != list.version {
-		response.Servers = codec.ServersToWire(list.servers)
+	if req.List != d.list.version {
+		response.Servers = codec.ServersToWire(d.list.servers)
 	}
 }
 
--- a/internal/replica/duties_test.go
+++ b/internal/replica/duties_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -127,3 +128,43 @@
 		t.Errorf("%d orders of the current term were sent, want 1", n)
 	}
 }
+
+// A list that a replica read before it led is not passed on as the present one: the leader before may have
+// read a newer one since, and entries have it.
+func TestListFromBeforeTheTermIsOld(t *testing.T) {
+	peers, listeners := newPeers(t, 1)
+	opts := replicaOptions(t, peers, 0)
+	listed := []discovery.Server{{Instance: "i-1", Service: "m"}}
+	var down atomic.Bool
+	failed := make(chan struct{}, 1)
+	opts.Duties = &DutyOptions{Discover: func(context.Context) ([]discovery.Server, error) {
+		if down.Load() {
+			signal(failed)
+			return nil, errors.New("down")
+		}
+		return listed, nil
+	}}
+	r, _ := serveReplica(t, opts, listeners[0])
+	awaitVoters(t, r, 1)
+	awaitLeader(t, []*Replica{r})
+	// current reports whether entries get the list as the present one.
+	current := func() bool {
+		var response wire.DrawResponse
+		r.duties.fillList(&wire.DrawRequest{}, &response)
+		return response.List != 0 && response.ListAgeMs < savedListAge.Milliseconds()
+	}
+	for end := time.Now().Add(readTimeout); !current(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a list that was read by the leader counts as old")
+		}
+	}
+	// No later reading replaces the list.
+	down.Store(true)
+	await(t, failed, "a reading that fails")
+	r.duties.mu.Lock()
+	r.duties.list.term--
+	r.duties.mu.Unlock()
+	if current() {
+		t.Error("a list that was read before the term counts as the present one")
+	}
+}
--- a/internal/replica/savedlist.go
+++ b/internal/replica/savedlist.go
@@ -21,9 +21,9 @@
 	savedListName = "servers"
 	// saveInterval is the shortest time between two writes of the file.
 	saveInterval = time.Second
-	// savedListAge is the age that a saved list has for entries: far too old to be taken for the
-	// present one, so that they go on to read the platform's list. How old it is is not known, as
-	// the time of day may jump.
+	// savedListAge is the age that a list has for entries which its replica did not read while it led:
+	// far too old to be taken for the present one, so that they go on to read the platform's list.
+	// How old one from disk is is not known, as the time of day may jump.
 	savedListAge = time.Hour
 )
 
@@ -47,15 +47,15 @@
 		return
 	}
 	servers := codec.ServersFromWire(saved.Servers)
-	d.saved = serverList{servers: servers, version: discovery.Version(servers)}
-	logger.Info().Str("step", "load list").Int("servers", len(servers)).Uint64("version", d.saved.version).Msg("list of backend servers loaded from disk")
+	d.list = serverList{servers: servers, version: discovery.Version(servers), at: d.replica.now()}
+	logger.Info().Str("step", "load list").Int("servers", len(servers)).Uint64("version", d.list.version).Msg("list of backend servers loaded from disk")
 }
 
 // runSave saves each list that differs from the last one. A disk that is slow or full delays no
 // reading of the list.
 func (d *duties) runSave(ctx context.Context) {
 	failing := false
-	for savedVersion := d.saved.version; ; {
+	for savedVersion := uint64(0); ; {
 		select {
 		case <-ctx.Done():
 			return
