Test: wait for the connections whose answers are counted

Its stacks show 199 of 200 answers sent: one call had not connected within the dial timeout of 1 s, and ended, while the test waits for all 200. Its calls wait for their connections now, as they do for their answers; what is measured, and the bound, are the same.

--- a/internal/backend/endlessmemory_test.go
+++ b/internal/backend/endlessmemory_test.go
@@ -85,7 +85,7 @@
 	var reading atomic.Int64
 	for range endlessConcurrent {
 		calls.Go(func() {
-			call := Call{Step: "dispatch", Address: listener.Addr().String(), Method: http.MethodGet, Path: "/x", ProgressTimeout: time.Hour}
+			call := Call{Step: "dispatch", Address: listener.Addr().String(), Method: http.MethodGet, Path: "/x", DialTimeout: time.Hour, ProgressTimeout: time.Hour}
 			reading.Add(1)
 			_ = readWhole(ctx, client, call)
 			reading.Add(-1)
