Connect through other entries while cut off from backend servers

Callers of an entry that had lost its links to all backend servers were served nothing: 0 of 25 of each kind in TestHostedCutOffEntryServes where connections are reset, 5 of 25 where they hang. Cause: an entry has no way to a server but its own links, and takes their loss for failures of the servers.

Failures and silence now raise a suspicion. Up to three servers then get a health check both directly and through another entry; two that answer only the latter show a cut, and all connections go through other entries until two direct health checks are answered. Requests stay with the entry that took them, so nothing changes in retries, records of streams and the promise to run once. The server's bytes come in chunks with an end mark, as an answer without a length ends with its connection.

Tried first and dropped: dial failures as the only evidence, with a peer's connection as proof. Connections that are accepted and stay silent showed nothing then (5 of 26).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -60,11 +60,29 @@
 	OnLimit func(call Call, limit Limit)
 	// Limited reports whether an instance is known to limit requests.
 	Limited func(instance string) bool
+	// Detour connects to servers that this process can't reach, if set.
+	Detour Detour
 	// OnEndless is called in the same way with each call whose response exceeds a
 	// bound; the error is an *answers.Error.
 	OnEndless func(call Call, err error)
 }
 
+// Detour connects to servers by another way than directly. It is told how direct connections
+// fare.
+type Detour interface {
+	// Active reports whether all new connections to a server are made by the detour.
+	Active(address string) bool
+	// Sent is called with each request that is sent directly, and the function that it returns when
+	// the call has its answer or has ended.
+	Sent(address string) (ended func(answered bool))
+	// Connected is called when a new direct connection was answered, and Failed when none could be
+	// made or it was broken off before the first byte of an answer.
+	Connected(address string)
+	Failed(address string)
+	// Dial makes a connection by the detour.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
 // The defaults of Options.
 const (
 	DefaultDialTimeout      = time.Second
@@ -108,6 +126,8 @@
 	// a kept connection before, each on a new connection: a transport sends a request again on its own
 	// only if a reused connection fails.
 	unpooled *http.Transport
+	// detoured is like unpooled and connects by the detour.
+	detoured *http.Transport
 
 	mu sync.Mutex
 	// pooled holds one transport per server, so that the idle connections to a
@@ -120,6 +140,9 @@
 	c := &Client{opts: opts.withDefaults(), memory: answers.NewMemory(answers.MaxMemory), pooled: make(map[string]*http.Transport)}
 	c.unpooled = c.newTransport()
 	c.unpooled.DisableKeepAlives = true
+	c.detoured = c.newTransport()
+	c.detoured.DisableKeepAlives = true
+	c.detoured.DialContext = c.dialDetour
 	return c
 }
 
@@ -132,6 +155,7 @@
 		delete(c.pooled, address)
 	}
 	c.unpooled.CloseIdleConnections()
+	c.detoured.CloseIdleConnections()
 }
 
 // CloseIdle closes the idle connections to a server, for example after a call timed
@@ -145,8 +169,20 @@
 	}
 }
 
+// CloseAllIdle closes the idle connections to all servers.
+func (c *Client) CloseAllIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, transport := range c.pooled {
+		transport.CloseIdleConnections()
+	}
+}
+
 // transportFor returns the transport for a call.
 func (c *Client) transportFor(call Call) *http.Transport {
+	if c.opts.Detour != nil && c.opts.Detour.Active(call.Address) {
+		return c.detoured
+	}
 	if !call.Repeatable {
 		return c.unpooled
 	}
@@ -196,6 +232,18 @@
 		dialer.Timeout = timeout
 	}
 	raw, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		if c.opts.Detour != nil && !errors.Is(err, context.Canceled) {
+			c.opts.Detour.Failed(address)
+		}
+		return nil, err
+	}
+	return &conn{Conn: raw}, nil
+}
+
+// dialDetour connects to a server by the detour.
+func (c *Client) dialDetour(ctx context.Context, _, address string) (net.Conn, error) {
+	raw, err := c.opts.Detour.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -286,12 +334,21 @@
 	if err != nil {
 		return nil, fail(err)
 	}
-	response, err := c.transportFor(call).RoundTrip(request)
+	transport := c.transportFor(call)
+	direct, ended := c.opts.Detour != nil && transport != c.detoured, func(bool) {}
+	if direct {
+		ended = c.opts.Detour.Sent(call.Address)
+	}
+	response, err := transport.RoundTrip(request)
 	if err != nil && tracker.failedBefore() {
 		if request, err = c.newRequest(ctx, call, tracker, wd); err == nil {
 			response, err = c.unpooled.RoundTrip(request)
 		}
 	}
+	if direct {
+		ended(err == nil)
+		c.reportDirect(ctx, call, tracker, err)
+	}
 	if err != nil {
 		return nil, fail(err)
 	}
@@ -308,6 +365,18 @@
 	return pending, nil
 }
 
+// reportDirect tells the detour how a new direct connection fared, after its head was read or it
+// failed. A failed dial was reported before.
+func (c *Client) reportDirect(ctx context.Context, call Call, tracker *writeTracker, err error) {
+	switch {
+	case !tracker.onNewConnection():
+	case err == nil:
+		c.opts.Detour.Connected(call.Address)
+	case ctx.Err() == nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)):
+		c.opts.Detour.Failed(call.Address)
+	}
+}
+
 // silence returns what to do when a call is silent that stays open, or nil.
 func (c *Client) silence(call Call) func() {
 	if call.OnSilence == nil {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -116,7 +116,7 @@
 	c.sealed = true
 	written := c.written
 	c.mu.Unlock()
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		// Resets the connection on close, so that unsent data is not delivered
 		// after a network partition heals. An error means that the connection has
 		// already ended.
@@ -137,6 +137,8 @@
 	// server writes that answer once more, it would be taken for the answer to this attempt, as
 	// both bear the request's ID. Nothing is written to such a connection.
 	again bool
+	// fresh is true if the latest connection was made for this attempt.
+	fresh bool
 	conns []trackedConn
 }
 
@@ -162,6 +164,7 @@
 		counted.seal(t)
 		return
 	}
+	t.fresh = base == 0
 	t.conns = append(t.conns, trackedConn{counted, base})
 }
 
@@ -173,6 +176,13 @@
 	return t.again && len(t.conns) == 0
 }
 
+// onNewConnection reports whether the attempt's connection was made for it.
+func (t *writeTracker) onNewConnection() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fresh && len(t.conns) > 0
+}
+
 // noteFailed records that the attempt's answer is a refusal or an error.
 func (t *writeTracker) noteFailed() {
 	t.mu.Lock()
--- a/internal/entry/configure.go
+++ b/internal/entry/configure.go
@@ -65,6 +65,11 @@
 	p.applyEffects(p.admission.Step(now, admission.Customers{Customers: p.config.Customers}))
 	p.setCapacity(now)
 	served := make(map[string]bool)
+	var addresses []string
+	for _, server := range p.config.BackendServers {
+		addresses = append(addresses, server.Address)
+	}
+	p.entry.detour.SetServers(addresses)
 	for _, server := range servers {
 		served[server.Service] = true
 		p.entry.metrics.serverPrice.WithLabelValues(server.Service, server.Name).Set(server.PricePerHour)
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -75,6 +75,29 @@
 	return instances
 }
 
+// addresses returns the addresses of the servers of the list in use.
+func (d *directory) addresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	addresses := make([]string, 0, len(d.list))
+	for _, found := range d.list {
+		addresses = append(addresses, found.Address)
+	}
+	return addresses
+}
+
+// serviceAt returns the service of the server at an address, or "".
+func (d *directory) serviceAt(address string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, found := range d.list {
+		if found.Address == address {
+			return found.Service
+		}
+	}
+	return ""
+}
+
 // listVersion returns the version of the leader's list in use, or 0.
 func (d *directory) listVersion() uint64 {
 	d.mu.Lock()
@@ -217,6 +240,9 @@
 func (e *Entry) applyList(list []discovery.Server, version uint64, readAt time.Duration) {
 	e.streams.listed(list, readAt)
 	changed, gone := e.policy.setList(list, version, readAt)
+	if len(changed)+len(gone) > 0 {
+		e.detour.SetServers(e.directory.addresses())
+	}
 	for _, found := range changed {
 		e.logger.Info().Str("step", "discover").Str("server", found.Instance).Str("service", found.Service).
 			Str("peer", found.Address).Str("server_zone", found.Zone).Str("version", found.Software).Bool("leaving", found.Leaving).Msg("backend server added to the list or changed in it")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"waxwingcart/internal/callerlimits"
 	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/crashguard"
+	"waxwingcart/internal/detour"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
@@ -95,6 +96,7 @@
 	startedAt   time.Duration
 	clock       func() time.Duration
 	backends    *backend.Client
+	detour      *detour.Detour
 	replicas    *rpc.Replicas
 	batcher     *rpc.Batcher
 	policy      *policy
@@ -151,7 +153,10 @@
 		initialized: make(chan struct{}),
 	}
 	e.callerLimits.Transit = callerlimits.TransitTime
-	e.backends = backend.New(e.backendOptions())
+	e.detour = newDetour(e)
+	options := e.backendOptions()
+	options.Detour = e.detour
+	e.backends = backend.New(options)
 	e.policy = newPolicy(e)
 	e.quota = newQuotaClient(e)
 	e.broadcaster = newBroadcaster(e)
@@ -189,6 +194,7 @@
 	e.barsUnknown.Store(e.opts.Routed != nil)
 	e.spawn(func() { e.config.run(ctx) })
 	e.spawn(func() { e.releaser.run(ctx) })
+	e.spawn(func() { e.detour.Run(ctx) })
 	if e.opts.Routed != nil {
 		e.spawn(func() { e.runDiscovery(ctx) })
 		e.spawn(func() { e.quota.run(ctx) })
@@ -353,7 +359,8 @@
 	}
 }
 
-// Drain makes the entry unready and waits until no request is in flight. At
+// Drain makes the entry unready and waits until no request is in flight, and no other entry's
+// connection to a backend server goes through this one. At
 // the deadline, it ends streams in a resumable state and refuses waiting
 // requests. With a deadline of zero it waits until every request has ended by
 // itself.
@@ -366,8 +373,14 @@
 		defer timer.Stop()
 		timeout = timer.C
 	}
+	tunnelsIdle := e.detour.Drain()
 	select {
 	case <-e.idle:
+		select {
+		case <-tunnelsIdle:
+		case <-timeout:
+		case <-ctx.Done():
+		}
 	case <-timeout:
 		e.endStreams(ctx)
 	case <-ctx.Done():
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -21,6 +21,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"waxwingcart/internal/callerlimits"
+	"waxwingcart/internal/detour"
 	"waxwingcart/internal/entry"
 	"waxwingcart/internal/observe"
 	"waxwingcart/internal/operator"
@@ -299,6 +300,7 @@
 	if p.Entry != nil {
 		service := wire.NewPeerServer(p.Entry.PeerService())
 		router.PathPrefix(service.PathPrefix()).Handler(service)
+		router.Handle(detour.Path, p.Entry.Detour())
 	}
 	return rpc.RequireKey(rpc.NewKey(p.Keys.Peer), router)
 }
