Send brittle servers no more requests than they have room for

Cause: entries don't read the word, and nothing bounds what all of them send to a server without room.

The word now limits the server to the rate for which it has room, granted by the leader one request at a time, and to its slots by the announcements of all entries. The word reaches all entries with the limits (a new field, which a previous build ignores).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -476,7 +476,7 @@
 	}
 	if r.client.opts.OnLimit != nil {
 		if values, ok := protocol.Limits(r.response.StatusCode, header); ok {
-			r.client.noteLimit(r.call, values, took)
+			r.client.noteLimit(r.call, values, protocol.Brittle(header), took)
 		}
 	}
 	if protocol.NotRun(r.response.StatusCode, header) {
@@ -488,13 +488,21 @@
 	return nil
 }
 
-// noteLimit calls OnLimit if a response names a limit, or if its server limits requests and
-// the response names none.
-func (c *Client) noteLimit(call Call, values []string, took time.Duration) {
+// noteLimit calls OnLimit if a response names a limit or is of a brittle server, or if its server
+// limits requests and the response names none.
+func (c *Client) noteLimit(call Call, values, brittle []string, took time.Duration) {
 	limit := Limit{Took: took}
 	if len(values) > 0 {
 		limit.PerSecond, limit.Err = ParseLimit(values)
-	} else if !c.opts.Limited(call.Instance) {
+	}
+	if len(brittle) > 0 {
+		if err := parseBrittle(brittle); err == nil {
+			limit.Brittle = true
+		} else if limit.Err == nil {
+			limit.Err = err
+		}
+	}
+	if len(values)+len(brittle) == 0 && !c.opts.Limited(call.Instance) {
 		return
 	}
 	c.opts.OnLimit(call, limit)
--- a/internal/backend/limit_test.go
+++ b/internal/backend/limit_test.go
@@ -24,3 +24,20 @@
 		t.Errorf("two values: got %v, want an error", got)
 	}
 }
+
+// What a brittle server may turn away is one whole number of 0 or more; anything else is an error.
+func TestParseBrittle(t *testing.T) {
+	for _, text := range []string{"0", "3", " 12 ", "1000000"} {
+		if err := parseBrittle([]string{text}); err != nil {
+			t.Errorf("%q: got %v", text, err)
+		}
+	}
+	for _, text := range []string{"", "-1", "+1", "1.5", "1e3", "1000001", "two", strings.Repeat("1", 4096)} {
+		if parseBrittle([]string{text}) == nil {
+			t.Errorf("%.40q: got no error", text)
+		}
+	}
+	if parseBrittle([]string{"1", "2"}) == nil {
+		t.Error("two values: got no error")
+	}
+}
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -24,6 +24,9 @@
 	// together. It returns false if the response may be of another instance than the one
 	// that the call is meant for.
 	Limits(status int, header http.Header) (values []string, ok bool)
+	// Brittle returns the values with which a response says how many requests its instance may turn
+	// away in a second before it falls over.
+	Brittle(header http.Header) []string
 }
 
 // defaultProtocol is the protocol of this project's backend servers.
@@ -71,5 +74,8 @@
 // Leaving implements Protocol. Servers of this protocol say it in their load reports.
 func (defaultProtocol) Leaving(int, http.Header) bool { return false }
 
+// Brittle implements Protocol. Servers of this protocol don't say so.
+func (defaultProtocol) Brittle(http.Header) []string { return nil }
+
 // Limits implements Protocol. Servers of this protocol name no limits.
 func (defaultProtocol) Limits(int, http.Header) ([]string, bool) { return nil, false }
--- a/internal/codec/serverlimit.go
+++ b/internal/codec/serverlimit.go
@@ -60,14 +60,14 @@
 
 func limitToWire(now time.Duration, instance string, word serverlimit.Word) *wire.ServerLimit {
 	return &wire.ServerLimit{
-		Instance: instance, PerSecond: word.PerSecond,
+		Instance: instance, PerSecond: word.PerSecond, Brittle: word.Brittle,
 		SentAgoMs: uint64(max(now-word.Sent, 0).Milliseconds()), ReadAgoMs: uint64(max(now-word.Read, 0).Milliseconds()),
 	}
 }
 
 // limitFromWire returns false for a limit that no server can have named.
 func limitFromWire(now time.Duration, limit *wire.ServerLimit) (serverlimit.Word, bool) {
-	word := serverlimit.Word{PerSecond: limit.PerSecond, Sent: now - relative(limit.SentAgoMs), Read: now - relative(limit.ReadAgoMs)}
+	word := serverlimit.Word{PerSecond: limit.PerSecond, Brittle: limit.Brittle, Sent: now - relative(limit.SentAgoMs), Read: now - relative(limit.ReadAgoMs)}
 	return word, limit.Instance != "" && limit.PerSecond >= 0 && !math.IsInf(limit.PerSecond, 0)
 }
 
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -86,6 +86,8 @@
 	// origin, for a pause.
 	suspended map[string]*suspension
 	origin    uint64
+	// occupancy is the average time that an answered attempt holds a slot, by service.
+	occupancy map[string]time.Duration
 }
 
 // decayingSum is a sum of work that decays exponentially.
@@ -148,6 +150,10 @@
 	// invalidPause is true once the server has asked for a pause in a way that can't be
 	// read.
 	invalidPause bool
+	// brittle is true while the server says that it falls over when it turns too many requests away.
+	// One that has just turned a request away counts as full until fullUntil.
+	brittle   bool
+	fullUntil time.Duration
 }
 
 // job is an attempt that has not ended.
@@ -175,6 +181,7 @@
 		ownWork:   make(map[string]*decayingSum),
 		leaving:   make(map[string]leavingServer),
 		suspended: make(map[string]*suspension),
+		occupancy: make(map[string]time.Duration),
 		origin:    origin,
 	}
 }
@@ -210,7 +217,7 @@
 	var decision Decision
 	lone := p.loneVersions(now, request)
 	for _, s := range p.byName[request.Service] {
-		if !request.allows(s) || !p.Takes(now, s.Name) {
+		if !request.allows(s) || !p.Takes(now, s.Name) || s.full(now, request.Rank) {
 			continue
 		}
 		score, d := p.evaluate(now, s, &request.Size)
@@ -385,6 +392,12 @@
 	if !j.started && result == ResultAnswered {
 		p.answered(j)
 	}
+	switch result {
+	case ResultAnswered:
+		p.occupied(s.Service, now-j.placed)
+	case ResultRefused:
+		s.fullUntil = now + fullTime
+	}
 	s.memory = max(s.memory-j.Memory, 0)
 	if j.started && !j.paused && result == ResultAnswered && j.Memory > 0 {
 		s.pauses.record(now, false)
--- a/internal/core/serverlimit/allocator.go
+++ b/internal/core/serverlimit/allocator.go
@@ -7,6 +7,8 @@
 	// always do.
 	bucketTime = 500 * time.Millisecond
 	minBucket  = 2.0
+	// brittleBucket is what accumulates for a brittle server, which has no room for a burst.
+	brittleBucket = 1.0
 )
 
 // Report is what an entry tells the leader.
@@ -95,7 +97,12 @@
 }
 
 // most is the number of requests that accumulate.
-func (b *bucket) most() float64 { return max(b.word.rate()*bucketTime.Seconds(), minBucket) }
+func (b *bucket) most() float64 {
+	if b.word.Brittle {
+		return brittleBucket
+	}
+	return max(b.word.rate()*bucketTime.Seconds(), minBucket)
+}
 
 func (b *bucket) fill(now time.Duration) {
 	if elapsed := (now - b.filledAt).Seconds(); elapsed > 0 {
--- a/internal/core/serverlimit/share.go
+++ b/internal/core/serverlimit/share.go
@@ -97,7 +97,7 @@
 	if !word.replaces(known.word) {
 		return false
 	}
-	changed := word.PerSecond != known.word.PerSecond
+	changed := word.PerSecond != known.word.PerSecond || word.Brittle != known.word.Brittle
 	known.word = word
 	if changed {
 		s.count()
@@ -137,6 +137,12 @@
 	return 0
 }
 
+// Brittle reports whether a server falls over when it turns too many requests away.
+func (s *Share) Brittle(instance string) bool {
+	known := s.known(instance)
+	return known != nil && known.word.Brittle
+}
+
 // known returns the state of a server that names a limit, or nil.
 func (s *Share) known(instance string) *server {
 	if known := s.servers[instance]; known != nil && known.word.PerSecond > 0 {
--- a/internal/core/serverlimit/word.go
+++ b/internal/core/serverlimit/word.go
@@ -39,6 +39,9 @@
 	// PerSecond is the number of requests a second from all entries together, or 0 if the
 	// server names no limit.
 	PerSecond float64
+	// Brittle is true if the server falls over when it turns too many requests away. PerSecond is then
+	// the rate of requests for which it has room.
+	Brittle bool
 	// Sent is when the request of the answer was sent, Read when its head was read.
 	Sent, Read time.Duration
 }
@@ -51,7 +54,7 @@
 // replaces reports whether the word counts in place of a known one.
 func (w Word) replaces(known Word) bool {
 	switch {
-	case w.PerSecond == known.PerSecond:
+	case w.PerSecond == known.PerSecond && w.Brittle == known.Brittle:
 		return w.Read > known.Read+refreshed
 	case w.stricterThan(known):
 		return w.Read > known.Sent
--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -163,6 +163,10 @@
 	versioned *versionedEngine
 	// unframed, if set, gives answers with neither a length nor chunks.
 	unframed atomic.Pointer[unframedAnswer]
+	// brittle, if set, bounds the requests that it holds.
+	brittle *brittle
+	// callTime is the time that a plain answer takes, in milliseconds.
+	callTime guardedInt
 	// limiter, if set, names a limit of requests in answers.
 	limiter *limiter
 	// crasher, if set, ends the engine under some prompts.
@@ -293,6 +297,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.brittle != nil {
+		if !e.brittle.admit(w, req) {
+			return
+		}
+		defer e.brittle.release()
+	}
 	if e.stall.Load() {
 		<-req.Context().Done()
 		return
@@ -330,6 +340,7 @@
 		return
 	}
 	if req.Method == http.MethodGet || string(body) == "call" {
+		time.Sleep(time.Duration(e.callTime.Load()) * time.Millisecond)
 		fmt.Fprintf(w, "%s %s %s", req.Method, req.RequestURI, body)
 		return
 	}
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -115,6 +115,8 @@
 	return header.Values("Limit"), true
 }
 
+func (leavingProtocol) Brittle(http.Header) []string { return nil }
+
 func (leavingProtocol) Leaving(_ int, header http.Header) bool { return header.Get("Leaving") != "" }
 
 // The word is taken from every kind of answer when its head is read, but not from an
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -74,6 +74,7 @@
 	a.job = placement.JobID{Origin: e.incarnation, Number: e.nextID.Add(1)}
 	decision := r.routed.decision
 	a.version = decision.Version
+	r.routed.announced = r.routed.announced || e.policy.announces(r.service.Name)
 	decision.Server = a.server.Name
 	job := placement.NewJob(a.job, decision, r.routed.size)
 	e.policy.mu.Lock()
--- a/internal/entry/serverlimit.go
+++ b/internal/entry/serverlimit.go
@@ -35,20 +35,48 @@
 		return
 	}
 	now := e.now()
-	word := serverlimit.Word{PerSecond: limit.PerSecond, Sent: now - limit.Took, Read: now}
+	if limit.Brittle {
+		limit.PerSecond = p.roomRate(call.Instance, limit.PerSecond)
+	}
+	word := serverlimit.Word{PerSecond: limit.PerSecond, Brittle: limit.Brittle, Sent: now - limit.Took, Read: now}
 	if p.limits.Observe(now, call.Instance, word) {
+		p.placer.SetBrittle(call.Instance, p.limits.Brittle(call.Instance))
 		e.noteLimit(call.Instance, word.PerSecond, limitFromAnswer, call.RequestID)
 	}
 }
 
+// roomRate returns the rate of requests for which a brittle server has room, within the limit that it
+// names, if any. The caller holds mu.
+func (p *policy) roomRate(instance string, limit float64) float64 {
+	rate := p.placer.RoomRate(instance)
+	switch {
+	case rate == 0:
+		return limit
+	case limit == 0:
+		return rate
+	}
+	return min(rate, limit)
+}
+
 // noteLimit logs a limit that has changed. The caller holds the policy's lock.
 func (e *Entry) noteLimit(instance string, perSecond float64, source, requestID string) {
 	e.policy.anyLimit.Store(e.policy.limits.Any())
 	e.metrics.serverLimits.WithLabelValues(source).Inc()
-	e.logger.Info().Str("step", "server limit").Str("server", instance).Float64("per_second", perSecond).Str("source", source).Str("request", requestID).
+	e.logger.Info().Str("step", "server limit").Str("server", instance).Float64("per_second", perSecond).Bool("brittle", e.policy.limits.Brittle(instance)).Str("source", source).Str("request", requestID).
 		Msg("the limit of requests that a backend server takes from all entries changed; 0 is none")
 }
 
+// announces reports whether the other entries need to know of each attempt at a service's servers, as
+// these are brittle.
+func (p *policy) announces(service string) bool {
+	if !p.anyLimit.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placer.Brittle(service)
+}
+
 // reasonServersLimited means that all servers that could take the call limit requests.
 const reasonServersLimited request.Reason = "servers-limited"
 
@@ -128,6 +156,7 @@
 	defer p.mu.Unlock()
 	now := p.entry.now()
 	for _, instance := range p.limits.Granted(now, codec.LimitGrantFromWire(now, response.Limits), int(response.Entries)) {
+		p.placer.SetBrittle(instance, p.limits.Brittle(instance))
 		p.entry.noteLimit(instance, p.limits.PerSecond(instance), limitFromLeader, "")
 	}
 }
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -80,6 +80,8 @@
 func (plainBackends) Leaving(_ int, _ http.Header) bool                  { return false }
 func (plainBackends) Limits(int, http.Header) ([]string, bool)           { return nil, false }
 
+func (plainBackends) Brittle(http.Header) []string { return nil }
+
 // takeUpTable has a public route whose streams may be resumed, and one that charges.
 func takeUpTable([]byte) (*routes.Table, error) {
 	route := routes.Route{
