Keep a replica up while its disk is full

Cause: every failed write stopped the log and the process. Without room nothing was synced and the rest of the record can be removed.

The log removes it and goes on; the replica repeats the write, does not lead or campaign, and acknowledges nothing until there is room. A data directory that can't be set up is waited for. Other failures, and failed syncs, still end the process.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -134,6 +134,9 @@
 }
 
 func (r *Replica) step(ev replication.Event) {
+	if r.skips(ev) {
+		return
+	}
 	r.executeEffects(r.node.Step(r.now(), ev))
 }
 
@@ -218,7 +221,7 @@
 		Uint64("members_index", r.node.Status().MembershipIndex).Msg("no address is known for another replica; messages for it are dropped")
 }
 
-// runWriter writes and syncs in order. It never retries after an error, because
+// runWriter writes and syncs in order. It retries only for want of room, because
 // the contents of the disk are unknown after a failed sync.
 func (r *Replica) runWriter(ctx context.Context) {
 	for {
@@ -226,7 +229,11 @@
 		case <-ctx.Done():
 			return
 		case persist := <-r.writes:
-			if err := r.log.Write(persist); err != nil {
+			err := r.untilRoom(ctx, "log", func() error { return r.log.Write(persist) })
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
 				r.reportFatal("write", err)
 				return
 			}
@@ -253,7 +260,11 @@
 		case <-ctx.Done():
 			return
 		case job := <-r.snapshots:
-			if err := r.writeSnapshot(job); err != nil {
+			err := r.writeSnapshot(ctx, job)
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
 				r.reportFatal("snapshot", err)
 				return
 			}
@@ -261,13 +272,13 @@
 	}
 }
 
-func (r *Replica) writeSnapshot(job *snapshotJob) error {
+func (r *Replica) writeSnapshot(ctx context.Context, job *snapshotJob) error {
 	data, err := codec.EncodeState(job.state)
 	if err != nil {
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
 	job.snapshot.Data = data
-	if err := r.log.SaveSnapshot(job.snapshot); err != nil {
+	if err := r.untilRoom(ctx, "snapshot", func() error { return r.log.SaveSnapshot(job.snapshot) }); err != nil {
 		return err
 	}
 	r.savedSnapshots <- job.snapshot
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -13,6 +13,7 @@
 	applied      prometheus.Gauge
 	records      prometheus.Gauge
 	behind       prometheus.Gauge
+	diskFull     prometheus.Gauge
 	reservations *prometheus.CounterVec
 	orders       *prometheus.CounterVec
 	duties       *prometheus.CounterVec
@@ -35,6 +36,7 @@
 		applied:  gauge("applied_index", "Index of the last applied log entry."),
 		records:  gauge("idempotency_records", "Idempotency records held."),
 		behind:   gauge("entries_behind", "Live entries that have not acknowledged, within 2 s of its commit, a revision committed while this replica leads."),
+		diskFull: gauge("disk_full", "1 while writes to the log or of a snapshot wait for room on the disk."),
 		reservations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "waxwingcart", Subsystem: "replica", Name: "reservations_total",
 			Help: "Reservations answered by this replica as leader, by result.",
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -110,6 +111,9 @@
 	bars   *crashguard.Guard
 	duties *duties
 
+	// diskFull is the number of writes that wait for room on the disk.
+	diskFull atomic.Int32
+
 	// runCtx is done once the replica stops. It exists from New on, since peers
 	// may call before Start.
 	runCtx context.Context
@@ -153,7 +157,7 @@
 		opts.Clock = bootclock.Now
 	}
 	dir := filepath.Join(opts.DataDir, "replica")
-	store, err := storage.Open(dir, storage.Options{})
+	store, err := openStorage(dir, opts)
 	if err != nil {
 		return nil, fmt.Errorf("open replica storage: %w", err)
 	}
--- a/internal/replica/savedlist.go
+++ b/internal/replica/savedlist.go
@@ -75,6 +75,9 @@
 			}
 		}
 		pause(ctx, saveInterval)
+		if failing {
+			signal(d.listChanged)
+		}
 	}
 }
 
--- a/internal/savedfile/savedfile.go
+++ b/internal/savedfile/savedfile.go
@@ -41,6 +41,8 @@
 	temporary := path + ".new"
 	data := append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(content)), content...)
 	if err := writeSynced(temporary, data); err != nil {
+		// A part of a file would take up room on a disk that may be full.
+		_ = os.Remove(temporary)
 		return err
 	}
 	if err := os.Rename(temporary, path); err != nil {
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -58,7 +58,7 @@
 }
 
 func (osFileSystem) Create(path string) (file, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, filePermissions)
+	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_APPEND|os.O_WRONLY, filePermissions)
 }
 
 func (osFileSystem) OpenAppend(path string) (file, error) {
@@ -108,17 +108,13 @@
 const temporarySuffix = ".tmp"
 
 // writeFile creates a file atomically: it writes and syncs a temporary file,
-// and then renames it.
+// and then renames it. If there is no room, it leaves nothing behind.
 func writeFile(files fileSystem, path string, parts ...[]byte) error {
 	temporary := path + temporarySuffix
-	f, err := files.Create(temporary)
+	f, err := createFile(files, temporary, parts...)
 	if err != nil {
 		return err
 	}
-	if err := writeSynced(f, parts...); err != nil {
-		f.Close()
-		return err
-	}
 	if err := f.Close(); err != nil {
 		return err
 	}
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -113,7 +113,7 @@
 }
 
 // Write appends one record and syncs it. After an error the record must not be
-// acknowledged, and every further call fails.
+// acknowledged, and every further call fails, unless the error is ErrFull.
 func (l *Log) Write(p *replication.Persist) error {
 	if p.Snapshot != nil {
 		if err := l.storeSnapshot(p.Snapshot); err != nil {
@@ -126,7 +126,7 @@
 		return l.failed
 	}
 	if err := l.write(p); err != nil {
-		return l.fail(fmt.Errorf("storage: write log: %w", err))
+		return l.stop(fmt.Errorf("storage: write log: %w", err))
 	}
 	if p.Snapshot == nil {
 		return nil
@@ -161,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	if err := writeSynced(l.active, frame); err != nil {
+	if err := l.appendSynced(frame); err != nil {
 		return fmt.Errorf("%s: %w", active.path, err)
 	}
 	l.restored.Entries = nil
@@ -215,7 +215,7 @@
 	if err := l.writeSnapshot(s); err != nil {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return l.fail(fmt.Errorf("storage: %w", err))
+		return l.stop(fmt.Errorf("storage: %w", err))
 	}
 	if l.snapshot == nil || l.snapshot.Index < s.Index {
 		l.snapshot = s
--- a/internal/storage/memory_test.go
+++ b/internal/storage/memory_test.go
@@ -27,7 +27,11 @@
 	// failOnce lets the operations after the failed one succeed.
 	failOnce bool
 	failed   bool
-	rand     *rand.Rand
+	// failure is the error of the failed operation; nil selects errInjected.
+	failure error
+	// syncsSucceed keeps syncs, removals, renames and truncations from failing.
+	syncsSucceed bool
+	rand         *rand.Rand
 }
 
 func newMemoryFileSystem(seed uint64) *memoryFileSystem {
@@ -41,17 +45,29 @@
 // maybeFail is called by every modifying operation and returns errInjected when
 // it is to fail.
 func (m *memoryFileSystem) maybeFail() error {
+	failure := m.failure
+	if failure == nil {
+		failure = errInjected
+	}
 	if m.failed && !m.failOnce {
-		return errInjected
+		return failure
 	}
 	m.failIn--
 	if m.failIn == 0 {
 		m.failed = true
-		return errInjected
+		return failure
 	}
 	return nil
 }
 
+// maybeFailOther is maybeFail for operations that need no room.
+func (m *memoryFileSystem) maybeFailOther() error {
+	if m.syncsSucceed {
+		return nil
+	}
+	return m.maybeFail()
+}
+
 // crash returns the file system after a power failure: any part of the unsynced
 // data may be lost, and its last byte may be damaged.
 func (m *memoryFileSystem) crash() *memoryFileSystem {
@@ -94,7 +110,7 @@
 }
 
 func (f memoryFile) Sync() error {
-	if err := f.files.maybeFail(); err != nil {
+	if err := f.files.maybeFailOther(); err != nil {
 		return err
 	}
 	f.node.synced = slices.Clone(f.node.data)
@@ -103,7 +119,7 @@
 
 func (f memoryFile) Truncate(size int64) error {
 	f.node.data = f.node.data[:size]
-	return f.files.maybeFail()
+	return f.files.maybeFailOther()
 }
 
 func (memoryFile) Close() error { return nil }
@@ -144,7 +160,7 @@
 }
 
 func (m *memoryFileSystem) Rename(from, to string) error {
-	if err := m.maybeFail(); err != nil {
+	if err := m.maybeFailOther(); err != nil {
 		return err
 	}
 	m.entries[to] = m.entries[from]
@@ -153,7 +169,7 @@
 }
 
 func (m *memoryFileSystem) Remove(path string) error {
-	if err := m.maybeFail(); err != nil {
+	if err := m.maybeFailOther(); err != nil {
 		return err
 	}
 	delete(m.entries, path)
@@ -161,7 +177,7 @@
 }
 
 func (m *memoryFileSystem) SyncDir(string) error {
-	if err := m.maybeFail(); err != nil {
+	if err := m.maybeFailOther(); err != nil {
 		return err
 	}
 	m.synced = maps.Clone(m.entries)
--- a/internal/storage/segments.go
+++ b/internal/storage/segments.go
@@ -19,14 +19,10 @@
 func (l *Log) createSegment() error {
 	first := l.lastRecord + 1
 	path := filepath.Join(l.dir, segmentName(first))
-	f, err := l.files.Create(path)
+	f, err := createFile(l.files, path, segmentHeader(l.incarnation, first))
 	if err != nil {
 		return fmt.Errorf("storage: create segment: %w", err)
 	}
-	if err := writeSynced(f, segmentHeader(l.incarnation, first)); err != nil {
-		f.Close()
-		return fmt.Errorf("storage: write segment header: %w", err)
-	}
 	if err := l.syncDir(); err != nil {
 		f.Close()
 		return err
