Leave out of draws what the leader and the entry have

The limits were not used up: the leader answered draws too late (the entries' fetches of the configuration timed out as well), and what gets no units in 150 ms is refused. With 294 entries an entry sees a customer once in 10 s, so nearly every call needs a draw, and each draw carried the limits of 40 customers, all usage windows and the addresses of 294 entries, and cost the leader a look at every entry for each customer.

Limits are sent only to a leader that lacks them (by the number of their configuration), the list of entries only if it has changed, usage and load at most every 500 ms. The share of silent entries is computed once a draw. Fields are new and optional: a previous build sends and gets everything as before.

--- a/internal/codec/quota.go
+++ b/internal/codec/quota.go
@@ -11,14 +11,23 @@
 // request; the caller adds the process, its incarnation, the usage and the rest.
 func RenewalToWire(renewal quota.Renewal) *wire.DrawRequest {
 	request := &wire.DrawRequest{Number: renewal.Number, Items: make(map[string]*wire.DrawItem, len(renewal.Limits))}
-	for customer, limit := range renewal.Limits {
-		request.Items[customer] = &wire.DrawItem{
-			Rate:  limit.Rate,
-			Burst: limit.Burst,
-			Calls: renewal.Calls[customer],
-			Ahead: renewal.Ahead[customer],
-			Back:  renewal.Back[customer],
+	item := func(customer string) *wire.DrawItem {
+		if request.Items[customer] == nil {
+			request.Items[customer] = &wire.DrawItem{}
 		}
+		return request.Items[customer]
+	}
+	for customer, limit := range renewal.Limits {
+		item(customer).Rate, item(customer).Burst = limit.Rate, limit.Burst
+	}
+	for customer, calls := range renewal.Calls {
+		item(customer).Calls = calls
+	}
+	for customer, units := range renewal.Ahead {
+		item(customer).Ahead = units
+	}
+	for customer, units := range renewal.Back {
+		item(customer).Back = units
 	}
 	return request
 }
@@ -28,13 +37,15 @@
 	renewal := quota.Renewal{
 		Entry:  request.Process,
 		Number: request.Number,
-		Limits: make(map[string]quota.Limit, len(request.Items)),
+		Limits: make(map[string]quota.Limit),
 		Calls:  make(map[string][]float64),
 		Ahead:  make(quota.Amounts),
 		Back:   make(quota.Amounts),
 	}
 	for customer, item := range request.Items {
-		renewal.Limits[customer] = quota.Limit{Rate: item.Rate, Burst: item.Burst}
+		if request.Number > 0 {
+			renewal.Limits[customer] = quota.Limit{Rate: item.Rate, Burst: item.Burst}
+		}
 		renewal.Ahead[customer] = item.Ahead
 		renewal.Back[customer] = item.Back
 		if len(item.Calls) > 0 {
@@ -50,6 +61,7 @@
 		Units:   grant.Units,
 		WaitMs:  make(map[string]float64, len(grant.Wait)),
 		Entries: int32(grant.Entries),
+		Number:  grant.Number,
 	}
 	for customer, wait := range grant.Wait {
 		response.WaitMs[customer] = float64(wait) / float64(time.Millisecond)
@@ -63,6 +75,7 @@
 		Units:   response.Units,
 		Wait:    make(map[string]time.Duration, len(response.WaitMs)),
 		Entries: int(response.Entries),
+		Number:  response.Number,
 	}
 	for customer, ms := range response.WaitMs {
 		grant.Wait[customer] = time.Duration(ms * float64(time.Millisecond))
--- a/internal/core/quota/allocator.go
+++ b/internal/core/quota/allocator.go
@@ -48,6 +48,7 @@
 type Renewal struct {
 	Entry string
 	// Number is the number of the configuration that contains Limits.
+	// It is 0, without Limits, if the leader is known to have those of the entry's configuration.
 	Number uint64
 	Limits map[string]Limit
 	// Calls holds the costs of the calls that wait for units, by customer. Each
@@ -67,6 +68,8 @@
 	Wait map[string]time.Duration
 	// Entries is the number of entries that share the limits.
 	Entries int
+	// Number is the number of the configuration from which the leader has the limits.
+	Number uint64
 }
 
 // Allocator holds the buckets. Only the leader uses one.
@@ -97,9 +100,10 @@
 	maps.DeleteFunc(a.lastRenewal, func(_ string, at time.Duration) bool { return now-at > expireAfter })
 	a.lastRenewal[renewal.Entry] = now
 	a.configure(now, renewal)
-	grant := Grant{Units: make(Amounts), Wait: make(map[string]time.Duration), Entries: len(a.lastRenewal)}
+	grant := Grant{Units: make(Amounts), Wait: make(map[string]time.Duration), Entries: len(a.lastRenewal), Number: a.number}
+	share := a.onlineShare(now)
 	for customer, b := range a.buckets {
-		b.fill(now, a.onlineShare(now))
+		b.fill(now, share)
 		b.level = min(b.level+max(renewal.Back[customer], 0), b.limit.Burst)
 		if units := b.draw(renewal.Calls[customer], renewal.Ahead[customer]); units > 0 {
 			grant.Units[customer] = units
@@ -118,14 +122,14 @@
 		return
 	}
 	a.number = renewal.Number
-	known := a.buckets
+	known, share := a.buckets, a.onlineShare(now)
 	a.buckets = make(map[string]*bucket, len(renewal.Limits))
 	for customer, limit := range renewal.Limits {
 		b := known[customer]
 		if b == nil {
 			b = &bucket{level: initialLevel * limit.Burst, refilledAt: now}
 		}
-		b.fill(now, a.onlineShare(now))
+		b.fill(now, share)
 		b.limit = limit
 		b.level = min(b.level, limit.Burst)
 		a.buckets[customer] = b
--- a/internal/core/quota/limiter.go
+++ b/internal/core/quota/limiter.go
@@ -41,6 +41,9 @@
 	// renewedAt is when the renewal of the last grant was sent.
 	renewedAt time.Duration
 	granted   bool
+	// leaderNumber is the number of the configuration from which the leader had the limits at the
+	// last grant.
+	leaderNumber uint64
 	// renewing is true while a renewal sent at renewalSent is unanswered.
 	renewing    bool
 	renewalSent time.Duration
@@ -91,6 +94,10 @@
 // Granted reports whether a leader has ever granted a renewal.
 func (l *Limiter) Granted() bool { return l.granted }
 
+// LeaderLacksLimits reports whether the leader of the last grant had the limits of an older
+// configuration or none, so that the next renewal must hold them.
+func (l *Limiter) LeaderLacksLimits() bool { return l.granted && l.leaderNumber < l.number }
+
 // Entries returns the number of entries that share the limits, as of the last
 // grant.
 func (l *Limiter) Entries() int { return l.entries }
@@ -99,15 +106,14 @@
 // call only once.
 func (l *Limiter) Renewal(now time.Duration) Renewal {
 	l.renewing, l.renewalSent = true, now
-	renewal := Renewal{
-		Number: l.number,
-		Limits: make(map[string]Limit, len(l.accounts)),
-		Calls:  make(map[string][]float64),
-		Ahead:  make(Amounts),
-		Back:   make(Amounts),
+	renewal := Renewal{Calls: make(map[string][]float64), Ahead: make(Amounts), Back: make(Amounts)}
+	if l.leaderNumber < l.number {
+		renewal.Number, renewal.Limits = l.number, make(map[string]Limit, len(l.accounts))
 	}
 	for customer, a := range l.accounts {
-		renewal.Limits[customer] = a.limit
+		if renewal.Limits != nil {
+			renewal.Limits[customer] = a.limit
+		}
 		if len(a.calls) > 0 {
 			renewal.Calls[customer] = a.calls
 			a.calls = nil
@@ -128,6 +134,7 @@
 func (l *Limiter) Grant(now, sent time.Duration, grant Grant) {
 	l.entries, l.renewedAt, l.granted = max(grant.Entries, 1), sent, true
 	l.renewing, l.renewalFailed = false, false
+	l.leaderNumber = grant.Number
 	for customer, a := range l.accounts {
 		a.balance += max(grant.Units[customer], 0)
 		a.refilledAt = now
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -22,6 +22,8 @@
 	// interval of each entry, unless minDrawInterval is longer. The leader thus
 	// answers at most a hundred regular draws a second.
 	drawIntervalPerEntry = 10 * time.Millisecond
+	// usageInterval is the shortest interval at which draws carry the load and the counts of calls.
+	usageInterval = 500 * time.Millisecond
 	// drawTimeout bounds one draw.
 	drawTimeout = 900 * time.Millisecond
 	// unitsTimeout bounds a call's wait for units. It is several times the
@@ -50,6 +52,10 @@
 	// progress has ended.
 	nextDraw    chan struct{}
 	currentDraw chan struct{}
+	// usageSentAt is when the counts were last sent, and peersVersion the version of the leader's list
+	// of entries in use.
+	usageSentAt  time.Duration
+	peersVersion uint64
 }
 
 func newQuotaClient(e *Entry) *quotaClient {
@@ -236,17 +242,27 @@
 }
 
 func (q *quotaClient) request(now time.Duration) *wire.DrawRequest {
-	load, limits, bars := q.entry.serviceLoad(), q.entry.policy.limitReport(now), q.entry.guard.Report()
+	limits, bars := q.entry.policy.limitReport(now), q.entry.guard.Report()
+	var load map[string]*wire.ServiceLoad
+	full := q.usageDue(now)
+	if full {
+		load = q.entry.serviceLoad()
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.currentDraw, q.nextDraw = q.nextDraw, make(chan struct{})
 	request := codec.RenewalToWire(q.limiter.Renewal(now))
 	request.Process, request.Incarnation = q.entry.opts.VM, q.entry.incarnation
-	request.Load = load
+	request.PeersVersion = q.peersVersion
 	request.Address, request.Zone = q.entry.opts.PeerAddress, q.entry.opts.Zone
 	request.List = q.entry.directory.listVersion()
 	request.Limits = limits
 	request.Bars, request.AsksBars = bars, q.entry.barsUnknown.Load()
+	request.Partial = !full
+	if !full {
+		return request
+	}
+	request.Load = load
 	if q.counter == nil {
 		return request
 	}
@@ -260,6 +276,17 @@
 	return request
 }
 
+// usageDue reports whether the next draw carries the load and the counts of calls.
+func (q *quotaClient) usageDue(now time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.usageSentAt > 0 && now-q.usageSentAt < usageInterval {
+		return false
+	}
+	q.usageSentAt = now
+	return true
+}
+
 // applyDraw applies the leader's response and wakes the calls that wait for
 // it.
 func (q *quotaClient) applyDraw(requestedAt time.Duration, response *wire.DrawResponse, err error) {
@@ -269,12 +296,21 @@
 	} else {
 		q.limiter.RecordRenewalFailure()
 	}
+	if q.limiter.LeaderLacksLimits() {
+		q.wakeDraw()
+	}
 	close(q.currentDraw)
+	newPeers := err == nil && (response.PeersVersion == 0 || response.PeersVersion != q.peersVersion)
+	if newPeers {
+		q.peersVersion = response.PeersVersion
+	}
 	q.mu.Unlock()
 	if err == nil {
 		q.applyLeaderList(requestedAt, response)
 		q.entry.policy.applyLimits(response)
-		q.entry.broadcaster.setPeers(response.Peers)
+		if newPeers {
+			q.entry.broadcaster.setPeers(response.Peers)
+		}
 		q.entry.guard.LeaderBars(response.Bars)
 		q.entry.policy.shareRetries(int(response.Entries))
 	}
--- a/internal/replica/duties.go
+++ b/internal/replica/duties.go
@@ -167,6 +167,9 @@
 	for _, window := range req.Usage {
 		d.ledger.SetCounts(source, window.Window, window.Counts)
 	}
+	if req.Partial {
+		return
+	}
 	d.load[req.Process] = entryLoad{at: d.replica.now(), services: req.Load}
 }
 
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/quota"
 	"waxwingcart/internal/core/replication"
@@ -26,6 +31,11 @@
 	// peers holds the address at which each entry listens for the others, by
 	// process.
 	peers map[string]peerEntry
+	// peerList holds the live entries by address, in a version of the list; expiredAt is when dead
+	// ones were last looked for.
+	peerList     []*wire.EntryPeer
+	peersVersion uint64
+	expiredAt    time.Duration
 }
 
 // peerEntry is an entry's address and the time of its last Draw.
@@ -38,6 +48,9 @@
 // the others. It covers several intervals between two calls.
 const peerLifetime = 5 * time.Second
 
+// expireInterval is how often entries are looked for that no longer call Draw.
+const expireInterval = 500 * time.Millisecond
+
 func newLimits() *limits {
 	return &limits{allocator: quota.NewAllocator(), servers: serverlimit.NewAllocator(), peers: make(map[string]peerEntry)}
 }
@@ -50,20 +63,44 @@
 	})
 }
 
-// updatePeer records an entry's address and returns those of all live entries.
-func (l *limits) updatePeer(now time.Duration, process string, peer *wire.EntryPeer) []*wire.EntryPeer {
+// updatePeer records an entry's address. It returns the version of the list of live entries, and
+// the list unless the caller has that version.
+func (l *limits) updatePeer(now time.Duration, process string, peer *wire.EntryPeer, have uint64) ([]*wire.EntryPeer, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	known, listed := l.peers[process]
 	l.peers[process] = peerEntry{peer, now}
-	var peers []*wire.EntryPeer
-	for name, known := range l.peers {
-		if now-known.lastSeen > peerLifetime {
-			delete(l.peers, name)
-			continue
-		}
-		peers = append(peers, known.peer)
+	changed := !listed || known.peer.Address != peer.Address || known.peer.Zone != peer.Zone
+	if now-l.expiredAt >= expireInterval {
+		l.expiredAt = now
+		maps.DeleteFunc(l.peers, func(_ string, known peerEntry) bool {
+			expired := now-known.lastSeen > peerLifetime
+			changed = changed || expired
+			return expired
+		})
+	}
+	if changed {
+		l.listPeers()
+	}
+	if have == l.peersVersion {
+		return nil, have
+	}
+	return l.peerList, l.peersVersion
+}
+
+// listPeers lists the live entries. The version depends on the content alone, so that leaders who
+// know the same entries give it the same one. The caller holds mu.
+func (l *limits) listPeers() {
+	l.peerList = make([]*wire.EntryPeer, 0, len(l.peers))
+	for _, known := range l.peers {
+		l.peerList = append(l.peerList, known.peer)
+	}
+	slices.SortFunc(l.peerList, func(a, b *wire.EntryPeer) int { return strings.Compare(a.Address, b.Address) })
+	digest := xxhash.New()
+	for _, peer := range l.peerList {
+		_, _ = digest.WriteString(peer.Address + " " + peer.Zone + "\n")
 	}
-	return peers
+	l.peersVersion = max(digest.Sum64(), 1)
 }
 
 // renew grants units, and requests to limited servers, to an entry. It starts with new allocators in each term,
@@ -106,7 +143,7 @@
 	if req.AsksBars {
 		response.Bars = r.bars.Bars().Bars
 	}
-	response.Peers = r.limits.updatePeer(r.now(), req.Process, &wire.EntryPeer{Address: req.Address, Zone: req.Zone})
+	response.Peers, response.PeersVersion = r.limits.updatePeer(r.now(), req.Process, &wire.EntryPeer{Address: req.Address, Zone: req.Zone}, req.PeersVersion)
 	if r.duties != nil {
 		r.duties.fillList(req, response)
 	}
