Let entries of large deployments poll the leader less often

294 entries sent 420 calls a second for the configuration to a leader with 0.48 of a core; some got no answer within 900 ms and asked all other replicas and their zone as well. A call now waits up to 1.4 s for a newer revision, so that all entries together send about 200 a second; at 140 entries and fewer nothing changes. A change is still passed on at once.

--- a/internal/entry/configsource.go
+++ b/internal/entry/configsource.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -25,10 +24,6 @@
 // that a quorum confirms.
 var errUnconfirmed = errors.New("answered without a quorum's confirmation")
 
-// errOverdue is the failure of a source whose call is still pending after
-// overdueAfter.
-var errOverdue = fmt.Errorf("no answer within %s", overdueAfter)
-
 // noSource is the source's address before the first confirmation, and
 // errNoSource the failure of an entry that starts without one.
 const noSource = ""
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -17,6 +17,11 @@
 	// revision. It is short enough that a call over a dead connection ends
 	// before a new configuration must be in force.
 	fetchWait = 700 * time.Millisecond
+	// pollsPerSecond is the rate of calls that the leader answers without a newer revision, for all
+	// entries together. In a large deployment each call waits longer for that, by at most
+	// maxExtraWait.
+	pollsPerSecond = 200
+	maxExtraWait   = 700 * time.Millisecond
 	// fetchTimeout is the longest time without progress of a call, and fetchLongest that of
 	// the whole transfer of a long document over a full link.
 	fetchTimeout = 1200 * time.Millisecond
@@ -155,9 +160,11 @@
 // has answered or is overdue.
 func (s *search) askSource(ctx context.Context, address string) {
 	answered, progress := make(chan struct{}), rpc.NewProgress()
+	extra := extraWait(s.holder.entry.quota.entries())
+	overdue := s.holder.overdueAfter + extra
 	s.asked[address] = true
 	s.group.Go(func() {
-		request := s.holder.request(fetchWait)
+		request := s.holder.request(fetchWait + extra)
 		response, err := s.holder.fetchFromReplica(ctx, address, request, progress)
 		if err == nil {
 			s.accept(ctx, address, response)
@@ -165,7 +172,7 @@
 		close(answered)
 		s.askUntilConfirmed(ctx, address)
 	})
-	timer := time.NewTimer(s.holder.overdueAfter)
+	timer := time.NewTimer(overdue)
 	defer timer.Stop()
 	for {
 		select {
@@ -175,17 +182,22 @@
 			return
 		case <-timer.C:
 		}
-		if left := s.holder.overdueAfter - progress.Quiet(); left > 0 {
+		if left := overdue - progress.Quiet(); left > 0 {
 			timer.Reset(left)
 			continue
 		}
-		s.holder.sourceFailed(address, errOverdue)
+		s.holder.sourceFailed(address, fmt.Errorf("no answer within %s", overdue))
 		// Connections to the other replicas may have been silenced as well.
 		s.holder.entry.replicas.CloseIdleConnections()
 		return
 	}
 }
 
+// extraWait is how much longer than fetchWait a call waits for a newer revision.
+func extraWait(entries int) time.Duration {
+	return min(max(time.Duration(entries)*time.Second/pollsPerSecond-fetchWait, 0), maxExtraWait)
+}
+
 // askReplicas starts asking the known replicas that are not being asked yet.
 func (s *search) askReplicas(ctx context.Context) {
 	for _, address := range s.holder.entry.replicas.Addresses() {
@@ -274,7 +286,8 @@
 // fetchFromReplica makes one call to a replica, which the progress follows, and records its
 // result.
 func (h *configHolder) fetchFromReplica(ctx context.Context, address string, request *wire.FetchConfigRequest, progress *rpc.Progress) (*wire.FetchConfigResponse, error) {
-	call, cancel := progress.Bound(ctx, h.replicaTimeout, max(fetchLongest, h.replicaTimeout))
+	timeout := h.replicaTimeout + extraWait(h.entry.quota.entries())
+	call, cancel := progress.Bound(ctx, timeout, max(fetchLongest, timeout))
 	defer cancel()
 	started := time.Now()
 	response, err := h.entry.replicas.Stub(address).FetchConfig(call, request)
--- /dev/null
+++ b/internal/entry/intervals_test.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"testing"
+	"time"
+)
+
+// Calls for the configuration wait longer in a large deployment, so that the leader answers a bounded
+// number of them a second; the wait stays below the time in which a change must be in force.
+func TestPollsOfLargeDeployments(t *testing.T) {
+	for entries, expected := range map[int]time.Duration{0: 0, 6: 0, 72: 0, 140: 0, 200: 300 * time.Millisecond, 294: maxExtraWait, 1000: maxExtraWait} {
+		if got := extraWait(entries); got != expected {
+			t.Errorf("%d entries: got %s more, want %s", entries, got, expected)
+		}
+	}
+}
+
+// An entry draws so often that neither its list of backend servers nor the leader's knowledge of it gets too
+// old, however many entries there are.
+func TestDrawInterval(t *testing.T) {
+	// silentAfter is when the leader reserves a part of the limits for an entry.
+	const silentAfter = 2 * time.Second
+	for entries, expected := range map[int]time.Duration{6: minDrawInterval, 72: 360 * time.Millisecond, 294: 1470 * time.Millisecond, 1000: maxDrawInterval} {
+		if got := drawInterval(entries); got != expected {
+			t.Errorf("%d entries: got %s, want %s", entries, got, expected)
+		}
+	}
+	// The leader's own list is up to a second old.
+	if maxDrawInterval+time.Second/2 >= maxListAge || maxDrawInterval >= silentAfter {
+		t.Errorf("an interval of %s lets the list get older than %s, or the entry count as silent", maxDrawInterval, maxListAge)
+	}
+}
