Share the forwarding of placement updates within large zones

A tenth of the requests of a deployment of 294 entries waited 2 s and more before the first attempt, with one attempt in all (placed_ms of long prompts: 90th percentile 2,010 ms). Cause: an entry that collects the updates of its zone sends them to all 49 others, about 40 Mbit/s over a link of 10 Mbit/s, for 250 ms, and its callers' requests queue behind them for a second and more.

The collector of a zone of more than 16 entries now sends to one entry of each block, seven times, and that one to the six others of its block; turns last 50 ms. TestForwardingIsShared: 20 sends at most for an update, where it was 54.

--- a/internal/core/dissemination/dissemination.go
+++ b/internal/core/dissemination/dissemination.go
@@ -10,10 +10,16 @@
 // listed, the updates sent to it in its turns are lost; in return no failure
 // detection is needed.
 //
+// A collector that sent all updates to fifty entries would fill a slow link and hold up
+// the callers at its own VM. In a large zone it sends them to one entry of each block, which
+// forwards them within its block. Blocks are about as many as a block has entries, and turns
+// are short, so that no link is busy for long.
+//
 // The package does no I/O and is not safe for concurrent use.
 package dissemination
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -23,9 +29,11 @@
 	// fullMeshLimit is the number of entries up to which each sends directly to
 	// all others: with so few, forwarding saves too little to justify its delay.
 	fullMeshLimit = 16
-	// collectorTurn is how long an entry is the collector of its zone. Clock skew
-	// only causes two entries to collect at the same time.
-	collectorTurn = 250 * time.Millisecond
+	// collectorTurn is how long an entry is the collector of its zone, or forwards in its block.
+	// Clock skew only causes two entries to collect at the same time.
+	collectorTurn = 50 * time.Millisecond
+	// blockLimit is the number of entries of a zone up to which the collector sends to all.
+	blockLimit = 16
 )
 
 // Scope is how far the receiver of updates forwards them.
@@ -40,6 +48,9 @@
 	// ScopeAll means that the receiver forwards them within its own zone and to
 	// the other zones.
 	ScopeAll
+	// ScopeBlock means that the receiver forwards them within its own block. A previous
+	// version takes it for ScopeZone.
+	ScopeBlock
 )
 
 // Peer is an entry.
@@ -113,16 +124,42 @@
 
 // ZoneDestinations returns the destinations of updates that the entry forwards
 // within its zone.
-func (t *Topology) ZoneDestinations() []Destination {
+func (t *Topology) ZoneDestinations(timeOfDay time.Duration) []Destination {
+	destinations := t.BlockDestinations()
+	for _, block := range t.blocks() {
+		if !slices.Contains(block, t.self.Address) {
+			destinations = append(destinations, Destination{To: inTurn(block, timeOfDay), Scope: ScopeBlock})
+		}
+	}
+	return destinations
+}
+
+// BlockDestinations returns the destinations of updates that the entry forwards within its
+// block.
+func (t *Topology) BlockDestinations() []Destination {
 	var destinations []Destination
-	for _, address := range t.zones[t.self.Zone] {
-		if address != t.self.Address {
-			destinations = append(destinations, Destination{To: address})
+	for _, block := range t.blocks() {
+		if !slices.Contains(block, t.self.Address) {
+			continue
+		}
+		for _, address := range block {
+			if address != t.self.Address {
+				destinations = append(destinations, Destination{To: address})
+			}
 		}
 	}
 	return destinations
 }
 
+// blocks divides the entries of the zone.
+func (t *Topology) blocks() [][]string {
+	addresses := t.zones[t.self.Zone]
+	if len(addresses) <= blockLimit {
+		return [][]string{addresses}
+	}
+	return slices.Collect(slices.Chunk(addresses, int(math.Ceil(math.Sqrt(float64(len(addresses)))))))
+}
+
 // OtherZoneDestinations returns the destinations of updates that the entry forwards
 // to the other zones.
 func (t *Topology) OtherZoneDestinations(timeOfDay time.Duration) []Destination {
@@ -137,6 +174,9 @@
 
 // collector returns the address of the current collector of a zone.
 func (t *Topology) collector(zone string, timeOfDay time.Duration) string {
-	addresses := t.zones[zone]
+	return inTurn(t.zones[zone], timeOfDay)
+}
+
+func inTurn(addresses []string, timeOfDay time.Duration) string {
 	return addresses[int(uint64(timeOfDay/collectorTurn)%uint64(len(addresses)))]
 }
--- a/internal/core/dissemination/dissemination_test.go
+++ b/internal/core/dissemination/dissemination_test.go
@@ -33,10 +33,12 @@
 	dead       map[string]bool
 	// sent counts all messages, and crossZone those between zones.
 	sent, crossZone int
+	// sentBy counts the messages by sender.
+	sentBy map[string]int
 }
 
 func newDeployment(zones, perZone int) *deployment {
-	d := &deployment{topologies: make(map[string]*Topology), dead: make(map[string]bool)}
+	d := &deployment{topologies: make(map[string]*Topology), dead: make(map[string]bool), sentBy: make(map[string]int)}
 	var peers []Peer
 	for z := range zones {
 		for i := range perZone {
@@ -64,6 +66,7 @@
 		to := destination.To
 		if to != sender {
 			d.sent++
+			d.sentBy[sender]++
 			if d.topologies[to].self.Zone != d.topologies[sender].self.Zone {
 				d.crossZone++
 			}
@@ -75,11 +78,14 @@
 			received[to]++
 		}
 		t := d.topologies[to]
-		if destination.Scope >= ScopeZone {
-			deliverAll(to, t.ZoneDestinations())
-		}
-		if destination.Scope == ScopeAll {
+		switch destination.Scope {
+		case ScopeBlock:
+			deliverAll(to, t.BlockDestinations())
+		case ScopeAll:
 			deliverAll(to, t.OtherZoneDestinations(at))
+			fallthrough
+		case ScopeZone:
+			deliverAll(to, t.ZoneDestinations(at))
 		}
 	}
 	deliverAll(from, d.topologies[from].OwnDestinations(at))
@@ -136,3 +142,40 @@
 		t.Errorf("got destinations %+v, expected an entry that is alone and has none", topology.OwnDestinations(0))
 	}
 }
+
+// In zones of fifty entries no entry sends an update to so many others that it fills a slow link, each gets
+// it once, and within some seconds all entries have forwarded about as much.
+func TestForwardingIsShared(t *testing.T) {
+	const (
+		zones, perZone = 6, 49
+		// mostSends is twice the square root of a zone's entries, and one for each other zone.
+		mostSends = 2*7 + zones
+		length    = 10 * time.Second
+	)
+	d := newDeployment(zones, perZone)
+	total := make(map[string]int)
+	for at := time.Duration(0); at < length; at += 7 * time.Millisecond {
+		clear(d.sentBy)
+		received := d.publish("10.2.0.3:1", at)
+		for address := range d.topologies {
+			if address != "10.2.0.3:1" && received[address] != 1 {
+				t.Fatalf("%s received an update %d times, want once", address, received[address])
+			}
+		}
+		for address, n := range d.sentBy {
+			total[address] += n
+			if n > mostSends {
+				t.Fatalf("%s sent an update to %d others, want at most %d", address, n, mostSends)
+			}
+		}
+	}
+	sum := 0
+	for _, n := range total {
+		sum += n
+	}
+	for address, n := range total {
+		if n*zones*perZone > 4*sum {
+			t.Errorf("%s sent %d of %d messages, want at most four times an equal part", address, n, sum)
+		}
+	}
+}
--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -50,9 +50,9 @@
 	own      []*wire.News
 	ownItems int
 	results  map[string]*wire.ServerResults
-	// zoneQueue and otherZonesQueue list the updates to forward within the
-	// zone and to the other zones.
-	zoneQueue, otherZonesQueue []*wire.News
+	// blockQueue, zoneQueue and otherZonesQueue list the updates to forward within the
+	// block, within the zone and to the other zones.
+	blockQueue, zoneQueue, otherZonesQueue []*wire.News
 	// deferred is true while a timer runs for updates that may wait.
 	deferred bool
 	wake     chan struct{}
@@ -220,13 +220,16 @@
 			batches = append(batches, outgoing{to, b.own})
 		}
 	}
+	if len(b.blockQueue) > 0 {
+		batches = append(batches, outgoing{b.topology.BlockDestinations(), b.blockQueue})
+	}
 	if len(b.zoneQueue) > 0 {
-		batches = append(batches, outgoing{b.topology.ZoneDestinations(), b.zoneQueue})
+		batches = append(batches, outgoing{b.topology.ZoneDestinations(timeOfDay), b.zoneQueue})
 	}
 	if len(b.otherZonesQueue) > 0 {
 		batches = append(batches, outgoing{b.topology.OtherZoneDestinations(timeOfDay), b.otherZonesQueue})
 	}
-	b.own, b.ownItems, b.zoneQueue, b.otherZonesQueue = nil, 0, nil, nil
+	b.own, b.ownItems, b.blockQueue, b.zoneQueue, b.otherZonesQueue = nil, 0, nil, nil, nil
 	return batches
 }
 
@@ -343,15 +346,17 @@
 			b.applyUpdate(item)
 		}
 	}
-	scope := dissemination.Scope(batch.Scope)
-	if scope < dissemination.ScopeZone {
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.zoneQueue = append(b.zoneQueue, batch.News...)
-	if scope == dissemination.ScopeAll {
-		b.otherZonesQueue = append(b.otherZonesQueue, batch.News...)
+	switch dissemination.Scope(batch.Scope) {
+	case dissemination.ScopeBlock:
+		b.blockQueue = append(b.blockQueue, batch.News...)
+	case dissemination.ScopeZone:
+		b.zoneQueue = append(b.zoneQueue, batch.News...)
+	case dissemination.ScopeAll:
+		b.zoneQueue, b.otherZonesQueue = append(b.zoneQueue, batch.News...), append(b.otherZonesQueue, batch.News...)
+	default:
+		return
 	}
 	b.scheduleSend(true)
 }
