--- a/internal/entry/intervals_test.go
+++ b/internal/entry/intervals_test.go
@@ -20,13 +20,14 @@
 func TestDrawInterval(t *testing.T) {
 	// silentAfter is when the leader reserves a part of the limits for an entry.
 	const silentAfter = 2 * time.Second
-	for entries, expected := range map[int]time.Duration{6: minDrawInterval, 72: 360 * time.Millisecond, 294: 1470 * time.Millisecond, 1000: maxDrawInterval} {
+	for entries, expected := range map[int]time.Duration{6: minDrawInterval, 72: 360 * time.Millisecond, 200: time.Second, 294: maxDrawInterval, 1000: maxDrawInterval} {
 		if got := drawInterval(entries); got != expected {
 			t.Errorf("%d entries: got %s, want %s", entries, got, expected)
 		}
 	}
-	// The leader's own list is up to a second old.
-	if maxDrawInterval+time.Second/2 >= maxListAge || maxDrawInterval >= silentAfter {
+	// leaderListAge is the age of the leader's own list, which it reads every second, at most.
+	const leaderListAge = 1200 * time.Millisecond
+	if maxDrawInterval+leaderListAge >= maxListAge || maxDrawInterval >= silentAfter {
 		t.Errorf("an interval of %s lets the list get older than %s, or the entry count as silent", maxDrawInterval, maxListAge)
 	}
 }
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -24,7 +24,7 @@
 	drawIntervalPerEntry = 5 * time.Millisecond
 	// maxDrawInterval keeps the list of backend servers younger than maxListAge, from which on each
 	// entry reads the platform's, and the entry from counting as silent.
-	maxDrawInterval = 1800 * time.Millisecond
+	maxDrawInterval = 1200 * time.Millisecond
 	// usageInterval is the shortest interval at which draws carry the load and the counts of calls.
 	usageInterval = 500 * time.Millisecond
 	// drawTimeout bounds one draw.
