--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -88,8 +88,6 @@
 	origin    uint64
 	// occupancy is the average time that an answered attempt holds a slot, by service.
 	occupancy map[string]time.Duration
-	// newsDelay is how late this entry learns of what other entries place.
-	newsDelay time.Duration
 }
 
 // decayingSum is a sum of work that decays exponentially.
