Test: odd answers to a stream that goes on, and heads that stop at any byte

Two reports of other operators: an error's text in the middle of a stream, or an end that looks complete, when the next server answers with an error; and a 200 with an empty or short body when a server stops within the head.

--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -163,6 +163,8 @@
 	versioned *versionedEngine
 	// unframed, if set, gives answers with neither a length nor chunks.
 	unframed atomic.Pointer[unframedAnswer]
+	// raw, if set, gives the bytes of its answers.
+	raw atomic.Pointer[rawAnswer]
 	// brittle, if set, bounds the requests that it holds.
 	brittle *brittle
 	// callTime is the time that a plain answer takes, in milliseconds.
@@ -327,6 +329,10 @@
 		e.answerEndless(w, id, *name)
 		return
 	}
+	if raw := e.raw.Load(); raw != nil {
+		raw.answer(w, req)
+		return
+	}
 	if unframed := e.unframed.Load(); unframed != nil && unframed.answer(w, req, e.id) {
 		return
 	}
