--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -105,12 +105,15 @@
 	return d.version
 }
 
-// fresh reports whether the list in use is recent enough that this entry need
-// not read it from the platform.
-func (d *directory) fresh(now time.Duration) bool {
+// freshFor returns how long the list in use stays recent enough that this entry need
+// not read it from the platform. It is 0 or less if it is not.
+func (d *directory) freshFor(now time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.loaded && now-d.readAt < maxListAge
+	if !d.loaded {
+		return 0
+	}
+	return maxListAge - (now - d.readAt)
 }
 
 // confirm updates the age of the list in use if it has the given version, and
@@ -183,7 +186,11 @@
 func (e *Entry) runDiscovery(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
-		if e.directory.fresh(e.now()) || e.directory.known() && rand.IntN(1+e.quota.entries()/readsPerInterval) > 0 {
+		if left := e.directory.freshFor(e.now()); left > 0 {
+			wait(ctx, min(left, discoveryInterval))
+			continue
+		}
+		if e.directory.known() && rand.IntN(1+e.quota.entries()/readsPerInterval) > 0 {
 			wait(ctx, discoveryInterval)
 			continue
 		}
