--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -240,7 +240,7 @@
 // ones, in the configuration in force, or in the configuration that the
 // request began with.
 func (e *Entry) server(initial *configuration, name string) *fleet.BackendServer {
-	if server := e.directory.server(name); server != nil {
+	if server := e.directory.Server(name); server != nil {
 		return server
 	}
 	if current := e.config.inForce(); current != nil && current.servers[name] != nil {
--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"crypto/sha256"
 	"net"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"waxwingcart/internal/core/dissemination"
 	"waxwingcart/internal/core/placement"
+	"waxwingcart/internal/news"
 	"waxwingcart/internal/wire"
 )
 
@@ -22,14 +19,9 @@
 	// deferredDelay is the additional delay of updates that only correct what
 	// other entries expect anyway, such as starts and ends.
 	deferredDelay = 100 * time.Millisecond
-	// maxBatchBytes bounds the updates in one datagram, so that it fits in a
-	// packet.
-	maxBatchBytes = 1200
 	// maxUpdateItems bounds the items in one message of the entry's own
 	// updates.
 	maxUpdateItems = 16
-	// maxDatagramBytes bounds a received datagram.
-	maxDatagramBytes = 16 << 10
 	// expireInterval is how often placement drops attempts whose end it did
 	// not learn of, for example because the datagram was lost, and how often
 	// leaving servers are reported again.
@@ -40,8 +32,7 @@
 // and applies theirs to placement. Datagrams may be lost; attempts expire
 // after a while.
 type broadcaster struct {
-	entry  *Entry
-	secret []byte
+	entry *Entry
 
 	mu        sync.Mutex
 	topology  *dissemination.Topology
@@ -59,17 +50,12 @@
 }
 
 func newBroadcaster(e *Entry) *broadcaster {
-	b := &broadcaster{
+	return &broadcaster{
 		entry:    e,
 		topology: dissemination.New(dissemination.Peer{Address: e.opts.PeerAddress, Zone: e.opts.Zone}),
 		results:  make(map[string]*wire.ServerResults),
 		wake:     make(chan struct{}, 1),
 	}
-	if e.opts.PeerSecret != "" {
-		key := sha256.Sum256([]byte("news\n" + e.opts.PeerSecret))
-		b.secret = key[:]
-	}
-	return b
 }
 
 // setPeers replaces the entries that exchange updates.
@@ -234,14 +220,14 @@
 }
 
 func (b *broadcaster) run(ctx context.Context) {
-	conn, err := net.ListenPacket("udp", b.entry.opts.PeerAddress)
+	socket, err := news.Listen(b.entry.opts.PeerAddress, news.NewSigner(b.entry.opts.PeerSecret), b.entry.logger)
 	if err != nil {
 		b.entry.logger.Error().Str("step", "listen").Str("listener", "news").Err(err).Msg("listening for placement updates failed; other entries' attempts stay unknown")
 		return
 	}
-	b.entry.spawn(func() { b.receive(conn) })
+	b.entry.spawn(func() { socket.Receive(b.handleBatch) })
 	b.entry.spawn(func() { b.expire(ctx) })
-	defer conn.Close()
+	defer socket.Close()
 	for {
 		select {
 		case <-ctx.Done():
@@ -250,92 +236,24 @@
 		}
 		wait(ctx, batchDelay)
 		for _, p := range b.takePending(wallTime()) {
-			b.send(conn, p)
+			b.send(socket, p)
 		}
 	}
 }
 
 func wallTime() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
-// send sends updates in datagrams of bounded size.
-func (b *broadcaster) send(conn net.PacketConn, p outgoing) {
-	for len(p.updates) > 0 {
-		count, size := 0, 0
-		for count < len(p.updates) && (count == 0 || size+proto.Size(p.updates[count]) <= maxBatchBytes) {
-			size += proto.Size(p.updates[count])
-			count++
-		}
-		b.sendBatch(conn, p.to, p.updates[:count])
-		p.updates = p.updates[count:]
-	}
-}
-
-func (b *broadcaster) sendBatch(conn net.PacketConn, to []dissemination.Destination, list []*wire.News) {
-	var data []byte
-	for i, destination := range to {
-		if i == 0 || destination.Scope != to[i-1].Scope {
-			encoded, err := proto.Marshal(&wire.NewsBatch{News: list, Scope: uint32(destination.Scope)})
-			if err != nil {
-				b.entry.logger.Error().Str("step", "news").Err(err).Msg("encoding placement updates failed")
-				return
-			}
-			data = b.sign(encoded)
-		}
-		if address := b.address(destination.To); address != nil {
-			// Errors are ignored, because datagrams may be lost anyway.
-			_, _ = conn.WriteTo(data, address)
-		}
-	}
-}
-
-func (b *broadcaster) address(peer string) *net.UDPAddr {
+// send sends updates to the destinations whose addresses are known.
+func (b *broadcaster) send(socket *news.Socket, p outgoing) {
+	to := make([]news.Destination, 0, len(p.to))
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.addresses[peer]
-}
-
-// sign appends a message authentication code, if the deployment has a shared
-// secret.
-func (b *broadcaster) sign(data []byte) []byte {
-	if b.secret == nil {
-		return data
-	}
-	code := hmac.New(sha256.New, b.secret)
-	_, _ = code.Write(data)
-	return code.Sum(data)
-}
-
-// verify checks and removes the code that sign appended.
-func (b *broadcaster) verify(data []byte) ([]byte, bool) {
-	if b.secret == nil {
-		return data, true
-	}
-	if len(data) < sha256.Size {
-		return nil, false
-	}
-	body := data[:len(data)-sha256.Size]
-	return body, hmac.Equal(b.sign(append([]byte(nil), body...)), data)
-}
-
-// receive handles datagrams until the socket is closed.
-func (b *broadcaster) receive(conn net.PacketConn) {
-	buffer := make([]byte, maxDatagramBytes)
-	for {
-		size, _, err := conn.ReadFrom(buffer)
-		if err != nil {
-			return
-		}
-		body, ok := b.verify(buffer[:size])
-		if !ok {
-			continue
-		}
-		var batch wire.NewsBatch
-		if err := proto.Unmarshal(body, &batch); err != nil {
-			b.entry.logger.Debug().Str("step", "news").Err(err).Msg("decoding placement updates from another entry failed")
-			continue
+	for _, destination := range p.to {
+		if address := b.addresses[destination.To]; address != nil {
+			to = append(to, news.Destination{Address: address, Scope: uint32(destination.Scope)})
 		}
-		b.handleBatch(&batch)
 	}
+	b.mu.Unlock()
+	socket.Send(to, p.updates)
 }
 
 // handleBatch applies the other entries' updates in a datagram and queues what
--- a/internal/entry/broadcast_test.go
+++ b/internal/entry/broadcast_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"testing"
 
 	"github.com/phuslu/log"
@@ -88,24 +87,3 @@
 		t.Error("the entry's own updates were applied again")
 	}
 }
-
-// With a shared secret, only datagrams from entries of the deployment are
-// accepted.
-func TestUpdatesAreAuthenticated(t *testing.T) {
-	b := newBroadcastEntry("secret").broadcaster
-	signed := b.sign([]byte("body"))
-	if body, ok := b.verify(signed); !ok || !bytes.Equal(body, []byte("body")) {
-		t.Errorf("got body %q, verified %t; want the signed body", body, ok)
-	}
-	signed[0] ^= 1
-	if _, ok := b.verify(signed); ok {
-		t.Error("a modified datagram was accepted")
-	}
-	if _, ok := b.verify([]byte("short")); ok {
-		t.Error("a short datagram was accepted")
-	}
-	other := newBroadcastEntry("other").broadcaster
-	if _, ok := b.verify(other.sign([]byte("body"))); ok {
-		t.Error("another deployment's datagram was accepted")
-	}
-}
--- a/internal/entry/clock_test.go
+++ b/internal/entry/clock_test.go
@@ -20,11 +20,11 @@
 	e.quota.configure(e.now(), &routes.Table{Number: 1, Customers: []routes.Customer{{Name: "heirs", Rate: 1000, Burst: 1000}}})
 	e.quota.limiter.Grant(e.now(), e.now(), quota.Grant{Entries: 1})
 	takes := func() bool { return e.quota.limiter.Take(e.now(), "heirs", 1) }
-	if e.directory.freshFor(e.now()) <= 0 || takes() {
+	if e.directory.FreshFor(e.now()) <= 0 || takes() {
 		t.Fatal("before the suspension the list is not fresh, or units were there without a grant of any")
 	}
 	at += quota.LeaseDuration + maxListAge
-	if e.directory.freshFor(e.now()) > 0 {
+	if e.directory.FreshFor(e.now()) > 0 {
 		t.Error("the list from before the suspension is taken as fresh")
 	}
 	if !takes() {
--- a/internal/entry/configure.go
+++ b/internal/entry/configure.go
@@ -35,9 +35,9 @@
 func (p *policy) setList(list []discovery.Server, version uint64, readAt time.Duration) (changed []discovery.Server, gone []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed, gone = p.entry.directory.replace(list, version, readAt)
+	changed, gone = p.entry.directory.Replace(list, version, readAt)
 	if p.placer != nil {
-		p.placer.SetListed(p.entry.now(), p.entry.directory.instances())
+		p.placer.SetListed(p.entry.now(), p.entry.directory.Instances())
 	}
 	if p.config != nil && len(changed)+len(gone) > 0 {
 		p.configure(causeList)
@@ -81,7 +81,7 @@
 func (p *policy) configureRouted(cause string) {
 	now := p.entry.now()
 	inUse := func(name string) *routes.Service { return p.serviceInUse(now, name) }
-	servers := p.entry.directory.placementServers(inUse, p.entry.opts.Zone)
+	servers := p.entry.directory.PlacementServers(inUse, p.entry.opts.Zone)
 	p.placer.SetServers(servers)
 	p.entry.quota.configure(p.entry.now(), p.config.routes.Table)
 	p.entry.streams.configure(p.config.routes.Table)
@@ -106,7 +106,7 @@
 	p.entry.metrics.withoutServer.Set(float64(without))
 	event := p.entry.logger.Info().Str("step", "configure").Uint64("revision", p.config.revision)
 	if p.config.routes != nil {
-		event.Uint64("number", p.config.routes.Number).Uint64("list", p.entry.directory.listVersion())
+		event.Uint64("number", p.config.routes.Number).Uint64("list", p.entry.directory.ListVersion())
 	}
 	event.Int("servers", servers).Int("services_without_server", without).Str("cause", cause).Msg("placement and limits set")
 }
--- a/internal/entry/copies_test.go
+++ b/internal/entry/copies_test.go
@@ -157,7 +157,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { e.applyList(listOf(1, 2), 1, 1) })
 	awaitBlocked(t, "(*Entry).applyList")
-	known := e.directory.known()
+	known := e.directory.Known()
 	e.policy.mu.Unlock()
 	group.Wait()
 	if known {
@@ -213,11 +213,12 @@
 	e.applyList(listOf(1, 2), 0, 5*time.Second)
 	e.applyList(nil, 7, 4*time.Second)
 	checkParts(t, e, 1)
-	if e.directory.confirm(7, 6*time.Second) || e.directory.listVersion() != 0 {
+	if e.directory.Confirm(7, 6*time.Second) || e.directory.ListVersion() != 0 {
 		t.Error("the older list is in use")
 	}
 	for range parallelRounds {
-		older, newer := e.directory.readAt+1, e.directory.readAt+2
+		_, readAt := e.directory.List()
+		older, newer := readAt+1, readAt+2
 		var group sync.WaitGroup
 		group.Go(func() { e.applyList(nil, 0, older) })
 		group.Go(func() { e.applyList(listOf(1, 2), 8, newer) })
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -30,7 +30,7 @@
 		Peers: func() []string { return e.broadcaster.peers() }, Listens: e.backends.Listens,
 		Peer: func(peer string) wire.Peer { return wire.NewPeerProtobufClient("http://"+peer, e.opts.Client) },
 		Server: func(instance string) (string, bool) {
-			server := e.directory.server(instance)
+			server := e.directory.Server(instance)
 			if server == nil {
 				return "", false
 			}
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -39,7 +39,7 @@
 	if config == nil || config.routes == nil {
 		return defaultHealthPath
 	}
-	if service := config.routes.Service(e.directory.serviceAt(address)); service != nil && service.HealthPath != "" {
+	if service := config.routes.Service(e.directory.ServiceAt(address)); service != nil && service.HealthPath != "" {
 		return service.HealthPath
 	}
 	return defaultHealthPath
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"waxwingcart/internal/core/admission"
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/detour"
+	"waxwingcart/internal/directory"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
@@ -105,7 +106,8 @@
 	releaser    *releaser
 	members     *members
 	reports     reportState
-	directory   *directory
+	directory   *directory.Directory
+	listCheck   listCheck
 	quota       *quotaClient
 	broadcaster *broadcaster
 	streams     *streams
@@ -145,7 +147,7 @@
 		started:     time.Now(),
 		startedAt:   bootclock.Now(),
 		clock:       bootclock.Now,
-		directory:   newDirectory(),
+		directory:   directory.New(maxListAge),
 		replicas:    opts.Replicas,
 		history:     traces.NewHistory(),
 		runs:        make(map[string]*run),
@@ -232,7 +234,7 @@
 		return false
 	}
 	if e.opts.Routed != nil {
-		return e.directory.known() && (e.quota.granted() || e.now() > firstDrawTimeout)
+		return e.directory.Known() && (e.quota.granted() || e.now() > firstDrawTimeout)
 	}
 	return e.now() > warmUp
 }
@@ -241,7 +243,7 @@
 // configuration is in force, the list of backend servers has been read, and another
 // entry has been asked what is barred.
 func (e *Entry) signalInitialized() {
-	if e.config.inForce() != nil && e.directory.known() && !e.barsUnknown.Load() {
+	if e.config.inForce() != nil && e.directory.Known() && !e.barsUnknown.Load() {
 		e.initOnce.Do(func() { close(e.initialized) })
 	}
 }
--- a/internal/entry/intervals_test.go
+++ b/internal/entry/intervals_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"waxwingcart/internal/directory"
 )
 
 // Calls for the configuration wait longer in a large deployment, so that the leader answers a bounded
@@ -35,13 +37,13 @@
 // An entry whose leader confirms the list no more reads the platform's once the list is too old, and not
 // up to an interval later.
 func TestStaleListIsReadInTime(t *testing.T) {
-	d := newDirectory()
-	if left := d.freshFor(time.Second); left > 0 {
+	d := directory.New(maxListAge)
+	if left := d.FreshFor(time.Second); left > 0 {
 		t.Errorf("without a list: fresh for %s", left)
 	}
-	d.replace(nil, 1, time.Second)
+	d.Replace(nil, 1, time.Second)
 	for now, expected := range map[time.Duration]time.Duration{time.Second: maxListAge, 3 * time.Second: maxListAge - 2*time.Second, time.Second + maxListAge: 0} {
-		if got := d.freshFor(now); got != expected {
+		if got := d.FreshFor(now); got != expected {
 			t.Errorf("at %s: fresh for %s, want %s", now, got, expected)
 		}
 	}
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -15,6 +15,7 @@
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/core/routes"
+	"waxwingcart/internal/directory"
 	"waxwingcart/internal/discovery"
 	"waxwingcart/internal/wire"
 )
@@ -66,13 +67,13 @@
 // the server's word.
 func TestListDoesNotUndoLeaving(t *testing.T) {
 	e := newLeavingEntry()
-	e.directory = newDirectory()
+	e.directory = directory.New(maxListAge)
 	e.opts.Zone = "z"
 	list := []discovery.Server{{Instance: "a", Service: "models", Zone: "z"}, {Instance: "b", Service: "models", Zone: "z"}}
 	table := routes.NewIndex(&routes.Table{Services: []routes.Service{{Name: "models"}}})
 	apply := func(list []discovery.Server, readAt time.Duration) {
 		e.policy.setList(list, 1, readAt)
-		e.policy.placer.SetServers(e.directory.placementServers(table.Service, "z"))
+		e.policy.placer.SetServers(e.directory.PlacementServers(table.Service, "z"))
 	}
 	picks := func() (picked []string) {
 		request := &placement.Request{Service: "models"}
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -90,7 +90,7 @@
 	}
 	readAt := requestedAt - time.Duration(response.ListAgeMs)*time.Millisecond
 	switch {
-	case q.entry.directory.confirm(response.List, readAt):
+	case q.entry.directory.Confirm(response.List, readAt):
 		q.entry.streams.confirmed(readAt)
 	case len(response.Servers) == 0:
 		return
@@ -273,7 +273,7 @@
 	request.Process, request.Incarnation = q.entry.opts.VM, q.entry.incarnation
 	request.PeersVersion = q.peersVersion
 	request.Address, request.Zone = q.entry.opts.PeerAddress, q.entry.opts.Zone
-	request.List = q.entry.directory.listVersion()
+	request.List = q.entry.directory.ListVersion()
 	request.Limits = limits
 	request.Bars, request.AsksBars = bars, q.entry.barsUnknown.Load()
 	request.Partial = !full
--- a/internal/entry/serverlimit_test.go
+++ b/internal/entry/serverlimit_test.go
@@ -5,13 +5,14 @@
 	"testing"
 
 	"waxwingcart/internal/core/routes"
+	"waxwingcart/internal/directory"
 )
 
 // Drawing units and applying a configuration take the locks of limits and placement in one
 // order. An entry that took them in two orders stopped to answer.
 func TestDrawBesideConfiguration(t *testing.T) {
 	e := newLeavingEntry()
-	e.directory, e.config = newDirectory(), &configHolder{entry: e}
+	e.directory, e.config = directory.New(maxListAge), &configHolder{entry: e}
 	e.quota = newQuotaClient(e)
 	const rounds = 20_000
 	var both sync.WaitGroup
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -13,6 +13,7 @@
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routes"
+	"waxwingcart/internal/directory"
 	"waxwingcart/internal/discovery"
 	"waxwingcart/internal/traces"
 )
@@ -106,7 +107,7 @@
 	e.opts.WriteTimeout = time.Second
 	e.backends = backend.New(e.backendOptions())
 	t.Cleanup(e.backends.Close)
-	e.directory, e.config, e.history = newDirectory(), &configHolder{entry: e}, traces.NewHistory()
+	e.directory, e.config, e.history = directory.New(maxListAge), &configHolder{entry: e}, traces.NewHistory()
 	arrived := make(chan *silentEngine, 2)
 	var list []discovery.Server
 	for _, name := range []string{"a", "b"} {
--- a/internal/entry/staletakeup_test.go
+++ b/internal/entry/staletakeup_test.go
@@ -19,7 +19,8 @@
 func newStaleEntry(t *testing.T, engine *versionEngine, read func(known []discovery.Server) ([]discovery.Server, error)) *Entry {
 	t.Helper()
 	e := newTakeUpEntry(t, engine)
-	known := slices.Clone(e.directory.list)
+	inUse, _ := e.directory.List()
+	known := slices.Clone(inUse)
 	const history = 40 * time.Second
 	e.streams.book = lineage.New()
 	e.streams.expect(history / 2)
--- a/internal/entry/streamsbench_test.go
+++ b/internal/entry/streamsbench_test.go
@@ -11,6 +11,7 @@
 
 	"waxwingcart/internal/core/lineage"
 	"waxwingcart/internal/core/placement"
+	"waxwingcart/internal/news"
 	"waxwingcart/internal/wire"
 )
 
@@ -71,7 +72,7 @@
 func (d *benchDeployment) tick(b *testing.B, timeOfDay time.Duration) {
 	for _, e := range d.entries {
 		for _, batch := range e.broadcaster.takePending(timeOfDay) {
-			e.broadcaster.send(queueConn{queue: &d.queue}, batch)
+			e.broadcaster.send(news.NewSocket(queueConn{queue: &d.queue}, news.Signer{}, e.logger), batch)
 		}
 	}
 	queue := d.queue
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -286,7 +286,8 @@
 	e.streams.begun(streamID("", "other"), v1, "i-1", time.Minute)
 	r := &run{entry: e, routed: &routedCall{}, service: e.config.inForce().services["models"]}
 	e.policy.pinBegun(r, "v1", "i-0")
-	list := slices.Clone(e.directory.list)
+	inUse, _ := e.directory.List()
+	list := slices.Clone(inUse)
 	list[0].Software = "v2"
 	e.applyList(list, 2, e.now())
 	checkTakeUpRefused(t, e.call("/public/1", "Id", "a", "Resumes", "late", "Last-Event-Id", "2"), reasonStreamAmbiguous)
