--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -77,7 +77,8 @@
 	tunnels tunnels
 	made    *prometheus.CounterVec
 	served  *prometheus.CounterVec
-	cutOff  prometheus.Gauge
+	// cutOff has no labels; it appears with its first value.
+	cutOff *prometheus.GaugeVec
 }
 
 // New returns a Detour that connects directly.
@@ -94,9 +95,9 @@
 	}
 	d.made = counter("detours_total", "Connections to backend servers that this entry asked other entries for, by result.")
 	d.served = counter("tunnels_total", "Connections to backend servers that other entries asked this one for, by result.")
-	d.cutOff = prometheus.NewGauge(prometheus.GaugeOpts{
+	d.cutOff = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: "waxwingcart", Subsystem: "entry", Name: "cut_off", Help: "1 while this entry reaches backend servers only through other entries.",
-	})
+	}, nil)
 	opts.Registry.MustRegister(d.made, d.served, d.cutOff)
 	return d
 }
@@ -176,10 +177,10 @@
 
 func (d *Detour) changed(path detour.Path) {
 	if path == detour.CutOff {
-		d.cutOff.Set(1)
+		d.cutOff.WithLabelValues().Set(1)
 		d.opts.Logger.Warn().Str("step", "detour").Str("path", string(path)).Msg("backend servers answer this entry only through other entries; it connects to them through these")
 	} else {
-		d.cutOff.Set(0)
+		d.cutOff.WithLabelValues().Set(0)
 		d.opts.Logger.Info().Str("step", "detour").Str("path", string(path)).Msg("backend servers answer this entry directly again; it connects to them directly")
 	}
 	d.opts.Changed()
--- a/internal/replica/fulldisk.go
+++ b/internal/replica/fulldisk.go
@@ -51,7 +51,7 @@
 		change = 1
 	}
 	waiting := r.diskFull.Add(change)
-	r.metrics.diskFull.Set(float64(min(waiting, 1)))
+	r.metrics.diskFull.WithLabelValues().Set(float64(min(waiting, 1)))
 	if !full || waiting > 1 {
 		return
 	}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -7,13 +7,14 @@
 )
 
 type metrics struct {
-	revision     prometheus.Gauge
-	term         prometheus.Gauge
-	leader       prometheus.Gauge
-	applied      prometheus.Gauge
-	records      prometheus.Gauge
-	behind       prometheus.Gauge
-	diskFull     prometheus.Gauge
+	revision prometheus.Gauge
+	term     prometheus.Gauge
+	leader   prometheus.Gauge
+	applied  prometheus.Gauge
+	records  prometheus.Gauge
+	behind   prometheus.Gauge
+	// diskFull has no labels; it appears with its first value.
+	diskFull     *prometheus.GaugeVec
 	reservations *prometheus.CounterVec
 	orders       *prometheus.CounterVec
 	duties       *prometheus.CounterVec
@@ -36,12 +37,15 @@
 		applied:  gauge("applied_index", "Index of the last applied log entry."),
 		records:  gauge("idempotency_records", "Idempotency records held."),
 		behind:   gauge("entries_behind", "Live entries that have not acknowledged, within 2 s of its commit, a revision committed while this replica leads."),
-		diskFull: gauge("disk_full", "1 while writes to the log or of a snapshot wait for room on the disk."),
 		reservations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "waxwingcart", Subsystem: "replica", Name: "reservations_total",
 			Help: "Reservations answered by this replica as leader, by result.",
 		}, []string{"result"}),
 	}
+	m.diskFull = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: "waxwingcart", Subsystem: "replica", Name: "disk_full",
+		Help: "1 while writes to the log or of a snapshot wait for room on the disk.",
+	}, nil)
 	m.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "waxwingcart", Subsystem: "replica", Name: "orders_total",
 		Help: "Orders to backend servers given by this replica as leader, by result.",
@@ -58,7 +62,7 @@
 		Namespace: "waxwingcart", Subsystem: "replica", Name: "messages_unaddressed_total",
 		Help: "Messages for other replicas that were dropped because this replica knew no address for them.",
 	})
-	registry.MustRegister(m.reservations, m.orders, m.duties, m.deliveryFailures, m.unaddressed)
+	registry.MustRegister(m.diskFull, m.reservations, m.orders, m.duties, m.deliveryFailures, m.unaddressed)
 	return m
 }
 
