Don't draw again at once from a leader of the previous version

Such a leader never says which limits it has, so that each draw of a new entry was followed by another one without a pause while both versions ran. Found in reading the change; TestLeaderOfPreviousVersion fails before.

--- a/internal/core/quota/limiter.go
+++ b/internal/core/quota/limiter.go
@@ -45,8 +45,9 @@
 	renewedAt time.Duration
 	granted   bool
 	// leaderNumber is the number of the configuration from which the leader had the limits at the
-	// last grant.
-	leaderNumber uint64
+	// last grant, and limitsLeftOut true if the last renewal relied on that.
+	leaderNumber  uint64
+	limitsLeftOut bool
 	// renewing is true while a renewal sent at renewalSent is unanswered.
 	renewing    bool
 	renewalSent time.Duration
@@ -100,9 +101,12 @@
 // Granted reports whether a leader has ever granted a renewal.
 func (l *Limiter) Granted() bool { return l.granted }
 
-// LeaderLacksLimits reports whether the leader of the last grant had the limits of an older
-// configuration or none, so that the next renewal must hold them.
-func (l *Limiter) LeaderLacksLimits() bool { return l.granted && l.leaderNumber < l.number }
+// LeaderLacksLimits reports whether the last renewal left the limits out and its leader did not have
+// them, so that another renewal must follow at once. A previous version of the leader never
+// says that it has them.
+func (l *Limiter) LeaderLacksLimits() bool {
+	return l.granted && l.limitsLeftOut && l.leaderNumber < l.number
+}
 
 // Entries returns the number of entries that share the limits, as of the last
 // grant.
@@ -113,7 +117,8 @@
 func (l *Limiter) Renewal(now time.Duration) Renewal {
 	l.renewing, l.renewalSent = true, now
 	renewal := Renewal{Calls: make(map[string][]float64), Ahead: make(Amounts), Back: make(Amounts)}
-	if l.leaderNumber < l.number {
+	l.limitsLeftOut = l.leaderNumber >= l.number
+	if !l.limitsLeftOut {
 		renewal.Number, renewal.Limits = l.number, make(map[string]Limit, len(l.accounts))
 	}
 	for customer, a := range l.accounts {
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -20,7 +20,7 @@
 	minDrawInterval = 300 * time.Millisecond
 	// drawIntervalPerEntry is multiplied by the number of entries to get the
 	// interval of each entry, within minDrawInterval and maxDrawInterval. The leader thus
-	// answers at most two hundred regular draws a second of up to 400 entries.
+	// answers at most two hundred regular draws a second of up to 240 entries.
 	drawIntervalPerEntry = 5 * time.Millisecond
 	// maxDrawInterval keeps the list of backend servers younger than maxListAge, from which on each
 	// entry reads the platform's, and the entry from counting as silent.
--- a/internal/replica/drawsize_test.go
+++ b/internal/replica/drawsize_test.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// A leader of a previous version doesn't say which limits it has. It gets them with each draw, and no draw
+// follows another at once.
+func TestLeaderOfPreviousVersion(t *testing.T) {
+	f := newDrawFleet(1, 2)
+	for range 5 {
+		f.now += time.Second
+		renewal := f.limiters[0].Renewal(f.now)
+		if len(renewal.Limits) != 2 {
+			t.Fatalf("a draw holds %d limits, want 2", len(renewal.Limits))
+		}
+		f.limiters[0].Grant(f.now, f.now, quota.Grant{Entries: 1})
+		if f.limiters[0].LeaderLacksLimits() {
+			t.Fatal("another draw would follow at once")
+		}
+	}
+}
+
 // BenchmarkDraw shows how the leader's work for a draw grows with the number of entries.
 func BenchmarkDraw(b *testing.B) {
 	for _, entries := range []int{6, 60, 300, 1000} {
