--- a/review/lab/attempts.go
+++ b/review/lab/attempts.go
@@ -15,6 +15,8 @@
 	// usualWork is how long a lookup takes, and slowFactor how much longer at a slow engine.
 	usualWork  = 400 * time.Millisecond
 	slowFactor = 4
+	// slowTime is how long the engine is slow.
+	slowTime = 6500 * time.Millisecond
 	// brokenAbove is the number of requests above which the rule is broken.
 	brokenAbove = 3
 )
@@ -53,8 +55,9 @@
 	}
 	time.Sleep(4 * time.Second)
 
-	const lookups, interval = 300, 60 * time.Millisecond
+	const lookups, interval = 400, 25 * time.Millisecond
 	slow.Store(trouble)
+	time.AfterFunc(slowTime, func() { slow.Store(false) })
 	l.note("engine %s is slow: %t", engines[0].id, trouble)
 	var calls sync.WaitGroup
 	ids := make([]string, lookups)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -55,7 +55,7 @@
 	ended          chan struct{}
 }
 
-var labZones = []string{"kochi-a", "kochi-b", "tvm", "kozhikode"}
+var labZones = []string{"brasov-a", "sibiu-b", "cluj-c", "mures-d"}
 
 func newLab(folder string) (*lab, error) {
 	if _, err := os.Stat(program); err != nil {
@@ -153,7 +153,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", l.ip(1+i), portControl))
 	}
 	content := map[string]any{
-		"name": m.name, "zone": m.zone, "region": "kerala",
+		"name": m.name, "zone": m.zone, "region": "transilvania",
 		"seeds": seeds, "trust": "private-network", "memory_mb": 284,
 		"platform": fmt.Sprintf("%s:%d", l.ip(250), portPlatform),
 	}
