Count hedges as attempts

Cause: a lookup that was silent for its progress timeout was sent to a second server whatever the route's limit on attempts, and the copy was not counted, so that a later attempt went to a third one. Change: request.Hedged counts a copy; an attempt may be hedged only if the limit allows another one.

--- a/internal/core/request/attempts.go
+++ b/internal/core/request/attempts.go
@@ -80,9 +80,10 @@
 	return r.spec.Repeatable || !r.handedOver
 }
 
-// AttemptsLeft reports whether the limit on attempts allows another one.
+// AttemptsLeft reports whether the limit on attempts allows another one. A hedge counts as an
+// attempt.
 func (r *Request) AttemptsLeft() bool {
-	return r.attempt-min(r.unstarted, r.spec.MaxUnstarted) < r.spec.MaxAttempts
+	return r.attempt+r.hedges-min(r.unstarted, r.spec.MaxUnstarted) < r.spec.MaxAttempts
 }
 
 // prepareRetry prepares the next attempt: it resumes the stream if the
--- a/internal/core/request/faults_test.go
+++ b/internal/core/request/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -148,3 +149,22 @@
 		}
 	}
 }
+
+// A hedge is an attempt: with it the request reaches no more servers than its limit on attempts.
+func TestHedgeCountsAsAttempt(t *testing.T) {
+	for attempts, want := range map[int]string{2: "{Outcome:", 3: "{Delay:"} {
+		r := New(Spec{ID: "r1", Kind: KindApp, Repeatable: true, Deadline: time.Second, MaxAttempts: attempts}, &fixedRetrier{left: 9})
+		steps(r, Start{}, Admitted{}, Picked{Server: "a"})
+		if !r.AttemptsLeft() {
+			t.Fatalf("%d attempts: none is left for a hedge", attempts)
+		}
+		steps(r, Hedged{Attempt: 1})
+		if left := r.AttemptsLeft(); left != (attempts == 3) {
+			t.Errorf("%d attempts, one of them a hedge: attempts left %t", attempts, left)
+		}
+		got := steps(r, Failed{Attempt: 1, Failure: Failure{Phase: PhaseHandedOver, Step: "read", Peer: "a"}})
+		if !strings.Contains(got, want) {
+			t.Errorf("%d attempts: after the attempt and its hedge failed got %s, want %s", attempts, got, want)
+		}
+	}
+}
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -87,6 +87,8 @@
 	handedOver bool
 	abandoned  bool
 	callerGone bool
+	// hedges counts the copies of attempts' requests that were sent beside them.
+	hedges int
 	// unstarted counts the attempts that failed before the request ran.
 	unstarted   int
 	lastFailure Failure
@@ -154,6 +156,9 @@
 		return r.token(ev)
 	case Completed:
 		return r.completed(ev)
+	case Hedged:
+		r.hedges++
+		return nil
 	case Failed:
 		return r.failed(now, ev)
 	case Silence:
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -216,6 +216,9 @@
 // Completed reports that an attempt delivered its complete answer.
 type Completed struct{ Attempt int }
 
+// Hedged reports that a copy of an attempt's request was sent to another server beside it.
+type Hedged struct{ Attempt int }
+
 // Failed reports that an attempt ended without a complete answer.
 type Failed struct {
 	Attempt int
@@ -268,6 +271,7 @@
 func (Opened) isEvent()      {}
 func (Token) isEvent()       {}
 func (Completed) isEvent()   {}
+func (Hedged) isEvent()      {}
 func (Failed) isEvent()      {}
 func (BackoffOver) isEvent() {}
 func (Move) isEvent()        {}
--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -51,6 +51,7 @@
 			hedge = nil
 			if server := a.chooseHedge(); server != nil {
 				pending++
+				a.post(ctx, streamEvent{event: request.Hedged{Attempt: a.number}})
 				go func() { results <- a.fetchHedge(ctx, server) }()
 			}
 		case result := <-results:
@@ -124,8 +125,11 @@
 
 // hedgeTimer returns a channel that fires when the request may be sent a
 // second time, and a function that stops it. It never fires for a request that
-// is not a lookup.
+// is not a lookup, or if the limit on attempts allows no other one.
 func (a *attempt) hedgeTimer() (<-chan time.Time, func()) {
+	if !a.mayHedge {
+		return nil, func() {}
+	}
 	at, ok := a.run.entry.policy.hedgeAt(a.hedgeCandidate())
 	if !ok {
 		return nil, func() {}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -50,6 +50,8 @@
 	job placement.JobID
 	// version is the software version of the server of a routed call.
 	version string
+	// mayHedge is true if the limit on attempts allows a hedge beside this attempt.
+	mayHedge bool
 	// hedged is true if the hedge's server gave the answer.
 	hedged atomic.Bool
 }
@@ -108,7 +110,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &attempt{run: r, number: number, server: server, cancel: cancel, started: r.entry.now(), progressTimeout: timeout}
+	a := &attempt{run: r, number: number, server: server, cancel: cancel, started: r.entry.now(), progressTimeout: timeout, mayHedge: r.req.AttemptsLeft()}
 	r.attempts = append(r.attempts, a)
 	r.last = a
 	if r.routed != nil {
