Fail attempts whose response has an invalid status

Cause: a final response with a status below 100 reached http.ResponseWriter, which panics, so that the caller's connection ended without an answer, also on routes with another attempt. Statuses above 599 and 1xx were passed on. Change: such a response is a failed attempt that may have run; its connection is not used again.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -447,9 +447,14 @@
 	return callErr
 }
 
+// maxStatus is the highest status of a response.
+const maxStatus = 599
+
 var (
 	errNoProgress   = errors.New("no progress within the progress timeout")
 	errOtherRequest = errors.New("response belongs to another request")
+	// errInvalidStatus is the error of a status that no final response has.
+	errInvalidStatus = errors.New("invalid status of a final response")
 	// errUnaskedEncoding is the error of a body that can't be passed on.
 	errUnaskedEncoding = errors.New("response has an encoding that the request did not ask for")
 )
@@ -462,6 +467,11 @@
 	if named, ok := protocol.BelongsTo(r.call, header); !ok {
 		return r.fail(PhaseInvalid, fmt.Errorf("%w: %.60q", errOtherRequest, named))
 	}
+	if status := r.response.StatusCode; status < http.StatusOK || status > maxStatus {
+		// The connection is not used again, even if the response has no body.
+		r.ended.Store(false)
+		return r.fail(PhaseInvalid, fmt.Errorf("%w: %d", errInvalidStatus, status))
+	}
 	if r.call.RequestID != "" && (r.response.StatusCode >= http.StatusBadRequest || protocol.NotRun(r.response.StatusCode, header)) {
 		r.tracker.noteFailed()
 	}
--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -165,6 +165,8 @@
 	unframed atomic.Pointer[unframedAnswer]
 	// raw, if set, gives the bytes of its answers.
 	raw atomic.Pointer[rawAnswer]
+	// early, if set, is given before the request's body is read.
+	early atomic.Pointer[rawAnswer]
 	// brittle, if set, bounds the requests that it holds.
 	brittle *brittle
 	// callTime is the time that a plain answer takes, in milliseconds.
@@ -320,6 +322,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if early := e.early.Load(); early != nil {
+		early.answer(w, req)
+		return
+	}
 	body, _ := io.ReadAll(req.Body)
 	e.mu.Lock()
 	e.runs[id]++
