Learn the fixed part of the time until answers begin

Cause: placement learned one speed of a service's engines from the time until answers began. Engines that take tens of milliseconds for the first token of any prompt seemed less than half as fast as they are: 29 to 33 tokens a millisecond were learned where engines read 82, so that long prompts were expected to take twice their time, short ones half of it, and scaling ordered 43 engines where the prompt work needs 15. Change: a line of least squares with a speed and a fixed part. Result: at the median, prompts of 300 and 20,000 tokens began after 2.31 and 0.69 of the predicted time before, and after 0.75 to 1.33 of it now (TestFixedPartOfTheStartIsLearned).

--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -71,10 +71,9 @@
 	jobs    map[JobID]*job
 	// versions is the number of versions of each service's servers.
 	versions map[string]int
-	// rate is the learned speed of model engines, in tokens of work per
-	// millisecond, and callTime the learned duration of a call at an application
-	// server, in milliseconds, both by service.
-	rate     map[string]float64
+	// start holds what was learned of the beginning of model engines' answers, and callTime
+	// the learned duration of a call at an application server, in milliseconds, both by service.
+	start    map[string]*startModel
 	callTime map[string]float64
 	// ownWork holds the work that this entry placed lately, by service.
 	ownWork map[string]*decayingSum
@@ -130,7 +129,7 @@
 	for service, a := range p.ownWork {
 		servers := p.byName[service]
 		if len(servers) > 0 && servers[0].CacheTokens > 0 {
-			work[service] = Work{PerSecond: a.decayed(now) / workWindow.Seconds(), Rate: 1000 * p.rateOf(service)}
+			work[service] = Work{PerSecond: a.decayed(now) / workWindow.Seconds(), Rate: 1000 * p.startModelOf(service).rate}
 		}
 	}
 	return work
@@ -177,7 +176,7 @@
 		servers:   make(map[string]*server),
 		byName:    make(map[string][]*server),
 		jobs:      make(map[JobID]*job),
-		rate:      make(map[string]float64),
+		start:     make(map[string]*startModel),
 		callTime:  make(map[string]float64),
 		ownWork:   make(map[string]*decayingSum),
 		leaving:   make(map[string]leavingServer),
@@ -259,11 +258,13 @@
 	}
 	cached := s.cache.cachedTokens(size.Parts, s.CacheTokens)
 	d.UncachedTokens = max(size.PromptTokens-cached, 0)
-	d.Waiting = s.backlog(now, p.rateOf(s.Service))
-	prefill := attemptWork(d.UncachedTokens, size.PromptTokens) / p.rateOf(s.Service)
-	first := network + d.Waiting/p.rateOf(s.Service) + prefill
+	model := p.startModelOf(s.Service)
+	d.Waiting = s.backlog(now, model)
+	work := attemptWork(d.UncachedTokens, size.PromptTokens)
+	prefill := work / model.rate
+	first := network + model.predict(d.Waiting+work)
 	d.StartDelay = duration(first)
-	recompute := float64(size.sharedTokens()-cached) / p.rateOf(s.Service)
+	recompute := float64(size.sharedTokens()-cached) / model.rate
 	score := first + prefillWeight*prefill + recomputeWeight*recompute + runningWeight*float64(s.running) + s.health.penalty(now)
 	score += pauseWeight * s.pauses.decayed(now) * math.Min(prefill/longPrefillMS, 1)
 	used := float64(s.memory+size.PromptTokens+size.OutputTokens) / float64(s.CacheTokens)
@@ -283,8 +284,8 @@
 
 // backlog returns the work queued at the server, in tokens. It assumes that the
 // server has worked on its oldest queued job since that job was placed or since an
-// answer last began, whichever is later.
-func (s *server) backlog(now time.Duration, rate float64) float64 {
+// answer last began, whichever is later. The work of an answer is done before its fixed part.
+func (s *server) backlog(now time.Duration, model *startModel) float64 {
 	if len(s.waiting) == 0 {
 		return 0
 	}
@@ -293,17 +294,10 @@
 		total += j.Work
 	}
 	head := s.waiting[0]
-	done := milliseconds(now-max(head.placed, s.lastBegun)) * rate
+	done := milliseconds(now-max(head.placed, s.lastBegun-duration(model.fixed))) * model.rate
 	return total - math.Min(math.Max(done, 0), head.Work)
 }
 
-func (p *Placer) rateOf(service string) float64 {
-	if rate := p.rate[service]; rate > 0 {
-		return rate
-	}
-	return initialRate
-}
-
 func (p *Placer) callTimeOf(service string) float64 {
 	if t := p.callTime[service]; t > 0 {
 		return t
@@ -327,7 +321,7 @@
 	}
 	j := &job{Job: placed, server: s, placed: now}
 	if s.CacheTokens > 0 {
-		j.ahead = s.backlog(now, p.rateOf(s.Service))
+		j.ahead = s.backlog(now, p.startModelOf(s.Service))
 		s.cache.record(placed.Parts, placed.UncachedTokens)
 	}
 	if placed.ID.Origin != p.origin && s.CacheTokens > 0 {
@@ -365,24 +359,6 @@
 	}
 }
 
-// learn adjusts the learned rate by one step in the direction that the time until
-// the answer began indicates.
-func (p *Placer) learn(now time.Duration, j *job) {
-	s := j.server
-	took := milliseconds(now - j.placed - 2*s.Delay)
-	if s.CacheTokens == 0 || took <= 0 {
-		return
-	}
-	rate := p.rateOf(s.Service)
-	step := 1 + learnStep
-	if (j.ahead+j.Work)/rate > took {
-		rate *= step
-	} else {
-		rate /= step
-	}
-	p.rate[s.Service] = math.Min(math.Max(rate, minRate), maxRate)
-}
-
 // Ended records the end of an attempt.
 func (p *Placer) Ended(now time.Duration, id JobID, result Result) {
 	j := p.jobs[id]
@@ -443,7 +419,7 @@
 	}
 	expected := p.callTimeOf(j.server.Service)
 	if j.server.CacheTokens > 0 {
-		expected = (j.ahead + j.Work) / p.rateOf(j.server.Service)
+		expected = p.startModelOf(j.server.Service).predict(j.ahead + j.Work)
 	}
 	return now-j.placed > max(minSilence, duration(silenceFactor*expected))
 }
