Divide a customer's exceeded limit among its calls by urgency

Cause: units went to calls in order of arrival. A customer that sends several times its limit used it up with long calls of the least urgent rank, and urgent ones were refused. Change: entries tell the leader the demand by class (calls without token counts, then by rank); the leader answers with the share of each class that is admitted, and entries refuse the rest at once, with a wait that grows as the share falls. Within the limit nothing changes.

--- a/internal/codec/quota.go
+++ b/internal/codec/quota.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"math"
 	"time"
 
 	"waxwingcart/internal/core/quota"
@@ -29,6 +30,9 @@
 	for customer, units := range renewal.Back {
 		item(customer).Back = units
 	}
+	for customer, demand := range renewal.Demand {
+		item(customer).Demand = floats(demand)
+	}
 	return request
 }
 
@@ -52,9 +56,36 @@
 			renewal.Calls[customer] = item.Calls
 		}
 	}
+	if !request.Partial {
+		renewal.Demand = make(map[string]quota.Demand, len(request.Items))
+	}
+	for customer, item := range request.Items {
+		if len(item.Demand) == quota.Classes && renewal.Demand != nil {
+			renewal.Demand[customer] = fromFloats(item.Demand)
+		}
+	}
 	return renewal
 }
 
+func floats(values [quota.Classes]float64) []float32 {
+	converted := make([]float32, len(values))
+	for i, value := range values {
+		converted[i] = float32(value)
+	}
+	return converted
+}
+
+// fromFloats is the inverse of floats. Negative values and those that are no numbers become 0.
+func fromFloats(values []float32) [quota.Classes]float64 {
+	var converted [quota.Classes]float64
+	for i, value := range values {
+		if value > 0 && !math.IsInf(float64(value), 0) {
+			converted[i] = float64(value)
+		}
+	}
+	return converted
+}
+
 // GrantToWire converts a grant.
 func GrantToWire(grant quota.Grant) *wire.DrawResponse {
 	response := &wire.DrawResponse{
@@ -66,6 +97,12 @@
 	for customer, wait := range grant.Wait {
 		response.WaitMs[customer] = float64(wait) / float64(time.Millisecond)
 	}
+	if len(grant.Shares) > 0 {
+		response.Shares = make(map[string]*wire.ClassShares, len(grant.Shares))
+	}
+	for customer, shares := range grant.Shares {
+		response.Shares[customer] = &wire.ClassShares{Shares: floats(shares)}
+	}
 	return response
 }
 
@@ -80,5 +117,13 @@
 	for customer, ms := range response.WaitMs {
 		grant.Wait[customer] = time.Duration(ms * float64(time.Millisecond))
 	}
+	if len(response.Shares) > 0 {
+		grant.Shares = make(map[string]quota.Shares, len(response.Shares))
+	}
+	for customer, shares := range response.Shares {
+		if len(shares.GetShares()) == quota.Classes {
+			grant.Shares[customer] = fromFloats(shares.Shares)
+		}
+	}
 	return grant
 }
--- a/internal/core/quota/allocator.go
+++ b/internal/core/quota/allocator.go
@@ -58,6 +58,9 @@
 	// and Back those that it returns.
 	Ahead Amounts
 	Back  Amounts
+	// Demand holds the demand of the customers at the entry, admitted or not. It is nil
+	// if it is that of the renewal before.
+	Demand map[string]Demand
 }
 
 // Grant answers a Renewal.
@@ -66,6 +69,8 @@
 	// Wait holds, for each customer whose bucket is empty, the time until it has
 	// units again.
 	Wait map[string]time.Duration
+	// Shares holds the shares of the customers that send more than their limits allow.
+	Shares map[string]Shares
 	// Entries is the number of entries that share the limits.
 	Entries int
 	// Number is the number of the configuration from which the leader has the limits.
@@ -77,6 +82,7 @@
 	number      uint64
 	buckets     map[string]*bucket
 	lastRenewal map[string]time.Duration
+	demands     demands
 }
 
 // bucket holds the units of one customer. Its level may become negative by the cost
@@ -89,7 +95,7 @@
 
 // NewAllocator returns an Allocator without entries and limits.
 func NewAllocator() *Allocator {
-	return &Allocator{buckets: make(map[string]*bucket), lastRenewal: make(map[string]time.Duration)}
+	return &Allocator{buckets: make(map[string]*bucket), lastRenewal: make(map[string]time.Duration), demands: newDemands()}
 }
 
 // Entries returns the number of entries that share the limits.
@@ -100,14 +106,20 @@
 	maps.DeleteFunc(a.lastRenewal, func(_ string, at time.Duration) bool { return now-at > expireAfter })
 	a.lastRenewal[renewal.Entry] = now
 	a.configure(now, renewal)
-	grant := Grant{Units: make(Amounts), Wait: make(map[string]time.Duration), Entries: len(a.lastRenewal), Number: a.number}
+	grant := Grant{Units: make(Amounts), Wait: make(map[string]time.Duration), Shares: make(map[string]Shares), Entries: len(a.lastRenewal), Number: a.number}
 	share := a.onlineShare(now)
+	if renewal.Demand != nil {
+		a.demands.report(now, renewal.Entry, renewal.Demand)
+	}
 	for customer, b := range a.buckets {
 		b.fill(now, share)
 		b.level = min(b.level+max(renewal.Back[customer], 0), b.limit.Burst)
 		if units := b.draw(renewal.Calls[customer], renewal.Ahead[customer]); units > 0 {
 			grant.Units[customer] = units
 		}
+		if shares, limited := a.demands.shares(customer, b, share); limited {
+			grant.Shares[customer] = shares
+		}
 		if b.level <= 0 && b.limit.Rate > 0 {
 			grant.Wait[customer] = time.Duration(-b.level / b.limit.Rate * float64(time.Second))
 		}
--- a/internal/core/quota/limiter.go
+++ b/internal/core/quota/limiter.go
@@ -72,6 +72,12 @@
 	grantedAt time.Duration
 	// availableAt is when the leader expects to have units again.
 	availableAt time.Duration
+	// classes is the demand by class. limited is true if the last grant, at sharedAt, limited
+	// the classes to shares.
+	classes  classDemand
+	limited  bool
+	shares   Shares
+	sharedAt time.Duration
 }
 
 // NewLimiter returns a Limiter without customers.
@@ -116,7 +122,7 @@
 // call only once.
 func (l *Limiter) Renewal(now time.Duration) Renewal {
 	l.renewing, l.renewalSent = true, now
-	renewal := Renewal{Calls: make(map[string][]float64), Ahead: make(Amounts), Back: make(Amounts)}
+	renewal := Renewal{Calls: make(map[string][]float64), Ahead: make(Amounts), Back: make(Amounts), Demand: make(map[string]Demand)}
 	l.limitsLeftOut = l.leaderNumber >= l.number
 	if !l.limitsLeftOut {
 		renewal.Number, renewal.Limits = l.number, make(map[string]Limit, len(l.accounts))
@@ -129,6 +135,9 @@
 			renewal.Calls[customer] = a.calls
 			a.calls, a.awaited = nil, true
 		}
+		if demand := a.classes.perSecond(now); demand != (Demand{}) {
+			renewal.Demand[customer] = demand
+		}
 		wanted := a.demand(now) * aheadTime.Seconds()
 		switch {
 		case a.balance < wanted:
@@ -150,6 +159,8 @@
 		a.balance += max(grant.Units[customer], 0)
 		a.refilledAt = now
 		a.availableAt = 0
+		a.shares, a.limited = grant.Shares[customer]
+		a.sharedAt = now
 		if a.awaited {
 			a.awaited, a.grantedAt = false, now
 		}
@@ -183,12 +194,10 @@
 	return true
 }
 
-// AddDemand adds a call to the customer's demand. It must be called before Take.
-func (l *Limiter) AddDemand(now time.Duration, customer string, cost float64) {
-	if a := l.accounts[customer]; a != nil {
-		a.recentDemand = a.recentDemand*a.decay(now) + cost
-		a.demandAt = max(a.demandAt, now)
-	}
+// addDemand adds a call to the demand for which units are drawn in advance.
+func (l *Limiter) addDemand(now time.Duration, a *account, cost float64) {
+	a.recentDemand = a.recentDemand*a.decay(now) + cost
+	a.demandAt = max(a.demandAt, now)
 }
 
 // RequestUnits adds a call to the next renewal. It returns false if the leader is not
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -55,7 +55,7 @@
 // call requests admission of a call in the way that an entry does.
 func (c *cluster) call(i int, cost float64, reachable bool) bool {
 	l := c.entries[i]
-	l.AddDemand(c.now, customerName, cost)
+	l.Offer(c.now, customerName, ClassPlain, cost, 0)
 	ok := l.Take(c.now, customerName, cost)
 	if !ok && reachable && l.RequestUnits(c.now, customerName, cost) {
 		c.renew(i, false)
@@ -337,7 +337,7 @@
 	c.now = time.Second
 	c.renew(0, false)
 	l := c.entries[0]
-	l.AddDemand(c.now, customerName, cost)
+	l.Offer(c.now, customerName, ClassPlain, cost, 0)
 	if l.Take(c.now, customerName, cost) || !l.RequestUnits(c.now, customerName, cost) {
 		t.Fatal("the call needs no units")
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -24,6 +24,7 @@
 	serverPauses      *prometheus.CounterVec
 	serversLeaving    *prometheus.CounterVec
 	serverLimits      *prometheus.CounterVec
+	customerShed      *prometheus.CounterVec
 	silences          *prometheus.CounterVec
 	takeUps           *prometheus.CounterVec
 	unanswered        *prometheus.CounterVec
@@ -54,6 +55,7 @@
 		serverPrice:       newGaugeVec("backend_server_price_per_hour", "Price of a backend server's VM hour.", "service", "server"),
 		serverPauses:      newCounterVec("server_pauses_total", "Answers with which backend servers asked for a pause, by treatment.", "treatment"),
 		serversLeaving:    newCounterVec("servers_leaving_total", "Backend servers that said that they leave, by how this entry learned it.", "source"),
+		customerShed:      newCounterVec("customer_shed_total", "Calls refused at once because their customer sends more than its limit allows, by class of call.", "class"),
 		serverLimits:      newCounterVec("server_limits_total", "Changes of the limits that backend servers name, by how this entry learned of them.", "source"),
 		takeUps:           newCounterVec("take_ups_total", "Calls that take a stream up, by service and result.", "service", "result"),
 		silences:          newCounterVec("silences_total", "Decisions on silent attempts, by service and decision.", "service", "decision"),
@@ -67,7 +69,7 @@
 		Help: "Events dropped because their attempt was over.",
 	})
 	registry.MustRegister(m.inFlight, m.draining, m.revision, m.placement, m.withoutServer, m.configFetches, m.outcomes, m.attempts, m.retries, m.retryBudget,
-		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.silences, m.takeUps, m.serversLeaving, m.serverLimits, m.serverPauses, m.unanswered, m.connectionsClosed,
+		m.lateEvents, m.recomputedTokens, m.tokens, m.firstToken, m.tokenGap, m.reservation, m.serverPrice, m.streamMoves, m.silences, m.takeUps, m.serversLeaving, m.serverLimits, m.customerShed, m.serverPauses, m.unanswered, m.connectionsClosed,
 		m.endlessAnswers)
 	return m
 }
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -120,10 +122,14 @@
 // take charges a call to its customer, and draws units from the leader if
 // there are too few here. If it fails it returns how long the caller should
 // wait.
-func (q *quotaClient) take(ctx context.Context, customer string, cost float64) (time.Duration, bool) {
+func (q *quotaClient) take(ctx context.Context, customer string, class quota.Class, cost float64) (time.Duration, bool) {
 	q.mu.Lock()
-	q.limiter.AddDemand(q.entry.now(), customer, cost)
+	wait, admitted := q.limiter.Offer(q.entry.now(), customer, class, cost, rand.Float64())
 	q.mu.Unlock()
+	if !admitted {
+		q.entry.metrics.customerShed.WithLabelValues(strconv.Itoa(int(class))).Inc()
+		return wait, false
+	}
 	for range maxDrawWaits {
 		drawDone, ok := q.tryTake(customer, cost)
 		if ok {
@@ -269,7 +275,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.currentDraw, q.nextDraw = q.nextDraw, make(chan struct{})
-	request := codec.RenewalToWire(q.limiter.Renewal(now))
+	renewal := q.limiter.Renewal(now)
+	if !full {
+		renewal.Demand = nil
+	}
+	request := codec.RenewalToWire(renewal)
 	request.Process, request.Incarnation = q.entry.opts.VM, q.entry.incarnation
 	request.PeersVersion = q.peersVersion
 	request.Address, request.Zone = q.entry.opts.PeerAddress, q.entry.opts.Zone
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -11,6 +11,7 @@
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/lineage"
 	"waxwingcart/internal/core/placement"
+	"waxwingcart/internal/core/quota"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routes"
 	"waxwingcart/internal/core/routing"
@@ -207,7 +208,7 @@
 		return r
 	}
 	r.routed.cost = customer.Cost(call.Prompt.Tokens, call.Prompt.OutputTokens, call.Prompt.Tokens > 0)
-	if wait, ok := e.quota.take(req.Context(), customer.Name, r.routed.cost); !ok {
+	if wait, ok := e.quota.take(req.Context(), customer.Name, limitClass(route, customer, call), r.routed.cost); !ok {
 		sink.customer = customer.Name
 		sink.refuse(notRunOutcome(reasonQuota, fmt.Sprintf("the call costs %.0f units; %s of the limit of %.0f a second is used up", r.routed.cost, e.quota.part(), customer.Rate), addJitter(wait)), nil)
 		return nil
@@ -215,6 +216,14 @@
 	return r
 }
 
+// limitClass returns the class of a call while its customer sends more than its limit allows.
+func limitClass(route *routes.Route, customer *routes.Customer, call Call) quota.Class {
+	if customer.CountsTokens && call.Prompt.Tokens == 0 {
+		return quota.ClassPlain
+	}
+	return quota.RankClass(route.Rank)
+}
+
 func (e *Entry) readRouted(w http.ResponseWriter, req *http.Request, config *configuration) ([]byte, error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
--- a/internal/replica/drawsize_test.go
+++ b/internal/replica/drawsize_test.go
@@ -65,7 +65,7 @@
 		}
 	}
 	f.now, f.bytes = 100*time.Millisecond, 0
-	f.limiters[3].AddDemand(f.now, "customer-5", 1000)
+	f.limiters[3].Offer(f.now, "customer-5", quota.ClassPlain, 1000, 0)
 	if f.limiters[3].Take(f.now, "customer-5", 1000) || !f.limiters[3].RequestUnits(f.now, "customer-5", 1000) {
 		t.Fatal("the call needs no units")
 	}
@@ -94,7 +94,7 @@
 		t.Error("the entry doesn't know that the new leader lacks the limits")
 	}
 	f.draw(t, 0)
-	f.limiters[0].AddDemand(f.now, "customer-1", 1000)
+	f.limiters[0].Offer(f.now, "customer-1", quota.ClassPlain, 1000, 0)
 	f.limiters[0].RequestUnits(f.now, "customer-1", 1000)
 	f.draw(t, 0)
 	if !f.limiters[0].Take(f.now, "customer-1", 1000) {
