Order engines for half of their time spent on prompts

Cause: 0.8 of an engine's time was planned for prompts, with a learned speed that was less than half of the true one, so that about a third was used. Change: the plan uses half.

--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -25,9 +25,10 @@
 	// another engine is needed.
 	maxSlotUse = 0.7
 	// maxPromptUse is the fraction of an engine's time that may be spent on
-	// processing prompts. Beyond it first tokens are late, because prompts
-	// arrive in bursts.
-	maxPromptUse = 0.8
+	// processing prompts. Beyond it first tokens are late: prompts arrive in
+	// bursts, their lengths differ by a factor of 100, and a short one that waits
+	// behind a long one misses a target of half a second.
+	maxPromptUse = 0.5
 	// peakHoldTime is how long reclaimable servers are kept after a load peak:
 	// about half of a usual load wave, so that servers are not stopped just
 	// before they are needed again.
