--- a/internal/core/routes/index.go
+++ b/internal/core/routes/index.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"strings"
+	"time"
 )
 
 // routeKey identifies a route by host, as normalHost returns it, and path prefix.
@@ -11,36 +12,94 @@
 func (r *Route) key() routeKey { return routeKey{normalHost(r.Host), r.PathPrefix} }
 
 // Index looks up routes, services and customers of one table. It is immutable
-// and safe for concurrent use.
+// and safe for concurrent use. Indexes of consecutive tables share what they have in common.
 type Index struct {
+	// Table holds no routes if the index was made by Next: only the index has them.
 	*Table
-	routes    map[routeKey]*Route
-	services  map[string]*Service
-	customers map[[sha256.Size]byte]*Customer
+	// routes holds the routes of an earlier table, and changed those that differ since then;
+	// nil stands for a removed one.
+	routes, changed map[routeKey]*Route
+	count           int
+	services        map[string]*Service
+	customers       map[[sha256.Size]byte]*Customer
+	// timeouts counts the routes by timeout, and streamTimeouts those of streams.
+	timeouts, streamTimeouts map[time.Duration]int
 }
 
 // NewIndex returns an index of a valid table, which must not be modified
 // afterwards.
 func NewIndex(table *Table) *Index {
 	x := &Index{
-		Table:     table,
-		routes:    make(map[routeKey]*Route, len(table.Routes)),
-		services:  make(map[string]*Service, len(table.Services)),
-		customers: make(map[[sha256.Size]byte]*Customer),
+		Table:          table,
+		routes:         make(map[routeKey]*Route, len(table.Routes)),
+		count:          len(table.Routes),
+		services:       indexServices(table.Services),
+		customers:      indexCustomers(table.Customers),
+		timeouts:       make(map[time.Duration]int),
+		streamTimeouts: make(map[time.Duration]int),
 	}
 	for i := range table.Routes {
 		route := &table.Routes[i]
 		x.routes[route.key()] = route
+		x.countTimeout(route, 1)
 	}
-	for i := range table.Services {
-		x.services[table.Services[i].Name] = &table.Services[i]
+	return x
+}
+
+func indexServices(services []Service) map[string]*Service {
+	index := make(map[string]*Service, len(services))
+	for i := range services {
+		index[services[i].Name] = &services[i]
 	}
-	for i := range table.Customers {
-		for _, key := range table.Customers[i].Keys {
-			x.customers[sha256.Sum256([]byte(key))] = &table.Customers[i]
+	return index
+}
+
+func indexCustomers(customers []Customer) map[[sha256.Size]byte]*Customer {
+	index := make(map[[sha256.Size]byte]*Customer)
+	for i := range customers {
+		for _, key := range customers[i].Keys {
+			index[sha256.Sum256([]byte(key))] = &customers[i]
 		}
 	}
-	return x
+	return index
+}
+
+func (x *Index) countTimeout(route *Route, n int) {
+	count(x.timeouts, route.Timeout, n)
+	if route.Stream {
+		count(x.streamTimeouts, route.Timeout, n)
+	}
+}
+
+func count(counts map[time.Duration]int, timeout time.Duration, n int) {
+	counts[timeout] += n
+	if counts[timeout] == 0 {
+		delete(counts, timeout)
+	}
+}
+
+// RouteCount returns the number of routes.
+func (x *Index) RouteCount() int { return x.count }
+
+// LongestTimeout returns the longest timeout of any route, and of the routes of streams.
+func (x *Index) LongestTimeout() (all, streams time.Duration) {
+	return longest(x.timeouts), longest(x.streamTimeouts)
+}
+
+func longest(counts map[time.Duration]int) time.Duration {
+	result := time.Duration(0)
+	for timeout := range counts {
+		result = max(result, timeout)
+	}
+	return result
+}
+
+// route returns the route with a key, or nil.
+func (x *Index) route(key routeKey) *Route {
+	if route, ok := x.changed[key]; ok {
+		return route
+	}
+	return x.routes[key]
 }
 
 // Route returns the host's route with the longest matching path prefix, or nil
@@ -49,7 +108,7 @@
 func (x *Index) Route(host, path string) *Route {
 	host = normalHost(host)
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		if route := x.routes[routeKey{host, path[:end+1]}]; route != nil {
+		if route := x.route(routeKey{host, path[:end+1]}); route != nil {
 			return route
 		}
 	}
--- a/internal/core/routes/validate.go
+++ b/internal/core/routes/validate.go
@@ -9,20 +9,15 @@
 
 // Validate returns the first error found in a table, or nil if it is valid.
 func (t *Table) Validate() error {
-	services := make(map[string]bool, len(t.Services))
-	for _, service := range t.Services {
-		if service.Name == "" {
-			return errors.New("service without a name")
-		}
-		if services[service.Name] {
-			return fmt.Errorf("service %q stands twice", service.Name)
-		}
-		services[service.Name] = true
+	services, err := t.validateServices()
+	if err != nil {
+		return err
 	}
+	known := func(name string) bool { return services[name] }
 	routeNames := make(map[routeKey]string, len(t.Routes))
 	for i := range t.Routes {
 		route := &t.Routes[i]
-		if err := route.validate(services); err != nil {
+		if err := route.validate(known); err != nil {
 			return fmt.Errorf("route %q: %w", route.Name, err)
 		}
 		key := route.key()
@@ -34,7 +29,23 @@
 	return t.validateCustomers()
 }
 
-func (r *Route) validate(services map[string]bool) error {
+// validateServices returns the names of the services.
+func (t *Table) validateServices() (map[string]bool, error) {
+	services := make(map[string]bool, len(t.Services))
+	for _, service := range t.Services {
+		if service.Name == "" {
+			return nil, errors.New("service without a name")
+		}
+		if services[service.Name] {
+			return nil, fmt.Errorf("service %q stands twice", service.Name)
+		}
+		services[service.Name] = true
+	}
+	return services, nil
+}
+
+// validate checks a route. known reports whether there is a service with a name.
+func (r *Route) validate(known func(name string) bool) error {
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		return fmt.Errorf("prefix %q does not begin and end with a slash", r.PathPrefix)
 	}
@@ -43,7 +54,7 @@
 	}
 	total := 0.0
 	for _, target := range r.Targets {
-		if !services[target.Service] {
+		if !known(target.Service) {
 			return fmt.Errorf("unknown service %q", target.Service)
 		}
 		if !(target.Weight >= 0) {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -223,7 +223,7 @@
 	event := h.entry.logger.Info().Str("step", "apply config").Uint64("revision", next.revision).
 		Str("peer", next.from).Int64("age_ms", next.age().Milliseconds()).Int64("save_ms", saved.Milliseconds())
 	if next.routes != nil {
-		event.Uint64("number", next.routes.Number).Int("routes", len(next.routes.Routes)).Int("customers", len(next.routes.Customers))
+		event.Uint64("number", next.routes.Number).Int("routes", next.routes.RouteCount()).Int("customers", len(next.routes.Customers))
 	}
 	event.Msg("configuration in force")
 	h.entry.signalInitialized()
--- a/internal/entry/configure.go
+++ b/internal/entry/configure.go
@@ -84,7 +84,7 @@
 	servers := p.entry.directory.PlacementServers(inUse, p.entry.opts.Zone)
 	p.placer.SetServers(servers)
 	p.entry.quota.configure(p.entry.now(), p.config.routes.Table)
-	p.entry.streams.configure(p.config.routes.Table)
+	p.entry.streams.configure(p.config.routes)
 	served := make(map[string]bool)
 	for _, server := range servers {
 		served[server.Service] = true
--- a/internal/entry/olderservices.go
+++ b/internal/entry/olderservices.go
@@ -26,16 +26,8 @@
 	if p.config == nil || p.config.routes == nil {
 		return
 	}
-	p.older = append(p.older, olderConfiguration{p.config, now + longestTimeout(p.config.routes.Table)})
-}
-
-// longestTimeout returns the longest time that a call of the table may take.
-func longestTimeout(table *routes.Table) time.Duration {
-	longest := time.Duration(0)
-	for i := range table.Routes {
-		longest = max(longest, table.Routes[i].Timeout)
-	}
-	return longest
+	longest, _ := p.config.routes.LongestTimeout()
+	p.older = append(p.older, olderConfiguration{p.config, now + longest})
 }
 
 // serviceInUse returns a service of the configuration, or one that it has dropped and
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -82,14 +82,14 @@
 const takeUpFactor = 2
 
 // configure records for how long the streams of a routing table can be taken up.
-func (s *streams) configure(table *routes.Table) {
+func (s *streams) configure(index *routes.Index) {
+	_, longest := index.LongestTimeout()
+	if longest == 0 {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range table.Routes {
-		if route := &table.Routes[i]; route.Stream {
-			s.book.Expect(min(route.Timeout, lineage.StreamBound) * takeUpFactor)
-		}
-	}
+	s.book.Expect(min(longest, lineage.StreamBound) * takeUpFactor)
 }
 
 // expect records that a stream can be taken up for a time.
