Ask replicas in turn at a start, and continue transfers elsewhere

Cause: an entry that starts asks all replicas and all entries at once, and gets the whole document from each of them over its link.

Change: it asks one replica after the other, the next one once the one before has answered or is overdue after 200 ms, and the leader at once when it is named. It asks entries after that, unless a document is being sent. A document whose parts one call has fetched serves all calls that waited for it.

--- a/internal/configdelta/client.go
+++ b/internal/configdelta/client.go
@@ -86,23 +86,19 @@
 // continues a transfer that another call has begun, if the replica has that document. The response
 // then holds the document that was fetched, whose revision may be lower than the response's;
 // it is no longer confirmed in this case.
-func (c *Client) Complete(ctx context.Context, call Caller, response *wire.FetchConfigResponse) error {
+func (c *Client) Complete(ctx context.Context, call Caller, request *wire.FetchConfigRequest, response *wire.FetchConfigResponse) error {
 	document := response.Document
 	if document == nil || len(document.Part) > 0 || len(document.Base) > 0 || document.Size == 0 {
 		return nil
 	}
-	before := c.fetched()
 	select {
 	case c.fetching <- struct{}{}:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	defer func() { <-c.fetching }()
-	if latest := c.fetched(); latest != before {
-		if hasDigest(latest.Content, document.Digest) {
-			return nil
-		}
-		return errSuperseded
+	if done, err := c.fetched(request, document); done || err != nil {
+		return err
 	}
 	t, err := c.begin(response)
 	if err != nil {
@@ -116,11 +112,23 @@
 	return c.finish(t, response)
 }
 
-// fetched returns the document that was last fetched in parts, or nil.
-func (c *Client) fetched() *state.Numbered {
+// fetched reports whether another call has fetched the document. If it has fetched another document
+// since the request was made, which holds none, a delta from that one will do.
+func (c *Client) fetched(request *wire.FetchConfigRequest, document *wire.ConfigDocument) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.latest
+	if c.latest == nil {
+		return false, nil
+	}
+	if hasDigest(c.latest.Content, document.Digest) {
+		return true, nil
+	}
+	if c.trust != takesDeltas || len(request.HeldDigest) > 0 {
+		return false, nil
+	}
+	// If that document could not be put in force, the next call fetches a whole one again.
+	c.latest = nil
+	return false, errSuperseded
 }
 
 func hasDigest(document *docdiff.Document, digest []byte) bool {
@@ -149,6 +157,10 @@
 	if err != nil {
 		if isNotFound(err) {
 			c.drop()
+			if len(t.text) == 0 {
+				// The replica has just named the document.
+				return c.failed(err)
+			}
 		}
 		return err
 	}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -128,12 +128,14 @@
 	replicaTimeout time.Duration
 	peerTimeout    time.Duration
 	overdueAfter   time.Duration
+	// answerOverdue is how long a starting entry waits for one process before it asks another one as well.
+	answerOverdue time.Duration
 }
 
 func newConfigHolder(e *Entry) *configHolder {
 	h := &configHolder{
 		entry: e, view: state.NewView(), firstFetchDone: make(chan struct{}),
-		documents: configdelta.NewClient(e.logger, e.opts.Registry), replicaTimeout: fetchTimeout, peerTimeout: peerTimeout, overdueAfter: overdueAfter,
+		documents: configdelta.NewClient(e.logger, e.opts.Registry), replicaTimeout: fetchTimeout, peerTimeout: peerTimeout, overdueAfter: overdueAfter, answerOverdue: answerOverdue,
 	}
 	h.load()
 	e.opts.Registry.MustRegister(newGaugeFunc("config_unconfirmed_seconds",
@@ -217,6 +219,13 @@
 	return effects
 }
 
+// empty reports whether there is no configuration yet.
+func (h *configHolder) empty() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Revision() == 0
+}
+
 // lastRejected reports whether the view rejected the last response.
 func (h *configHolder) lastRejected() bool {
 	h.mu.Lock()
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"waxwingcart/internal/configdelta"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
@@ -32,6 +33,9 @@
 	overdueAfter  = fetchWait + overdueMargin
 	overdueMargin = 200 * time.Millisecond
 	fetchRetry    = 200 * time.Millisecond
+	// answerOverdue is how long a starting entry waits for one process before it asks the next one as
+	// well. It is several times a round trip and a confirmation by a quorum.
+	answerOverdue = 200 * time.Millisecond
 	// firstFetchRetry is the delay before a starting entry asks a replica
 	// again that did not answer: it may have started together with the entry
 	// and listen a moment later. A replica that answers without a leader's
@@ -105,10 +109,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s := newSearch(h, cancel, firstFetchRetry, h.stage)
-	s.askReplicas(ctx)
-	for _, peer := range h.entry.opts.Peers {
-		s.askPeer(ctx, peer, fetchRetry)
-	}
+	s.inTurn = true
+	s.group.Go(func() {
+		configdelta.InTurn(ctx, h.answerOverdue, s.nextReplica, func(address string) <-chan struct{} { return s.askReplica(ctx, address) })
+	})
+	s.group.Go(func() { s.askPeers(ctx) })
 	s.group.Wait()
 }
 
@@ -146,7 +151,9 @@
 	retry time.Duration
 	// receive takes the deltas of a response.
 	receive func(from string, response *wire.FetchConfigResponse)
-	group   sync.WaitGroup
+	// inTurn is true if replicas are asked one after the other, and false if all are asked at once.
+	inTurn bool
+	group  sync.WaitGroup
 
 	mu    sync.Mutex
 	asked map[string]bool
@@ -170,7 +177,7 @@
 			s.accept(ctx, address, response)
 		}
 		close(answered)
-		s.askUntilConfirmed(ctx, address)
+		s.askUntilConfirmed(ctx, address, make(chan struct{}))
 	})
 	timer := time.NewTimer(overdue)
 	defer timer.Stop()
@@ -205,31 +212,50 @@
 	}
 }
 
-// askReplica starts asking a replica unless it is being asked.
-func (s *search) askReplica(ctx context.Context, address string) {
+// nextReplica returns a known replica that is not being asked.
+func (s *search) nextReplica() (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range s.holder.entry.replicas.Addresses() {
+		if !s.asked[address] {
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// askReplica starts asking a replica unless it is being asked. It returns a channel that is
+// closed after the first answer.
+func (s *search) askReplica(ctx context.Context, address string) <-chan struct{} {
+	answered := make(chan struct{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.asked[address] {
 		s.asked[address] = true
-		s.group.Go(func() { s.askUntilConfirmed(ctx, address) })
+		s.group.Go(func() { s.askUntilConfirmed(ctx, address, answered) })
 	}
+	return answered
 }
 
 // askUntilConfirmed asks one replica until any replica has answered with a
 // quorum's confirmation. A replica that knows no leader holds the call until
-// there is one.
-func (s *search) askUntilConfirmed(ctx context.Context, address string) {
+// there is one. It closes answered after the first answer or failure.
+func (s *search) askUntilConfirmed(ctx context.Context, address string, answered chan struct{}) {
 	delay := firstFetchRetry
+	first := sync.OnceFunc(func() { close(answered) })
+	defer first()
 	for ctx.Err() == nil {
 		request := s.holder.request(fetchWait)
 		request.AwaitLeader = true
 		started := time.Now()
 		response, err := s.holder.fetchFromReplica(ctx, address, request, rpc.NewProgress())
 		if err != nil {
+			first()
 			wait(ctx, s.retry-time.Since(started))
 			continue
 		}
 		s.accept(ctx, address, response)
+		first()
 		wait(ctx, delay)
 		delay = min(2*delay, fetchRetry)
 	}
@@ -252,7 +278,9 @@
 	if response.Leader != "" {
 		s.askReplica(ctx, response.Leader)
 	}
-	s.askReplicas(ctx)
+	if !s.inTurn {
+		s.askReplicas(ctx)
+	}
 }
 
 // askZone starts asking the entries of the own zone, unless a replica confirms
@@ -271,16 +299,36 @@
 	})
 }
 
-// askPeer starts asking another entry at intervals.
-func (s *search) askPeer(ctx context.Context, peer Peer, interval time.Duration) {
+// askPeers starts asking all entries, unless a replica confirms soon or sends a document. They send
+// whole documents, so one follows the other until this entry holds a configuration.
+func (s *search) askPeers(ctx context.Context) {
+	for wait(ctx, s.holder.answerOverdue); ctx.Err() == nil && s.holder.documents.Fetching(); {
+		wait(ctx, s.holder.answerOverdue)
+	}
+	for _, peer := range s.holder.entry.opts.Peers {
+		answered := s.askPeer(ctx, peer, fetchRetry)
+		if s.holder.empty() {
+			configdelta.Await(ctx, answered, s.holder.answerOverdue)
+		}
+	}
+}
+
+// askPeer starts asking another entry at intervals. It returns a channel that is closed after
+// the first answer.
+func (s *search) askPeer(ctx context.Context, peer Peer, interval time.Duration) <-chan struct{} {
+	answered := make(chan struct{})
 	s.group.Go(func() {
+		first := sync.OnceFunc(func() { close(answered) })
+		defer first()
 		for ctx.Err() == nil {
 			if response, err := s.holder.fetchFromPeer(ctx, peer); err == nil {
 				s.receive(peer.Address, response)
 			}
+			first()
 			wait(ctx, interval)
 		}
 	})
+	return answered
 }
 
 // fetchFromReplica makes one call to a replica, which the progress follows, and records its
@@ -299,7 +347,7 @@
 	}
 	response, err := call(ctx, request)
 	if err == nil {
-		err = h.documents.Complete(ctx, call, response)
+		err = h.documents.Complete(ctx, call, request, response)
 	}
 	if ctx.Err() != nil {
 		if err != nil && time.Since(started) >= h.overdueAfter {
