--- a/internal/configdelta/store.go
+++ b/internal/configdelta/store.go
@@ -93,7 +93,7 @@
 	if n := len(s.versions); n > 0 {
 		newest := s.versions[n-1]
 		if newest.revision >= revision {
-			return newest, nil
+			return s.at(revision), nil
 		}
 		earlier = newest.document
 	}
@@ -108,6 +108,16 @@
 	return v, nil
 }
 
+// at returns the version of a revision, or an empty one if it is not kept. The caller holds mu.
+func (s *Store) at(revision uint64) version {
+	for i := len(s.versions) - 1; i >= 0; i-- {
+		if s.versions[i].revision == revision {
+			return s.versions[i]
+		}
+	}
+	return version{}
+}
+
 // trim drops the oldest versions. What a dropped version shares with the next one is charged to that
 // one. The caller holds mu.
 func (s *Store) trim() {
@@ -151,8 +161,8 @@
 		return nil
 	}
 	v, err := s.put(delta.Revision, delta.Items[i].Json)
-	if err != nil || v.revision != delta.Revision {
-		// Another call has put a newer one: this response is sent whole.
+	if err != nil || v.document == nil {
+		// Other calls have put so many newer ones that it is not kept: this response is sent whole.
 		return err
 	}
 	digest := v.document.Digest()
