Place by the load that servers report

Cause: placement takes all servers of a service for equally fast. Where engines differ by a factor of 2.7 and are disturbed for 15% of the time, or where requests come from elsewhere, it learns of it from queues only. Servers report running and waiting requests and a slowdown factor with each response (Waxwingcart-Load), which nothing read. Change: platform/ parses the header (three or four values, invalid ones are counted and left out); backend.Protocol has Load, and OnLoad is called as OnLimit is. core/placement keeps the 0.4 quantile of a server's spaced factors as its own speed, and the latest factor, which decays to that within 550 ms, and scales predicted times with it. The learned rate is that of an average server. Requests that reports show for 1.25 s beyond the announced ones count as load. Reports that the times of responses contradict by a factor of two are ignored. internal/serverload carries loads between entries in fields of the messages on started and ended attempts and results, without datagrams of their own. evaluate and what belongs to it moved out of placer.go. With reports of three values the decisions at engines are the same as without.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -58,6 +58,8 @@
 	// OnLimit is called in the same way with each call whose response names a limit of
 	// requests, and with each other call whose instance Limited reports.
 	OnLimit func(call Call, limit Limit)
+	// OnLoad is called in the same way with each call whose response reports its server's load.
+	OnLoad func(call Call, load Load)
 	// Limited reports whether an instance is known to limit requests.
 	Limited func(instance string) bool
 	// Detour connects to servers that this process can't reach, if set.
@@ -460,8 +462,8 @@
 )
 
 // check returns an error if the server refused to run the request or if the
-// response belongs to another request. It calls OnLeaving, OnPause and OnLimit. The request
-// was sent as long ago as it took.
+// response belongs to another request. It calls OnLeaving, OnPause, OnLimit and OnLoad. The
+// request was sent as long ago as it took.
 func (r *pendingResponse) check(took time.Duration) error {
 	protocol, header := r.client.opts.Protocol, r.response.Header
 	if named, ok := protocol.BelongsTo(r.call, header); !ok {
@@ -489,6 +491,11 @@
 			r.client.noteLimit(r.call, values, protocol.Brittle(header), took)
 		}
 	}
+	if notify := r.client.opts.OnLoad; notify != nil {
+		if load, ok := protocol.Load(r.response.StatusCode, header); ok {
+			notify(r.call, load)
+		}
+	}
 	if protocol.NotRun(r.response.StatusCode, header) {
 		return r.fail(PhaseRefused, r.statusError())
 	}
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -27,6 +27,9 @@
 	// Brittle returns the values with which a response says how many requests its instance may turn
 	// away in a second before it falls over.
 	Brittle(header http.Header) []string
+	// Load returns the load that a response reports. It returns false if it reports none, or
+	// may be of another instance than the one that the call is meant for.
+	Load(status int, header http.Header) (load Load, ok bool)
 }
 
 // defaultProtocol is the protocol of this project's backend servers.
@@ -79,3 +82,6 @@
 
 // Limits implements Protocol. Servers of this protocol name no limits.
 func (defaultProtocol) Limits(int, http.Header) ([]string, bool) { return nil, false }
+
+// Load implements Protocol. Responses of these servers report none.
+func (defaultProtocol) Load(int, http.Header) (Load, bool) { return Load{}, false }
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -88,6 +88,10 @@
 	// occupancy is the average time that an answered attempt holds a slot, by service.
 	occupancy map[string]time.Duration
 	unseen    unseen
+	// reports holds what the load reports of each service's servers showed.
+	reports map[string]*serviceReports
+	// ignored lists the servers whose reports are ignored, until TakeIgnored.
+	ignored []IgnoredReport
 }
 
 // decayingSum is a sum of work that decays exponentially.
@@ -129,7 +133,7 @@
 	for service, a := range p.ownWork {
 		servers := p.byName[service]
 		if len(servers) > 0 && servers[0].CacheTokens > 0 {
-			work[service] = Work{PerSecond: a.decayed(now) / workWindow.Seconds(), Rate: 1000 * p.startModelOf(service).rate}
+			work[service] = Work{PerSecond: a.decayed(now) / workWindow.Seconds(), Rate: 1000 * p.startModelOf(service).rate * meanSpeed(servers)}
 		}
 	}
 	return work
@@ -147,9 +151,14 @@
 	cache     cache
 	health    health
 	pauses    pauses
+	speed     speed
+	// foreign tracks the requests that no entry announced, and queued those of them that wait.
+	foreign, queued foreign
 	// invalidPause is true once the server has asked for a pause in a way that can't be
 	// read.
 	invalidPause bool
+	// invalidLoad is true once the server has reported a load that can't be read.
+	invalidLoad bool
 	// brittle is true while the server says that it falls over when it turns too many requests away.
 	// One that has just turned a request away counts as full until fullUntil.
 	brittle   bool
@@ -182,6 +191,7 @@
 		leaving:   make(map[string]leavingServer),
 		suspended: make(map[string]*suspension),
 		occupancy: make(map[string]time.Duration),
+		reports:   make(map[string]*serviceReports),
 		origin:    origin,
 	}
 }
@@ -242,69 +252,6 @@
 	return decision, best != nil
 }
 
-// evaluate predicts an attempt at a server and returns its score, in milliseconds.
-// The lowest score is best.
-func (p *Placer) evaluate(now time.Duration, s *server, size *RequestSize) (float64, Decision) {
-	network := milliseconds(2 * s.Delay)
-	d := Decision{Server: s.Name, Version: s.Version, Running: s.running}
-	if s.CacheTokens == 0 {
-		// Requests at application servers wait for a slot and read no prompt.
-		inFlight := float64(s.running + len(s.waiting))
-		call := p.callTimeOf(s.Service)
-		wait := slotPenalty * call * math.Max(0, inFlight+1-float64(s.Slots)) / float64(max(s.Slots, 1))
-		first := network + call + wait
-		d.StartDelay = duration(first)
-		return first + call*inFlight/float64(max(s.Slots, 1)) + s.health.penalty(now), d
-	}
-	cached := s.cache.cachedTokens(size.Parts, s.CacheTokens)
-	d.UncachedTokens = max(size.PromptTokens-cached, 0)
-	model := p.startModelOf(s.Service)
-	d.Waiting = s.backlog(now, model)
-	work := attemptWork(d.UncachedTokens, size.PromptTokens)
-	prefill := work / model.rate
-	first := network + model.predict(d.Waiting+work)
-	d.StartDelay = duration(first)
-	recompute := float64(size.sharedTokens()-cached) / model.rate
-	score := first + prefillWeight*prefill + recomputeWeight*recompute + runningWeight*float64(s.running) + s.health.penalty(now)
-	score += pauseWeight * s.pauses.decayed(now) * math.Min(prefill/longPrefillMS, 1)
-	used := float64(s.memory+size.PromptTokens+size.OutputTokens) / float64(s.CacheTokens)
-	score += overcommitPenalty * math.Max(0, used-preemptionRatio)
-	if over := s.running + len(s.waiting) + 1 - s.Slots; over > 0 {
-		score += overcommitPenalty * float64(over) / float64(max(s.Slots, 1))
-	}
-	return score, d
-}
-
-// attemptWork returns the work before the answer begins, in tokens, for a prompt of
-// which the last uncached tokens are not in the cache.
-func attemptWork(uncached, prompt int) float64 {
-	midpoint := float64(prompt) - float64(uncached)/2
-	return overheadTokens + float64(uncached)*(1+midpoint/attentionTokens)
-}
-
-// backlog returns the work queued at the server, in tokens. It assumes that the
-// server has worked on its oldest queued job since that job was placed or since an
-// answer last began, whichever is later. The work of an answer is done before its fixed part.
-func (s *server) backlog(now time.Duration, model *startModel) float64 {
-	if len(s.waiting) == 0 {
-		return 0
-	}
-	total := 0.0
-	for _, j := range s.waiting {
-		total += j.Work
-	}
-	head := s.waiting[0]
-	done := milliseconds(now-max(head.placed, s.lastBegun-duration(model.fixed))) * model.rate
-	return total - math.Min(math.Max(done, 0), head.Work)
-}
-
-func (p *Placer) callTimeOf(service string) float64 {
-	if t := p.callTime[service]; t > 0 {
-		return t
-	}
-	return milliseconds(initialCallTime)
-}
-
 // NewJob returns the job of an attempt at the server of a decision.
 func NewJob(id JobID, decision Decision, size RequestSize) Job {
 	return Job{
@@ -389,8 +336,7 @@
 		s.removeWaiting(j)
 	}
 	if s.CacheTokens == 0 && result == ResultAnswered {
-		call := p.callTimeOf(s.Service)
-		p.callTime[s.Service] = call + learnStep*(milliseconds(now-j.placed-2*s.Delay)-call)
+		p.learnCallTime(now, j)
 	}
 	s.health.record(now, result)
 }
@@ -399,7 +345,7 @@
 // its cache then.
 func (p *Placer) Restarted(server string) {
 	if s := p.servers[server]; s != nil {
-		s.cache = newCache()
+		s.cache, s.speed, s.foreign, s.queued = newCache(), speed{}, foreign{}, foreign{}
 	}
 }
 
@@ -421,6 +367,7 @@
 	if j.server.CacheTokens > 0 {
 		expected = p.startModelOf(j.server.Service).predict(j.ahead + j.Work)
 	}
+	expected *= max(j.server.speed.slowness(now), 1)
 	return now-j.placed > max(minSilence, duration(silenceFactor*expected))
 }
 
--- a/internal/core/placement/startmodel.go
+++ b/internal/core/placement/startmodel.go
@@ -94,12 +94,16 @@
 	return m
 }
 
-// learn adjusts the model of a service from the time until an answer of this entry began.
+// learn adjusts the model of a service from the time until an answer of this entry began. The
+// time is divided by the server's slowness, so that the model is that of an average server.
 func (p *Placer) learn(now time.Duration, j *job) {
 	s := j.server
 	took := milliseconds(now - j.placed - 2*s.Delay)
 	if s.CacheTokens == 0 || took <= 0 {
 		return
 	}
-	p.startModelOf(s.Service).learn(j.ahead, j.Work, took)
+	model := p.startModelOf(s.Service)
+	p.comparePace(now, s, took/model.predict(j.ahead+j.Work), true)
+	model.learn(j.ahead, j.Work, took/s.speed.slowness(now))
+	p.learnWork(s.Service, j.Work)
 }
--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -9,6 +9,7 @@
 	"waxwingcart/internal/core/dissemination"
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/news"
+	"waxwingcart/internal/serverload"
 	"waxwingcart/internal/wire"
 )
 
@@ -92,17 +93,17 @@
 	b.add(true, func(w *wire.News) { w.Placed = append(w.Placed, item) })
 }
 
-func (b *broadcaster) started(id placement.JobID) {
-	b.add(false, func(w *wire.News) { w.Started = append(w.Started, id.Number) })
+func (b *broadcaster) started(id placement.JobID, load *wire.ServerLoad) {
+	b.add(false, func(w *wire.News) { serverload.AddStarted(w, id.Number, load) })
 }
 
 func (b *broadcaster) paused(id placement.JobID) {
 	b.add(false, func(w *wire.News) { w.Paused = append(w.Paused, id.Number) })
 }
 
-func (b *broadcaster) ended(id placement.JobID, result placement.Result) {
+func (b *broadcaster) ended(id placement.JobID, result placement.Result, load *wire.ServerLoad) {
 	b.add(false, func(w *wire.News) {
-		w.Ended = append(w.Ended, &wire.Ended{Number: id.Number, Result: uint32(result)})
+		w.Ended = append(w.Ended, &wire.Ended{Number: id.Number, Result: uint32(result), Load: load})
 	})
 }
 
@@ -111,8 +112,9 @@
 	b.add(true, func(w *wire.News) { w.Leaving = append(w.Leaving, instance) })
 }
 
-// result counts the result of a call whose attempts are not broadcast.
-func (b *broadcaster) result(server string, result placement.Result) {
+// result counts the result of a call whose attempts are not broadcast, and keeps the latest load
+// that its server reported.
+func (b *broadcaster) result(server string, result placement.Result, load *wire.ServerLoad) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.topology.Alone() {
@@ -123,6 +125,9 @@
 		counts = &wire.ServerResults{Server: server}
 		b.results[server] = counts
 	}
+	if load != nil {
+		counts.Load = load
+	}
 	switch result {
 	case placement.ResultAnswered:
 		counts.Answered++
@@ -203,6 +208,7 @@
 	}
 	var batches []outgoing
 	if len(b.own) > 0 {
+		serverload.SetAges(b.entry.now(), b.own)
 		to := b.topology.OwnDestinations(timeOfDay)
 		if len(to) == 1 && to[0].To == b.entry.opts.PeerAddress {
 			b.zoneQueue, b.otherZonesQueue = append(b.zoneQueue, b.own...), append(b.otherZonesQueue, b.own...)
@@ -303,6 +309,7 @@
 		}
 		p.placer.Placed(now, job)
 	}
+	p.loads.Apply(received)
 	for _, number := range received.Started {
 		p.placer.Started(now, placement.JobID{Origin: received.Origin, Number: number}, false)
 	}
@@ -329,6 +336,7 @@
 		b.entry.policy.mu.Lock()
 		b.entry.policy.placer.Expire(b.entry.now())
 		b.entry.policy.mu.Unlock()
+		b.entry.policy.loads.LogIgnored()
 		b.entry.repeatLeaving()
 		b.entry.streams.repeat()
 		b.entry.streams.expire()
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -118,6 +118,8 @@
 
 func (leavingProtocol) Brittle(http.Header) []string { return nil }
 
+func (leavingProtocol) Load(int, http.Header) (backend.Load, bool) { return backend.Load{}, false }
+
 func (leavingProtocol) Leaving(_ int, header http.Header) bool { return header.Get("Leaving") != "" }
 
 // The word is taken from every kind of answer when its head is read, but not from an
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -105,7 +105,7 @@
 	e.policy.mu.Unlock()
 	e.guard.Begun(&r.routed.guarded, a.version)
 	if r.routed.announced {
-		e.broadcaster.started(a.job)
+		e.broadcaster.started(a.job, e.policy.loads.Take(a.server.Name))
 	}
 }
 
@@ -141,10 +141,11 @@
 	e.policy.mu.Lock()
 	e.policy.placer.Ended(e.now(), a.job, ended)
 	e.policy.mu.Unlock()
+	load := e.policy.loads.Take(a.server.Name)
 	if r.routed.announced {
-		e.broadcaster.ended(a.job, ended)
+		e.broadcaster.ended(a.job, ended, load)
 	} else {
-		e.broadcaster.result(a.server.Name, ended)
+		e.broadcaster.result(a.server.Name, ended, load)
 	}
 }
 
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -13,6 +13,7 @@
 	"waxwingcart/internal/core/retry"
 	"waxwingcart/internal/core/routing"
 	"waxwingcart/internal/core/serverlimit"
+	"waxwingcart/internal/serverload"
 )
 
 // policyTick is the interval at which admission checks queued requests.
@@ -42,6 +43,8 @@
 	// placer places routed calls; it is nil if the configuration names the
 	// servers.
 	placer *placement.Placer
+	// loads carries the load that servers report into placer; it is nil if placer is.
+	loads *serverload.Tracker
 	// limits holds what servers of routed calls say of their limits; anyLimit is true if
 	// there is one.
 	limits   *serverlimit.Share
@@ -65,6 +68,7 @@
 	}
 	if e.opts.Routed != nil {
 		p.placer = placement.New(e.incarnation)
+		p.loads = serverload.New(&p.mu, p.placer, e.now, e.logger, e.opts.Registry)
 	}
 	return p
 }
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -66,6 +66,7 @@
 	return backend.Options{
 		Protocol: e.opts.Routed.Backends, OnLeaving: e.serverLeaving, OnPause: e.serverPause, OnEndless: e.endlessAnswer,
 		OnLimit: e.serverLimit, Limited: func(instance string) bool { return e.policy.limited(instance) },
+		OnLoad: func(call backend.Call, load backend.Load) { e.policy.loads.Observe(call, load) },
 	}
 }
 
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -82,6 +82,8 @@
 
 func (plainBackends) Brittle(http.Header) []string { return nil }
 
+func (plainBackends) Load(int, http.Header) (backend.Load, bool) { return backend.Load{}, false }
+
 // takeUpTable has a public route whose streams may be resumed, and one that charges.
 func takeUpTable([]byte) (*routes.Table, error) {
 	route := routes.Route{
