Keep reported loads apart from a server's other state

A factor of up to 100 was applied to the whole predicted time, however long the work. Change: the state is allocated with a server's first report. A disturbance delays work by no more than its own duration.

--- a/internal/core/placement/evaluate.go
+++ b/internal/core/placement/evaluate.go
@@ -9,12 +9,12 @@
 // The lowest score is best.
 func (p *Placer) evaluate(now time.Duration, s *server, size *RequestSize) (float64, Decision) {
 	network := milliseconds(2 * s.Delay)
-	slow := s.speed.slowness(now)
+	load := s.reported(now)
 	d := Decision{Server: s.Name, Version: s.Version, Running: s.running}
 	if s.CacheTokens == 0 {
 		// Requests at application servers wait for a slot and read no prompt.
-		inFlight := float64(s.running+len(s.waiting)) + s.foreign.requests(now)
-		call := p.callTimeOf(s.Service) * slow
+		inFlight := float64(s.running+len(s.waiting)) + load.foreign
+		call := load.time(p.callTimeOf(s.Service))
 		wait := slotPenalty * call * math.Max(0, inFlight+1-float64(s.Slots)) / float64(max(s.Slots, 1))
 		first := network + call + wait
 		d.StartDelay = duration(first)
@@ -23,18 +23,20 @@
 	cached := s.cache.cachedTokens(size.Parts, s.CacheTokens)
 	d.UncachedTokens = max(size.PromptTokens-cached, 0)
 	model := p.startModelOf(s.Service)
-	foreign := s.foreign.requests(now)
-	d.Waiting = s.backlog(now, model) + s.queued.requests(now)*p.meanWork(s.Service)
+	d.Waiting = s.backlog(now, model, load.slow)
+	if load.queued > 0 {
+		d.Waiting += load.queued * p.meanWork(s.Service)
+	}
 	work := attemptWork(d.UncachedTokens, size.PromptTokens)
-	prefill := work / model.rate * slow
-	first := network + model.predict(d.Waiting+work)*slow
+	prefill := load.time(work / model.rate)
+	first := network + load.time(model.predict(d.Waiting+work))
 	d.StartDelay = duration(first)
 	recompute := float64(size.sharedTokens()-cached) / model.rate
-	score := first + prefillWeight*prefill + recomputeWeight*recompute + runningWeight*(float64(s.running)+foreign) + s.health.penalty(now)
+	score := first + prefillWeight*prefill + recomputeWeight*recompute + runningWeight*(float64(s.running)+load.foreign) + s.health.penalty(now)
 	score += pauseWeight * s.pauses.decayed(now) * math.Min(prefill/longPrefillMS, 1)
 	used := float64(s.memory+size.PromptTokens+size.OutputTokens) / float64(s.CacheTokens)
 	score += overcommitPenalty * math.Max(0, used-preemptionRatio)
-	if over := float64(s.running+len(s.waiting)+1-s.Slots) + foreign; over > 0 {
+	if over := float64(s.running+len(s.waiting)+1-s.Slots) + load.foreign; over > 0 {
 		score += overcommitPenalty * over / float64(max(s.Slots, 1))
 	}
 	return score, d
@@ -48,9 +50,9 @@
 }
 
 // backlog returns the work queued at the server, in tokens. It assumes that the
-// server has worked on its oldest queued job since that job was placed or since an
+// server, which is as slow as given, has worked on its oldest queued job since that job was placed or since an
 // answer last began, whichever is later. The work of an answer is done before its fixed part.
-func (s *server) backlog(now time.Duration, model *startModel) float64 {
+func (s *server) backlog(now time.Duration, model *startModel, slow float64) float64 {
 	if len(s.waiting) == 0 {
 		return 0
 	}
@@ -59,7 +61,7 @@
 		total += j.Work
 	}
 	head := s.waiting[0]
-	done := milliseconds(now-max(head.placed, s.lastBegun-duration(model.fixed))) * model.rate / s.speed.slowness(now)
+	done := milliseconds(now-max(head.placed, s.lastBegun-duration(model.fixed))) * model.rate / slow
 	return total - math.Min(math.Max(done, 0), head.Work)
 }
 
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -62,6 +62,49 @@
 	return r
 }
 
+// serverLoads is what a server has reported of its load.
+type serverLoads struct {
+	speed speed
+	// foreign tracks the requests that no entry announced, and queued those of them that wait.
+	foreign, queued foreign
+	// own is the latest load that the server reported to this entry, and ownPace the pace of its latest
+	// answer. announce is true until they have been announced.
+	own      Load
+	ownAt    time.Duration
+	ownPace  float64
+	announce bool
+}
+
+// slowness returns how long work takes at the server now, as a multiple of the time at an average server.
+func (s *server) slowness(now time.Duration) float64 { return s.reported(now).slow }
+
+// reported returns what placement uses of the server's reports.
+func (s *server) reported(now time.Duration) reported {
+	if s.loads == nil {
+		return reported{slow: 1, typical: 1}
+	}
+	return reported{
+		slow: s.loads.speed.slowness(now), typical: s.loads.speed.typical(),
+		foreign: s.loads.foreign.requests(now), queued: s.loads.queued.requests(now),
+	}
+}
+
+// reported is what placement uses of a server's reports.
+type reported struct {
+	// slow is how long work takes now, as a multiple of the time at an average server, and typical
+	// how long it usually does.
+	slow, typical float64
+	// foreign is the number of requests that no entry announced, and queued the number of those of them that
+	// wait.
+	foreign, queued float64
+}
+
+// time returns how long work takes that takes an average server as long as usual, in milliseconds. A disturbance
+// delays it by no more than its own duration.
+func (r reported) time(usual float64) float64 {
+	return math.Min(usual*r.slow, usual*r.typical+milliseconds(disturbanceLife))
+}
+
 // ObserveLoad records the load that a server reported in a response to this entry.
 func (p *Placer) ObserveLoad(now time.Duration, instance string, load Load) {
 	s := p.servers[instance]
@@ -69,7 +112,7 @@
 		return
 	}
 	p.observe(now, s, load)
-	s.speed.own, s.speed.ownAt, s.speed.announce = load, now, true
+	s.loads.own, s.loads.ownAt, s.loads.announce = load, now, true
 }
 
 // ObserveAnnounced records the load of a server that another entry announced.
@@ -89,11 +132,11 @@
 // to this entry, unless it has been returned before.
 func (p *Placer) TakeReport(now time.Duration, instance string) (LoadReport, bool) {
 	s := p.servers[instance]
-	if s == nil || !s.speed.announce {
+	if s == nil || s.loads == nil || !s.loads.announce {
 		return LoadReport{}, false
 	}
-	report := LoadReport{Load: s.speed.own, Age: now - s.speed.ownAt, Pace: s.speed.ownPace}
-	s.speed.announce, s.speed.ownPace = false, 0
+	report := LoadReport{Load: s.loads.own, Age: now - s.loads.ownAt, Pace: s.loads.ownPace}
+	s.loads.announce, s.loads.ownPace = false, 0
 	return report, true
 }
 
@@ -107,11 +150,14 @@
 
 // observe records a load that a server reported at a time.
 func (p *Placer) observe(at time.Duration, s *server, load Load) {
-	s.speed.observe(at, load.Factor)
+	if s.loads == nil {
+		s.loads = &serverLoads{}
+	}
+	s.loads.speed.observe(at, load.Factor)
 	if load.Running >= 0 && load.Waiting >= 0 {
 		reported := min(load.Running, maxReported) + min(load.Waiting, maxReported)
-		s.foreign.record(at, float64(reported-s.running-len(s.waiting)))
-		s.queued.record(at, float64(min(load.Waiting, maxReported)-len(s.waiting)))
+		s.loads.foreign.record(at, float64(reported-s.running-len(s.waiting)))
+		s.loads.queued.record(at, float64(min(load.Waiting, maxReported)-len(s.waiting)))
 	}
 }
 
@@ -182,7 +228,7 @@
 	if took > 0 {
 		p.comparePace(now, s, took/call, false)
 	}
-	p.callTime[s.Service] = call + learnStep*(took/s.speed.slowness(now)-call)
+	p.callTime[s.Service] = call + learnStep*(took/s.slowness(now)-call)
 }
 
 // NoteInvalidLoad returns true the first time that it is called for a known server.
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -151,9 +151,8 @@
 	cache     cache
 	health    health
 	pauses    pauses
-	speed     speed
-	// foreign tracks the requests that no entry announced, and queued those of them that wait.
-	foreign, queued foreign
+	// loads is what the server has reported of its load; nil if nothing.
+	loads *serverLoads
 	// invalidPause is true once the server has asked for a pause in a way that can't be
 	// read.
 	invalidPause bool
@@ -268,7 +267,7 @@
 	}
 	j := &job{Job: placed, server: s, placed: now}
 	if s.CacheTokens > 0 {
-		j.ahead = s.backlog(now, p.startModelOf(s.Service))
+		j.ahead = s.backlog(now, p.startModelOf(s.Service), s.slowness(now))
 		s.cache.record(placed.Parts, placed.UncachedTokens)
 	}
 	if placed.ID.Origin != p.origin && s.CacheTokens > 0 {
@@ -345,7 +344,7 @@
 // its cache then.
 func (p *Placer) Restarted(server string) {
 	if s := p.servers[server]; s != nil {
-		s.cache, s.speed, s.foreign, s.queued = newCache(), speed{}, foreign{}, foreign{}
+		s.cache, s.loads = newCache(), nil
 	}
 }
 
@@ -367,7 +366,7 @@
 	if j.server.CacheTokens > 0 {
 		expected = p.startModelOf(j.server.Service).predict(j.ahead + j.Work)
 	}
-	expected *= max(j.server.speed.slowness(now), 1)
+	expected *= max(j.server.slowness(now), 1)
 	return now-j.placed > max(minSilence, duration(silenceFactor*expected))
 }
 
--- a/internal/core/placement/speed.go
+++ b/internal/core/placement/speed.go
@@ -43,23 +43,17 @@
 
 // speed estimates how long work takes at a server relative to an average one of its service.
 type speed struct {
-	// samples holds the latest factors that the server reported, the next of which is
-	// put at next; sampled is when the last one was.
-	samples [samplesKept]float32
-	count   int
-	next    int
-	sampled time.Duration
 	// base is the factor of the server's own speed, without disturbances; 0 if not known.
 	base float64
 	// last is the latest factor.
 	last   float64
 	lastAt time.Duration
-	// own is the latest load that the server reported to this entry, and ownPace the pace of its latest
-	// answer. announce is true until they have been announced.
-	own      Load
-	ownAt    time.Duration
-	ownPace  float64
-	announce bool
+	// count is the number of samples kept; samples holds the latest factors that the server reported, the next of
+	// which is put at next, and sampled is when the last one was.
+	count   int
+	next    int
+	sampled time.Duration
+	samples [samplesKept]float32
 	// pace is a low quantile of the logarithm of the time until answers began relative to an average server,
 	// and deviation that relative to the server's reports.
 	pace, deviation quantile
@@ -103,6 +97,11 @@
 	if s.ignored {
 		return s.observed()
 	}
+	return s.reported(now)
+}
+
+// reported returns the slowness by the server's reports.
+func (s *speed) reported(now time.Duration) float64 {
 	left := 1 - float64(max(now-s.lastAt, 0))/float64(disturbanceLife)
 	if left <= 0 {
 		return s.base
@@ -128,7 +127,11 @@
 func meanSpeed(servers []*server) float64 {
 	sum := 0.0
 	for _, s := range servers {
-		sum += 1 / s.speed.typical()
+		if s.loads == nil {
+			sum++
+			continue
+		}
+		sum += 1 / s.loads.speed.typical()
 	}
 	return sum / float64(max(len(servers), 1))
 }
@@ -151,22 +154,21 @@
 // comparePace compares the time until an answer began, relative to the one predicted at an average server, with the
 // server's reports. own is true if it is to be announced to the other entries.
 func (p *Placer) comparePace(at time.Duration, s *server, ratio float64, own bool) {
-	if s.speed.count == 0 {
+	if s.loads == nil || s.loads.speed.count == 0 {
 		return
 	}
 	if own {
-		s.speed.ownPace = ratio
+		s.loads.ownPace = ratio
 	}
 	seen := math.Log(math.Min(math.Max(ratio, 1/maxPace), maxPace))
-	reported := s.speed
-	reported.ignored = false
-	deviation := seen - math.Log(reported.slowness(at))
+	speed := &s.loads.speed
+	deviation := seen - math.Log(speed.reported(at))
 	service := p.reportsOf(s.Service)
 	service.deviation.add(deviation)
-	s.speed.addPace(seen, deviation-service.deviation.value)
-	if s.speed.ignored && !s.speed.noted {
-		s.speed.noted = true
-		p.ignored = append(p.ignored, IgnoredReport{Server: s.Name, Reported: s.speed.base, Observed: s.speed.observed()})
+	speed.addPace(seen, deviation-service.deviation.value)
+	if speed.ignored && !speed.noted {
+		speed.noted = true
+		p.ignored = append(p.ignored, IgnoredReport{Server: s.Name, Reported: speed.base, Observed: speed.observed()})
 	}
 }
 
--- a/internal/core/placement/startmodel.go
+++ b/internal/core/placement/startmodel.go
@@ -104,6 +104,6 @@
 	}
 	model := p.startModelOf(s.Service)
 	p.comparePace(now, s, took/model.predict(j.ahead+j.Work), true)
-	model.learn(j.ahead, j.Work, took/s.speed.slowness(now))
+	model.learn(j.ahead, j.Work, took/s.slowness(now))
 	p.learnWork(s.Service, j.Work)
 }
