--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -122,10 +122,6 @@
 		return
 	}
 	at := now - report.Age - p.unseen.delay
-	if s.CacheTokens == 0 && report.Running > 0 {
-		// The call that was answered ran there as well, and is over.
-		report.Running--
-	}
 	p.observe(at, s, report.Load)
 	if report.Pace > 0 && s.CacheTokens > 0 {
 		p.comparePace(at, s, report.Pace, false)
--- a/internal/core/placement/loadreplay_test.go
+++ b/internal/core/placement/loadreplay_test.go
@@ -187,12 +187,13 @@
 					slot = i
 				}
 			}
-			s.free[slot] = s.run(max(now, s.free[slot]), 30*time.Millisecond)
+			begins := max(now, s.free[slot])
+			heap.Push(events, at{begins, func(time.Duration) { s.queued-- }})
+			s.free[slot] = s.run(begins, 30*time.Millisecond)
 			l.count(&result, now, s.free[slot], s.name)
 			heap.Push(events, at{s.free[slot], func(now time.Duration) {
 				respond(now, entry, s)
 				s.present--
-				s.queued--
 				placers[entry].Ended(now, id, placement.ResultAnswered)
 				announce(now, entry, s)
 			}})
