--- a/internal/serverload/serverload_test.go
+++ b/internal/serverload/serverload_test.go
@@ -112,3 +112,44 @@
 		t.Errorf("%d lines, want 1: %s", lines, out)
 	}
 }
+
+// A server that says it is fast and is late is logged once, whatever it reports after that.
+func TestIgnoredReportsAreLoggedOnce(t *testing.T) {
+	now := time.Minute
+	tracker, placer, out := newTracker(&now)
+	for range 3 {
+		for range 60 {
+			now += 200 * time.Millisecond
+			placer.ObserveAnnounced(now, "b", placement.LoadReport{Load: placement.Load{Factor: 1}, Pace: 1})
+			placer.ObserveAnnounced(now, "a", placement.LoadReport{Load: placement.Load{Factor: 0.6}, Pace: 3})
+			tracker.LogIgnored()
+		}
+		for range 60 {
+			now += 200 * time.Millisecond
+			placer.ObserveAnnounced(now, "a", placement.LoadReport{Load: placement.Load{Factor: 3}, Pace: 3})
+			tracker.LogIgnored()
+		}
+	}
+	if lines := strings.Count(out.String(), "\n"); lines != 1 || !strings.Contains(out.String(), `server=a`) && !strings.Contains(out.String(), `"a"`) || out.Len() > 400 {
+		t.Errorf("%d lines of %d bytes, want 1 on server a of at most 400: %s", lines, out.Len(), out)
+	}
+}
+
+// A load must not need a datagram of its own: it adds no update, and few bytes to the one that it goes with.
+func TestLoadAddsFewBytes(t *testing.T) {
+	now := time.Hour
+	tracker, _, _ := newTracker(&now)
+	without, with := &wire.News{Origin: 9}, &wire.News{Origin: 9}
+	for i := range uint64(16) {
+		tracker.Observe(backend.Call{Instance: "a"}, backend.Load{Running: 12, Waiting: 3, Factor: 2.5})
+		AddStarted(without, 1000+i, nil)
+		AddStarted(with, 1000+i, tracker.Take("a"))
+	}
+	now += 130 * time.Millisecond
+	SetAges(now, []*wire.News{with})
+	if added := float64(proto.Size(with)-proto.Size(without)) / 16; added > 20 {
+		t.Errorf("%.1f bytes for each load, want at most 20", added)
+	} else {
+		t.Logf("%.1f bytes for each load", added)
+	}
+}
