--- a/internal/core/placement/versions.go
+++ b/internal/core/placement/versions.go
@@ -85,3 +85,15 @@
 	}
 	return false
 }
+
+// ServersOf returns the servers of a version of a service that take work, by name.
+func (p *Placer) ServersOf(now time.Duration, service, version string) []string {
+	var names []string
+	for _, s := range p.byName[service] {
+		if s.Version == version && p.Takes(now, s.Name) {
+			names = append(names, s.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
