Run roll-outs at the leader and at entries

The decisions of core/rollout had no state in the log, no exchange and no effect. Draws carry reports and leases. Entries place requests at the target under a lease only.

--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -219,20 +219,20 @@
 	return s.rate * math.Exp(-float64(max(now-s.ratedAt, 0))/float64(rateWindow))
 }
 
-// Use takes a request to a version out of the lease. It reports false if the version is the target and
-// there is no lease.
-func (g *Gate) Use(now time.Duration, service, version string) bool {
+// Use takes a request to a version out of the lease, and reports whether it did. It may not be sent
+// if ok is false: the version is the target, and there is no lease.
+func (g *Gate) Use(now time.Duration, service, version string) (taken, ok bool) {
 	s := g.services[service]
 	if s == nil || s.lease.State != StateActive || version != s.lease.Target {
-		return true
+		return false, true
 	}
 	s.expire(now)
 	if s.held == 0 {
-		return false
+		return false, false
 	}
 	s.held--
 	s.report.Sent++
-	return true
+	return true, true
 }
 
 // Unused returns a request that Use took and that is not sent.
--- a/internal/core/rollout/simulation_test.go
+++ b/internal/core/rollout/simulation_test.go
@@ -187,7 +187,7 @@
 
 func (s *simulation) attempt(i int, route, version string) {
 	gate := s.gates[i]
-	if !gate.Use(s.now, testService, version) {
+	if _, ok := gate.Use(s.now, testService, version); !ok {
 		panic("the gate planned a request without a lease")
 	}
 	slowness, failed := 1.0, s.random.Float64() < s.baseFailure
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -18,6 +18,7 @@
 	"waxwingcart/internal/core/placement"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routing"
+	"waxwingcart/internal/rollout"
 )
 
 // Bounds on single calls to backend servers.
@@ -50,6 +51,8 @@
 	job placement.JobID
 	// version is the software version of the server of a routed call.
 	version string
+	// rollout counts the attempt for the roll-out of its service.
+	rollout rollout.Attempt
 	// mayHedge is true if the limit on attempts allows a hedge beside this attempt.
 	mayHedge bool
 	// hedged is true if the hedge's server gave the answer.
--- a/internal/entry/broadcast_test.go
+++ b/internal/entry/broadcast_test.go
@@ -23,6 +23,7 @@
 	e.broadcaster = newBroadcaster(e)
 	e.streams = newStreams(e)
 	e.guard = newCrashGuard(e)
+	e.rollouts = newRolloutClient(e)
 	e.broadcaster.setPeers([]*wire.EntryPeer{{Address: "127.0.0.1:1"}, {Address: "127.0.0.1:2"}})
 	return e
 }
--- a/internal/entry/configure.go
+++ b/internal/entry/configure.go
@@ -36,6 +36,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	changed, gone = p.entry.directory.Replace(list, version, readAt)
+	inUse, _ := p.entry.directory.List()
+	p.entry.rollouts.Listed(inUse, p.entry.directory.ListVersion() != 0)
 	if p.placer != nil {
 		p.placer.SetListed(p.entry.now(), p.entry.directory.Instances())
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/detour"
 	"waxwingcart/internal/directory"
+	"waxwingcart/internal/rollout"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
@@ -112,6 +113,7 @@
 	broadcaster *broadcaster
 	streams     *streams
 	guard       *crashguard.Guard
+	rollouts    *rollout.Client
 	// callerLimits are the limits of callers' connections.
 	callerLimits callerlimits.Limits
 	// initialized is closed once routed calls can be served: a configuration
@@ -164,6 +166,7 @@
 	e.broadcaster = newBroadcaster(e)
 	e.streams = newStreams(e)
 	e.guard = newCrashGuard(e)
+	e.rollouts = newRolloutClient(e)
 	e.streams.register(opts.Registry)
 	e.releaser = newReleaser(e)
 	e.config = newConfigHolder(e)
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -92,6 +92,9 @@
 	if !p.placer.Takes(now, server) || !p.limits.Takes(now, server, r.routed.priority) {
 		return false
 	}
+	if version, known := p.placer.VersionOf(server); known && !p.entry.rollouts.Use(&r.routed.rollout, r.service.Name, version) {
+		return false
+	}
 	p.limits.Use(now, server)
 	return true
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -16,7 +16,7 @@
 		return routing.Decision{}, false
 	}
 	verdict, _ := p.quarantined(r)
-	decision, ok := p.placer.Pick(p.entry.now(), &placement.Request{
+	decision, ok := p.pickVersion(p.entry.now(), r, &placement.Request{
 		Service: r.service.Name,
 		Size:    r.routed.size,
 		Exclude: exclude,
@@ -81,6 +81,7 @@
 	a.job = placement.JobID{Origin: e.incarnation, Number: e.nextID.Add(1)}
 	decision := r.routed.decision
 	a.version = decision.Version
+	a.rollout = e.rollouts.Began(r.service.Name, a.version, r.routed.route.Name, decision.StartDelay)
 	r.routed.announced = r.routed.announced || e.policy.announces(r.service.Name)
 	decision.Server = a.server.Name
 	job := placement.NewJob(a.job, decision, r.routed.size)
@@ -104,6 +105,7 @@
 	e.policy.placer.Started(e.now(), a.job, true)
 	e.policy.mu.Unlock()
 	e.guard.Begun(&r.routed.guarded, a.version)
+	e.rollouts.Started(&a.rollout)
 	if r.routed.announced {
 		e.broadcaster.started(a.job)
 	}
@@ -138,6 +140,7 @@
 	}
 	e := r.entry
 	ended := jobResult(result, a.answer)
+	r.rolloutEnded(a, result)
 	e.policy.mu.Lock()
 	e.policy.placer.Ended(e.now(), a.job, ended)
 	e.policy.mu.Unlock()
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -197,7 +197,7 @@
 		return p.noServer(r)
 	}
 	if wait, late := r.wouldBeLate(decision.ExpectedFirstToken); late {
-		p.returnUse(decision.Server)
+		p.returnUse(r, decision.Server)
 		return request.NoServer{Reason: request.ReasonOverload, RetryAfter: wait}
 	}
 	r.expectedFirst = decision.ExpectedFirstToken
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -266,6 +266,7 @@
 	if full {
 		load = q.entry.serviceLoad()
 	}
+	rollouts := q.entry.rollouts.Reports()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.currentDraw, q.nextDraw = q.nextDraw, make(chan struct{})
@@ -274,7 +275,7 @@
 	request.PeersVersion = q.peersVersion
 	request.Address, request.Zone = q.entry.opts.PeerAddress, q.entry.opts.Zone
 	request.List = q.entry.directory.ListVersion()
-	request.Limits = limits
+	request.Limits, request.Rollouts = limits, rollouts
 	request.Bars, request.AsksBars = bars, q.entry.barsUnknown.Load()
 	request.Partial = !full
 	if !full {
@@ -324,6 +325,7 @@
 	}
 	q.mu.Unlock()
 	if err == nil {
+		q.entry.rollouts.Answered(requestedAt, response)
 		q.applyLeaderList(requestedAt, response)
 		q.entry.policy.applyLimits(response)
 		if newPeers {
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -16,6 +16,7 @@
 	"waxwingcart/internal/core/routing"
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/observe"
+	"waxwingcart/internal/rollout"
 	"waxwingcart/internal/traces"
 )
 
@@ -53,6 +54,8 @@
 	// broke it off before its first event.
 	guarded   crashguard.Request
 	brokenOff int
+	// rollout is the call as the roll-out of its service sees it; guarded by the policy's lock.
+	rollout rollout.Call
 	// paused is true once a pause of the stream has been reported.
 	paused bool
 	// tokensPerEvent is the number of tokens in one event of the answer.
--- a/internal/entry/serverlimit.go
+++ b/internal/entry/serverlimit.go
@@ -89,7 +89,12 @@
 }
 
 // returnUse gives back a request to a server that is not sent.
-func (p *policy) returnUse(server string) {
+func (p *policy) returnUse(r *run, server string) {
+	if r.routed != nil {
+		p.mu.Lock()
+		p.entry.rollouts.Unused(&r.routed.rollout, r.service.Name, r.routed.decision.Version)
+		p.mu.Unlock()
+	}
 	if !p.anyLimit.Load() {
 		return
 	}
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -147,5 +147,7 @@
 	if r.duties != nil {
 		r.duties.fillList(req, response)
 	}
+	// The roll-outs must be as new as the list, which may name the servers of a target.
+	r.rollouts.Draw(status.Term, req, response)
 	return response, nil
 }
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -162,6 +162,10 @@
 func (r *Replica) expire(ctx context.Context) {
 	for r.status().Role == replication.RoleLeader {
 		callCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		if err := r.renewRollouts(callCtx); err != nil {
+			cancel()
+			return
+		}
 		applied, err := r.propose(callCtx, state.Expire{BeforeMS: time.Now().UnixMilli()})
 		cancel()
 		if err != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -21,6 +21,7 @@
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
 	"waxwingcart/internal/crashguard"
+	"waxwingcart/internal/rollout"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/storage"
 )
@@ -110,6 +111,9 @@
 	// bars keeps what entries tell of barred prompt parts, for those that start.
 	bars   *crashguard.Guard
 	duties *duties
+	// rollouts runs roll-outs while this replica leads; rolloutStore keeps them in the log.
+	rollouts     *rollout.Leader
+	rolloutStore *rolloutStore
 
 	// diskFull is the number of writes that wait for room on the disk.
 	diskFull atomic.Int32
@@ -191,6 +195,7 @@
 	if opts.Duties != nil {
 		r.duties = newDuties(r, *opts.Duties)
 	}
+	r.rollouts = newRollouts(r)
 	if err := r.restore(); err != nil {
 		_ = store.Close()
 		return nil, err
@@ -287,6 +292,7 @@
 	}
 	r.spawn(func() { r.runSnapshots(ctx) })
 	r.spawn(func() { r.runBehind(ctx) })
+	r.spawn(func() { r.rollouts.Run(ctx) })
 }
 
 func (r *Replica) spawn(run func()) {
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -46,6 +46,8 @@
 	// Load returns the committed table and the agreed time of the log, after a quorum has confirmed
 	// that this replica leads.
 	Load func(context.Context) (rollout.Table, int64, error)
+	// Read is Load without effect on Save.
+	Read func(context.Context) (rollout.Table, error)
 	// Save commits a table in place of the one that was loaded or saved last.
 	Save func(context.Context, rollout.Table) error
 	// Servers returns the platform's list of backend servers.
@@ -353,10 +355,17 @@
 func (l *Leader) Get(ctx context.Context, service string) (rollout.Rollout, bool, error) {
 	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	table, _, err := l.opts.Load(call)
+	table, err := l.opts.Read(call)
 	if err != nil {
 		return rollout.Rollout{}, false, fmt.Errorf("load roll-outs: %w", err)
 	}
 	found, ok := table.Rollouts[service]
 	return found, ok, nil
 }
+
+// Renew calls a function that writes the table again, while nothing else writes it.
+func (l *Leader) Renew(ctx context.Context, write func(context.Context) error) error {
+	l.commit.Lock()
+	defer l.commit.Unlock()
+	return write(ctx)
+}
