Retry at the old version without charging the retry budget

A young entry refused some retries of requests that had failed at the target for want of a budget: in TestHostedRolloutReverts 2 of 21 and 3 of 27 callers got status 500.

--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -11,6 +11,9 @@
 	// rateWindow is the time constant of the average rate of requests from which an entry
 	// computes how many it wants.
 	rateWindow = 2 * time.Second
+	// minRate is the decayed count of requests below which an entry wants none. Idle entries would
+	// keep requests from the others until their leases expire.
+	minRate = 0.1
 	// maxRoutes bounds the routes that are counted by themselves; others are counted together.
 	maxRoutes = 48
 	// otherRoutes is the key of the routes beyond maxRoutes.
@@ -235,14 +238,15 @@
 	return true, true
 }
 
-// Unused returns a request that Use took and that is not sent.
-func (g *Gate) Unused(service, version string) {
+// Unused returns a request that Use took and that is not sent. It reports whether there is one.
+func (g *Gate) Unused(service, version string) bool {
 	s := g.services[service]
 	if s == nil || s.lease.State != StateActive || version != s.lease.Target || s.report.Sent == 0 {
-		return
+		return false
 	}
 	s.report.Sent--
 	s.report.Returned++
+	return true
 }
 
 // Began counts an attempt at a server of a version.
@@ -273,6 +277,12 @@
 	First, Expected time.Duration
 }
 
+// IsTarget reports whether an attempt was made at the target of the latest roll-out.
+func (g *Gate) IsTarget(a Attempt) bool {
+	s := g.services[a.Service]
+	return s != nil && s.report.Number == a.Number && s.lease.Target == a.Version
+}
+
 // Started counts that an answer began.
 func (g *Gate) Started(a Attempt) {
 	s := g.services[a.Service]
@@ -360,7 +370,9 @@
 		report := s.report
 		report.Sequence = g.sequence
 		report.Held, report.Old = uint64(s.held), s.runOld
-		report.Wanted = int(math.Ceil(s.decayed(now) / rateWindow.Seconds() * LeaseLifetime.Seconds()))
+		if rate := s.decayed(now); rate >= minRate {
+			report.Wanted = int(math.Ceil(rate / rateWindow.Seconds() * LeaseLifetime.Seconds()))
+		}
 		report.Evidence = copyEvidence(s.report.Evidence)
 		reports[service] = report
 	}
--- a/internal/e2e/hosted_rollout_test.go
+++ b/internal/e2e/hosted_rollout_test.go
@@ -193,6 +193,13 @@
 		t.Errorf("%d requests reached the bad version after it was reverted", later-settled)
 	}
 	if failed > 0 {
+		for _, entry := range []string{"e1", "e2"} {
+			for _, line := range h.linesWith(entry, `step="request"`) {
+				if !strings.Contains(line, `outcome="answered" reason="" at="" attempts=1`) {
+					t.Log(entry, line)
+				}
+			}
+		}
 		t.Errorf("%d of %d callers of a repeatable route got no answer of the old version", failed, all)
 	}
 }
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -54,3 +54,9 @@
 	counted := (result == routing.ResultCompleted || failed) && !(failed && leaves)
 	r.entry.rollouts.Ended(&a.rollout, counted, failed)
 }
+
+// failedAtTarget reports whether the latest attempt was made at the target of a roll-out. Its retry is not
+// charged to the budget: leases bound the number of such attempts, and the old version serves them.
+func (r *run) failedAtTarget() bool {
+	return r.last != nil && r.entry.rollouts.AtTarget(&r.last.rollout)
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -345,7 +345,7 @@
 		Repeatable: r.spec.Repeatable,
 		HandedOver: failed.HandedOver,
 		Attempts:   failed.Attempts,
-		Free:       failed.Free,
+		Free:       failed.Free || r.failedAtTarget(),
 		Deadline:   r.deadline,
 		Policy:     &r.policy,
 	})
--- a/internal/rollout/client.go
+++ b/internal/rollout/client.go
@@ -131,8 +131,9 @@
 func (c *Client) Unused(call *Call, service, version string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.gate.Unused(service, version)
-	call.tried = false
+	if c.gate.Unused(service, version) {
+		call.tried = false
+	}
 }
 
 // Attempt is an attempt at a server; it is zero if the service had no roll-out when it began.
@@ -153,6 +154,13 @@
 	return Attempt{rollout.Attempt{Service: service, Version: version, Route: route, Number: number, Expected: expected}, c.opts.Now()}
 }
 
+// AtTarget reports whether an attempt was made at the target of a roll-out.
+func (c *Client) AtTarget(a *Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return a.attempt.Number != 0 && c.gate.IsTarget(a.attempt)
+}
+
 // Started counts that an answer began.
 func (c *Client) Started(a *Attempt) {
 	if a.attempt.Number == 0 || a.attempt.Begun {
