--- a/internal/e2e/hosted_rollout_test.go
+++ b/internal/e2e/hosted_rollout_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -212,3 +213,37 @@
 		}
 	}
 }
+
+// The leader is killed in the middle of the roll-out of a good version. The next one goes on: the roll-out
+// completes before its deadline and no stream fails.
+func TestHostedRolloutLeaderLost(t *testing.T) {
+	// Long enough that an election on a busy machine leaves time for the steps.
+	const seconds = 24
+	h, streams := newRolloutCluster(t)
+	h.eventually("the replicas are complete", h.repaired)
+	h.eventually("the order is committed", func() bool { return h.orderRollout("r1", "models", newerVersion, seconds) == http.StatusOK })
+	ordered := time.Now()
+	engines := h.addTarget(t)
+	h.eventually("the target gets requests", func() bool { return arrivals(engines) > 10 })
+	lost := h.leader("")
+	_ = h.stop(lost, syscall.SIGKILL)
+	asked := "r1"
+	if lost == asked {
+		asked = "r2"
+	}
+	state := ""
+	h.eventually("the roll-out has ended", func() bool {
+		state, _ = h.rolloutState(asked, "models")
+		return state == "complete" || state == "reverted"
+	})
+	took := time.Since(ordered)
+	all, failed := streams()
+	t.Logf("%s after %s: %d streams, %d failed, %d requests at the target", state, took.Round(time.Millisecond), all, failed, arrivals(engines))
+	if state != "complete" || took > seconds*time.Second {
+		h.printRollout(t)
+		t.Errorf("got %q after %s, expected it to complete within %d s", state, took, seconds)
+	}
+	if failed > 0 {
+		t.Errorf("%d of %d streams failed", failed, all)
+	}
+}
