--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -36,6 +36,8 @@
 	// Endless answers each request, without running it, with bytes that have no end:
 	// head, interim, framing, event, body or slow; "" turns it off.
 	Endless *string `json:"endless,omitempty"`
+	// VersionFault makes one software version bad.
+	VersionFault *VersionFault `json:"version_fault,omitempty"`
 }
 
 // connNumberKey is the context key for the number of a request's connection.
@@ -43,6 +45,8 @@
 
 // faults holds the injected faults.
 type faults struct {
+	// onVersion takes the fault of a software version.
+	onVersion   func(VersionFault)
 	connections atomic.Int64 // number of the newest connection
 
 	mu             sync.Mutex
@@ -80,6 +84,9 @@
 		}
 	}
 	f.set(request)
+	if request.VersionFault != nil {
+		f.onVersion(*request.VersionFault)
+	}
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
 
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -22,12 +22,13 @@
 
 // Options configures a stand-in. Its tags make it usable as a kong command.
 type Options struct {
-	Listen string `help:"IP address and port to listen on; port 0 takes a free one." default:"127.0.0.1:0"`
-	Kind   string `help:"What to stand in for." enum:"model,app,platform" default:"model"`
-	Vendor string `help:"Shape of the load report; app servers speak gamma." enum:"alpha,beta,gamma" default:"alpha"`
-	Name   string `help:"Name in logs and stream names." default:"standin"`
-	Zone   string `help:"Availability zone in logs." default:""`
-	Model  string `help:"Model loaded at the start." default:"briefing-70b"`
+	Listen  string `help:"IP address and port to listen on; port 0 takes a free one." default:"127.0.0.1:0"`
+	Kind    string `help:"What to stand in for." enum:"model,app,platform" default:"model"`
+	Vendor  string `help:"Shape of the load report; app servers speak gamma." enum:"alpha,beta,gamma" default:"alpha"`
+	Name    string `help:"Name in logs and stream names." default:"standin"`
+	Zone    string `help:"Availability zone in logs." default:""`
+	Version string `help:"Software version, for faults of one version." default:""`
+	Model   string `help:"Model loaded at the start." default:"briefing-70b"`
 
 	Fencing string `help:"Whether orders with an older fencing number are refused." enum:"checked,ignored" default:"checked"`
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -28,7 +28,9 @@
 	opts   Options
 	runs   *runLog
 	faults *faults
-	router *mux.Router
+	// versions holds the fault of the stand-in's software version.
+	versions *versionFaults
+	router   *mux.Router
 }
 
 // New returns a stand-in that is not listening yet.
@@ -36,8 +38,9 @@
 	if err := opts.Validate(); err != nil {
 		return nil, fmt.Errorf("standin %s: %w", opts.Name, err)
 	}
-	s := &Server{opts: opts, runs: newRunLog(), faults: newFaults(), router: mux.NewRouter()}
+	s := &Server{opts: opts, runs: newRunLog(), faults: newFaults(), versions: &versionFaults{version: opts.Version}, router: mux.NewRouter()}
 	s.router.HandleFunc("/standin/runs", s.runs.handle).Methods(http.MethodGet)
+	s.faults.onVersion = s.versions.set
 	s.router.HandleFunc("/standin/fault", s.faults.handle).Methods(http.MethodPost)
 	switch opts.Kind {
 	case KindModel:
@@ -55,7 +58,7 @@
 // Handler returns the stand-in's HTTP handler. The http.Server that serves it should
 // use Server.ConnContext, without which Silent affects later connections too.
 func (s *Server) Handler() http.Handler {
-	return s.faults.wrap(s.router)
+	return s.faults.wrap(s.versions.wrap(s.router))
 }
 
 // ConnContext numbers a connection. It is for use as the ConnContext of an
