Do not revert a version for one slow second

A machine that is slow for a second delays many responses at once. Slowness now has to show in two spans a second apart.

--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -49,8 +49,10 @@
 	reportLife = 3 * time.Second
 	// window is the time over which recent evidence is judged by itself, in samples of sampleTime.
 	// In a sum over all time a fault that begins late would be diluted.
-	window     = 2500 * time.Millisecond
+	window     = 3 * time.Second
 	sampleTime = 250 * time.Millisecond
+	// fullWindow is the number of samples from which thirds of the window are compared.
+	fullWindow = 9
 )
 
 // Controller runs one active roll-out at the leader of one term. All times are since the
@@ -115,8 +117,12 @@
 // Draw takes a report and returns a lease.
 func (c *Controller) Draw(now time.Duration, report Report) Lease {
 	lease := Lease{Service: c.rollout.Service, Target: c.rollout.Target, Number: c.rollout.Number, State: StateActive}
+	failures := c.evidence.total(true).Failures
 	taken := report.Number == c.rollout.Number && c.take(now, report)
-	c.judge(now)
+	if c.evidence.total(true).Failures > failures {
+		// Other evidence waits for the next Tick: judging costs more than a draw.
+		c.judge(now)
+	}
 	if c.decision != nil && c.decision.State == StateReverted || now < c.earliest || c.fleet.Target == 0 {
 		return lease
 	}
@@ -205,17 +211,30 @@
 	}
 }
 
-// verdict judges all evidence and, by itself, that of the last seconds.
+// verdict judges all evidence and, by themselves, that of the last seconds and of their thirds.
 func (c *Controller) verdict() verdict {
 	all := judge(c.evidence)
 	if all.bad || len(c.samples) == 0 {
 		return all
 	}
-	recent := judge(c.evidence.since(c.samples[0].evidence))
+	before := c.samples[0].evidence
+	recent := judge(c.evidence.since(before))
 	if recent.bad {
 		recent.cause += " lately"
+		return recent
+	}
+	// A second in which one machine was slow must not hold the steps for long.
+	recent.chance = min(recent.chance*manyLooks, recent.slowChance*manyLooks, all.chance)
+	// Slow spans that prove something are a third of the window apart.
+	third, twoThirds := c.samples[len(c.samples)/3].evidence, c.samples[2*len(c.samples)/3].evidence
+	first, last := judge(third.since(before)), judge(c.evidence.since(twoThirds))
+	if len(c.samples) >= fullWindow && first.slow != "" && last.slow != "" {
+		return verdict{bad: true, cause: first.slow + ", then " + last.slow}
+	}
+	earlier, later := judge(before), judge(c.evidence.since(third))
+	if earlier.slow != "" && later.slow != "" {
+		return verdict{bad: true, cause: earlier.slow + ", then " + later.slow}
 	}
-	recent.chance = min(recent.chance*manyLooks, all.chance)
 	return recent
 }
 
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -78,7 +78,12 @@
 			l.behave = func(s *simulation, _ string) (bool, float64) { return s.random.Float64() < 0.02, 1 }
 		},
 		"few entries": func(l *load) { l.entries = 3; l.oldServers, l.newServers = 2, 2 },
-		"longer":      func(l *load) { l.duration = time.Minute },
+		"one slow second": func(l *load) {
+			l.behave = func(s *simulation, _ string) (bool, float64) {
+				return false, 1 + 3*boolFloat(s.now > 4*time.Second && s.now < 5*time.Second)
+			}
+		},
+		"longer": func(l *load) { l.duration = time.Minute },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(5) {
@@ -180,3 +185,22 @@
 		t.Errorf("an order that is sent again after the next one: got %v", answer)
 	}
 }
+
+// The probability of as many failures must be exact enough for the levels, and must not vanish for large counts.
+func TestTail(t *testing.T) {
+	for _, c := range []struct {
+		k, n     uint64
+		p        float64
+		min, max float64
+	}{
+		{4, 4, 0.01, 0.99e-8, 1.01e-8},
+		{10, 100, 0.05, 0.0281, 0.0283},
+		{2, 50_000, 0.05, 1, 1},
+		{2_700, 50_000, 0.05, 1e-5, 1e-4},
+		{0, 0, 0.5, 1, 1},
+	} {
+		if got := tail(c.k, c.n, c.p); got < c.min || got > c.max {
+			t.Errorf("at least %d of %d at %g: got %g, expected %g to %g", c.k, c.n, c.p, got, c.min, c.max)
+		}
+	}
+}
