Count requests at the old version from before the order

Requests that began before an entry knew of the roll-out were not counted as running at the old version, so that it could complete while they ran and the old servers stopped. Bounds the routes that the leader judges by themselves.

--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -51,6 +51,8 @@
 	// In a sum over all time a fault that begins late would be diluted.
 	window     = 3 * time.Second
 	sampleTime = 250 * time.Millisecond
+	// maxKeys bounds the versions and routes that are judged by themselves.
+	maxKeys = 256
 	// fullWindow is the number of samples from which thirds of the window are compared.
 	fullWindow = 9
 )
@@ -152,7 +154,7 @@
 	}
 	c.requests += report.Requests - min(e.last.Requests, report.Requests)
 	for key, counts := range report.Evidence {
-		c.evidence.add(key, counts.since(e.last.Evidence[key]))
+		c.evidence.add(c.bounded(key), counts.since(e.last.Evidence[key]))
 	}
 	before := e.used()
 	e.last, e.at, e.granted = report, now, 0
@@ -160,6 +162,14 @@
 	return true
 }
 
+// bounded returns the key under which counts are kept: entries may count different routes.
+func (c *Controller) bounded(key Key) Key {
+	if _, known := c.evidence[key]; !known && len(c.evidence) >= maxKeys {
+		key.Route = otherRoutes
+	}
+	return key
+}
+
 // grant returns the number of requests that an entry may send.
 func (c *Controller) grant(report Report) int {
 	wanted := max(report.Wanted-int(min(report.Held, math.MaxInt32)), 0)
--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -38,6 +38,9 @@
 	// listedAt is when the list was put in use, and answeredAt when the leader's roll-outs were last known.
 	listedAt, answeredAt time.Duration
 	sequence             uint64
+	// running holds the numbers of running attempts by service and version, also of services without a
+	// roll-out: those that began before its order have to end before it is complete.
+	running map[string]map[string]int
 }
 
 // gated is a service with a roll-out.
@@ -53,13 +56,11 @@
 	// rate is a decaying count of requests, as of ratedAt.
 	rate    float64
 	ratedAt time.Duration
-	// runOld and runTarget are the numbers of running attempts.
-	runOld, runTarget int
 }
 
 // NewGate returns a Gate that knows of no roll-out.
 func NewGate(incarnation uint64) *Gate {
-	return &Gate{incarnation: incarnation, services: make(map[string]*gated), known: make(map[string][]string), listed: make(map[string][]string)}
+	return &Gate{incarnation: incarnation, services: make(map[string]*gated), known: make(map[string][]string), listed: make(map[string][]string), running: make(map[string]map[string]int)}
 }
 
 // Answered takes the leader's answer to a draw: all roll-outs that are active or have ended lately.
@@ -251,22 +252,38 @@
 
 // Began counts an attempt at a server of a version.
 func (g *Gate) Began(service, version string) {
-	if s := g.services[service]; s != nil {
-		*s.runningAt(version)++
+	if g.running[service] == nil {
+		g.running[service] = make(map[string]int)
 	}
+	g.running[service][version]++
 }
 
-func (s *gated) runningAt(version string) *int {
-	if version == s.lease.Target {
-		return &s.runTarget
+// over counts the end of an attempt.
+func (g *Gate) over(service, version string) {
+	running := g.running[service]
+	if running[version]--; running[version] <= 0 {
+		delete(running, version)
 	}
-	return &s.runOld
+	if len(running) == 0 {
+		delete(g.running, service)
+	}
+}
+
+// runningOld returns the number of attempts at versions other than the target.
+func (g *Gate) runningOld(service, target string) int {
+	sum := 0
+	for version, n := range g.running[service] {
+		if version != target {
+			sum += n
+		}
+	}
+	return sum
 }
 
 // Attempt is the end of an attempt.
 type Attempt struct {
 	Service, Version, Route string
-	// Number is that of the roll-out when it began, as Number returned.
+	// Number is that of the roll-out when it began, as Number returned; 0 if there was none.
 	Number uint64
 	// Counted is false if the attempt ended without a result of the server, and Failed true if that was a
 	// failure.
@@ -303,14 +320,13 @@
 // its answer began counts as slow.
 const abandonedSlow = 2
 
-// Ended counts the end of an attempt. It reports whether the leader should know at once.
+// Ended counts the end of an attempt that Began counted. It reports whether the leader should know at once.
 func (g *Gate) Ended(a Attempt) (urgent bool) {
+	g.over(a.Service, a.Version)
 	s := g.services[a.Service]
 	if s == nil || s.report.Number != a.Number {
 		return false
 	}
-	running := s.runningAt(a.Version)
-	*running = max(*running-1, 0)
 	late := a.Expected > 0 && a.First >= abandonedSlow*a.Expected
 	if !a.Counted && !late || !a.Counted && a.Begun {
 		return false
@@ -369,7 +385,7 @@
 		s.expire(now)
 		report := s.report
 		report.Sequence = g.sequence
-		report.Held, report.Old = uint64(s.held), s.runOld
+		report.Held, report.Old = uint64(s.held), g.runningOld(service, s.lease.Target)
 		if rate := s.decayed(now); rate >= minRate {
 			report.Wanted = int(math.Ceil(rate / rateWindow.Seconds() * LeaseLifetime.Seconds()))
 		}
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -204,3 +205,31 @@
 		}
 	}
 }
+
+// Requests that began before an entry knew of the roll-out hold back its completion too: the old servers stop
+// at once when it is complete.
+func TestRequestsFromBeforeTheOrderRun(t *testing.T) {
+	gate := NewGate(1)
+	gate.Began(testService, oldName)
+	early := Attempt{Service: testService, Version: oldName, Number: gate.Number(testService), Counted: true}
+	gate.Answered(0, 0, []Lease{{Service: testService, Target: newName, Number: 1, State: StateActive, Servers: 1}})
+	gate.Began(testService, newName)
+	if got := gate.Reports(0)[testService].Old; got != 1 {
+		t.Errorf("got %d running at the old version, expected 1", got)
+	}
+	gate.Ended(early)
+	if report := gate.Reports(0)[testService]; report.Old != 0 || len(report.Evidence) != 0 {
+		t.Errorf("got %+v, expected no request at the old version, and no evidence", report)
+	}
+}
+
+// Routes that differ from entry to entry must not make the leader's evidence grow without bound.
+func TestEvidenceIsBounded(t *testing.T) {
+	c := New(0, Rollout{Number: 1, DeadlineMS: 12_000, State: StateActive}, true)
+	for i := range uint64(1_000) {
+		c.Draw(0, Report{Number: 1, Incarnation: i, Evidence: Evidence{{true, fmt.Sprint(i)}: {Responses: 1}}})
+	}
+	if len(c.evidence) > maxKeys+2 || c.evidence.total(true).Responses != 1_000 {
+		t.Errorf("got %d keys with %d responses, expected at most %d with 1000", len(c.evidence), c.evidence.total(true).Responses, maxKeys+2)
+	}
+}
--- a/internal/rollout/client.go
+++ b/internal/rollout/client.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// Attempt is an attempt at a server; it is zero if the service had no roll-out when it began.
+// Attempt is an attempt at a server; it is zero until Began has counted it.
 type Attempt struct {
 	attempt rollout.Attempt
 	began   time.Duration
@@ -146,12 +146,8 @@
 func (c *Client) Began(service, version, route string, expected time.Duration) Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	number := c.gate.Number(service)
-	if number == 0 {
-		return Attempt{}
-	}
 	c.gate.Began(service, version)
-	return Attempt{rollout.Attempt{Service: service, Version: version, Route: route, Number: number, Expected: expected}, c.opts.Now()}
+	return Attempt{rollout.Attempt{Service: service, Version: version, Route: route, Number: c.gate.Number(service), Expected: expected}, c.opts.Now()}
 }
 
 // AtTarget reports whether an attempt was made at the target of a roll-out.
@@ -174,7 +170,7 @@
 
 // Ended counts the end of an attempt. counted is false if it ended without a result of the server.
 func (c *Client) Ended(a *Attempt, counted, failed bool) {
-	if a.attempt.Number == 0 {
+	if a.attempt.Service == "" {
 		return
 	}
 	result := "none"
@@ -190,7 +186,9 @@
 	if !a.attempt.Begun {
 		a.attempt.First = c.opts.Now() - a.began
 	}
-	c.attempts.WithLabelValues(a.attempt.Service, a.attempt.Version, result).Inc()
+	if a.attempt.Number > 0 {
+		c.attempts.WithLabelValues(a.attempt.Service, a.attempt.Version, result).Inc()
+	}
 	if c.gate.Ended(a.attempt) {
 		c.opts.Wake()
 	}
