Draw a lease for a stream that goes on at the target

A stream that began at the target and broke off there could not go on at an entry that held no lease. It now asks for one and waits for the next draw.

--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -51,8 +51,10 @@
 	expires time.Duration
 	// failures is the number of failures of the target since the last answer.
 	failures int
-	report   Report
-	routes   map[string]bool
+	// demand is the number of requests that wait for a lease since the last report.
+	demand int
+	report Report
+	routes map[string]bool
 	// rate is a decaying count of requests, as of ratedAt.
 	rate    float64
 	ratedAt time.Duration
@@ -239,6 +241,21 @@
 	return true, true
 }
 
+// Demand asks for a lease for a request that may go to one version only. It reports whether the next
+// answer of the leader may bring one: the version is the target, and no lease is held.
+func (g *Gate) Demand(now time.Duration, service, version string) bool {
+	s := g.services[service]
+	if s == nil || s.lease.State != StateActive || version != s.lease.Target || s.lease.Servers == 0 {
+		return false
+	}
+	s.expire(now)
+	if s.held > 0 {
+		return false
+	}
+	s.demand++
+	return true
+}
+
 // Unused returns a request that Use took and that is not sent. It reports whether there is one.
 func (g *Gate) Unused(service, version string) bool {
 	s := g.services[service]
@@ -389,6 +406,8 @@
 		if rate := s.decayed(now); rate >= minRate {
 			report.Wanted = int(math.Ceil(rate / rateWindow.Seconds() * LeaseLifetime.Seconds()))
 		}
+		report.Wanted += s.demand
+		s.demand = 0
 		report.Evidence = copyEvidence(s.report.Evidence)
 		reports[service] = report
 	}
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -190,7 +190,7 @@
 // none is usable or if the answer would come too late.
 func (p *policy) pickServer(r *run, exclude []string) request.Event {
 	decision, ok := p.chooseServer(r, exclude)
-	if !ok && p.awaitGrant(r) {
+	if !ok && (p.awaitGrant(r) || p.awaitLease(r)) {
 		decision, ok = p.chooseServer(r, exclude)
 	}
 	if !ok {
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -60,3 +60,15 @@
 func (r *run) failedAtTarget() bool {
 	return r.last != nil && r.entry.rollouts.AtTarget(&r.last.rollout)
 }
+
+// awaitLease waits for a draw if a stream goes on at the target of a roll-out and there is no lease, and reports
+// whether to choose again. Calls whose attempts have to be read don't wait.
+func (p *policy) awaitLease(r *run) bool {
+	if r.routed == nil || len(r.attempts) > 0 {
+		return false
+	}
+	p.mu.Lock()
+	waits := r.routed.pinned && p.entry.rollouts.Demand(r.service.Name, r.routed.version)
+	p.mu.Unlock()
+	return waits && p.entry.quota.drawSoon(r.callerCtx)
+}
--- a/internal/rollout/client.go
+++ b/internal/rollout/client.go
@@ -127,6 +127,14 @@
 	return ok
 }
 
+// Demand asks for a lease for a request that may go to one version only, and reports whether the next draw
+// may bring one.
+func (c *Client) Demand(service, version string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate.Demand(c.opts.Now(), service, version)
+}
+
 // Unused returns a request that Use took and that is not sent.
 func (c *Client) Unused(call *Call, service, version string) {
 	c.mu.Lock()
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -206,3 +206,22 @@
 		t.Errorf("got a report of %d bytes, expected at most %d", size, limit)
 	}
 }
+
+// A stream that goes on at the target gets a lease with the next draw, also at an entry without other requests.
+func TestStreamGoesOnAtTheTarget(t *testing.T) {
+	f := &fakeLog{nowMS: 1_000_000, term: 1}
+	l, c := f.leader(1, bothVersions), newClient(f)
+	if _, _, err := l.Start(context.Background(), core.Order{Service: service, Target: newer, Duration: longOnes}); err != nil {
+		t.Fatal(err)
+	}
+	l.tick(context.Background())
+	draw(t, f, l, 1, c, 7)
+	var kept Call
+	if c.Use(&kept, service, newer) || !c.Demand(service, newer) || c.Demand(service, older) {
+		t.Fatal("a stream at the target needs a lease, one at the old version does not")
+	}
+	draw(t, f, l, 1, c, 7)
+	if !c.Use(&kept, service, newer) {
+		t.Error("the draw after the demand brought no lease")
+	}
+}
