--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -115,6 +115,9 @@
 	// The time is counted from the request on, so that the lease ends here before the leader may count
 	// on it.
 	expires := requestedAt + LeaseLifetime
+	if lease.Final {
+		expires = requestedAt + FinalLifetime
+	}
 	if now >= expires {
 		s.report.Returned += uint64(lease.Requests)
 		return
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -73,6 +73,7 @@
 		"few requests":      func(l *load) { l.rate = 25 },
 		"many requests":     func(l *load) { l.rate = 650 },
 		"servers come late": func(l *load) { l.ready = 5500 * time.Millisecond },
+		"lost answers":      func(l *load) { l.lost = 0.15 },
 		"slow draws":        func(l *load) { l.drawEvery = 1200 * time.Millisecond },
 		"both fail at times": func(l *load) {
 			l.baseFailure = 0.02
@@ -233,3 +234,17 @@
 		t.Errorf("got %d keys with %d responses, expected at most %d with 1000", len(c.evidence), c.evidence.total(true).Responses, maxKeys+2)
 	}
 }
+
+// A new leader grants nothing until entries have reported what the leases of the former one were used for.
+func TestNewTermWaits(t *testing.T) {
+	c := New(5*time.Second, Rollout{Number: 1, DeadlineMS: 12_000, State: StateActive}, false)
+	c.SetFleet(Fleet{Target: 28, Old: 28})
+	report := Report{Number: 1, Incarnation: 1, Sequence: 1, Wanted: 2}
+	if lease := c.Draw(5*time.Second+termWait-1, report); lease.Requests != 0 {
+		t.Errorf("got %+v, expected no request", lease)
+	}
+	report.Sequence++
+	if lease := c.Draw(5*time.Second+termWait, report); lease.Requests == 0 {
+		t.Errorf("got %+v, expected requests", lease)
+	}
+}
--- a/internal/core/rollout/types.go
+++ b/internal/core/rollout/types.go
@@ -7,6 +7,10 @@
 // within 3 s even if it is cut off.
 const LeaseLifetime = 1500 * time.Millisecond
 
+// FinalLifetime is the lifetime of a lease of the last step, the longest that is allowed: the old servers
+// end when the roll-out is complete, and an entry that misses some answers would still send to them.
+const FinalLifetime = 2 * time.Second
+
 // Report is what one entry has counted since it learned of a roll-out. Counts are cumulative.
 type Report struct {
 	// Number is that of the roll-out.
