--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -22,6 +22,7 @@
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
 	"waxwingcart/internal/crashguard"
+	"waxwingcart/internal/rollout"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/storage"
 )
@@ -113,6 +114,9 @@
 	duties *duties
 	// documents keeps the latest configuration documents as bases of deltas.
 	documents *configdelta.Store
+	// rollouts runs roll-outs while this replica leads; rolloutStore keeps them in the log.
+	rollouts     *rollout.Leader
+	rolloutStore *rolloutStore
 
 	// diskFull is the number of writes that wait for room on the disk.
 	diskFull atomic.Int32
@@ -195,6 +199,7 @@
 	if opts.Duties != nil {
 		r.duties = newDuties(r, *opts.Duties)
 	}
+	r.rollouts = newRollouts(r)
 	if err := r.restore(); err != nil {
 		_ = store.Close()
 		return nil, err
@@ -292,6 +297,7 @@
 	r.spawn(func() { r.runSnapshots(ctx) })
 	r.spawn(func() { r.runBehind(ctx) })
 	r.spawn(func() { r.keepDocuments(ctx) })
+	r.spawn(func() { r.rollouts.Run(ctx) })
 }
 
 func (r *Replica) spawn(run func()) {
