Hold and refuse calls at entries by urgency

Cause: core/room had no caller. Change: internal/room runs it at an entry if hosted.contended_capacity is true: it asks placement for its prediction, looks again every 20 ms at what waits, exchanges prices (News.prices = 30) and the hashes of the calls that were told to come back, and logs and counts decisions. Placed.rank = 30 tells other entries the rank of an attempt; without it the attempt counts for all ranks. submit asks it instead of admitting routed calls at once. Result: tests of entry, settings, process, room, placement and codec pass; off by default, and then nothing differs.

--- a/internal/core/room/price.go
+++ b/internal/core/room/price.go
@@ -42,7 +42,7 @@
 
 // due is the work that was told to come back, by rank and by when it is due.
 type due struct {
-	work [maxRank + 1][dueSteps]float64
+	work [MaxRank + 1][dueSteps]float64
 	// step is the number of the earliest step that is kept.
 	step int64
 }
@@ -51,7 +51,7 @@
 func (d *due) advance(now time.Duration) {
 	first := int64(now/dueStep) - 1
 	if first-d.step >= dueSteps {
-		d.work = [maxRank + 1][dueSteps]float64{}
+		d.work = [MaxRank + 1][dueSteps]float64{}
 		d.step = first
 	}
 	for ; d.step < first; d.step++ {
@@ -118,7 +118,7 @@
 // valid reports whether the numbers of another entry are in range.
 func (p *Price) valid() bool {
 	inRange := func(x float64) bool { return x >= 0 && x <= maxAnnounced }
-	return p.Rank >= 0 && p.Rank <= maxRank && inRange(p.Offered) && inRange(p.Short) && inRange(p.Deferred) && p.Due >= 0
+	return p.Rank >= 0 && p.Rank <= MaxRank && inRange(p.Offered) && inRange(p.Short) && inRange(p.Deferred) && p.Due >= 0
 }
 
 // lacks reports whether requests of a rank lately found no room, at any entry.
@@ -130,7 +130,7 @@
 
 // contended reports whether requests of any rank lately found no room.
 func (s *service) contended(now time.Duration, entries int) bool {
-	return s.price(now, maxRank+1, entries) > minPrice
+	return s.price(now, MaxRank+1, entries) > minPrice
 }
 
 // Prices returns what is to be announced to the other entries. While no request lacks room that is nothing, and a
--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -36,8 +36,8 @@
 	// starving is the time without a request of a kind that went after which its minimum is
 	// used even if the answer will begin late.
 	starving = 2 * time.Second
-	// maxRank is the least urgent rank that is told apart.
-	maxRank = 9
+	// MaxRank is the least urgent rank that is told apart.
+	MaxRank = 9
 	// maxKinds bounds the kinds of requests of a service that have a minimum of their own.
 	maxKinds = 1024
 )
@@ -204,7 +204,7 @@
 	switch e := event.(type) {
 	case Arrived:
 		w := &held{Request: e.Request, arrived: now, draw: r.draws.Float64()}
-		w.Rank = min(max(w.Rank, 0), maxRank)
+		w.Rank = min(max(w.Rank, 0), MaxRank)
 		return r.apply(w, r.decide(now, w, e.Capacity)), true
 	case Looked:
 		if w := r.waiting[e.ID]; w != nil {
--- a/internal/core/room/service.go
+++ b/internal/core/room/service.go
@@ -25,9 +25,9 @@
 	own, others counts
 	due         due
 	// reports holds what has not been announced yet, by rank.
-	reports [maxRank + 1]report
+	reports [MaxRank + 1]report
 	// ratio lengthens predictions, by rank.
-	ratio [maxRank + 1]float64
+	ratio [MaxRank + 1]float64
 	kinds map[string]*kind
 }
 
@@ -45,7 +45,7 @@
 
 // counts holds decaying numbers of requests by rank, and of those that found no room.
 type counts struct {
-	offered, short [maxRank + 1]float64
+	offered, short [MaxRank + 1]float64
 	at             time.Duration
 }
 
@@ -85,7 +85,7 @@
 // learn adjusts the ratio of predictions. An answer that began late despite its prediction counts as a request
 // without room.
 func (s *service) learn(now time.Duration, b Began) {
-	rank := min(max(b.Rank, 0), maxRank)
+	rank := min(max(b.Rank, 0), MaxRank)
 	ratio := &s.ratio[rank]
 	if b.Took > b.Left {
 		*ratio *= lateStep
--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -84,6 +84,7 @@
 func (b *broadcaster) placed(job placement.Job) {
 	item := &wire.Placed{
 		Number: job.ID.Number, Server: job.Server, Work: job.Work, Memory: uint32(job.Memory), Fresh: uint32(job.UncachedTokens),
+		Rank: uint32(job.Rank),
 	}
 	for _, part := range job.Parts {
 		item.Chains = append(item.Chains, part.Chain)
@@ -287,6 +288,9 @@
 func (b *broadcaster) applyUpdate(received *wire.News) {
 	b.entry.streams.told(received.Begun)
 	b.entry.guard.Told(received)
+	if b.entry.room != nil {
+		b.entry.room.Told(received.Prices)
+	}
 	p := b.entry.policy
 	now := b.entry.now()
 	p.mu.Lock()
@@ -295,6 +299,7 @@
 		job := placement.Job{
 			ID:     placement.JobID{Origin: received.Origin, Number: item.Number},
 			Server: item.Server, Work: item.Work, Memory: int(item.Memory), UncachedTokens: int(item.Fresh),
+			Rank: int(item.Rank),
 		}
 		for i, chain := range item.Chains {
 			if i < len(item.Tokens) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/detour"
 	"waxwingcart/internal/directory"
+	"waxwingcart/internal/room"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
@@ -112,6 +113,8 @@
 	broadcaster *broadcaster
 	streams     *streams
 	guard       *crashguard.Guard
+	// room decides which calls go while capacity is insufficient; it is nil if all go at once.
+	room *room.Room
 	// callerLimits are the limits of callers' connections.
 	callerLimits callerlimits.Limits
 	// initialized is closed once routed calls can be served: a configuration
@@ -164,6 +167,7 @@
 	e.broadcaster = newBroadcaster(e)
 	e.streams = newStreams(e)
 	e.guard = newCrashGuard(e)
+	e.room = newRoom(e)
 	e.streams.register(opts.Registry)
 	e.releaser = newReleaser(e)
 	e.config = newConfigHolder(e)
@@ -203,6 +207,9 @@
 		e.spawn(func() { e.broadcaster.run(ctx) })
 		e.spawn(func() { e.runCatchUp(ctx) })
 		e.spawn(func() { e.guard.Run(ctx) })
+		if e.room != nil {
+			e.spawn(func() { e.room.Run(ctx) })
+		}
 		return
 	}
 	e.shareLimits()
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -10,6 +10,7 @@
 
 // chooseRouted chooses a server for a routed call.
 func (p *policy) chooseRouted(r *run, exclude []string) (routing.Decision, bool) {
+	contended := r.contended()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.doubtful(r) {
@@ -26,6 +27,8 @@
 		Barred:  verdict.Barred,
 		Limiter: p.limiter(),
 		Rank:    r.routed.priority,
+
+		Contended: contended,
 	})
 	if ok {
 		p.limits.Use(p.entry.now(), decision.Server)
@@ -84,6 +87,7 @@
 	r.routed.announced = r.routed.announced || e.policy.announces(r.service.Name)
 	decision.Server = a.server.Name
 	job := placement.NewJob(a.job, decision, r.routed.size)
+	job.Rank = r.routed.priority
 	e.policy.mu.Lock()
 	e.policy.placer.Placed(e.now(), job)
 	e.policy.placer.AddWork(e.now(), r.service.Name, job.Work)
@@ -104,6 +108,7 @@
 	e.policy.placer.Started(e.now(), a.job, true)
 	e.policy.mu.Unlock()
 	e.guard.Begun(&r.routed.guarded, a.version)
+	r.roomBegan()
 	if r.routed.announced {
 		e.broadcaster.started(a.job)
 	}
@@ -141,6 +146,9 @@
 	e.policy.mu.Lock()
 	e.policy.placer.Ended(e.now(), a.job, ended)
 	e.policy.mu.Unlock()
+	if ended == placement.ResultAnswered {
+		r.roomBegan()
+	}
 	if r.routed.announced {
 		e.broadcaster.ended(a.job, ended)
 	} else {
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -99,9 +99,7 @@
 // run.
 func (p *policy) submit(r *run) {
 	if r.routed != nil {
-		// Routed calls are admitted at once: placement refuses what can't be
-		// served in time.
-		r.post(request.Admitted{})
+		p.submitRouted(r)
 		return
 	}
 	p.mu.Lock()
@@ -134,6 +132,9 @@
 // endAdmission tells admission that a request has finished or was cancelled.
 func (p *policy) endAdmission(r *run, finished bool, tokens int) {
 	if r.routed != nil {
+		if r.routed.roomID != 0 {
+			p.entry.room.Leave(r.routed.roomID)
+		}
 		return
 	}
 	p.mu.Lock()
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -27,6 +27,9 @@
 	// UsageWindow is the length of a window of usage reports; zero disables
 	// counting.
 	UsageWindow time.Duration
+	// ContendedCapacity makes calls to model engines wait for a moment, or refuses them, while capacity is
+	// insufficient.
+	ContendedCapacity bool
 }
 
 // CallerProtocol parses the headers that callers send.
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"waxwingcart/internal/backend"
@@ -16,6 +17,7 @@
 	"waxwingcart/internal/core/routing"
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/observe"
+	"waxwingcart/internal/room"
 	"waxwingcart/internal/traces"
 )
 
@@ -55,6 +57,11 @@
 	brokenOff int
 	// paused is true once a pause of the stream has been reported.
 	paused bool
+	// roomID is the call's ID in room, and verdict how room decided. roomBegan is true once room
+	// knows that the answer has begun.
+	roomID    uint64
+	verdict   atomic.Pointer[room.Verdict]
+	roomBegan bool
 	// tokensPerEvent is the number of tokens in one event of the answer.
 	tokensPerEvent int
 }
--- a/internal/process/hosted.go
+++ b/internal/process/hosted.go
@@ -141,6 +141,8 @@
 		Callers:     platform.CallerProtocol{},
 		Backends:    platform.BackendProtocol{},
 		UsageWindow: time.Duration(hosted.UsageWindowS * float64(time.Second)),
+
+		ContendedCapacity: hosted.ContendedCapacity,
 	}
 }
 
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -88,6 +88,9 @@
 	// DutyLeaseMS is how long the platform relies on the holder of a duty, in
 	// milliseconds. A new leader waits as long before it takes over duties.
 	DutyLeaseMS float64 `json:"duty_lease_ms,omitempty"`
+	// ContendedCapacity makes entries hold or refuse calls to model engines by urgency
+	// while capacity is insufficient.
+	ContendedCapacity bool `json:"contended_capacity,omitempty"`
 }
 
 // Role is a part of the system that a process runs.
