--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -169,6 +169,8 @@
 	early atomic.Pointer[rawAnswer]
 	// brittle, if set, bounds the requests that it holds.
 	brittle *brittle
+	// slots, if set, is the room for the streams that it runs at once. Others wait.
+	slots chan struct{}
 	// callTime is the time that a plain answer takes, in milliseconds.
 	callTime guardedInt
 	// limiter, if set, names a limit of requests in answers.
@@ -367,6 +369,14 @@
 }
 
 func (e *hostedEngine) stream(w http.ResponseWriter, req *http.Request) {
+	if e.slots != nil {
+		select {
+		case e.slots <- struct{}{}:
+			defer func() { <-e.slots }()
+		case <-req.Context().Done():
+			return
+		}
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 0
 	if last := req.Header.Get("Last-Event-Id"); last != "" {
--- a/internal/e2e/hosted_test.go
+++ b/internal/e2e/hosted_test.go
@@ -23,6 +23,8 @@
 	*cluster
 	platform *hostedPlatform
 	client   *http.Client
+	// contended makes entries hold and refuse calls while capacity is insufficient.
+	contended bool
 	// network is the second octet of the loopback addresses.
 	network int
 }
@@ -48,12 +50,18 @@
 // newHostedCluster starts three replicas, all with the bootstrap setting, and
 // entries.
 func newHostedCluster(t testing.TB, entries int) *hostedCluster {
+	t.Helper()
+	return startHostedCluster(t, entries, false)
+}
+
+func startHostedCluster(t testing.TB, entries int, contended bool) *hostedCluster {
 	t.Helper()
 	h := &hostedCluster{
-		cluster:  &cluster{t: t, dir: t.TempDir(), vms: make(map[string]*vm)},
-		platform: newHostedPlatform(t),
-		client:   &http.Client{Timeout: 20 * time.Second},
-		network:  freeNetwork(t),
+		contended: contended,
+		cluster:   &cluster{t: t, dir: t.TempDir(), vms: make(map[string]*vm)},
+		platform:  newHostedPlatform(t),
+		client:    &http.Client{Timeout: 20 * time.Second},
+		network:   freeNetwork(t),
 	}
 	t.Cleanup(h.stopAll)
 	for i := range 3 {
@@ -92,7 +100,7 @@
 	process.Trust = settings.TrustNetwork
 	process.Platform = h.platform.address
 	process.Listen = settings.Listen{Peers: v.peerAddress, Admin: v.adminAddress}
-	process.Hosted = &settings.Hosted{GraceS: 5, UsageWindowS: 1, DutyLeaseMS: 500}
+	process.Hosted = &settings.Hosted{GraceS: 5, UsageWindowS: 1, DutyLeaseMS: 500, ContendedCapacity: h.contended}
 	process.LostReplicas, process.ReplaceVoterMS = 1, 1_000
 	for i := range 3 {
 		process.Seeds = append(process.Seeds, fmt.Sprintf("127.%d.0.%d:%d", h.network, i+1, hostedControlPort))
