--- a/internal/core/placement/brittle.go
+++ b/internal/core/placement/brittle.go
@@ -61,6 +61,7 @@
 
 // occupied records how long an answered attempt held its slot.
 func (p *Placer) occupied(service string, took time.Duration) {
+	p.noteSlot(service, took)
 	known := p.occupancy[service]
 	if known == 0 {
 		known = took
--- a/internal/core/placement/contention.go
+++ b/internal/core/placement/contention.go
@@ -15,6 +15,9 @@
 	maxCandidates = 128
 	// maxWorkRank is the least urgent rank whose work is told apart.
 	maxWorkRank = 9
+	// slotStep is the weight of one attempt in the averages of how long slots are held. Attempts of 0.1 to 3 s
+	// end at once.
+	slotStep = 0.02
 )
 
 // Contention is what a service's servers can do for a request now. Contrary to Decision it takes into account
@@ -172,10 +175,25 @@
 	return math.Max(float64(before+1-slots), 0) * p.occupancyOf(s.Service) / float64(s.Slots)
 }
 
-// occupancyOf returns the average time that an attempt holds a slot, in milliseconds.
+// slotTime holds the averages of the times that attempts held a slot, in milliseconds, and of the squares of the times.
+type slotTime struct{ mean, square float64 }
+
+func (p *Placer) noteSlot(service string, took time.Duration) {
+	held := milliseconds(took)
+	t := p.slotTime[service]
+	if t == nil {
+		t = &slotTime{mean: held, square: held * held}
+		p.slotTime[service] = t
+	}
+	t.mean += slotStep * (held - t.mean)
+	t.square += slotStep * (held*held - t.square)
+}
+
+// occupancyOf returns the time for which the attempts that hold slots at one moment hold them on average, in
+// milliseconds. It exceeds the average of all attempts, since long ones hold more of the slots.
 func (p *Placer) occupancyOf(service string) float64 {
-	if known := p.occupancy[service]; known > 0 {
-		return milliseconds(known)
+	if t := p.slotTime[service]; t != nil && t.mean > 0 {
+		return t.square / t.mean
 	}
 	return milliseconds(initialOccupancy)
 }
--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -88,9 +88,11 @@
 	// occupancy is the average time that an answered attempt holds a slot, by service.
 	occupancy map[string]time.Duration
 	unseen    unseen
-	// rankWork is the work that all entries placed lately, by service, and looked the number of looks at
+	// rankWork is the work that all entries placed lately, and slotTime for how long attempts held slots, both by
+	// service, and looked the number of looks at
 	// the contention.
 	rankWork map[string]*rankWork
+	slotTime map[string]*slotTime
 	looked   int
 }
 
@@ -187,6 +189,7 @@
 		suspended: make(map[string]*suspension),
 		occupancy: make(map[string]time.Duration),
 		rankWork:  make(map[string]*rankWork),
+		slotTime:  make(map[string]*slotTime),
 		origin:    origin,
 	}
 }
