Keep late answers of idle servers apart from missing room

Cause: every answer that began late counted as a request without room, so that less urgent requests would give way while a server fails, with capacity left. Change: it counts only if its prediction was a quarter of the time that it had, or more. Others (CapacityPrice.late) only change how servers are compared. Result: TestLateAnswersOfIdleServers.

--- a/internal/core/room/price.go
+++ b/internal/core/room/price.go
@@ -26,8 +26,9 @@
 type Price struct {
 	Service string
 	Rank    int
-	// Offered is the number of requests, and Short that of those that found no room.
-	Offered, Short float64
+	// Offered is the number of requests, Short that of those that found no room, and Late that of those that
+	// began late at servers that seemed idle.
+	Offered, Short, Late float64
 	// Deferred is the work that was told to come back, in tokens, and Due the mean time from now.
 	Deferred float64
 	Due      time.Duration
@@ -35,7 +36,7 @@
 
 // report collects a price until it is announced.
 type report struct {
-	offered, short, deferred float64
+	offered, short, late, deferred float64
 	// dueWork is the sum of deferred work multiplied by the time at which it is due, in tokens and seconds.
 	dueWork float64
 }
@@ -92,7 +93,7 @@
 	if short {
 		lacking = 1
 	}
-	s.own.add(now, rank, 1, lacking)
+	s.own.add(now, rank, 1, lacking, 0)
 	s.reports[rank].offered++
 	s.reports[rank].short += lacking
 }
@@ -109,7 +110,7 @@
 	if !p.valid() {
 		return
 	}
-	s.others.add(now, p.Rank, p.Offered, p.Short)
+	s.others.add(now, p.Rank, p.Offered, p.Short, p.Late)
 	if p.Deferred > 0 {
 		s.due.add(now, now+p.Due, p.Rank, p.Deferred)
 	}
@@ -118,19 +119,14 @@
 // valid reports whether the numbers of another entry are in range.
 func (p *Price) valid() bool {
 	inRange := func(x float64) bool { return x >= 0 && x <= maxAnnounced }
-	return p.Rank >= 0 && p.Rank <= MaxRank && inRange(p.Offered) && inRange(p.Short) && inRange(p.Deferred) && p.Due >= 0
+	return p.Rank >= 0 && p.Rank <= MaxRank && inRange(p.Offered) && inRange(p.Short) && inRange(p.Late) && inRange(p.Deferred) && p.Due >= 0
 }
 
-// lacks reports whether requests of a rank lately found no room, at any entry.
+// lacks reports whether requests of a rank lately found no room or began late, at any entry.
 func (s *service) lacks(now time.Duration, rank int) bool {
 	s.own.decay(now)
 	s.others.decay(now)
-	return s.own.short[rank]+s.others.short[rank] >= minLacking
-}
-
-// contended reports whether requests of any rank lately found no room.
-func (s *service) contended(now time.Duration, entries int) bool {
-	return s.price(now, MaxRank+1, entries) > minPrice
+	return s.own.short[rank]+s.others.short[rank]+s.own.late[rank]+s.others.late[rank] >= minLacking
 }
 
 // Prices returns what is to be announced to the other entries. While no request lacks room that is nothing, and a
@@ -144,7 +140,7 @@
 			if collected.offered == 0 || !s.lacks(now, rank) {
 				continue
 			}
-			p := Price{Service: name, Rank: rank, Offered: collected.offered, Short: collected.short, Deferred: collected.deferred}
+			p := Price{Service: name, Rank: rank, Offered: collected.offered, Short: collected.short, Late: collected.late, Deferred: collected.deferred}
 			if collected.deferred > 0 {
 				p.Due = max(time.Duration(collected.dueWork/collected.deferred*float64(time.Second))-now, 0)
 			}
--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -92,12 +92,12 @@
 // Left reports that the caller of a request that waits has left, or that its request ended otherwise.
 type Left struct{ ID uint64 }
 
-// Began reports when the answer of a request that went began: Left is the time that it had for that, and Took
-// the time that it took.
+// Began reports when the answer of a request that went began: Left is the time that it had for that, Start the
+// predicted time, and Took the time that it took.
 type Began struct {
-	Service    string
-	Rank       int
-	Left, Took time.Duration
+	Service           string
+	Rank              int
+	Left, Start, Took time.Duration
 }
 
 // Entries says how many entries share the servers.
--- a/internal/core/room/room_test.go
+++ b/internal/core/room/room_test.go
@@ -316,7 +316,7 @@
 				continue
 			}
 			server.waiting = append(server.waiting, &job{rank: request.Rank, work: request.Work, arrived: now, begun: func(begun time.Duration) {
-				r.Step(begun, Began{Service: "s", Rank: request.Rank, Left: e.Left, Took: begun - now})
+				r.Step(begun, Began{Service: "s", Rank: request.Rank, Left: e.Left, Start: e.Start, Took: begun - now})
 				if begun-now <= request.Target {
 					inTime += request.Work
 					if request.Rank == 0 {
@@ -357,6 +357,22 @@
 	}
 }
 
+// Answers that begin late at servers that seemed idle, for example because a server fails, don't make other requests give way.
+func TestLateAnswersOfIdleServers(t *testing.T) {
+	r := New(1)
+	for id := range uint64(50) {
+		now := time.Duration(id) * 10 * ms
+		e, _ := r.Step(now, Arrived{Request{ID: id, Service: "s", Kind: "short", Target: 500 * ms, Latest: 2 * time.Second, Deadline: now + 5*time.Second, Work: 800},
+			Capacity{Servers: 1, Start: 20 * ms, Urgent: 20 * ms, Soon: 20 * ms, Rate: 1e5, Spare: 1e5}})
+		r.Step(now, Began{Service: "s", Left: e.Left, Start: e.Start, Took: time.Second})
+		e, _ = r.Step(now, Arrived{Request{ID: 100 + id, Service: "s", Kind: "long", Rank: 2, Target: time.Second, Latest: 4 * time.Second, Deadline: now + 12*time.Second, Work: 8000},
+			Capacity{Servers: 1, Start: 200 * ms, Urgent: 200 * ms, Soon: 200 * ms, Rate: 1e5, Spare: 1e5}})
+		if e.Action != Go || e.Price > 0 {
+			t.Fatalf("request %d: got %+v", id, e)
+		}
+	}
+}
+
 // A caller that was told to come back goes where a new request gives way to those that are due.
 func TestReturnedGoFirst(t *testing.T) {
 	r := New(1)
--- a/internal/core/room/service.go
+++ b/internal/core/room/service.go
@@ -14,6 +14,8 @@
 	lateStep, inTimeStep = 1.05, 0.99
 	// maxRatio bounds that ratio.
 	maxRatio = 3.0
+	// busyDivisor is the part of the time to begin from which on a prediction says that servers are busy.
+	busyDivisor = 4
 	// minPrice is the share of requests without room from which on servers are chosen by rank and less urgent
 	// requests give way. Some answers are late while there is capacity.
 	minPrice = 0.05
@@ -43,10 +45,11 @@
 	return s
 }
 
-// counts holds decaying numbers of requests by rank, and of those that found no room.
+// counts holds decaying numbers of requests by rank, of those that found no room, and of those that began late at
+// servers that seemed idle.
 type counts struct {
-	offered, short [MaxRank + 1]float64
-	at             time.Duration
+	offered, short, late [MaxRank + 1]float64
+	at                   time.Duration
 }
 
 func (c *counts) decay(now time.Duration) {
@@ -57,40 +60,57 @@
 	for rank := range c.offered {
 		c.offered[rank] *= kept
 		c.short[rank] *= kept
+		c.late[rank] *= kept
 	}
 	c.at = now
 }
 
-func (c *counts) add(now time.Duration, rank int, offered, short float64) {
+func (c *counts) add(now time.Duration, rank int, offered, short, late float64) {
 	c.decay(now)
 	c.offered[rank] += offered
 	c.short[rank] += short
+	c.late[rank] += late
 }
 
 // price returns the share of the requests that are more urgent than a rank and found no room lately, for the
 // rank with the largest share.
 func (s *service) price(now time.Duration, rank, entries int) float64 {
+	return s.share(now, rank, entries, func(c *counts, r int) float64 { return c.short[r] })
+}
+
+// contended reports whether requests of any rank lately found no room or began late.
+func (s *service) contended(now time.Duration, entries int) bool {
+	return s.share(now, MaxRank+1, entries, func(c *counts, r int) float64 { return c.short[r] + c.late[r] }) > minPrice
+}
+
+// share returns the largest share that a number of requests has of those of a rank more urgent than this one.
+func (s *service) share(now time.Duration, rank, entries int, number func(*counts, int) float64) float64 {
 	s.own.decay(now)
 	s.others.decay(now)
-	price := 0.0
+	share := 0.0
 	for r := range rank {
 		// Entries announce nothing until they learn that requests lack room. Until then this entry's requests
 		// stand for theirs. One request more keeps the price of a few requests low.
 		offered := max(s.own.offered[r]+s.others.offered[r], s.own.offered[r]*float64(entries)) + 1
-		price = max(price, (s.own.short[r]+s.others.short[r])/offered)
+		share = max(share, (number(&s.own, r)+number(&s.others, r))/offered)
 	}
-	return min(price, 1)
+	return min(share, 1)
 }
 
-// learn adjusts the ratio of predictions. An answer that began late despite its prediction counts as a request
-// without room.
+// learn adjusts the ratio of predictions. An answer that began late although it was predicted in time counts as a request
+// without room, unless the servers seemed idle. Then it may be late for another reason, and only the choice of servers changes.
 func (s *service) learn(now time.Duration, b Began) {
 	rank := min(max(b.Rank, 0), MaxRank)
 	ratio := &s.ratio[rank]
 	if b.Took > b.Left {
 		*ratio *= lateStep
-		s.own.add(now, rank, 0, 1)
-		s.reports[rank].short++
+		if b.Start >= b.Left/busyDivisor {
+			s.own.add(now, rank, 0, 1, 0)
+			s.reports[rank].short++
+		} else {
+			s.own.add(now, rank, 0, 0, 1)
+			s.reports[rank].late++
+		}
 	} else {
 		*ratio *= inTimeStep
 	}
--- a/internal/room/news.go
+++ b/internal/room/news.go
@@ -52,7 +52,7 @@
 	var prices []*wire.CapacityPrice
 	for _, p := range r.core.Prices(now) {
 		prices = append(prices, &wire.CapacityPrice{
-			Service: p.Service, Rank: uint32(p.Rank), Offered: p.Offered, Short: p.Short, Deferred: p.Deferred, DueMs: uint32(p.Due.Milliseconds()),
+			Service: p.Service, Rank: uint32(p.Rank), Offered: p.Offered, Short: p.Short, Late: p.Late, Deferred: p.Deferred, DueMs: uint32(p.Due.Milliseconds()),
 			Returning: r.returningOf(p.Service, p.Rank),
 		})
 	}
@@ -84,7 +84,7 @@
 	now := r.opts.Now()
 	for _, p := range prices[:min(len(prices), maxPrices)] {
 		r.core.Step(now, room.Told{Price: room.Price{
-			Service: p.Service, Rank: int(p.Rank), Offered: p.Offered, Short: p.Short, Deferred: p.Deferred, Due: time.Duration(p.DueMs) * time.Millisecond,
+			Service: p.Service, Rank: int(p.Rank), Offered: p.Offered, Short: p.Short, Late: p.Late, Deferred: p.Deferred, Due: time.Duration(p.DueMs) * time.Millisecond,
 		}})
 		for _, hash := range p.Returning[:min(len(p.Returning), maxReturning)] {
 			r.told.add(now, hash)
--- a/internal/room/replay_test.go
+++ b/internal/room/replay_test.go
@@ -385,7 +385,7 @@
 		k.late++
 	}
 	if r.room {
-		r.rooms[c.entry].Step(now, room.Began{Service: "models", Rank: c.rank, Left: c.left, Took: now - c.went})
+		r.rooms[c.entry].Step(now, room.Began{Service: "models", Rank: c.rank, Left: c.left, Start: c.predicted, Took: now - c.went})
 	}
 	r.tell(now, c.entry, newsDelay+deferredDelay, func(now time.Duration, p *placement.Placer, own bool) { p.Started(now, c.id, own) })
 	r.later(now+k.runs, func(now time.Duration) {
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -62,9 +62,10 @@
 	// Urgent is true if the call goes with the most urgent rank, and Contended if placement is to
 	// compare servers for contended capacity.
 	Urgent, Contended bool
-	// WentAt is when the call went, and Left the time that it had to begin.
-	WentAt, Left time.Duration
-	Work         float64
+	// WentAt is when the call went, Left the time that it had to begin, and Start the predicted time.
+	WentAt, Left, Start time.Duration
+
+	Work float64
 }
 
 // Room is safe for concurrent use. Its lock is taken before that of placement.
@@ -133,7 +134,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Now()
-	r.core.Step(now, room.Began{Service: service, Rank: rank, Left: v.Left, Took: now - v.WentAt})
+	r.core.Step(now, room.Began{Service: service, Rank: rank, Left: v.Left, Start: v.Start, Took: now - v.WentAt})
 }
 
 // Run looks at the capacity for what waits and announces prices.
@@ -200,7 +201,7 @@
 	}
 	call.Done(Verdict{
 		Refused: effect.Action == room.Refuse, RetryAfter: effect.RetryAfter, Urgent: effect.Urgent, Contended: effect.Contended,
-		WentAt: now, Left: effect.Left, Work: contention.Work,
+		WentAt: now, Left: effect.Left, Start: effect.Start, Work: contention.Work,
 	})
 }
 
