Use the time that a call is worth running where a route has no latency target

Cause: a route without a target would have been refused whatever the prediction. Change: its target for the decision is the latest useful beginning.

--- a/internal/entry/broadcast.go
+++ b/internal/entry/broadcast.go
@@ -82,6 +82,11 @@
 }
 
 func (b *broadcaster) placed(job placement.Job) {
+	item := placedItem(job)
+	b.add(true, func(w *wire.News) { w.Placed = append(w.Placed, item) })
+}
+
+func placedItem(job placement.Job) *wire.Placed {
 	item := &wire.Placed{
 		Number: job.ID.Number, Server: job.Server, Work: job.Work, Memory: uint32(job.Memory), Fresh: uint32(job.UncachedTokens),
 		Rank: uint32(job.Rank),
@@ -90,7 +95,7 @@
 		item.Chains = append(item.Chains, part.Chain)
 		item.Tokens = append(item.Tokens, uint32(part.Tokens))
 	}
-	b.add(true, func(w *wire.News) { w.Placed = append(w.Placed, item) })
+	return item
 }
 
 func (b *broadcaster) started(id placement.JobID) {
--- a/internal/entry/room.go
+++ b/internal/entry/room.go
@@ -32,11 +32,15 @@
 		r.post(request.Admitted{})
 		return
 	}
-	route, now := r.routed.route, p.entry.now()
+	route := r.routed.route
+	latest := placement.MaxStartDelay(route.Stream, route.FirstTarget, route.GapTarget, r.deadline-p.entry.now())
+	target := route.FirstTarget
+	if target <= 0 {
+		target = latest
+	}
 	r.routed.roomID = p.entry.room.Submit(room.Call{
 		RequestID: r.id, Customer: r.customer.Name, Service: r.service.Name, Kind: route.Name, Rank: r.routed.priority,
-		Target: route.FirstTarget, Deadline: r.deadline,
-		Latest: placement.MaxStartDelay(route.Stream, route.FirstTarget, route.GapTarget, r.deadline-now),
+		Target: target, Deadline: r.deadline, Latest: latest,
 		Hash: func() uint64 {
 			return uint64(quarantine.NewWhole(r.customer.Name, r.message.method, r.routed.host, r.message.path, r.message.body))
 		},
