Check routing documents before they are sent

Cause: check refused documents in the hosting platform's format as unknown, so that faults showed only when a replica was called, and contradictions not at all. Result: golden tests in platform/testdata/check; exit codes in cmd/waxwingcart.

--- a/cmd/waxwingcart/main.go
+++ b/cmd/waxwingcart/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +21,7 @@
 	"waxwingcart/internal/process"
 	"waxwingcart/internal/settings"
 	"waxwingcart/internal/standin"
+	"waxwingcart/platform"
 )
 
 // Exit codes.
@@ -38,7 +40,7 @@
 type commands struct {
 	Run     runCommand     `cmd:"" help:"Run the roles that the settings name."`
 	Ctl     ctlCommand     `cmd:"" help:"Operate a running deployment."`
-	Check   checkCommand   `cmd:"" help:"Check process settings and fleet configurations."`
+	Check   checkCommand   `cmd:"" help:"Check process settings, fleet configurations and routing documents."`
 	Dump    dumpCommand    `cmd:"" help:"Print the state of a process as JSON."`
 	Load    loadCommand    `cmd:"" help:"Send open-loop traffic and print what callers saw."`
 	Standin standinCommand `cmd:"" help:"Run a small model engine, app service or platform for tests."`
@@ -124,14 +126,16 @@
 }
 
 type checkCommand struct {
-	Files []string `arg:"" help:"Files to check." placeholder:"FILE"`
+	Files   []string `arg:"" help:"Files to check." placeholder:"FILE"`
+	Against string   `help:"An earlier routing document; lists what differs from it." placeholder:"FILE"`
 }
 
-// Run checks all files and reports every problem.
+// Run checks all files and reports every problem. Routing documents of the hosting platform are recognized by their
+// members.
 func (c *checkCommand) Run(stdout io.Writer) error {
 	var all settings.Problems
 	for _, file := range c.Files {
-		kind, problems, err := settings.Check(file)
+		kind, problems, err := c.check(file, stdout)
 		if err != nil {
 			return err
 		}
@@ -146,6 +150,39 @@
 	return nil
 }
 
+func (c *checkCommand) check(file string, stdout io.Writer) (settings.Kind, settings.Problems, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return "", nil, fmt.Errorf("check: %w", err)
+	}
+	if !platform.IsDocument(content) {
+		kind, problems := settings.CheckData(file, content)
+		return kind, problems, nil
+	}
+	var problems settings.Problems
+	for _, f := range platform.CheckDocument(content) {
+		before := content[:f.Offset]
+		problems = append(problems, settings.Problem{
+			File: file, Line: 1 + bytes.Count(before, []byte("\n")), Column: len(before) - bytes.LastIndexByte(before, '\n'), Path: f.Path, Message: f.Message,
+		})
+	}
+	if c.Against == "" {
+		return "routing document", problems, nil
+	}
+	earlier, err := os.ReadFile(c.Against)
+	if err != nil {
+		return "", nil, fmt.Errorf("check: %w", err)
+	}
+	lines, err := platform.DiffDocuments(earlier, content)
+	if err != nil {
+		return "", nil, fmt.Errorf("check: %w", err)
+	}
+	for _, line := range lines {
+		fmt.Fprintf(stdout, "%s: differs from %s: %s\n", file, c.Against, line)
+	}
+	return "routing document", problems, nil
+}
+
 type standinCommand struct {
 	standin.Options
 }
--- a/cmd/waxwingcart/main_test.go
+++ b/cmd/waxwingcart/main_test.go
@@ -50,6 +50,10 @@
 	}
 }
 
+func documents(name string) string {
+	return filepath.Join("..", "..", "platform", "testdata", "check", name)
+}
+
 func TestExitCodes(t *testing.T) {
 	for _, test := range []struct {
 		args []string
@@ -58,6 +62,11 @@
 		{[]string{"version"}, exitOK},
 		{[]string{"check", filepath.Join("..", "..", "examples", "carpatia", "fleet.jsonc")}, exitOK},
 		{[]string{"check", "does-not-exist.json"}, exitFailed},
+		{[]string{"check", documents("valid.json")}, exitOK},
+		{[]string{"check", "--against", documents("valid.json"), documents("changed.json")}, exitOK},
+		{[]string{"check", "--against", "does-not-exist.json", documents("changed.json")}, exitFailed},
+		{[]string{"check", documents("contradictions.json")}, exitRefused},
+		{[]string{"check", documents("refused.json")}, exitRefused},
 		{[]string{"no-such-command"}, exitRefused},
 		{[]string{"ctl", "get"}, exitRefused},
 		{[]string{"ctl", "get", "--server", "127.0.0.1:1", "--key-file", "does-not-exist"}, exitFailed},
