--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -92,6 +92,12 @@
 	reports map[string]*serviceReports
 	// ignored lists the servers whose reports are ignored, until TakeIgnored.
 	ignored []IgnoredReport
+	// rankWork is the work that all entries placed lately, and slotTime for how long attempts held slots, both by
+	// service, and looked the number of looks at
+	// the contention.
+	rankWork map[string]*rankWork
+	slotTime map[string]*slotTime
+	looked   int
 }
 
 // decayingSum is a sum of work that decays exponentially.
@@ -191,6 +197,8 @@
 		suspended: make(map[string]*suspension),
 		occupancy: make(map[string]time.Duration),
 		reports:   make(map[string]*serviceReports),
+		rankWork:  make(map[string]*rankWork),
+		slotTime:  make(map[string]*slotTime),
 		origin:    origin,
 	}
 }
@@ -233,8 +241,13 @@
 	usable := func(s *server) bool {
 		return !slices.Contains(lone, s.Version) && (request.Limiter == nil || request.Limiter.Takes(now, s.Name, request.Rank))
 	}
-	for _, s := range p.considered(now, order, first, usable) {
+	for _, s := range p.considered(now, request, order, first, usable) {
 		score, d := p.evaluate(now, s, &request.Size, failures)
+		if request.Contended {
+			contended := p.startAt(now, s, request)
+			score += milliseconds(contended - d.StartDelay)
+			d.StartDelay = contended
+		}
 		if slices.Contains(lone, s.Version) {
 			score += loneVersionPenalty
 		}
@@ -273,6 +286,7 @@
 	if s.CacheTokens > 0 {
 		j.ahead = s.backlog(now, p.startModelOf(s.Service), s.slowness(now))
 		s.cache.record(placed.Parts, placed.UncachedTokens)
+		p.noteRank(now, s.Service, placed.Rank, placed.Work)
 	}
 	if placed.ID.Origin != p.origin && s.CacheTokens > 0 {
 		p.unseen.note(now, s.Service, placed.Work)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"waxwingcart/internal/detour"
 	"waxwingcart/internal/directory"
 	"waxwingcart/internal/rollout"
+	"waxwingcart/internal/room"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
@@ -114,6 +115,8 @@
 	streams     *streams
 	guard       *crashguard.Guard
 	rollouts    *rollout.Client
+	// room decides which calls go while capacity is insufficient; it is nil if all go at once.
+	room *room.Room
 	// callerLimits are the limits of callers' connections.
 	callerLimits callerlimits.Limits
 	// initialized is closed once routed calls can be served: a configuration
@@ -167,6 +170,7 @@
 	e.streams = newStreams(e)
 	e.guard = newCrashGuard(e)
 	e.rollouts = newRolloutClient(e)
+	e.room = newRoom(e)
 	e.streams.register(opts.Registry)
 	e.releaser = newReleaser(e)
 	e.config = newConfigHolder(e)
@@ -206,6 +210,9 @@
 		e.spawn(func() { e.broadcaster.run(ctx) })
 		e.spawn(func() { e.runCatchUp(ctx) })
 		e.spawn(func() { e.guard.Run(ctx) })
+		if e.room != nil {
+			e.spawn(func() { e.room.Run(ctx) })
+		}
 		return
 	}
 	e.shareLimits()
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"waxwingcart/internal/backend"
@@ -18,6 +19,7 @@
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/observe"
 	"waxwingcart/internal/rollout"
+	"waxwingcart/internal/room"
 	"waxwingcart/internal/traces"
 )
 
@@ -59,6 +61,11 @@
 	rollout rollout.Call
 	// paused is true once a pause of the stream has been reported.
 	paused bool
+	// roomID is the call's ID in room, and verdict how room decided. roomBegan is true once room
+	// knows that the answer has begun.
+	roomID    uint64
+	verdict   atomic.Pointer[room.Verdict]
+	roomBegan bool
 	// tokensPerEvent is the number of tokens in one event of the answer.
 	tokensPerEvent int
 }
