--- a/internal/entry/linger_test.go
+++ b/internal/entry/linger_test.go
@@ -80,7 +80,7 @@
 }
 
 // serveCallers serves an entry's callers until the test ends, and returns the address.
-func serveCallers(t *testing.T, e *Entry, server *http.Server) string {
+func serveCallers(t testing.TB, e *Entry, server *http.Server) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -97,7 +97,7 @@
 }
 
 // newTakeUpEntry returns an entry with a list of the engines.
-func newTakeUpEntry(t *testing.T, engines ...*versionEngine) *Entry {
+func newTakeUpEntry(t testing.TB, engines ...*versionEngine) *Entry {
 	t.Helper()
 	e := newStartingEntry(rpc.NewClient(""))
 	e.opts.BodyLimit = 1 << 20
