Bound the memory and connections that callers hold

Cause: bodies being read had no bound in total, refused callers that sent on kept their connections, and listeners accepted connections until the process had no descriptors left. A body's buffer is charged before it grows; a declared length reserves nothing. When the budget is used up, core/intake chooses who gives way: bodies that stall or are slow with 408, then the newest of the customer or address that holds most with 503 and Retry-After, and answers whose callers read nothing are cut off. Listeners have a share of the descriptors and close the oldest connection without a request; refused connections that are only being drained count as such. The bodies of the control, admin and peer ports are read within the same budget. limitedListener, which let connections wait instead, is replaced.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -2,22 +2,44 @@
 
 import (
 	"errors"
-	"io"
+	"net"
 	"net/http"
 	"os"
+	"time"
 
 	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/intake"
 )
 
-// readBody reads a caller's body within a limit in bytes.
-func (e *Entry) readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
+// memoryRetryAfter is the Retry-After delay, before jitter, while the memory for callers
+// is used up. Stalled bodies give way after a second.
+const memoryRetryAfter = time.Second
+
+// openShare returns the share of a request of a customer, or of an address if the
+// customer is unknown, in the memory for callers.
+func (e *Entry) openShare(w http.ResponseWriter, req *http.Request, customer string) *intake.Share {
+	group := "customer " + customer
+	if customer == "" {
+		host, _, _ := net.SplitHostPort(req.RemoteAddr)
+		group = "address " + host
+	}
+	controller := http.NewResponseController(w)
+	return e.opts.Intake.Open(group, func() { _ = controller.SetReadDeadline(time.Now()) })
+}
+
+// readBody reads a caller's body within a limit in bytes, into memory of the share.
+func (e *Entry) readBody(w http.ResponseWriter, req *http.Request, limit int64, share *intake.Share) ([]byte, error) {
+	body, err := share.ReadAll(http.MaxBytesReader(w, req.Body, limit), req.ContentLength, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLarge) || errors.Is(err, intake.ErrTooLong):
 		return nil, tooLargeError(limit)
+	case errors.Is(err, intake.ErrStalled):
+		return nil, refusal(reasonSlowBody, "%v", err)
+	case errors.Is(err, intake.ErrFull):
+		return nil, &callError{reason: reasonMemory, message: err.Error(), retryAfter: addJitter(memoryRetryAfter)}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, refusal(reasonSlowBody, "body took longer than %s", e.opts.BodyTimeout)
 	default:
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -18,6 +18,7 @@
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/routing"
+	"waxwingcart/internal/intake"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/traces"
 )
@@ -59,6 +60,8 @@
 type callError struct {
 	reason  request.Reason
 	message string
+	// retryAfter is when the request may be sent again, or zero for the default.
+	retryAfter time.Duration
 }
 
 func (c *callError) Error() string { return string(c.reason) + ": " + c.message }
@@ -74,6 +77,9 @@
 	var call *callError
 	if errors.As(err, &call) {
 		outcome.Reason, outcome.Step = call.reason, call.message
+		if call.retryAfter > 0 {
+			outcome.RetryAfter = call.retryAfter
+		}
 	}
 	if outcome.Reason == request.ReasonDraining {
 		// Another entry can take the request at once.
@@ -92,6 +98,8 @@
 	config   *configuration
 	customer *fleet.Customer
 	body     []byte
+	// share is closed when the request has ended.
+	share *intake.Share
 }
 
 // prepare authenticates the caller and reads the body within its limits. If it
@@ -102,9 +110,11 @@
 	_ = controller.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
 	call, err := e.authenticate(req)
 	if err == nil {
-		call.body, err = e.readBody(w, req, e.readLimit(call.config, call.customer, kind))
+		call.share = e.openShare(w, req, call.customer.Name)
+		call.body, err = e.readBody(w, req, e.readLimit(call.config, call.customer, kind), call.share)
 	}
 	if err != nil {
+		call.share.Close()
 		w.Header().Set("Connection", "close")
 		return checkedRequest{}, err
 	}
@@ -132,6 +142,7 @@
 		e.refuseCall(w, id, err)
 		return
 	}
+	defer call.share.Close()
 	parsed, err := chat.Parse(call.body)
 	if err != nil {
 		e.refuseCall(w, id, err)
@@ -199,6 +210,7 @@
 		e.refuseCall(w, id, err)
 		return
 	}
+	defer call.share.Close()
 	name := mux.Vars(req)["service"]
 	service, ok := call.config.services[name]
 	if !ok || service.Kind != fleet.ServiceApp {
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -141,6 +141,9 @@
 	return n, err
 }
 
+// NetConn returns the connection within.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite ends the answers and leaves the connection open for reading.
 func (c *callerConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"waxwingcart/internal/crashguard"
 	"waxwingcart/internal/detour"
 	"waxwingcart/internal/directory"
+	"waxwingcart/internal/intake"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
@@ -63,6 +64,8 @@
 	// to a caller.
 	BodyTimeout  time.Duration
 	WriteTimeout time.Duration
+	// Intake is the memory for what callers make the process hold; nil sets no limit.
+	Intake *intake.Budget
 	// Routed is set if calls are served according to a numbered routing
 	// configuration.
 	Routed *RoutedOptions
--- a/internal/entry/linger.go
+++ b/internal/entry/linger.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"time"
+
+	"waxwingcart/internal/intake"
 )
 
 const (
@@ -23,6 +25,7 @@
 // stopped to accept requests.
 func (c *callerConn) linger() bool {
 	_ = c.CloseWrite()
+	intake.SetIdle(c.Conn, true)
 	end := time.Now().Add(c.entry.opts.BodyTimeout)
 	for left := int64(lingerBytes); left > 0 && time.Now().Before(end) && !c.entry.stopped(); {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerCheck))
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -59,6 +59,7 @@
 	reasonBadEventID   request.Reason = "bad-event-id"
 	reasonNotReady     request.Reason = "not-ready"
 	reasonSlowBody     request.Reason = "slow-body"
+	reasonMemory       request.Reason = "memory-used-up"
 )
 
 var reasonStatus = map[request.Reason]int{
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -15,6 +15,7 @@
 	"waxwingcart/internal/core/routes"
 	"waxwingcart/internal/core/routing"
 	"waxwingcart/internal/crashguard"
+	"waxwingcart/internal/intake"
 	"waxwingcart/internal/observe"
 	"waxwingcart/internal/traces"
 )
@@ -108,6 +109,7 @@
 		sink.refuse(notRunOutcome(reasonBadRequest, err.Error(), 0), nil)
 		return
 	}
+	defer func() { sink.share.Close() }()
 	r := e.prepareRouted(w, req, call, sink)
 	if r == nil {
 		return
@@ -187,7 +189,8 @@
 		sink.refuse(notRunOutcome(reasonUnauthorized, "the key belongs to no customer", 0), nil)
 		return nil
 	}
-	body, err := e.readRouted(w, req, config)
+	sink.share = e.openShare(w, req, customerName(customer))
+	body, err := e.readRouted(w, req, config, sink.share)
 	if err != nil {
 		sink.refuseError(err)
 		return nil
@@ -215,7 +218,7 @@
 	return r
 }
 
-func (e *Entry) readRouted(w http.ResponseWriter, req *http.Request, config *configuration) ([]byte, error) {
+func (e *Entry) readRouted(w http.ResponseWriter, req *http.Request, config *configuration, share *intake.Share) ([]byte, error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
 	limit := e.opts.BodyLimit
@@ -225,7 +228,7 @@
 	if req.ContentLength > limit {
 		return nil, tooLargeError(limit)
 	}
-	body, err := e.readBody(w, req, limit)
+	body, err := e.readBody(w, req, limit, share)
 	if err != nil {
 		return nil, err
 	}
@@ -239,6 +242,15 @@
 // these servers has run the call.
 const maxUnstartedAttempts = 3
 
+// customerName returns a customer's name, or "": callers of a public route need not be
+// customers.
+func customerName(customer *routes.Customer) string {
+	if customer == nil {
+		return ""
+	}
+	return customer.Name
+}
+
 // newRouted returns the run of a routed call.
 func (e *Entry) newRouted(req *http.Request, call Call, config *configuration, route *routes.Route, customer *routes.Customer, arrived time.Duration) *run {
 	allowed := route.Timeout
@@ -246,11 +258,7 @@
 		allowed = min(allowed, call.CallerTimeout)
 	}
 	service := config.services[route.Choose(rand.Float64())]
-	// Callers of a public route need not be customers.
-	name := ""
-	if customer != nil {
-		name = customer.Name
-	}
+	name := customerName(customer)
 	r := &run{
 		entry:        e,
 		id:           call.RequestID,
--- a/internal/entry/routedsink.go
+++ b/internal/entry/routedsink.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/intake"
 )
 
 // routedSink writes a routed call's answer as the backend server sent it. The
@@ -20,7 +21,9 @@
 	// customer is the caller's customer, if it is known before there is a run.
 	customer string
 	// run is the call's run, or nil before it has one.
-	run     *run
+	run *run
+	// share is what the call holds of the memory for callers.
+	share   *intake.Share
 	begun   bool
 	aborted bool
 	// bodyRead is true once the caller's whole body has been read.
@@ -29,15 +32,17 @@
 
 // token writes one event, preceded by the answer's header if it is the first.
 func (s *routedSink) token(data []byte, _ request.Position) {
-	s.withWriteTimeout(func() {
+	s.withWriteTimeout(len(data), func() {
 		s.begin()
 		_, _ = s.w.Write(data)
 		_ = http.NewResponseController(s.w).Flush()
 	})
 }
 
-func (s *routedSink) withWriteTimeout(write func()) {
-	writeWithTimeout(s.w, s.entry.opts.WriteTimeout, write)
+// withWriteTimeout bounds a write of bytes, which are held while it lasts.
+func (s *routedSink) withWriteTimeout(bytes int, write func()) {
+	interrupt := func() { _ = http.NewResponseController(s.w).SetWriteDeadline(time.Now()) }
+	writeWithTimeout(s.w, s.entry.opts.WriteTimeout, func() { s.share.Write(bytes, interrupt, write) })
 }
 
 // begin writes the header of the backend server's answer.
@@ -78,7 +83,7 @@
 	if s.run.message.method != http.MethodHead {
 		s.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	s.withWriteTimeout(func() {
+	s.withWriteTimeout(len(a.body), func() {
 		s.w.WriteHeader(a.status)
 		_, _ = s.w.Write(a.body)
 		_ = http.NewResponseController(s.w).Flush()
@@ -135,7 +140,7 @@
 	}
 	body, _ := json.Marshal(errorBody{Error: detailOf(s.id, outcome)})
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	s.withWriteTimeout(func() {
+	s.withWriteTimeout(len(body), func() {
 		s.w.WriteHeader(status)
 		_, _ = s.w.Write(body)
 		_ = http.NewResponseController(s.w).Flush()
@@ -155,7 +160,7 @@
 	outcome := notRunOutcome(reasonBadRequest, err.Error(), 0)
 	var call *callError
 	if errors.As(err, &call) {
-		outcome.Reason, outcome.Step = call.reason, call.message
+		outcome.Reason, outcome.Step, outcome.RetryAfter = call.reason, call.message, call.retryAfter
 	}
 	s.refuse(outcome, nil)
 }
--- /dev/null
+++ b/internal/intake/body.go
@@ -0,0 +1,168 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+)
+
+const (
+	// firstBytes is the first size of a body's buffer. A declared length reserves no more.
+	firstBytes = 4 << 10
+	// doubleBytes is the size up to which a buffer doubles; a larger one grows by half.
+	doubleBytes = 256 << 10
+	// retryAfter is when a request that gave way may be sent again.
+	retryAfter = time.Second
+)
+
+// ErrTooLong means that a body is longer than its limit.
+var ErrTooLong = errors.New("the body is too long")
+
+// ReadAll reads a body of at most limit bytes, whose memory it charges to the share
+// before it reads. The declared length is negative if it is not known.
+func (s *Share) ReadAll(body io.Reader, declared, limit int64) ([]byte, error) {
+	if declared > limit {
+		return nil, ErrTooLong
+	}
+	if declared == 0 {
+		return nil, s.Finish()
+	}
+	// One byte more than the body may have shows its end, or that it is too long.
+	most := limit + 1
+	if declared > 0 {
+		most = declared + 1
+	}
+	size := min(firstBytes, most)
+	if err := s.Charge(size); err != nil {
+		return nil, err
+	}
+	data := make([]byte, 0, size)
+	for {
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		s.Progress(n)
+		switch {
+		case int64(len(data)) > limit:
+			return nil, ErrTooLong
+		case err == io.EOF:
+			return data, s.Finish()
+		case err != nil:
+			return nil, s.readError(err)
+		}
+		if len(data) == cap(data) {
+			if data, err = s.grow(data, most); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// readError returns the error of a read, or why it was interrupted.
+func (s *Share) readError(err error) error {
+	if s != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		if cause := s.err(); cause != nil {
+			return cause
+		}
+	}
+	return err
+}
+
+// grow returns a larger buffer. Both are held while the bytes are copied.
+func (s *Share) grow(data []byte, most int64) ([]byte, error) {
+	old := int64(cap(data))
+	size := old * 2
+	if old >= doubleBytes {
+		size = old + old/2
+	}
+	size = min(size, most)
+	if err := s.Charge(size); err != nil {
+		return nil, err
+	}
+	grown := make([]byte, len(data), size)
+	copy(grown, data)
+	return grown, s.Charge(-old)
+}
+
+// Buffered returns a handler that reads the bodies of requests within the budget and a
+// limit in bytes before next is called. A body may take as long as timeout.
+func Buffered(budget *Budget, limit int64, timeout time.Duration, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.ContentLength == 0 {
+			next.ServeHTTP(w, req)
+			return
+		}
+		controller := http.NewResponseController(w)
+		_ = controller.SetReadDeadline(time.Now().Add(timeout))
+		host, _, _ := net.SplitHostPort(req.RemoteAddr)
+		share := budget.Open(host, func() { _ = controller.SetReadDeadline(time.Now()) })
+		defer share.Close()
+		body, err := share.ReadAll(req.Body, req.ContentLength, limit)
+		if err == nil {
+			// The handler copies the body.
+			err = share.chargeRunning(int64(len(body)))
+		}
+		if err != nil {
+			refuse(w, controller, err)
+			return
+		}
+		_ = controller.SetReadDeadline(time.Time{})
+		req.Body = &buffered{data: body}
+		req.ContentLength = int64(len(body))
+		next.ServeHTTP(w, req)
+	})
+}
+
+// chargeRunning charges bytes to a share that no longer gives way.
+func (s *Share) chargeRunning(bytes int64) error {
+	if s == nil {
+		return nil
+	}
+	used := s.budget.used.Add(bytes)
+	s.bytes.Add(bytes)
+	if used <= s.budget.size {
+		return nil
+	}
+	s.budget.makeRoom(used - s.budget.size)
+	if s.budget.used.Load() > s.budget.size+s.budget.size/overPart && !s.alone() {
+		return ErrFull
+	}
+	return nil
+}
+
+// refuse answers a request whose body was not read. Nothing of it ran.
+func refuse(w http.ResponseWriter, controller *http.ResponseController, err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, ErrTooLong):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, ErrStalled) || errors.Is(err, os.ErrDeadlineExceeded):
+		status = http.StatusRequestTimeout
+	case errors.Is(err, ErrFull):
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+	}
+	w.Header().Set("Connection", "close")
+	// Keeps the server from waiting for the rest of the body.
+	_ = controller.SetReadDeadline(time.Now())
+	http.Error(w, err.Error(), status)
+}
+
+// buffered is a body that was read.
+type buffered struct{ data []byte }
+
+// Read returns the next bytes.
+func (b *buffered) Read(into []byte) (int, error) {
+	if len(b.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(into, b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
+// Close does nothing.
+func (b *buffered) Close() error { return nil }
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,321 @@
+// Package intake bounds what callers make a process hold: the memory of their requests
+// and answers, and their connections.
+package intake
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/core/intake"
+)
+
+const (
+	// freedPart is the part of the budget that is freed beyond what is needed, so that
+	// the holders are not gone through for every read.
+	freedPart = 16
+	// overPart is the part of the budget by which it may be exceeded while victims give
+	// their memory back.
+	overPart = 8
+	// logInterval is the shortest time between two log lines about requests that gave way.
+	logInterval = time.Second
+)
+
+// Errors of a share that gave way.
+var (
+	// ErrStalled means that the caller sends or reads too slowly.
+	ErrStalled = errors.New("the caller is too slow while the memory for callers is used up")
+	// ErrFull means that others have the memory.
+	ErrFull = errors.New("the memory for callers is used up")
+)
+
+// Budget is the memory of a process for what its callers make it hold. It is safe for
+// concurrent use. A nil Budget has no limit.
+type Budget struct {
+	size    int64
+	used    atomic.Int64
+	started time.Time
+	logger  *log.Logger
+	shed    *prometheus.CounterVec
+
+	mu     sync.Mutex
+	nextID uint64
+	shares map[uint64]*Share
+	// logged is when the last line was written, unlogged the victims since then.
+	logged   time.Time
+	unlogged int
+}
+
+// NewBudget returns a budget of a size in bytes.
+func NewBudget(size int64, logger *log.Logger, registry prometheus.Registerer) *Budget {
+	b := &Budget{size: size, started: time.Now(), logger: logger, shares: make(map[uint64]*Share)}
+	b.shed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "waxwingcart", Name: "intake_shed_total",
+		Help: "Requests and answers that gave way because the memory for callers was used up, by cause.",
+	}, []string{"cause"})
+	used := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "waxwingcart", Name: "intake_bytes", Help: "Memory that callers make this process hold.",
+	}, func() float64 { return float64(b.used.Load()) })
+	limit := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "waxwingcart", Name: "intake_limit_bytes", Help: "Memory that callers may make this process hold.",
+	}, func() float64 { return float64(size) })
+	registry.MustRegister(b.shed, used, limit)
+	return b
+}
+
+// state is what a share's request does.
+type state uint8
+
+const (
+	stateReading state = iota
+	// stateRunning can't give way.
+	stateRunning
+	stateWriting
+)
+
+// Share is what one request holds. Charge and Close are called by one goroutine.
+// The methods of a nil Share do nothing.
+type Share struct {
+	budget *Budget
+	id     uint64
+	group  string
+	since  time.Duration
+	bytes  atomic.Int64
+	// arrived counts bytes read or written, and last is when the last one was.
+	arrived, last atomic.Int64
+
+	mu    sync.Mutex
+	state state
+	// interrupt ends the read or write that is under way.
+	interrupt func()
+	cause     intake.Cause
+}
+
+func (b *Budget) now() time.Duration { return time.Since(b.started) }
+
+// Open returns a share of a group, the customer or address, for a body that is about to
+// be read. interrupt ends a read that is under way; it is called by another goroutine, and
+// not after Finish or Close.
+func (b *Budget) Open(group string, interrupt func()) *Share {
+	if b == nil {
+		return nil
+	}
+	s := &Share{budget: b, group: group, since: b.now(), interrupt: interrupt}
+	s.last.Store(int64(s.since))
+	b.mu.Lock()
+	b.nextID++
+	s.id = b.nextID
+	b.shares[s.id] = s
+	b.mu.Unlock()
+	return s
+}
+
+// Charge holds more bytes, or fewer if they are negative. It returns ErrStalled or
+// ErrFull, and holds no more, if the share has given way.
+func (s *Share) Charge(bytes int64) error {
+	if s == nil {
+		return nil
+	}
+	b := s.budget
+	used := b.used.Add(bytes)
+	s.bytes.Add(bytes)
+	if bytes <= 0 {
+		return nil
+	}
+	if used > b.size {
+		b.makeRoom(used - b.size + b.size/freedPart)
+		if over := b.used.Load() > b.size+b.size/overPart; over && !s.alone() {
+			s.giveWay(intake.CauseShare)
+		}
+	}
+	if err := s.err(); err != nil {
+		b.used.Add(-bytes)
+		s.bytes.Add(-bytes)
+		return err
+	}
+	return nil
+}
+
+// alone reports whether no other request holds memory: a single one is served.
+func (s *Share) alone() bool { return s.budget.used.Load() == s.bytes.Load() }
+
+// Progress notes bytes that were read or written.
+func (s *Share) Progress(bytes int) {
+	if s == nil || bytes <= 0 {
+		return
+	}
+	s.arrived.Add(int64(bytes))
+	s.last.Store(int64(s.budget.now()))
+}
+
+// Finish notes that the body was read. It returns an error if the share has given way;
+// after it returned nil the share no longer gives way.
+func (s *Share) Finish() error {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := causeError(s.cause); err != nil {
+		return err
+	}
+	s.state, s.interrupt = stateRunning, nil
+	return nil
+}
+
+// Write runs a write of bytes to the caller. While it lasts, the bytes are held, and
+// interrupt ends it if the caller reads none of them and the memory is used up.
+func (s *Share) Write(bytes int, interrupt, write func()) {
+	if s == nil {
+		write()
+		return
+	}
+	s.mu.Lock()
+	s.state, s.interrupt = stateWriting, interrupt
+	s.last.Store(int64(s.budget.now()))
+	s.mu.Unlock()
+	// What has run is not refused, so its answer is held in any case.
+	used := s.budget.used.Add(int64(bytes))
+	s.bytes.Add(int64(bytes))
+	if used > s.budget.size {
+		s.budget.makeRoom(used - s.budget.size)
+	}
+	write()
+	s.mu.Lock()
+	s.state, s.interrupt = stateRunning, nil
+	s.mu.Unlock()
+	s.budget.used.Add(int64(-bytes))
+	s.bytes.Add(int64(-bytes))
+}
+
+// Close gives back what the share holds.
+func (s *Share) Close() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.state, s.interrupt = stateRunning, nil
+	s.mu.Unlock()
+	s.budget.mu.Lock()
+	delete(s.budget.shares, s.id)
+	s.budget.mu.Unlock()
+	s.budget.used.Add(-s.bytes.Swap(0))
+}
+
+func (s *Share) err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return causeError(s.cause)
+}
+
+func causeError(cause intake.Cause) error {
+	switch cause {
+	case "":
+		return nil
+	case intake.CauseShare:
+		return ErrFull
+	}
+	return ErrStalled
+}
+
+// giveWay ends the read or write under way and reports whether the share did not give
+// way before.
+func (s *Share) giveWay(cause intake.Cause) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == stateRunning || s.cause != "" {
+		return false
+	}
+	s.cause = cause
+	if s.interrupt != nil {
+		s.interrupt()
+	}
+	s.budget.shed.WithLabelValues(string(cause)).Inc()
+	return true
+}
+
+// makeRoom lets requests give way until at least need bytes become free.
+func (b *Budget) makeRoom(need int64) {
+	b.mu.Lock()
+	holders, pending := b.holders()
+	b.mu.Unlock()
+	if len(holders) == 1 && holders[0].Bytes == b.used.Load() {
+		return
+	}
+	b.shedAll(intake.Victims(b.now(), holders, need-pending))
+}
+
+// holders returns the shares that can give way, and the bytes of those that have and
+// still hold them. The caller holds mu.
+func (b *Budget) holders() (holders []intake.Holder, pending int64) {
+	for _, s := range b.shares {
+		s.mu.Lock()
+		state, cause := s.state, s.cause
+		s.mu.Unlock()
+		bytes := s.bytes.Load()
+		switch {
+		case cause != "":
+			pending += bytes
+			continue
+		case state == stateRunning || bytes == 0:
+			continue
+		}
+		h := intake.Holder{ID: s.id, Group: s.group, Bytes: bytes, Arrived: s.arrived.Load(), Since: s.since, Last: time.Duration(s.last.Load())}
+		if state == stateWriting {
+			h.Kind = intake.KindAnswer
+		}
+		holders = append(holders, h)
+	}
+	return holders, pending
+}
+
+func (b *Budget) shedAll(victims []intake.Victim) {
+	freed, shed := int64(0), 0
+	for _, victim := range victims {
+		b.mu.Lock()
+		s := b.shares[victim.ID]
+		b.mu.Unlock()
+		if s != nil && s.giveWay(victim.Cause) {
+			freed += victim.Bytes
+			shed++
+		}
+	}
+	if shed > 0 {
+		b.report(victims[0], shed, freed)
+	}
+}
+
+// ShedIdle lets one body or answer that makes no progress give way, whatever memory is
+// held: connections are scarce.
+func (b *Budget) ShedIdle() {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	holders, _ := b.holders()
+	b.mu.Unlock()
+	for _, victim := range intake.Victims(b.now(), holders, 1) {
+		if victim.Cause != intake.CauseShare {
+			b.shedAll([]intake.Victim{victim})
+		}
+	}
+}
+
+// report logs requests that gave way, at most one line in logInterval.
+func (b *Budget) report(first intake.Victim, shed int, freed int64) {
+	b.mu.Lock()
+	b.unlogged += shed
+	count := b.unlogged
+	if time.Since(b.logged) < logInterval {
+		b.mu.Unlock()
+		return
+	}
+	b.logged, b.unlogged = time.Now(), 0
+	b.mu.Unlock()
+	b.logger.Warn().Str("step", "intake").Str("cause", string(first.Cause)).Int("shed", count).Int64("freed_bytes", freed).
+		Int64("used_bytes", b.used.Load()).Int64("limit_bytes", b.size).Msg("requests of callers gave way")
+}
--- a/internal/process/hosted.go
+++ b/internal/process/hosted.go
@@ -155,7 +155,7 @@
 	}
 	if p.Replica != nil {
 		operators := &platform.Operator{Service: p.Operator, Logger: p.Logger}
-		serveHTTP(p, "control", hosted.Control, operators.Handler(), nil)
+		serveHTTP(p, "control", hosted.Control, buffered(p, platform.MaxDocumentBytes, operators.Handler()), nil)
 	}
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -23,6 +23,7 @@
 	"waxwingcart/internal/callerlimits"
 	"waxwingcart/internal/detour"
 	"waxwingcart/internal/entry"
+	"waxwingcart/internal/intake"
 	"waxwingcart/internal/observe"
 	"waxwingcart/internal/operator"
 	"waxwingcart/internal/replica"
@@ -40,11 +41,14 @@
 
 // maxInternalConnections limits the open connections of each listener that does
 // not serve callers: those of peers, and those of operators and metrics
-// collectors.
+// collectors. With few descriptors, the limit is lower.
 const maxInternalConnections = 4096
 
-// callersListener is the name of the listener for callers.
-const callersListener = "callers"
+// Names of listeners: callersListener serves callers, peersListener other processes.
+const (
+	callersListener = "callers"
+	peersListener   = "peers"
+)
 
 // Keys are the secrets that a process reads from files.
 type Keys struct {
@@ -65,6 +69,8 @@
 			observe.NewDump,
 			readKeys,
 			newEndlessAnswers,
+			newBudget,
+			newIntakeMetrics,
 			newClient,
 			newReplicas,
 			newReplica,
@@ -176,7 +182,7 @@
 }
 
 // newEntry returns nil if the process does not have the entry role.
-func newEntry(lc fx.Lifecycle, process *settings.Process, keys Keys, client *rpc.Client, replicas *rpc.Replicas, endless *endlessAnswers, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) *entry.Entry {
+func newEntry(lc fx.Lifecycle, process *settings.Process, keys Keys, client *rpc.Client, replicas *rpc.Replicas, endless *endlessAnswers, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump, budget *intake.Budget) *entry.Entry {
 	if !process.HasRole(settings.RoleEntry) {
 		return nil
 	}
@@ -192,6 +198,7 @@
 		BodyLimit:    process.Limits.BodyBytes,
 		BodyTimeout:  milliseconds(process.Timeouts.ReadBodyMS),
 		WriteTimeout: milliseconds(process.Timeouts.WriteMS),
+		Intake:       budget,
 		Client:       client,
 		Logger:       logger,
 		Registry:     registry,
@@ -232,6 +239,8 @@
 	Replica   *replica.Replica
 	Entry     *entry.Entry
 	Operator  *operator.Service
+	Budget    *intake.Budget
+	Intake    *intake.Metrics
 }
 
 // serve adds the servers for the process's addresses. The stop hooks run in
@@ -241,7 +250,7 @@
 	limitMemory(p.Process)
 	serveHosted(p)
 	serveHTTP(p, "admin", p.Process.Listen.Admin, adminHandler(p), nil)
-	serveHTTP(p, "peers", p.Process.Listen.Peers, peersHandler(p), nil)
+	serveHTTP(p, peersListener, p.Process.Listen.Peers, peersHandler(p), nil)
 	if p.Replica != nil {
 		p.Lifecycle.Append(fx.Hook{OnStop: p.Replica.PrepareStop})
 	}
@@ -286,7 +295,7 @@
 	protected := mux.NewRouter()
 	protected.Handle("/dump", p.Dump).Methods(http.MethodGet)
 	service := wire.NewOperatorServer(p.Operator)
-	protected.PathPrefix(service.PathPrefix()).Handler(service)
+	protected.PathPrefix(service.PathPrefix()).Handler(buffered(p, rpc.MaxBodyBytes, service))
 	public.PathPrefix("/").Handler(rpc.RequireKey(key, protected))
 	return public
 }
@@ -295,11 +304,11 @@
 	router := mux.NewRouter()
 	if p.Replica != nil {
 		service := wire.NewReplicaServer(p.Replica.Service())
-		router.PathPrefix(service.PathPrefix()).Handler(service)
+		router.PathPrefix(service.PathPrefix()).Handler(buffered(p, rpc.MaxBodyBytes, service))
 	}
 	if p.Entry != nil {
 		service := wire.NewPeerServer(p.Entry.PeerService())
-		router.PathPrefix(service.PathPrefix()).Handler(service)
+		router.PathPrefix(service.PathPrefix()).Handler(buffered(p, rpc.MaxBodyBytes, service))
 		router.Handle(detour.Path, p.Entry.Detour())
 	}
 	return rpc.RequireKey(rpc.NewKey(p.Keys.Peer), router)
@@ -314,9 +323,14 @@
 		IdleTimeout:       milliseconds(p.Process.Timeouts.IdleMS),
 		MaxHeaderBytes:    p.Process.Limits.HeaderBytes,
 		ErrorLog:          standardLogger(p.Logger, name),
+		ConnState:         intake.ConnState,
 	}
 	if name == callersListener && p.Process.Hosted != nil {
-		server.ConnContext, server.ConnState = entry.ConnContext, entry.ConnState
+		server.ConnContext = entry.ConnContext
+		server.ConnState = func(conn net.Conn, state http.ConnState) {
+			entry.ConnState(conn, state)
+			intake.ConnState(conn, state)
+		}
 		// The connections follow the limit of the document in force.
 		server.MaxHeaderBytes = callerlimits.MaxHeaderBytes
 	}
@@ -332,11 +346,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", name, err)
 	}
-	limit := maxInternalConnections
-	if name == callersListener {
-		limit = p.Process.Limits.Connections
-	}
-	listener = limitConnections(listener, limit)
+	listener = intake.Listen(listener, name, connectionLimit(p.Process, name), p.Budget, p.Logger, p.Intake)
 	if name == callersListener && p.Process.Hosted != nil {
 		listener = p.Entry.CallerListener(listener)
 	}
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -159,6 +159,9 @@
 	BodyBytes int64 `json:"body_bytes"`
 	// Connections limits the number of open connections of callers.
 	Connections int `json:"connections"`
+	// IntakeMemoryMB limits the memory that callers make the process hold; 0 derives
+	// it from MemoryMB.
+	IntakeMemoryMB int `json:"intake_memory_mb,omitempty"`
 }
 
 // Timeouts configures timeouts, in milliseconds.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -148,6 +148,7 @@
 	report.checkNumber("limits.header_bytes", float64(p.Limits.HeaderBytes), headerBytesRange)
 	report.checkNumber("limits.body_bytes", float64(p.Limits.BodyBytes), bodyBytesRange)
 	report.checkNumber("limits.connections", float64(p.Limits.Connections), connectionsRange)
+	report.checkNumber("limits.intake_memory_mb", float64(p.Limits.IntakeMemoryMB), memoryRange)
 	report.checkNumber("timeouts.read_header_ms", p.Timeouts.ReadHeaderMS, timeoutRange)
 	report.checkNumber("timeouts.read_body_ms", p.Timeouts.ReadBodyMS, timeoutRange)
 	report.checkNumber("timeouts.write_ms", p.Timeouts.WriteMS, timeoutRange)
