--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -286,9 +286,11 @@
 	if len(ev.data) >= largeEvent {
 		ev.handled = make(chan struct{})
 	}
+	a.run.share.Queue(len(ev.data))
 	select {
 	case a.run.stream <- ev:
 	case <-ctx.Done():
+		a.run.share.Unqueue(len(ev.data))
 		return false
 	}
 	if ev.handled == nil {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -18,13 +18,13 @@
 // openShare returns the share of a request of a customer, or of an address if the
 // customer is unknown, in the memory for callers.
 func (e *Entry) openShare(w http.ResponseWriter, req *http.Request, customer string) *intake.Share {
-	group := "customer " + customer
-	if customer == "" {
+	group := customer
+	if group == "" {
 		host, _, _ := net.SplitHostPort(req.RemoteAddr)
+		// The space keeps addresses apart from names.
 		group = "address " + host
 	}
-	controller := http.NewResponseController(w)
-	return e.opts.Intake.Open(group, func() { _ = controller.SetReadDeadline(time.Now()) })
+	return e.opts.Intake.Open(group, w)
 }
 
 // readBody reads a caller's body within a limit in bytes, into memory of the share.
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -85,6 +85,8 @@
 	exchange *exchange
 	waiting  waiting
 	closed   bool
+	// headerHeld is the memory that the header of the request holds.
+	headerHeld int64
 }
 
 // begin notes that the header of a request has been read.
@@ -119,6 +121,7 @@
 
 // idle notes that the answer is whole and the connection waits for a request.
 func (c *callerConn) idle() {
+	c.releaseHeader()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange = nil
@@ -159,6 +162,7 @@
 	tooLong, unhandled := c.waiting.refused, c.waiting.unhandled() && open == nil
 	c.closed = true
 	c.mu.Unlock()
+	c.releaseHeader()
 	switch {
 	case !first:
 	case tooLong:
--- a/internal/entry/callerphase.go
+++ b/internal/entry/callerphase.go
@@ -38,7 +38,10 @@
 const unhandledAnswer = "HTTP/1.1 503 Service Unavailable\r\n" +
 	"Retry-After: 0.020\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-var errHeaderTooLong = errors.New("the header of a caller's request is too long")
+var (
+	errHeaderTooLong = errors.New("the header of a caller's request is too long")
+	errNoMemory      = errors.New("the memory for callers is used up")
+)
 
 // waiting is the state of a connection that waits for a request.
 type waiting struct {
@@ -109,6 +112,9 @@
 			// net/http gives no answer of its own after such an error.
 			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeaderTooLong}
 		}
+		if n > 0 && !c.holdHeader(n) {
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.waitLonger() {
 			return n, err
 		}
@@ -133,6 +139,33 @@
 	return c.Conn.SetReadDeadline(time.Now().Add(left)) == nil
 }
 
+// holdHeader holds the memory of a header's bytes until the request has ended. It returns
+// false if there is none.
+func (c *callerConn) holdHeader(n int) bool {
+	c.mu.Lock()
+	inHeader := c.waiting.phase == phaseHeader
+	if inHeader {
+		c.headerHeld += int64(n)
+	}
+	c.mu.Unlock()
+	if !inHeader || c.entry.opts.Intake.Hold(int64(n)) {
+		return true
+	}
+	c.mu.Lock()
+	c.headerHeld -= int64(n)
+	c.mu.Unlock()
+	return false
+}
+
+// releaseHeader gives back the memory of a request's header.
+func (c *callerConn) releaseHeader() {
+	c.mu.Lock()
+	held := c.headerHeld
+	c.headerHeld = 0
+	c.mu.Unlock()
+	c.entry.opts.Intake.Release(held)
+}
+
 // acceptBytes counts the bytes of a header. If it is too long, it answers and returns
 // false.
 func (c *callerConn) acceptBytes(n int) bool {
--- /dev/null
+++ b/internal/entry/intake_test.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/intake"
+)
+
+// The memory of headers, bodies and answers is given back on every path, or the budget
+// would be used up in calm after some time.
+func TestMemoryOfCallersIsGivenBack(t *testing.T) {
+	engine := &versionEngine{version: "v1"}
+	breaking := &versionEngine{version: "v2"}
+	breaking.breaks.Store(true)
+	e := newTakeUpEntry(t, engine, breaking)
+	e.opts.Intake = intake.NewBudget(64<<20, e.logger, prometheus.NewRegistry())
+	address := serveCallers(t, e, &http.Server{})
+	head := func(path, framing string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nId: x\r\n%s\r\n\r\n", path, framing)
+	}
+	body := strings.Repeat("x", 100<<10)
+	for name, text := range map[string]string{
+		"stream":            head("/public/1", fmt.Sprintf("Content-Length: %d", len(body))) + body,
+		"two requests":      head("/public/1", "Content-Length: 1") + "x" + head("/public/1", "Content-Length: 1") + "x",
+		"chunked":           head("/public/1", "Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"body breaks off":   head("/public/1", "Content-Length: 200000") + body,
+		"declared too long": head("/public/1", "Content-Length: 9999999") + body,
+		"too long":          head("/public/1", "Transfer-Encoding: chunked") + strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", len(body), body), 12),
+		"broken chunks":     head("/public/1", "Transfer-Encoding: chunked") + "zz\r\n",
+		"no route":          head("/nowhere/1", "Content-Length: 5") + "12345",
+		"no key":            head("/charged/1", "Content-Length: 5") + "12345",
+		"half a header":     "POST /public/1 HTTP/1.1\r\nHost: d",
+		"long header":       "POST /public/1 HTTP/1.1\r\nX: " + strings.Repeat("y", 200<<10),
+	} {
+		for _, waits := range []bool{true, false} {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(conn, text)
+			if waits {
+				_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+				_, _ = io.Copy(io.Discard, conn)
+			}
+			_ = conn.Close()
+			for end := time.Now().Add(20 * time.Second); e.opts.Intake.Used() != 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%s: %d bytes are held after the connection was closed", name, e.opts.Intake.Used())
+				}
+			}
+		}
+	}
+}
--- a/internal/entry/intakebench_test.go
+++ b/internal/entry/intakebench_test.go
@@ -8,6 +8,10 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/intake"
 )
 
 // BenchmarkCallerPath measures one request in calm from a caller's connection to the
@@ -18,6 +22,7 @@
 			engine := &versionEngine{version: "v1"}
 			engine.rejects.Store(http.StatusOK)
 			e := newTakeUpEntry(b, engine)
+			e.opts.Intake = intake.NewBudget(64<<20, e.logger, prometheus.NewRegistry())
 			conn, err := net.Dial("tcp", serveCallers(b, e, &http.Server{}))
 			if err != nil {
 				b.Fatal(err)
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -196,7 +196,7 @@
 		return nil
 	}
 	r := e.newRouted(req, call, config, route, customer, arrived)
-	r.sink = sink
+	r.sink, r.share = sink, sink.share
 	sink.bodyRead = true
 	r.message = message{method: req.Method, path: req.RequestURI, header: call.Header, body: body}
 	r.routed.guarded = r.guarded()
--- a/internal/entry/routedsink.go
+++ b/internal/entry/routedsink.go
@@ -32,7 +32,8 @@
 
 // token writes one event, preceded by the answer's header if it is the first.
 func (s *routedSink) token(data []byte, _ request.Position) {
-	s.withWriteTimeout(len(data), func() {
+	// The event is held since it was queued.
+	s.withWriteTimeout(0, func() {
 		s.begin()
 		_, _ = s.w.Write(data)
 		_ = http.NewResponseController(s.w).Flush()
@@ -41,8 +42,7 @@
 
 // withWriteTimeout bounds a write of bytes, which are held while it lasts.
 func (s *routedSink) withWriteTimeout(bytes int, write func()) {
-	interrupt := func() { _ = http.NewResponseController(s.w).SetWriteDeadline(time.Now()) }
-	writeWithTimeout(s.w, s.entry.opts.WriteTimeout, func() { s.share.Write(bytes, interrupt, write) })
+	writeWithTimeout(s.w, s.entry.opts.WriteTimeout, func() { s.share.Write(bytes, write) })
 }
 
 // begin writes the header of the backend server's answer.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -10,6 +10,7 @@
 	"waxwingcart/internal/core/request"
 	"waxwingcart/internal/core/retry"
 	"waxwingcart/internal/core/routing"
+	"waxwingcart/internal/intake"
 	"waxwingcart/internal/traces"
 )
 
@@ -74,7 +75,9 @@
 	message       message
 	reservation   *reservation
 	sink          sink
-	trace         *traces.Trace
+	// share is what the request holds of the memory for callers, or nil.
+	share *intake.Share
+	trace *traces.Trace
 
 	controls  chan control
 	stream    chan streamEvent
@@ -157,6 +160,7 @@
 	if ev.handled != nil {
 		defer close(ev.handled)
 	}
+	defer r.share.Unqueue(len(ev.data))
 	r.token = ev.data
 	r.source = r.openAttempt(attemptOf(ev.event))
 	r.takeAnswer(ev)
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -13,7 +13,11 @@
 const (
 	// firstBytes is the first size of a body's buffer. A declared length reserves no more.
 	firstBytes = 4 << 10
-	// doubleBytes is the size up to which a buffer doubles; a larger one grows by half.
+	// smallFactor is by how much a buffer below smallBytes grows at once, so that usual
+	// bodies are copied once or twice. Larger ones double up to doubleBytes, and grow by
+	// half after that.
+	smallFactor = 5
+	smallBytes  = 64 << 10
 	doubleBytes = 256 << 10
 	// retryAfter is when a request that gave way may be sent again.
 	retryAfter = time.Second
@@ -25,6 +29,15 @@
 // ReadAll reads a body of at most limit bytes, whose memory it charges to the share
 // before it reads. The declared length is negative if it is not known.
 func (s *Share) ReadAll(body io.Reader, declared, limit int64) ([]byte, error) {
+	data, err := s.readAll(body, declared, limit)
+	if err != nil {
+		// The memory is needed before the refusal has been written.
+		s.release()
+	}
+	return data, err
+}
+
+func (s *Share) readAll(body io.Reader, declared, limit int64) ([]byte, error) {
 	if declared > limit {
 		return nil, ErrTooLong
 	}
@@ -75,7 +88,10 @@
 func (s *Share) grow(data []byte, most int64) ([]byte, error) {
 	old := int64(cap(data))
 	size := old * 2
-	if old >= doubleBytes {
+	switch {
+	case old < smallBytes:
+		size = old * smallFactor
+	case old >= doubleBytes:
 		size = old + old/2
 	}
 	size = min(size, most)
@@ -98,7 +114,7 @@
 		controller := http.NewResponseController(w)
 		_ = controller.SetReadDeadline(time.Now().Add(timeout))
 		host, _, _ := net.SplitHostPort(req.RemoteAddr)
-		share := budget.Open(host, func() { _ = controller.SetReadDeadline(time.Now()) })
+		share := budget.Open(host, w)
 		defer share.Close()
 		body, err := share.ReadAll(req.Body, req.ContentLength, limit)
 		if err == nil {
@@ -121,15 +137,10 @@
 	if s == nil {
 		return nil
 	}
-	used := s.budget.used.Add(bytes)
-	s.bytes.Add(bytes)
-	if used <= s.budget.size {
-		return nil
-	}
-	s.budget.makeRoom(used - s.budget.size)
-	if s.budget.used.Load() > s.budget.size+s.budget.size/overPart && !s.alone() {
+	if !s.budget.take(bytes, s) {
 		return ErrFull
 	}
+	s.bytes.Add(bytes)
 	return nil
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,11 @@
 	// overPart is the part of the budget by which it may be exceeded while victims give
 	// their memory back.
 	overPart = 8
+	// maxRoomWait is how long a request that needs memory waits for that of victims, and
+	// roomCheck how often it looks. Victims give it back in milliseconds, unless the
+	// process waits for a processor.
+	maxRoomWait = 250 * time.Millisecond
+	roomCheck   = 2 * time.Millisecond
 	// logInterval is the shortest time between two log lines about requests that gave way.
 	logInterval = time.Second
 )
@@ -33,6 +39,9 @@
 	ErrFull = errors.New("the memory for callers is used up")
 )
 
+// causeHeader is the cause of headers without room.
+const causeHeader = "header"
+
 // Budget is the memory of a process for what its callers make it hold. It is safe for
 // concurrent use. A nil Budget has no limit.
 type Budget struct {
@@ -59,7 +68,7 @@
 	}, []string{"cause"})
 	used := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "waxwingcart", Name: "intake_bytes", Help: "Memory that callers make this process hold.",
-	}, func() float64 { return float64(b.used.Load()) })
+	}, func() float64 { return float64(b.Used()) })
 	limit := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "waxwingcart", Name: "intake_limit_bytes", Help: "Memory that callers may make this process hold.",
 	}, func() float64 { return float64(size) })
@@ -67,6 +76,9 @@
 	return b
 }
 
+// Used returns the bytes held.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
 // state is what a share's request does.
 type state uint8
 
@@ -90,21 +102,22 @@
 
 	mu    sync.Mutex
 	state state
-	// interrupt ends the read or write that is under way.
-	interrupt func()
-	cause     intake.Cause
+	// w is the request's, whose connection's deadlines end a read or write.
+	w      http.ResponseWriter
+	cause  intake.Cause
+	closed bool
 }
 
 func (b *Budget) now() time.Duration { return time.Since(b.started) }
 
 // Open returns a share of a group, the customer or address, for a body that is about to
-// be read. interrupt ends a read that is under way; it is called by another goroutine, and
-// not after Finish or Close.
-func (b *Budget) Open(group string, interrupt func()) *Share {
+// be read. If it gives way, it ends reads and writes of the request's connection by their
+// deadlines, and none after Close.
+func (b *Budget) Open(group string, w http.ResponseWriter) *Share {
 	if b == nil {
 		return nil
 	}
-	s := &Share{budget: b, group: group, since: b.now(), interrupt: interrupt}
+	s := &Share{budget: b, group: group, since: b.now(), state: stateReading, w: w}
 	s.last.Store(int64(s.since))
 	b.mu.Lock()
 	b.nextID++
@@ -120,28 +133,52 @@
 	if s == nil {
 		return nil
 	}
-	b := s.budget
-	used := b.used.Add(bytes)
-	s.bytes.Add(bytes)
 	if bytes <= 0 {
+		s.budget.used.Add(bytes)
+		s.bytes.Add(bytes)
 		return nil
 	}
-	if used > b.size {
-		b.makeRoom(used - b.size + b.size/freedPart)
-		if over := b.used.Load() > b.size+b.size/overPart; over && !s.alone() {
-			s.giveWay(intake.CauseShare)
-		}
+	if !s.budget.take(bytes, s) {
+		s.giveWay(intake.CauseShare)
+		return s.err()
 	}
+	s.bytes.Add(bytes)
 	if err := s.err(); err != nil {
-		b.used.Add(-bytes)
-		s.bytes.Add(-bytes)
-		return err
+		return s.undo(bytes, err)
 	}
 	return nil
 }
 
-// alone reports whether no other request holds memory: a single one is served.
-func (s *Share) alone() bool { return s.budget.used.Load() == s.bytes.Load() }
+func (s *Share) undo(bytes int64, err error) error {
+	s.budget.used.Add(-bytes)
+	s.bytes.Add(-bytes)
+	return err
+}
+
+// take holds bytes, for a share if it is not nil. If there is no room, others give way,
+// and it waits until they have given their memory back. It returns false, and holds
+// nothing, if that takes too long or the share itself has given way.
+func (b *Budget) take(bytes int64, s *Share) bool {
+	for waited := time.Duration(0); ; waited += roomCheck {
+		used := b.used.Add(bytes)
+		if used <= b.size {
+			return true
+		}
+		// A request that is alone is served.
+		if s != nil && used == s.bytes.Load()+bytes {
+			return true
+		}
+		b.makeRoom(used - b.size + b.size/freedPart)
+		if b.used.Load() <= b.size+b.size/overPart {
+			return true
+		}
+		b.used.Add(-bytes)
+		if waited >= maxRoomWait || s != nil && s.err() != nil {
+			return false
+		}
+		time.Sleep(roomCheck)
+	}
+}
 
 // Progress notes bytes that were read or written.
 func (s *Share) Progress(bytes int) {
@@ -163,19 +200,19 @@
 	if err := causeError(s.cause); err != nil {
 		return err
 	}
-	s.state, s.interrupt = stateRunning, nil
+	s.state = stateRunning
 	return nil
 }
 
 // Write runs a write of bytes to the caller. While it lasts, the bytes are held, and
-// interrupt ends it if the caller reads none of them and the memory is used up.
-func (s *Share) Write(bytes int, interrupt, write func()) {
+// it is ended if the caller reads none of them and the memory is used up.
+func (s *Share) Write(bytes int, write func()) {
 	if s == nil {
 		write()
 		return
 	}
 	s.mu.Lock()
-	s.state, s.interrupt = stateWriting, interrupt
+	s.state = stateWriting
 	s.last.Store(int64(s.budget.now()))
 	s.mu.Unlock()
 	// What has run is not refused, so its answer is held in any case.
@@ -186,24 +223,64 @@
 	}
 	write()
 	s.mu.Lock()
-	s.state, s.interrupt = stateRunning, nil
+	s.state = stateRunning
 	s.mu.Unlock()
 	s.budget.used.Add(int64(-bytes))
 	s.bytes.Add(int64(-bytes))
 }
 
+// Queue holds bytes of an answer that waits to be written, until Unqueue. Another
+// goroutine than that of the request may call it, also after Close.
+func (s *Share) Queue(bytes int) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	used := s.budget.used.Add(int64(bytes))
+	s.bytes.Add(int64(bytes))
+	s.mu.Unlock()
+	if used > s.budget.size {
+		s.budget.makeRoom(used - s.budget.size)
+	}
+}
+
+// Unqueue gives back what Queue holds.
+func (s *Share) Unqueue(bytes int) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Close has given back what was queued.
+	if !s.closed {
+		s.budget.used.Add(int64(-bytes))
+		s.bytes.Add(int64(-bytes))
+	}
+}
+
 // Close gives back what the share holds.
 func (s *Share) Close() {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
-	s.state, s.interrupt = stateRunning, nil
+	s.state, s.closed = stateRunning, true
 	s.mu.Unlock()
 	s.budget.mu.Lock()
 	delete(s.budget.shares, s.id)
 	s.budget.mu.Unlock()
-	s.budget.used.Add(-s.bytes.Swap(0))
+	s.release()
+}
+
+// release gives back what the share holds and keeps it open.
+func (s *Share) release() {
+	if s != nil {
+		s.budget.used.Add(-s.bytes.Swap(0))
+	}
 }
 
 func (s *Share) err() error {
@@ -231,21 +308,41 @@
 		return false
 	}
 	s.cause = cause
-	if s.interrupt != nil {
-		s.interrupt()
+	controller, now := http.NewResponseController(s.w), time.Now()
+	if s.state == stateReading {
+		_ = controller.SetReadDeadline(now)
+	} else {
+		_ = controller.SetWriteDeadline(now)
 	}
 	s.budget.shed.WithLabelValues(string(cause)).Inc()
 	return true
 }
 
+// Hold holds bytes that have no share of their own: those of headers. Bodies and answers
+// give way to them. It returns false, and holds nothing, if there is no room nevertheless.
+func (b *Budget) Hold(bytes int64) bool {
+	if b == nil {
+		return true
+	}
+	if !b.take(bytes, nil) {
+		b.shed.WithLabelValues(causeHeader).Inc()
+		return false
+	}
+	return true
+}
+
+// Release gives back what Hold holds.
+func (b *Budget) Release(bytes int64) {
+	if b != nil && bytes != 0 {
+		b.used.Add(-bytes)
+	}
+}
+
 // makeRoom lets requests give way until at least need bytes become free.
 func (b *Budget) makeRoom(need int64) {
 	b.mu.Lock()
 	holders, pending := b.holders()
 	b.mu.Unlock()
-	if len(holders) == 1 && holders[0].Bytes == b.used.Load() {
-		return
-	}
 	b.shedAll(intake.Victims(b.now(), holders, need-pending))
 }
 
