--- a/internal/entry/intake_test.go
+++ b/internal/entry/intake_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -59,3 +62,37 @@
 		}
 	}
 }
+
+// A request for which there is no memory is refused as not run, with a time to try again.
+func TestRefusalWithoutMemory(t *testing.T) {
+	engine := &versionEngine{version: "v1"}
+	e := newTakeUpEntry(t, engine)
+	e.opts.Intake = intake.NewBudget(4<<10, e.logger, prometheus.NewRegistry())
+	holder := e.opts.Intake.Open("heirs", httptest.NewRecorder())
+	defer holder.Close()
+	if err := errors.Join(holder.Charge(64<<10), holder.Finish()); err != nil {
+		t.Fatal(err)
+	}
+	w := e.call("/public/1", "Id", "x")
+	wait, err := strconv.ParseFloat(w.Header().Get(headerRetryAfter), 64)
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get(headerOutcome) != outcomeNotRun || err != nil || wait <= 0 {
+		t.Errorf("got status %d, %v, want 503, not-run and a Retry-After header", w.Code, w.Header())
+	}
+	if calls := engine.calls.Load(); calls != 0 {
+		t.Errorf("the refused request ran %d times", calls)
+	}
+}
+
+// A caller that waits for 100 Continue gets 413 in its place if its declared length is over
+// the limit, and 100 Continue otherwise.
+func TestExpectContinue(t *testing.T) {
+	engine := &versionEngine{version: "v1"}
+	address := serveCallers(t, newTakeUpEntry(t, engine), &http.Server{})
+	for length, want := range map[int]string{1 << 20: "HTTP/1.1 100", 1<<20 + 1: "HTTP/1.1 413"} {
+		conn, answers := dialCaller(t, address)
+		fmt.Fprintf(conn, "POST /public/1 HTTP/1.1\r\nHost: desk.example\r\nId: x\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", length)
+		if line, err := answers.ReadString('\n'); !strings.HasPrefix(line, want) {
+			t.Errorf("length %d: got %q, %v, want %s", length, line, err, want)
+		}
+	}
+}
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -122,7 +123,11 @@
 			err = share.chargeRunning(int64(len(body)))
 		}
 		if err != nil {
-			refuse(w, controller, err)
+			status := refuse(w, controller, err)
+			if budget != nil {
+				budget.logger.Warn().Str("step", "intake").Str("call", fmt.Sprintf("%.100s", req.URL.Path)).Str("peer", req.RemoteAddr).
+					Int("status", status).Int64("declared", req.ContentLength).Err(err).Msg("a body was not read; nothing ran")
+			}
 			return
 		}
 		_ = controller.SetReadDeadline(time.Time{})
@@ -144,8 +149,9 @@
 	return nil
 }
 
-// refuse answers a request whose body was not read. Nothing of it ran.
-func refuse(w http.ResponseWriter, controller *http.ResponseController, err error) {
+// refuse answers a request whose body was not read, and returns the status. Nothing of
+// it ran.
+func refuse(w http.ResponseWriter, controller *http.ResponseController, err error) int {
 	status := http.StatusBadRequest
 	switch {
 	case errors.Is(err, ErrTooLong):
@@ -160,6 +166,7 @@
 	// Keeps the server from waiting for the rest of the body.
 	_ = controller.SetReadDeadline(time.Now())
 	http.Error(w, err.Error(), status)
+	return status
 }
 
 // buffered is a body that was read.
