Hold answers of all sinks while they are written

Cause: only answers on the hosting platform were held, and a long answer was one write, so that a caller that read it slowly seemed to read nothing. Change: all sinks write through their share, long answers in pieces of 64 KiB that count as progress; events of all streams are held while they are queued. Result: TestUnreadAnswersGiveWay (4 answers of 15 MiB that nobody reads, a budget of 7.5 MiB) passes, and fails if victims' writes are not ended.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -190,10 +190,11 @@
 
 func (e *Entry) modelSink(w http.ResponseWriter, r *run, parsed chat.Request, codec *eventid.Codec) sink {
 	if !parsed.Stream {
-		return &completionSink{w: w, requestID: r.id, writeTimeout: e.opts.WriteTimeout, chat: r.message.path == chatPath, promptTokens: parsed.PromptTokens}
+		return &completionSink{w: w, share: r.share, requestID: r.id, writeTimeout: e.opts.WriteTimeout, chat: r.message.path == chatPath, promptTokens: parsed.PromptTokens}
 	}
 	return &streamSink{
 		w:            w,
+		share:        r.share,
 		requestID:    r.id,
 		service:      r.service.Name,
 		incarnations: e.serverIncarnation,
@@ -233,7 +234,7 @@
 	r.spec.Keyed = key != "" && !r.spec.Repeatable
 	r.size = routing.RequestSize{PromptTokens: 1, OutputTokens: 1}
 	r.message = message{method: req.Method, path: path, header: forwardHeader(req), body: call.body}
-	r.sink = &appSink{w: w, requestID: id, writeTimeout: e.opts.WriteTimeout}
+	r.sink = &appSink{w: w, share: r.share, requestID: id, writeTimeout: e.opts.WriteTimeout}
 	if r.spec.Keyed {
 		r.reservation = newReservation(r, key, digest(req, call.body))
 	}
@@ -308,6 +309,7 @@
 	}
 	r := &run{
 		entry:        e,
+		share:        call.share,
 		id:           id,
 		customer:     call.customer,
 		service:      service,
--- a/internal/entry/intake_test.go
+++ b/internal/entry/intake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	core "waxwingcart/internal/core/intake"
 	"waxwingcart/internal/intake"
 )
 
@@ -96,3 +97,35 @@
 		}
 	}
 }
+
+// Answers that their callers do not read must not keep an entry's memory from others: they
+// are cut off when it is needed.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	const crowd, answerBytes = 4, 15 << 20
+	engine := &versionEngine{version: "v1", body: make([]byte, answerBytes)}
+	engine.rejects.Store(http.StatusOK)
+	e := newTakeUpEntry(t, engine)
+	e.opts.Intake = intake.NewBudget(answerBytes/2, e.logger, prometheus.NewRegistry())
+	e.opts.WriteTimeout = time.Hour
+	address := serveCallers(t, e, &http.Server{})
+	// One answer after the other, as they share the memory for backend servers' answers.
+	for i := range crowd {
+		conn, _ := dialCaller(t, address)
+		fmt.Fprintf(conn, "GET /public/1 HTTP/1.1\r\nHost: desk.example\r\nId: x-%d\r\n\r\n", i)
+		for end := time.Now().Add(20 * time.Second); e.opts.Intake.Used() < answerBytes; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d bytes are held while an answer of %d bytes waits for its caller", e.opts.Intake.Used(), answerBytes)
+			}
+		}
+	}
+	time.Sleep(2 * core.StallTime)
+	engine.rejects.Store(http.StatusNoContent)
+	if w := e.call("/public/1", "Id", "ordinary"); w.Code != http.StatusNoContent {
+		t.Errorf("an ordinary request: got status %d", w.Code)
+	}
+	for end := time.Now().Add(20 * time.Second); e.opts.Intake.Used() > answerBytes/2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are held by answers that nobody reads", e.opts.Intake.Used())
+		}
+	}
+}
--- a/internal/entry/routedsink.go
+++ b/internal/entry/routedsink.go
@@ -42,7 +42,7 @@
 
 // withWriteTimeout bounds a write of bytes, which are held while it lasts.
 func (s *routedSink) withWriteTimeout(bytes int, write func()) {
-	writeWithTimeout(s.w, s.entry.opts.WriteTimeout, func() { s.share.Write(bytes, write) })
+	writeWithTimeout(s.w, s.entry.opts.WriteTimeout, s.share, bytes, write)
 }
 
 // begin writes the header of the backend server's answer.
@@ -85,7 +85,7 @@
 	}
 	s.withWriteTimeout(len(a.body), func() {
 		s.w.WriteHeader(a.status)
-		_, _ = s.w.Write(a.body)
+		s.share.WriteBody(s.w, a.body)
 		_ = http.NewResponseController(s.w).Flush()
 	})
 }
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -10,6 +10,7 @@
 	"waxwingcart/internal/chat"
 	"waxwingcart/internal/core/eventid"
 	"waxwingcart/internal/core/request"
+	"waxwingcart/internal/intake"
 )
 
 // sink writes a request's answer to its caller.
@@ -26,6 +27,7 @@
 // appSink writes an application's answer.
 type appSink struct {
 	w            http.ResponseWriter
+	share        *intake.Share
 	requestID    string
 	writeTimeout time.Duration
 }
@@ -41,9 +43,9 @@
 	}
 	header.Set(headerRequestID, s.requestID)
 	header.Set("Content-Length", strconv.Itoa(len(a.body)))
-	writeWithTimeout(s.w, s.writeTimeout, func() {
+	writeWithTimeout(s.w, s.writeTimeout, s.share, len(a.body), func() {
 		s.w.WriteHeader(a.status)
-		_, _ = s.w.Write(a.body)
+		s.share.WriteBody(s.w, a.body)
 		_ = http.NewResponseController(s.w).Flush()
 	})
 }
@@ -69,6 +71,7 @@
 // streamSink writes a model's answer as server-sent events.
 type streamSink struct {
 	w            http.ResponseWriter
+	share        *intake.Share
 	requestID    string
 	service      string
 	incarnations func(server string) string
@@ -116,7 +119,8 @@
 	b.WriteString("data: ")
 	b.Write(data)
 	b.WriteString("\n\n")
-	writeWithTimeout(s.w, s.writeTimeout, func() {
+	// The event is held since it was queued.
+	writeWithTimeout(s.w, s.writeTimeout, s.share, 0, func() {
 		_, _ = s.w.Write([]byte(b.String()))
 		_ = http.NewResponseController(s.w).Flush()
 	})
@@ -124,10 +128,11 @@
 
 // writeWithTimeout bounds a write to a caller that may not read. The deadline
 // is cleared afterwards, because the connection may serve another request.
-func writeWithTimeout(w http.ResponseWriter, timeout time.Duration, write func()) {
+// Bytes of the answer are held by the share meanwhile.
+func writeWithTimeout(w http.ResponseWriter, timeout time.Duration, share *intake.Share, bytes int, write func()) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetWriteDeadline(time.Now().Add(timeout))
-	write()
+	share.Write(bytes, write)
 	_ = controller.SetWriteDeadline(time.Time{})
 }
 
@@ -150,6 +155,7 @@
 // completionSink collects a model's answer for a caller that does not stream.
 type completionSink struct {
 	w            http.ResponseWriter
+	share        *intake.Share
 	requestID    string
 	writeTimeout time.Duration
 	chat         bool
@@ -222,7 +228,7 @@
 	}
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set(headerRequestID, s.requestID)
-	writeWithTimeout(s.w, s.writeTimeout, func() {
+	writeWithTimeout(s.w, s.writeTimeout, s.share, s.text.Len(), func() {
 		_ = json.NewEncoder(s.w).Encode(body)
 		_ = http.NewResponseController(s.w).Flush()
 	})
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -35,13 +35,16 @@
 	breaks atomic.Bool
 	// rejects is the status of whole answers in place of streams, 0 for none.
 	rejects atomic.Int64
-	calls   atomic.Int64
+	// body is the body of whole answers.
+	body  []byte
+	calls atomic.Int64
 }
 
 func (v *versionEngine) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	v.calls.Add(1)
 	if status := v.rejects.Load(); status != 0 {
 		w.WriteHeader(int(status))
+		_, _ = w.Write(v.body)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,8 @@
 	// overPart is the part of the budget by which it may be exceeded while victims give
 	// their memory back.
 	overPart = 8
+	// writeBytes is the size of the pieces in which answers are written.
+	writeBytes = 64 << 10
 	// maxRoomWait is how long a request that needs memory waits for that of victims, and
 	// roomCheck how often it looks. Victims give it back in milliseconds, unless the
 	// process waits for a processor.
@@ -229,6 +232,19 @@
 	s.bytes.Add(int64(-bytes))
 }
 
+// WriteBody writes data in pieces within Write, so that a caller that reads slowly makes
+// progress.
+func (s *Share) WriteBody(w io.Writer, data []byte) {
+	for len(data) > 0 {
+		n := min(len(data), writeBytes)
+		if _, err := w.Write(data[:n]); err != nil {
+			return
+		}
+		s.Progress(n)
+		data = data[n:]
+	}
+}
+
 // Queue holds bytes of an answer that waits to be written, until Unqueue. Another
 // goroutine than that of the request may call it, also after Close.
 func (s *Share) Queue(bytes int) {
