--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -17,6 +17,7 @@
 	"waxwingcart/internal/core/routes"
 	"waxwingcart/internal/core/routing"
 	"waxwingcart/internal/crashguard"
+	"waxwingcart/internal/intake"
 	"waxwingcart/internal/observe"
 	"waxwingcart/internal/rollout"
 	"waxwingcart/internal/room"
@@ -120,6 +121,7 @@
 		sink.refuse(notRunOutcome(reasonBadRequest, err.Error(), 0), nil)
 		return
 	}
+	defer func() { sink.share.Close() }()
 	r := e.prepareRouted(w, req, call, sink)
 	if r == nil {
 		return
@@ -199,13 +201,14 @@
 		sink.refuse(notRunOutcome(reasonUnauthorized, "the key belongs to no customer", 0), nil)
 		return nil
 	}
-	body, err := e.readRouted(w, req, config)
+	sink.share = e.openShare(w, req, customerName(customer))
+	body, err := e.readRouted(w, req, config, sink.share)
 	if err != nil {
 		sink.refuseError(err)
 		return nil
 	}
 	r := e.newRouted(req, call, config, route, customer, arrived)
-	r.sink = sink
+	r.sink, r.share = sink, sink.share
 	sink.bodyRead = true
 	r.message = message{method: req.Method, path: req.RequestURI, header: call.Header, body: body}
 	r.routed.guarded = r.guarded()
@@ -235,7 +238,7 @@
 	return quota.RankClass(route.Rank)
 }
 
-func (e *Entry) readRouted(w http.ResponseWriter, req *http.Request, config *configuration) ([]byte, error) {
+func (e *Entry) readRouted(w http.ResponseWriter, req *http.Request, config *configuration, share *intake.Share) ([]byte, error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.opts.BodyTimeout))
 	limit := e.opts.BodyLimit
@@ -245,7 +248,7 @@
 	if req.ContentLength > limit {
 		return nil, tooLargeError(limit)
 	}
-	body, err := e.readBody(w, req, limit)
+	body, err := e.readBody(w, req, limit, share)
 	if err != nil {
 		return nil, err
 	}
@@ -259,6 +262,15 @@
 // these servers has run the call.
 const maxUnstartedAttempts = 3
 
+// customerName returns a customer's name, or "": callers of a public route need not be
+// customers.
+func customerName(customer *routes.Customer) string {
+	if customer == nil {
+		return ""
+	}
+	return customer.Name
+}
+
 // newRouted returns the run of a routed call.
 func (e *Entry) newRouted(req *http.Request, call Call, config *configuration, route *routes.Route, customer *routes.Customer, arrived time.Duration) *run {
 	allowed := route.Timeout
@@ -266,11 +278,7 @@
 		allowed = min(allowed, call.CallerTimeout)
 	}
 	service := config.services[route.Choose(rand.Float64())]
-	// Callers of a public route need not be customers.
-	name := ""
-	if customer != nil {
-		name = customer.Name
-	}
+	name := customerName(customer)
 	r := &run{
 		entry:        e,
 		id:           call.RequestID,
