--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -11,6 +11,7 @@
 
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/configdelta"
+	"waxwingcart/internal/configsource"
 	"waxwingcart/internal/core/docdiff"
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/routes"
@@ -120,16 +121,14 @@
 	saved bool
 	// firstFetchDone is closed once the first fetch is over.
 	firstFetchDone chan struct{}
-	source         configSource
-	// documents puts numbered documents together from deltas and parts.
-	documents *configdelta.Client
+	source         configsource.Source
+	documents      *configdelta.Client
 	// replicaTimeout and peerTimeout bound one call to a replica and one to
-	// another entry. The source is overdue after overdueAfter.
+	// another entry. The source is overdue after overdueAfter, and at a start any process after answerOverdue.
 	replicaTimeout time.Duration
 	peerTimeout    time.Duration
 	overdueAfter   time.Duration
-	// answerOverdue is how long a starting entry waits for one process before it asks another one as well.
-	answerOverdue time.Duration
+	answerOverdue  time.Duration
 }
 
 func newConfigHolder(e *Entry) *configHolder {
@@ -308,8 +307,8 @@
 	if current := h.current.Load(); current != nil {
 		previous = *current
 	}
-	decoder := configdelta.Decoder{Whole: h.entry.opts.Routed.Decode, Change: h.entry.opts.Routed.DecodeChange}
-	index, err := decoder.Decode(previous.routes, previous.document, numbered)
+	routed := h.entry.opts.Routed
+	index, err := configdelta.Decoder{Whole: routed.Decode, Change: routed.DecodeChange}.Decode(previous.routes, previous.document, numbered)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"waxwingcart/internal/configdelta"
+	"waxwingcart/internal/configsource"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
@@ -97,7 +98,7 @@
 	}
 	h.runFirstFetch(ctx, timeout)
 	if ctx.Err() == nil {
-		h.sourceFailed(noSource, errNoSource)
+		h.sourceFailed(configsource.None, configsource.ErrNone)
 	}
 	h.publish()
 	close(h.firstFetchDone)
@@ -126,7 +127,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := newSearch(h, cancel, fetchRetry, h.apply)
-	if source := h.source.current(); source != noSource {
+	if source := h.source.Current(); source != configsource.None {
 		s.askSource(ctx, source)
 	}
 	if ctx.Err() == nil {
@@ -351,11 +352,11 @@
 	}
 	if ctx.Err() != nil {
 		if err != nil && time.Since(started) >= h.overdueAfter {
-			h.entry.metrics.configFetches.WithLabelValues(fetchTimedOut).Inc()
+			h.entry.metrics.configFetches.WithLabelValues(configsource.FetchTimedOut).Inc()
 		}
 		return response, err
 	}
-	h.entry.metrics.configFetches.WithLabelValues(fetchResult(response, err)).Inc()
+	h.entry.metrics.configFetches.WithLabelValues(configsource.Result(response.GetConfirmed(), err)).Inc()
 	switch {
 	case err != nil:
 		h.entry.logger.Debug().Str("step", "fetch config").Str("peer", address).Err(err).Msg("fetching the configuration from a replica failed")
@@ -363,11 +364,19 @@
 	case response.Confirmed:
 		h.sourceConfirmed(address)
 	default:
-		h.sourceFailed(address, errUnconfirmed)
+		h.sourceFailed(address, configsource.ErrUnconfirmed)
 	}
 	return response, err
 }
 
+func (h *configHolder) sourceConfirmed(address string) {
+	h.source.Confirmed(h.entry.logger, h.entry.now(), address)
+}
+
+func (h *configHolder) sourceFailed(address string, err error) {
+	h.source.Failed(h.entry.logger, h.entry.now(), address, err)
+}
+
 func (h *configHolder) fetchFromPeer(ctx context.Context, peer Peer) (*wire.FetchConfigResponse, error) {
 	call, cancel := rpc.NewProgress().Bound(ctx, h.peerTimeout, max(fetchLongest, h.peerTimeout))
 	defer cancel()
--- a/internal/entry/fetch_test.go
+++ b/internal/entry/fetch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"waxwingcart/internal/configsource"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
 )
@@ -53,7 +54,7 @@
 	text := logTo(e)
 	e.config.sourceConfirmed("first")
 	for range 10 {
-		e.config.sourceFailed("other", errUnconfirmed)
+		e.config.sourceFailed("other", configsource.ErrUnconfirmed)
 		e.config.sourceFailed("first", errors.New("silent"))
 	}
 	e.config.sourceConfirmed("second")
@@ -93,14 +94,14 @@
 	expired, cancel := context.WithTimeout(context.Background(), 0)
 	defer cancel()
 	_, timeout := e.replicas.Stub(serveReplica(t, &leaderReplica{})).FetchConfig(expired, &wire.FetchConfigRequest{})
-	if got := fetchResult(nil, timeout); got != fetchTimedOut {
-		t.Errorf("got %q for a call that ran out of time, want %q", got, fetchTimedOut)
+	if got := configsource.Result(false, timeout); got != configsource.FetchTimedOut {
+		t.Errorf("got %q for a call that ran out of time, want %q", got, configsource.FetchTimedOut)
 	}
 	for result, address := range map[string]string{
-		fetchConfirmed:   serveReplica(t, &leaderReplica{}),
-		fetchUnconfirmed: serveReplica(t, &seedReplica{leader: "127.0.0.1:1"}),
-		fetchUnreachable: "127.0.0.1:1",
-		fetchRefused:     serveReplica(t, &fakeReplica{}),
+		configsource.FetchConfirmed:   serveReplica(t, &leaderReplica{}),
+		configsource.FetchUnconfirmed: serveReplica(t, &seedReplica{leader: "127.0.0.1:1"}),
+		configsource.FetchUnreachable: "127.0.0.1:1",
+		configsource.FetchRefused:     serveReplica(t, &fakeReplica{}),
 	} {
 		_, _ = e.config.fetchFromReplica(context.Background(), address, e.config.request(0), rpc.NewProgress())
 		if got := fetchCount(t, e, result); got != 1 {
