Send requests to idle servers however long their work is

Cause: a prompt that takes longer to read than its target was predicted late at any server and refused always, also with all servers idle; lengthened predictions could refuse others in the same way. The share that gave way for more urgent requests was too small to free the time that they lack. Change: the target is at least the request's own time and a quarter; only waiting for others is lengthened; four times the price gives way. Result: TestLongWorkGoesToIdleServers, which failed before in the refusal of its first request.

--- a/internal/core/placement/contention.go
+++ b/internal/core/placement/contention.go
@@ -29,6 +29,8 @@
 	// urgent rank, and Soon the same if the request waits for the next slot that becomes free at any server
 	// and this entry gets its part of them.
 	Start, Urgent, Soon time.Duration
+	// Alone is the predicted time until the answer begins at the best server if nothing precedes it there.
+	Alone time.Duration
 	// Work is the work of the request at the best server, in tokens.
 	Work float64
 	// Rate is the work that all servers do, and Spare the part that more urgent requests leave, in
@@ -96,7 +98,7 @@
 		urgent.Rank = 0
 		l := p.lookAt(now, s, request)
 		if start := duration(l.begin + l.slot); start < c.Start {
-			c.Start, c.Work = start, l.work
+			c.Start, c.Alone, c.Work = start, duration(l.alone), l.work
 		}
 		c.Urgent = min(c.Urgent, p.startAt(now, s, &urgent))
 		next := p.occupancyOf(s.Service) / float64(max(s.Slots, 1)*len(servers)) * float64(max(entries, 1))
@@ -119,15 +121,16 @@
 }
 
 // look is what a server can do for a request: the time until the answer begins without the wait for a slot,
-// and that wait, both in milliseconds, and the work of the request, in tokens.
-type look struct{ begin, slot, work float64 }
+// that wait, and the time if nothing precedes the request, all in milliseconds, and the work of the request, in tokens.
+type look struct{ begin, slot, alone, work float64 }
 
 func (p *Placer) lookAt(now time.Duration, s *server, request *Request) look {
 	model := p.startModelOf(s.Service)
 	uncached := max(request.Size.PromptTokens-s.cache.cachedTokens(request.Size.Parts, s.CacheTokens), 0)
 	work := attemptWork(uncached, request.Size.PromptTokens)
 	ahead := s.backlogOf(now, model, request.Rank) / (1 - p.urgentLoad(now, request))
-	return look{begin: milliseconds(2*s.Delay) + model.predict(work+ahead), slot: p.slotWait(s, request.Rank), work: work}
+	alone := milliseconds(2*s.Delay) + model.predict(work)
+	return look{begin: alone + ahead/model.rate, slot: p.slotWait(s, request.Rank), alone: alone, work: work}
 }
 
 // startAt returns the time until the answer begins at a server, by the request's rank.
--- a/internal/core/placement/contention_test.go
+++ b/internal/core/placement/contention_test.go
@@ -37,6 +37,11 @@
 	urgent, _ := p.Contention(0, &request, 0, 1)
 	request.Rank = 2
 	late, _ := p.Contention(0, &request, 0, 1)
+	idle := placement.New(2)
+	idle.SetServers(contentionServers(1))
+	if alone, _ := idle.Contention(0, &request, 0, 1); alone.Start != alone.Alone || late.Alone != alone.Alone {
+		t.Errorf("at an idle server after %s, alone after %s and %s", alone.Start, alone.Alone, late.Alone)
+	}
 	if urgent.Start > 350*time.Millisecond || late.Start < 1000*time.Millisecond || urgent.Start != late.Urgent {
 		t.Errorf("rank 0 begins after %s, rank 2 after %s, its most urgent start is %s", urgent.Start, late.Start, late.Urgent)
 	}
--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -30,6 +30,9 @@
 	// to come back, as callers may not come. A quarter let fewer long prompts come back in vain, but more begin late
 	// with engines that take twice the expected time.
 	reserveDivisor = 2
+	// aloneDivisor is the part of the target for which a request may wait for others if its own work takes about as long as
+	// the target, or longer.
+	aloneDivisor = 4
 	// minimumShare is the part of a service's capacity that each kind of request is guaranteed.
 	minimumShare = 0.05
 	// minimumWindow is the time for which an unused minimum accumulates.
@@ -70,6 +73,8 @@
 	// for the most urgent rank, and Soon the same if the request waits here until a slot
 	// becomes free at any server.
 	Start, Urgent, Soon time.Duration
+	// Alone is the predicted time if nothing preceded the request at that server.
+	Alone time.Duration
 	// Rate is the work that all servers do, and Spare the part that more urgent requests leave, in tokens
 	// per second.
 	Rate, Spare float64
@@ -239,7 +244,9 @@
 func (r *Room) decide(now time.Duration, w *held, capacity Capacity) Effect {
 	s := r.service(w.Service)
 	first := now == w.arrived
-	effect := Effect{ID: w.ID, Waited: now - w.arrived, Left: w.Target - (now - w.arrived)}
+	effect := Effect{ID: w.ID, Waited: now - w.arrived}
+	// A request that misses its target even at an idle server is not short of capacity.
+	effect.Left = max(w.Target, capacity.Alone+w.Target/aloneDivisor) - effect.Waited
 	if capacity.Servers == 0 {
 		effect.Reason = ReasonNoServer
 		return effect
@@ -250,7 +257,7 @@
 		c.note(now)
 	}
 	ratio := s.ratio[w.Rank]
-	effect.Start = stretch(capacity.Start, ratio)
+	effect.Start = capacity.lengthened(capacity.Start, ratio)
 	inTime := effect.Start <= effect.Left
 	if first {
 		s.offered(now, w.Rank, !inTime)
@@ -269,7 +276,7 @@
 		needed += min(workTime(effect.Ahead, capacity.Spare), w.Target/reserveDivisor)
 	}
 	effect.Price = s.price(now, w.Rank, r.entries)
-	givesWay := w.draw < effect.Price-minPrice
+	givesWay := w.draw < priceGain*(effect.Price-minPrice)
 	if needed <= effect.Left && !givesWay {
 		k.went(now, w.Work)
 		c.minimum.went(now, w.Work)
@@ -283,7 +290,7 @@
 		effect.Reason, effect.Urgent, effect.Start = ReasonMinimum, true, capacity.Urgent
 		return effect
 	}
-	if !givesWay && !effect.Surge && effect.Waited+LookInterval <= w.Target/holdDivisor && now+LookInterval < w.Deadline && stretch(capacity.Soon, ratio) <= effect.Left {
+	if !givesWay && !effect.Surge && effect.Waited+LookInterval <= w.Target/holdDivisor && now+LookInterval < w.Deadline && capacity.lengthened(capacity.Soon, ratio) <= effect.Left {
 		effect.Action, effect.Reason = Wait, ReasonSlot
 		if inTime {
 			effect.Reason = ReasonReserved
@@ -318,6 +325,12 @@
 	return effect
 }
 
+// lengthened multiplies the part of a prediction by a ratio for which the request waits for others. With idle servers
+// nothing changes, however late answers are.
+func (c *Capacity) lengthened(d time.Duration, ratio float64) time.Duration {
+	return min(c.Alone, d) + stretch(max(d-c.Alone, 0), ratio)
+}
+
 func stretch(d time.Duration, ratio float64) time.Duration {
 	return time.Duration(float64(d) * ratio)
 }
--- a/internal/core/room/room_test.go
+++ b/internal/core/room/room_test.go
@@ -373,6 +373,20 @@
 	}
 }
 
+// A request whose own work takes longer than its target goes to an idle server, however late earlier answers were.
+func TestLongWorkGoesToIdleServers(t *testing.T) {
+	r := New(1)
+	for id := range uint64(100) {
+		now := time.Duration(id) * 10 * ms
+		e, _ := r.Step(now, Arrived{Request{ID: id, Service: "s", Kind: "long", Rank: 1, Target: 500 * ms, Latest: 2 * time.Second, Deadline: now + 3*time.Second, Work: 60_000},
+			Capacity{Servers: 1, Start: 900 * ms, Urgent: 900 * ms, Soon: 900 * ms, Alone: 900 * ms, Rate: 1e5, Spare: 1e5}})
+		if e.Action != Go || e.Reason != ReasonInTime {
+			t.Fatalf("request %d: got %+v", id, e)
+		}
+		r.Step(now, Began{Service: "s", Rank: 1, Left: e.Left, Start: e.Start, Took: 3 * time.Second})
+	}
+}
+
 // A caller that was told to come back goes where a new request gives way to those that are due.
 func TestReturnedGoFirst(t *testing.T) {
 	r := New(1)
--- a/internal/core/room/service.go
+++ b/internal/core/room/service.go
@@ -14,6 +14,9 @@
 	lateStep, inTimeStep = 1.05, 0.99
 	// maxRatio bounds that ratio.
 	maxRatio = 3.0
+	// priceGain is the share of less urgent requests that give way, per share of more urgent ones without
+	// room: of a service's work the less urgent requests are often the larger part.
+	priceGain = 4
 	// busyDivisor is the part of the time to begin from which on a prediction says that servers are busy.
 	busyDivisor = 4
 	// minPrice is the share of requests without room from which on servers are chosen by rank and less urgent
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -214,7 +214,7 @@
 }
 
 func capacityOf(c placement.Contention) room.Capacity {
-	return room.Capacity{Servers: c.Servers, Start: c.Start, Urgent: c.Urgent, Soon: c.Soon, Rate: c.Rate, Spare: c.Spare}
+	return room.Capacity{Servers: c.Servers, Start: c.Start, Urgent: c.Urgent, Soon: c.Soon, Alone: c.Alone, Rate: c.Rate, Spare: c.Spare}
 }
 
 func actionName(a room.Action) string {
