--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -29,6 +29,8 @@
 	// process waits for a processor.
 	maxRoomWait = 250 * time.Millisecond
 	roomCheck   = 2 * time.Millisecond
+	// exportPart is the part of the budget from whose use on the gauges are exported.
+	exportPart = 8
 	// logInterval is the shortest time between two log lines about requests that gave way.
 	logInterval = time.Second
 )
@@ -52,6 +54,8 @@
 	started time.Time
 	logger  *log.Logger
 	shed    *prometheus.CounterVec
+	// export registers the gauges, which appear once much of the budget is used.
+	export func()
 
 	mu     sync.Mutex
 	nextID uint64
@@ -68,13 +72,14 @@
 		Namespace: "waxwingcart", Name: "intake_shed_total",
 		Help: "Requests and answers that gave way because the memory for callers was used up, by cause.",
 	}, []string{"cause"})
-	used := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "waxwingcart", Name: "intake_bytes", Help: "Memory that callers make this process hold.",
 	}, func() float64 { return float64(b.Used()) })
 	limit := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "waxwingcart", Name: "intake_limit_bytes", Help: "Memory that callers may make this process hold.",
 	}, func() float64 { return float64(size) })
-	registry.MustRegister(b.shed, used, limit)
+	registry.MustRegister(b.shed)
+	b.export = sync.OnceFunc(func() { registry.MustRegister(held, limit) })
 	return b
 }
 
@@ -163,6 +168,9 @@
 func (b *Budget) take(bytes int64, s *Share) bool {
 	for waited := time.Duration(0); ; waited += roomCheck {
 		used := b.used.Add(bytes)
+		if used > b.size/exportPart {
+			b.export()
+		}
 		if used <= b.size {
 			return true
 		}
