--- a/internal/configdelta/client.go
+++ b/internal/configdelta/client.go
@@ -252,7 +252,14 @@
 		if held == nil || !hasDigest(held.Content, document.Base) {
 			return nil, "", errBase
 		}
-		content, err := docdiff.Apply(held.Content, document.Delta, docdiff.Digest(document.Digest))
+		delta := document.Delta
+		if document.Deflated {
+			var err error
+			if delta, err = inflate(delta); err != nil {
+				return nil, "", err
+			}
+		}
+		content, err := docdiff.Apply(held.Content, delta, docdiff.Digest(document.Digest))
 		return content, kindDelta, err
 	case len(document.Part) > 0:
 		var earlier *docdiff.Document
--- a/internal/configdelta/store.go
+++ b/internal/configdelta/store.go
@@ -69,6 +69,7 @@
 // Store keeps the latest documents of a replica.
 type Store struct {
 	counters counters
+	encoded  encodedDeltas
 
 	mu sync.Mutex
 	// versions are in ascending order of revision. The newest one is always kept.
@@ -187,9 +188,9 @@
 // addContent adds a delta or, if the document is short, its text.
 func (s *Store) addContent(request *wire.FetchConfigRequest, v version, document *wire.ConfigDocument) {
 	if base, ok := s.lookup(request.HeldDigest); ok {
-		if delta := docdiff.Encode(base.document, v.document); len(delta) < v.document.Size() {
-			document.Base, document.Delta = request.HeldDigest, delta
-			s.counters.count(kindDelta, len(delta))
+		if delta := s.encoded.get(base.document, v.document); len(delta.data) < v.document.Size() {
+			document.Base, document.Delta, document.Deflated = request.HeldDigest, delta.data, delta.deflated
+			s.counters.count(kindDelta, len(delta.data))
 			return
 		}
 	}
