--- a/internal/core/placement/placer.go
+++ b/internal/core/placement/placer.go
@@ -139,7 +139,7 @@
 	for service, a := range p.ownWork {
 		servers := p.byName[service]
 		if len(servers) > 0 && servers[0].CacheTokens > 0 {
-			work[service] = Work{PerSecond: a.decayed(now) / workWindow.Seconds(), Rate: 1000 * p.startModelOf(service).rate * meanSpeed(servers)}
+			work[service] = Work{PerSecond: a.decayed(now) / workWindow.Seconds(), Rate: 1000 * p.startModelOf(service).rate * usableSpeed(servers)}
 		}
 	}
 	return work
--- a/internal/core/placement/speed.go
+++ b/internal/core/placement/speed.go
@@ -123,6 +123,19 @@
 // observed returns the factor that the server's answers show, whatever it reports.
 func (s *speed) observed() float64 { return clampSlowness(math.Exp(s.pace.value)) }
 
+// disturbedPart is the part of their speed that servers which report a factor are expected to do. Prompts queue up
+// during a disturbance, in which work takes 2.5 times as long, and have to be read before the next one.
+const disturbedPart = 0.77
+
+// usableSpeed returns the average speed of servers that is available for prompts, relative to one with the factor 1.
+func usableSpeed(servers []*server) float64 {
+	speed := meanSpeed(servers)
+	if slices.ContainsFunc(servers, func(s *server) bool { return s.loads != nil && s.loads.speed.count > 0 }) {
+		speed *= disturbedPart
+	}
+	return speed
+}
+
 // meanSpeed returns the average speed of servers relative to one with the factor 1.
 func meanSpeed(servers []*server) float64 {
 	sum := 0.0
--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -28,7 +28,7 @@
 	// processing prompts. Beyond it first tokens are late: prompts arrive in
 	// bursts, their lengths differ by a factor of 100, and a short one that waits
 	// behind a long one misses a target of half a second.
-	maxPromptUse = 0.5
+	maxPromptUse = 0.65
 	// peakHoldTime is how long reclaimable servers are kept after a load peak:
 	// about half of a usual load wave, so that servers are not stopped just
 	// before they are needed again.
