--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,7 +6,7 @@
 
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
-go test -race -count=1 -timeout 20m ./... 2>&1 | tee "$output"
+go test -race -count=1 -timeout 30m ./... 2>&1 | tee "$output"
 status=${PIPESTATUS[0]}
 
 if [ -s KNOWN-RED.txt ]; then
