--- a/internal/e2e/hosted_intake_test.go
+++ b/internal/e2e/hosted_intake_test.go
@@ -19,7 +19,7 @@
 	"waxwingcart/internal/settings"
 )
 
-// The crowd and the bounds of these tests were fixed before the product had any defence.
+// Settings of these tests. The bounds follow from the memory and descriptors of the VM under test.
 const (
 	// intakeMemoryMB is the memory of the VM under test, which its settings state. The
 	// process's largest resident size has to stay below it.
