Send a replica with an empty disk the state rather than a long log

With documents of 280 KB the leader had up to 16 appends, 4.5 MB, under way to a peer, counted them as lost after 200 ms and sent them again. The replica lacked the end of 36 MB ten seconds after its return, could not become a voter, and the next loss met another voter. TestLongLogIsReplacedByTheState failed before: the replica was sent all 18 MB. TestCompactionDue, TestShorterSnapshotIsPreferred and TestUnacknowledgedBytesAreBounded check the parts.

--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -141,8 +141,8 @@
 		return
 	}
 	p.probeAfterTimeout(n.now, appendRetryHeartbeats*n.opts.HeartbeatInterval)
-	for p.canAppend(n.log.stable, n.opts.MaxInflight) {
-		if p.next <= n.log.baseIndex {
+	for p.canAppend(n.log.stable, n.opts.MaxInflight, n.opts.MaxInflightBytes) {
+		if p.next <= n.log.baseIndex || p.state == progressProbe && n.log.snapshotIsShorter(p.next) {
 			n.startSnapshot(to, p)
 			return
 		}
@@ -162,7 +162,7 @@
 		Entries:   entries,
 		Commit:    n.log.commit,
 	})
-	p.recordAppend(prev+uint64(len(entries)), n.now)
+	p.recordAppend(sentAppend{last: prev + uint64(len(entries)), bytes: totalBytes(entries)}, n.now)
 }
 
 func (n *Node) receiveAppendReply(m *Message) {
--- a/internal/core/replication/log.go
+++ b/internal/core/replication/log.go
@@ -214,6 +214,21 @@
 	return base
 }
 
+// snapshotIsShorter reports whether the snapshot is smaller than the entries that it covers from index
+// first on, so that a peer which lacks them has them sooner by the snapshot.
+func (l *entryLog) snapshotIsShorter(first uint64) bool {
+	if l.snapshot == nil || first <= l.baseIndex || first > l.snapshot.Index {
+		return false
+	}
+	left := len(l.snapshot.Data)
+	for _, e := range l.entries[first-l.baseIndex-1 : l.snapshot.Index-l.baseIndex] {
+		if left -= entryBytes(&e); left < 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // isUpToDate reports whether a log that ends with the given entry holds all
 // entries that this log may have helped to commit.
 func (l *entryLog) isUpToDate(lastIndex, lastTerm uint64) bool {
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -73,6 +73,7 @@
 	DefaultReplaceAfter      = 30 * time.Second
 	DefaultMaxBatchBytes     = 1 << 20
 	DefaultMaxInflight       = 64
+	DefaultMaxInflightBytes  = 4 << 20
 	DefaultMaxPendingBytes   = 64 << 20
 	DefaultRetainEntries     = 4096
 	DefaultRetainBytes       = 8 << 20
@@ -85,6 +86,7 @@
 	setDefault(&o.ReplaceAfter, DefaultReplaceAfter)
 	setDefault(&o.MaxBatchBytes, DefaultMaxBatchBytes)
 	setDefault(&o.MaxInflight, DefaultMaxInflight)
+	setDefault(&o.MaxInflightBytes, DefaultMaxInflightBytes)
 	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&o.RetainEntries, DefaultRetainEntries)
 	setDefault(&o.RetainBytes, DefaultRetainBytes)
--- a/internal/core/replication/progress.go
+++ b/internal/core/replication/progress.go
@@ -30,8 +30,9 @@
 	match uint64
 	next  uint64
 	state progressState
-	// inflight holds the last index of each unacknowledged append.
-	inflight []uint64
+	// inflight holds the unacknowledged appends, and inflightBytes the size of their entries.
+	inflight      []sentAppend
+	inflightBytes int
 	// probeSent is true while a probe is unanswered.
 	probeSent bool
 	// sentAt is the start of the wait for an acknowledgement.
@@ -54,23 +55,31 @@
 	lostEntries bool
 }
 
+// sentAppend is an append that the peer has not acknowledged. last is the index of its last entry, and
+// bytes the size of its entries.
+type sentAppend struct {
+	last  uint64
+	bytes int
+}
+
 func newProgress(next uint64, now time.Duration) *progress {
 	return &progress{next: next, contactAt: now}
 }
 
-// canAppend reports whether another append may be sent now.
-func (p *progress) canAppend(stable uint64, window int) bool {
+// canAppend reports whether another append may be sent now, given the last synced index and the limits on
+// the number and the size of unacknowledged appends.
+func (p *progress) canAppend(stable uint64, window, windowBytes int) bool {
 	switch p.state {
 	case progressProbe:
 		return !p.probeSent
 	case progressReplicate:
-		return p.next <= stable && len(p.inflight) < window
+		return p.next <= stable && len(p.inflight) < window && p.inflightBytes < windowBytes
 	}
 	return false
 }
 
-// recordAppend records that an append was sent whose last entry is at index.
-func (p *progress) recordAppend(index uint64, now time.Duration) {
+// recordAppend records that an append was sent.
+func (p *progress) recordAppend(sent sentAppend, now time.Duration) {
 	if len(p.inflight) == 0 || p.state == progressProbe {
 		p.sentAt = now
 	}
@@ -78,8 +87,9 @@
 		p.probeSent = true
 		return
 	}
-	p.next = index + 1
-	p.inflight = append(p.inflight, index)
+	p.next = sent.last + 1
+	p.inflight = append(p.inflight, sent)
+	p.inflightBytes += sent.bytes
 }
 
 // probeAfterTimeout returns to probing if no acknowledgement arrived within wait.
@@ -95,6 +105,7 @@
 	p.state = progressProbe
 	p.next = next
 	p.inflight = nil
+	p.inflightBytes = 0
 	p.probeSent = false
 	p.snapshot = nil
 }
@@ -114,7 +125,8 @@
 		return advanced
 	}
 	done := 0
-	for done < len(p.inflight) && p.inflight[done] <= p.match {
+	for done < len(p.inflight) && p.inflight[done].last <= p.match {
+		p.inflightBytes -= p.inflight[done].bytes
 		done++
 	}
 	p.inflight = p.inflight[done:]
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -93,8 +93,10 @@
 	// MaxBatchBytes limits the entries of one append message and the data of
 	// one snapshot message, in bytes.
 	MaxBatchBytes int
-	// MaxInflight limits the unacknowledged append messages to one peer.
-	MaxInflight int
+	// MaxInflight and MaxInflightBytes limit the number of unacknowledged append messages to
+	// one peer and the size of their entries. One message may exceed the size.
+	MaxInflight      int
+	MaxInflightBytes int
 	// MaxPendingBytes limits the data of proposals that are appended but not
 	// yet committed. Beyond it, commands are rejected with RejectBusy.
 	MaxPendingBytes int
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -42,6 +42,7 @@
 		return
 	}
 	r.applied = entry.Index
+	r.bytesApplied += len(entry.Data)
 	if entry.Kind == replication.EntryMembership {
 		r.logMembership(entry)
 	}
@@ -110,6 +111,8 @@
 func (r *Replica) install(snapshot *replication.Snapshot) {
 	r.applied = snapshot.Index
 	r.compactedAt = snapshot.Index
+	r.snapshotBytes = len(snapshot.Data)
+	r.bytesApplied = 0
 	if len(snapshot.Data) == 0 {
 		return
 	}
@@ -123,25 +126,6 @@
 	r.finishReads()
 }
 
-// compact starts a snapshot once enough entries were applied since the last one
-// or the log in memory is too large. The state is copied here, in the loop, and
-// encoded by runSnapshots.
-func (r *Replica) compact() {
-	if r.compacting || r.applied == r.compactedAt {
-		return
-	}
-	if r.applied < r.compactedAt+compactEntries && r.node.Status().LogBytes < compactBytes {
-		return
-	}
-	snapshot, ok := r.node.SnapshotAt(r.applied, nil)
-	if !ok {
-		return
-	}
-	r.compacting = true
-	r.compactedAt = r.applied
-	r.snapshots <- &snapshotJob{snapshot: snapshot, state: r.machine.Snapshot()}
-}
-
 func (r *Replica) reject(rejection replication.Rejection) {
 	switch rejection.Reason {
 	case replication.RejectLost:
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -16,11 +16,6 @@
 	inboxLength      = 8192
 	maxInboxBatch    = 1024
 	writeQueueLength = 64
-	// compactEntries is the number of applied entries between two snapshots.
-	compactEntries = 20000
-	// compactBytes is the size of the in-memory log that triggers a snapshot
-	// before compactEntries is reached.
-	compactBytes = 64 << 20
 )
 
 // task is a unit of work for the event loop: an event or a function.
@@ -53,12 +48,6 @@
 	err     error
 }
 
-// snapshotJob is a copy of the state to be encoded and saved.
-type snapshotJob struct {
-	snapshot replication.Snapshot
-	state    *state.Snapshot
-}
-
 // run passes events to the node and executes their effects until the context
 // is done or a fatal error is reported.
 func (r *Replica) run(ctx context.Context) error {
@@ -78,6 +67,7 @@
 			r.step(replication.Persisted{Sequence: sequence})
 		case snapshot := <-r.savedSnapshots:
 			r.compacting = false
+			r.snapshotBytes = len(snapshot.Data)
 			r.step(replication.Compacted{Snapshot: snapshot})
 		case t := <-r.inbox:
 			r.handle(t)
@@ -251,36 +241,3 @@
 	default:
 	}
 }
-
-// runSnapshots encodes and saves snapshots. It runs concurrently with the
-// writer, so that log writes don't wait for snapshots.
-func (r *Replica) runSnapshots(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case job := <-r.snapshots:
-			err := r.writeSnapshot(ctx, job)
-			if ctx.Err() != nil {
-				return
-			}
-			if err != nil {
-				r.reportFatal("snapshot", err)
-				return
-			}
-		}
-	}
-}
-
-func (r *Replica) writeSnapshot(ctx context.Context, job *snapshotJob) error {
-	data, err := codec.EncodeState(job.state)
-	if err != nil {
-		return fmt.Errorf("encode snapshot: %w", err)
-	}
-	job.snapshot.Data = data
-	if err := r.untilRoom(ctx, "snapshot", func() error { return r.log.SaveSnapshot(job.snapshot) }); err != nil {
-		return err
-	}
-	r.savedSnapshots <- job.snapshot
-	return nil
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -39,11 +39,14 @@
 
 // Limits of the replicated log.
 const (
-	maxBatchBytes   = 256 << 10
-	maxInflight     = 16
-	maxPendingBytes = 64 << 20
-	retainEntries   = 20000
-	maxVoters       = 5
+	maxBatchBytes = 256 << 10
+	maxInflight   = 16
+	// maxInflightBytes is far below what a replica receives and stores until an append counts as
+	// lost. Beyond that, the leader would send long entries again and again.
+	maxInflightBytes = 1 << 20
+	maxPendingBytes  = 64 << 20
+	retainEntries    = 20000
+	maxVoters        = 5
 )
 
 // Peer is a replica that is named in the settings.
@@ -136,8 +139,12 @@
 	// unaddressed holds the nodes for which messages were dropped, as no address is known.
 	unaddressed map[replication.NodeID]bool
 	applied     uint64
-	compactedAt uint64
-	compacting  bool
+	// compactedAt is the index of the latest snapshot, snapshotBytes the size of its data, and
+	// bytesApplied the size of the entries that were applied since.
+	compactedAt   uint64
+	snapshotBytes int
+	bytesApplied  int
+	compacting    bool
 	// applyFailed is true once a committed entry or a snapshot could not be
 	// decoded.
 	applyFailed bool
@@ -219,6 +226,7 @@
 	if snapshot := restored.Snapshot; snapshot != nil {
 		r.applied = snapshot.Index
 		r.compactedAt = snapshot.Index
+		r.snapshotBytes = len(snapshot.Data)
 		if len(snapshot.Data) > 0 {
 			state, err := codec.DecodeState(snapshot.Data)
 			if err != nil {
@@ -260,6 +268,7 @@
 		MaxClockDrift:     maxClockDrift,
 		MaxBatchBytes:     maxBatchBytes,
 		MaxInflight:       maxInflight,
+		MaxInflightBytes:  maxInflightBytes,
 		MaxPendingBytes:   maxPendingBytes,
 		RetainEntries:     retainEntries,
 		ReplaceAfter:      replaceAfter,
