Test that requests run on no more servers than their attempts

Change: TestHostedServersWithinAttempts sends lookups and streams with one to three attempts to servers that answer late, fail soon or late, or close connections, and counts the servers that ran each request.

--- a/internal/e2e/hosted_hedge_test.go
+++ b/internal/e2e/hosted_hedge_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -56,3 +58,84 @@
 		t.Errorf("%d lookups with one attempt each reached servers %d times", lookups, arrived)
 	}
 }
+
+// runTroubled plays a trouble that is drawn for a request at this server: it answers late, fails
+// soon or late, or closes the connection. It reports whether the request has ended by that.
+func (e *hostedEngine) runTroubled(w http.ResponseWriter, req *http.Request, id string) bool {
+	const late = 1300 * time.Millisecond
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(e.id + id))
+	trouble := sum.Sum32() % 12
+	if trouble%2 == 1 {
+		select {
+		case <-time.After(late):
+		case <-req.Context().Done():
+		}
+	}
+	switch trouble / 2 {
+	case 0:
+		http.Error(w, "failed", http.StatusInternalServerError)
+	case 1:
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+	return true
+}
+
+// No request may run on more servers than its route has attempts, whether it is hedged, sent again after
+// a failure, or a stream whose silent server is replaced.
+func TestHostedServersWithinAttempts(t *testing.T) {
+	const servers, requests, maxAttempts = 5, 120, 3
+	h := newHostedCluster(t, 1)
+	engines := make([]*hostedEngine, servers)
+	for i := range engines {
+		engines[i] = h.platform.addEngine(t, fmt.Sprintf("i-a%d", i), "ledger")
+		engines[i].troubled.Set(true)
+	}
+	var routes []map[string]any
+	for _, kind := range []string{"safe", "stream"} {
+		for attempts := range maxAttempts {
+			routes = append(routes, map[string]any{
+				"name": fmt.Sprintf("%s-%d", kind, attempts+1), "host": "desk.example", "path_prefix": fmt.Sprintf("/%s-%d/", kind, attempts+1), "type": kind,
+				"resumable": kind == "stream", "timeout_ms": 6000, "slo_ms": 500, "attempts": attempts + 1, "service": "ledger",
+			})
+		}
+	}
+	h.applyDocument(document(7, routes...))
+	var calls sync.WaitGroup
+	for i := range requests {
+		for _, route := range routes {
+			method, header := "GET", ""
+			if route["type"] == "stream" {
+				method, header = "POST", "50,20"
+			}
+			calls.Go(func() {
+				h.call("e1", method, route["path_prefix"].(string)+"1", fmt.Sprintf("%s-%d", route["name"], i), callerKey, "", "Waxwingcart-Token-Count", header)
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	calls.Wait()
+	ranTwice := 0
+	for _, route := range routes {
+		for i := range requests {
+			id, ran := fmt.Sprintf("%s-%d", route["name"], i), 0
+			for _, engine := range engines {
+				if engine.header(id) != nil {
+					ran++
+				}
+			}
+			if limit := route["attempts"].(int); ran > limit {
+				t.Errorf("%s ran on %d servers, its route has %d attempts", id, ran, limit)
+			}
+			if ran > 1 {
+				ranTwice++
+			}
+		}
+	}
+	if ranTwice == 0 {
+		t.Error("no request ran on a second server, so that nothing was tested")
+	}
+	t.Logf("%d of %d requests ran on more than one server", ranTwice, requests*len(routes))
+}
--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -179,6 +179,8 @@
 	crasher *crasher
 	// successor serves the requests after a restart.
 	successor atomic.Pointer[hostedEngine]
+	// troubled makes it run requests in drawn ways that fail or take long.
+	troubled guardedBool
 	// refuse makes it answer that it did not run a request.
 	refuse guardedBool
 	// fail makes it run requests and answer them with status 500.
@@ -337,6 +339,9 @@
 		e.answerEndless(w, id, *name)
 		return
 	}
+	if e.troubled.Load() && e.runTroubled(w, req, id) {
+		return
+	}
 	if raw := e.raw.Load(); raw != nil {
 		raw.answer(w, req)
 		return
