Test an entry beside a crowd of answers that do not end

Cause: a report from other operators: an engine sent bytes without end, in a head or a body, and the machine that read them ran out of memory. Trials with 60 callers had shown nothing; more callers and slow senders had not been tried. Change: TestHostedCrowdOfAnswersInPart has 1,200 calls at an entry with 144 MB and 3,075 descriptors, the smallest VM, whose answers go on without end or a few bytes at a time. smallCluster is split for it. Entries alone call backend servers.

--- a/internal/e2e/hosted_intake_test.go
+++ b/internal/e2e/hosted_intake_test.go
@@ -49,6 +49,20 @@
 	h := newHostedCluster(t, 1)
 	h.platform.addEngine(t, "i-a1", "ledger")
 	h.applyDocument(document(7))
+	connections := intakeSurplus
+	if t.Name() == "TestHostedIntakeDeclaredTooLong" || t.Name() == "TestHostedIntakeUndeclaredTooLong" {
+		connections = intakeConnections
+	}
+	h.restartSmall(name, intakeMemoryMB, intakeDescriptors, connections)
+	h.eventually("a caller is served", h.servesCaller)
+	h.eventually("a document is read", func() bool { return h.version("r1") == 7 })
+	return h
+}
+
+// restartSmall starts a process again as on a VM with little memory and few descriptors.
+func (h *hostedCluster) restartSmall(name string, memoryMB, descriptors, connections int) {
+	t := h.t
+	t.Helper()
 	_ = h.stop(name, syscall.SIGTERM)
 	v := h.vms[name]
 	data, err := os.ReadFile(v.settingsPath)
@@ -60,13 +74,10 @@
 		t.Fatal(err)
 	}
 	process.Bootstrap = false
-	process.MemoryMB = intakeMemoryMB
-	process.Limits.Connections = intakeSurplus
+	process.MemoryMB = memoryMB
+	process.Limits.Connections = connections
 	// A body or header may take longer than the test does.
 	process.Timeouts.ReadBodyMS, process.Timeouts.ReadHeaderMS = 300_000, 300_000
-	if t.Name() == "TestHostedIntakeDeclaredTooLong" || t.Name() == "TestHostedIntakeUndeclaredTooLong" {
-		process.Limits.Connections = intakeConnections
-	}
 	if data, err = json.Marshal(process); err != nil {
 		t.Fatal(err)
 	}
@@ -76,15 +87,12 @@
 		t.Fatal(err)
 	}
 	defer logFile.Close()
-	v.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" run --config "$1"`, intakeDescriptors), binaryPath, v.settingsPath)
+	v.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" run --config "$1"`, descriptors), binaryPath, v.settingsPath)
 	v.cmd.Stdout, v.cmd.Stderr = logFile, logFile
 	if err := v.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	h.eventually("the process answers", func() bool { return h.metricsOf(name) != "" })
-	h.eventually("a caller is served", h.servesCaller)
-	h.eventually("a document is read", func() bool { return h.version("r1") == 7 })
-	return h
 }
 
 // servesCaller reports whether an ordinary request of a caller on a new connection is
@@ -102,12 +110,7 @@
 func (h *hostedCluster) checkBounds(name string) {
 	h.t.Helper()
 	dir := fmt.Sprintf("/proc/%d", h.vms[name].cmd.Process.Pid)
-	status, _ := os.ReadFile(dir + "/status")
-	found := peakPattern.FindSubmatch(status)
-	if found == nil {
-		h.t.Fatalf("%s has ended", name)
-	}
-	peakKB, _ := strconv.Atoi(string(found[1]))
+	peakKB := h.peakKB(name)
 	descriptors, err := os.ReadDir(dir + "/fd")
 	if err != nil {
 		h.t.Fatal(err)
@@ -121,6 +124,18 @@
 	}
 }
 
+// peakKB returns the largest resident size of a process in KiB. It fails the test if the process has ended.
+func (h *hostedCluster) peakKB(name string) int {
+	h.t.Helper()
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.vms[name].cmd.Process.Pid))
+	found := peakPattern.FindSubmatch(status)
+	if found == nil {
+		h.t.Fatalf("%s has ended", name)
+	}
+	peakKB, _ := strconv.Atoi(string(found[1]))
+	return peakKB
+}
+
 // crowd opens connections whose senders write at the same time, and returns once each
 // has written, failed, or met a process that no longer reads. The connections stay open
 // until the test ends.
--- a/internal/e2e/hosted_platform_test.go
+++ b/internal/e2e/hosted_platform_test.go
@@ -191,6 +191,8 @@
 	pause guardedInt
 	// endless names the answer without end that it gives to each request, or is "".
 	endless atomic.Pointer[string]
+	// inPart names the answer that it begins and doesn't complete, or is "".
+	inPart atomic.Pointer[string]
 	// leaving makes all its answers say that it leaves.
 	leaving guardedBool
 	// cutAfter aborts a stream after that many events; negative means never.
@@ -342,6 +344,10 @@
 	if e.troubled.Load() && e.runTroubled(w, req, id) {
 		return
 	}
+	if name := e.inPart.Load(); name != nil {
+		e.answerInPart(w, *name)
+		return
+	}
 	if raw := e.raw.Load(); raw != nil {
 		raw.answer(w, req)
 		return
