Answer requests that still run when a draining entry stops

Callers saw: their request was cut off without an answer when the grace period of a planned stop ended, among them requests that may not be repeated (a report from other operators). Cause: at the end of a drain only streams were ended. A request of an application service went on until its server answered, and the process stayed up for it, beyond the grace period after which it is killed. Change: request.Drain ends every request: as not run if no server has it, otherwise as unknown. A reservation that is pending is awaited and recorded as not run, and the commit of an outcome goes on. Evidence: TestHostedStopAnswersWhatStillRuns failed before (the entry ended 9.4 s after SIGTERM with a grace period of 5 s, the requests were answered after 9.0 s); now all get 502 with outcome unknown, and the entry ends within the period. TestDrainEndsEveryRequest and TestDrainAwaitsCommits check the core.

--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -328,13 +328,18 @@
 	return r.endUnanswered(Outcome{Reason: ReasonCallerGone, Step: "caller"})
 }
 
-// drain ends a stream so that the caller can resume it at another entry at
-// once; the engine continues to generate it.
+// drain ends the request before its entry stops. A stream ends so that the caller can resume it at another
+// entry at once; the engine continues to generate it. Any other request gets an answer that says whether
+// it may have run. A reservation that is pending is awaited, so that it can be recorded as not run, and so is the
+// commit of an outcome.
 func (r *Request) drain() []Effect {
-	if r.spec.Kind != KindModel {
+	switch {
+	case r.state == stateReserving:
+		r.abandoned = true
 		return nil
-	}
-	if r.state == stateRunning && r.position.Stream != "" {
+	case r.state == stateRecording:
+		return nil
+	case r.spec.Kind == KindModel && r.state == stateRunning && r.position.Stream != "":
 		effects := append(r.cancelSecond(), DropAttempt{Attempt: r.current})
 		outcome := Outcome{Kind: OutcomeResumable, Reason: ReasonDraining, Step: "drain"}
 		return append(effects, r.finish(outcome)...)
--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -254,8 +254,8 @@
 // CallerGone reports that the caller closed its connection.
 type CallerGone struct{}
 
-// Drain asks to end a model request early, as resumable if its stream has
-// begun.
+// Drain asks to end the request at once, as resumable if it is a stream that has begun, since the entry
+// is about to stop.
 type Drain struct{}
 
 // Tick triggers the deadline check, as every event does.
