--- a/internal/core/replication/losses_test.go
+++ b/internal/core/replication/losses_test.go
@@ -136,3 +136,43 @@
 	net.checkProgress(t)
 	net.expectNoViolations(t)
 }
+
+// The disks of all hosts take no writes for some seconds, one after the other, while commands are proposed, the
+// log is compacted, and voters are replaced meanwhile. Each time and in the end, commands must be committed again
+// without further help.
+func TestDisksStallInTurn(t *testing.T) {
+	for seed := range uint64(20) {
+		opts := testOptions()
+		opts.MinVoters = opts.TargetVoters
+		net, _, _ := newSettledNetworkWith(t, seed, 4, opts)
+		rounds := func(h *host, count int) {
+			for range count {
+				if leader := net.leader(); leader != nil {
+					net.propose(leader)
+				}
+				net.run(100 * time.Millisecond)
+				if other := net.hosts[net.rand.IntN(len(net.hosts))]; other != h {
+					net.compact(other)
+				}
+			}
+		}
+		for range 12 {
+			stalled := net.hosts[net.rand.IntN(len(net.hosts))]
+			if leader := net.leader(); leader != nil && net.rand.IntN(2) == 0 {
+				stalled = leader
+			}
+			stalled.extraSyncTime = 4 * time.Second
+			rounds(stalled, 15+net.rand.IntN(30))
+			stalled.extraSyncTime = 0
+			stalled.writeDoneAt = min(stalled.writeDoneAt, net.now)
+			before := len(net.committedDigests)
+			rounds(nil, 20)
+			if len(net.committedDigests) == before {
+				t.Fatalf("seed %d: nothing was committed for two seconds after the disk of %v took writes again", seed, stalled.self.ID)
+			}
+		}
+		net.run(5 * time.Second)
+		net.checkProgress(t)
+		net.expectNoViolations(t)
+	}
+}
