--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -376,8 +376,8 @@
 
 // Drain makes the entry unready and waits until no request is in flight, and no other entry's
 // connection to a backend server goes through this one. At
-// the deadline, it ends streams in a resumable state and refuses waiting
-// requests. With a deadline of zero it waits until every request has ended by
+// the deadline, it ends streams in a resumable state, refuses waiting requests, and answers
+// all others that they may have run. With a deadline of zero it waits until every request has ended by
 // itself.
 func (e *Entry) Drain(ctx context.Context, deadline time.Duration) {
 	e.beginDrain()
@@ -397,9 +397,9 @@
 		case <-ctx.Done():
 		}
 	case <-timeout:
-		e.endStreams(ctx)
+		e.endRequests(ctx)
 	case <-ctx.Done():
-		e.endStreams(context.Background())
+		e.endRequests(context.Background())
 	}
 	e.logger.Info().Str("step", "drain").Msg("drain finished")
 }
@@ -424,7 +424,8 @@
 // after the drain's deadline.
 const finalEventTimeout = 2 * time.Second
 
-func (e *Entry) endStreams(ctx context.Context) {
+// endRequests ends the requests in flight and waits until their callers have been answered.
+func (e *Entry) endRequests(ctx context.Context) {
 	e.forEachRun(func(r *run) { r.drain() })
 	timer := time.NewTimer(finalEventTimeout)
 	defer timer.Stop()
