Shut the server under test down only once it serves

Cause: TestRequestDuringShutdownIsAnswered started http.Server.Serve in a goroutine and could call Shutdown before it. Change: serveCallers waits until Serve has begun. What the test expects is unchanged.

Not run on arm64.

--- a/internal/entry/linger_test.go
+++ b/internal/entry/linger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -88,7 +89,14 @@
 	}
 	server.Handler = http.HandlerFunc(e.ServeRouted)
 	server.ConnContext, server.ConnState = ConnContext, ConnState
+	serving := make(chan struct{})
+	server.BaseContext = func(net.Listener) context.Context {
+		close(serving)
+		return context.Background()
+	}
 	go func() { _ = server.Serve(e.CallerListener(listener)) }()
+	// A server that is shut down before it serves accepts no connection.
+	<-serving
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
 }
