--- a/internal/core/replication/compaction.go
+++ b/internal/core/replication/compaction.go
@@ -1,8 +1,8 @@
 package replication
 
 // CompactionLimits bounds the entries between two snapshots of the state machine. A snapshot is due once the
-// entries are as large as the previous snapshot, so that what a replica reads or is sent is at most twice the
-// size of the state, and snapshots cost no more than the log.
+// entries are as large as the previous snapshot: then a replica without state is sent little more than twice the
+// size of the state, and snapshots write no more than the log does.
 type CompactionLimits struct {
 	// Entries is the number of entries after which a snapshot is due whatever their size.
 	Entries uint64
