--- a/internal/e2e/hosted_endlesscrowd_test.go
+++ b/internal/e2e/hosted_endlesscrowd_test.go
@@ -43,7 +43,8 @@
 	}
 }
 
-// An entry must bear that the answers to all its callers stay incomplete or don't end: its memory stays below that of its VM,
+// An entry must bear that the answers to all its callers stay incomplete or don't end: its memory stays below that of
+// its VM,
 // and callers of other services are served.
 func TestHostedCrowdOfAnswersInPart(t *testing.T) {
 	for name := range answersInPart {
--- a/internal/e2e/hosted_hedge_test.go
+++ b/internal/e2e/hosted_hedge_test.go
@@ -59,20 +59,23 @@
 	}
 }
 
-// runTroubled plays a trouble that is drawn for a request at this server: it answers late, fails
-// soon or late, or closes the connection. It reports whether the request has ended by that.
+// runTroubled plays the trouble that is drawn for a request at this server: one in six fails, one in six has its
+// connection closed, and half of these and of all others are late. It reports whether the request has ended.
 func (e *hostedEngine) runTroubled(w http.ResponseWriter, req *http.Request, id string) bool {
-	const late = 1300 * time.Millisecond
+	const (
+		late     = 1300 * time.Millisecond
+		outcomes = 6
+	)
 	sum := fnv.New32a()
 	_, _ = sum.Write([]byte(e.id + id))
-	trouble := sum.Sum32() % 12
-	if trouble%2 == 1 {
+	drawn := sum.Sum32()
+	if isLate := drawn%2 == 1; isLate {
 		select {
 		case <-time.After(late):
 		case <-req.Context().Done():
 		}
 	}
-	switch trouble / 2 {
+	switch drawn / 2 % outcomes {
 	case 0:
 		http.Error(w, "failed", http.StatusInternalServerError)
 	case 1:
@@ -83,6 +86,30 @@
 	return true
 }
 
+// routesWithAttempts returns routes for lookups and streams with one attempt up to a number of them.
+func routesWithAttempts(most int) (routes []map[string]any) {
+	for _, kind := range []string{"safe", "stream"} {
+		for attempts := 1; attempts <= most; attempts++ {
+			name := fmt.Sprintf("%s-%d", kind, attempts)
+			routes = append(routes, map[string]any{
+				"name": name, "host": "desk.example", "path_prefix": "/" + name + "/", "type": kind, "resumable": kind == "stream",
+				"timeout_ms": 6000, "slo_ms": 500, "attempts": attempts, "service": "ledger",
+			})
+		}
+	}
+	return routes
+}
+
+// serversThatRan returns the number of servers that ran the request with an ID.
+func serversThatRan(engines []*hostedEngine, id string) (count int) {
+	for _, engine := range engines {
+		if engine.header(id) != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // No request may run on more servers than its route has attempts, whether it is hedged, sent again after
 // a failure, or a stream whose silent server is replaced.
 func TestHostedServersWithinAttempts(t *testing.T) {
@@ -93,25 +120,17 @@
 		engines[i] = h.platform.addEngine(t, fmt.Sprintf("i-a%d", i), "ledger")
 		engines[i].troubled.Set(true)
 	}
-	var routes []map[string]any
-	for _, kind := range []string{"safe", "stream"} {
-		for attempts := range maxAttempts {
-			routes = append(routes, map[string]any{
-				"name": fmt.Sprintf("%s-%d", kind, attempts+1), "host": "desk.example", "path_prefix": fmt.Sprintf("/%s-%d/", kind, attempts+1), "type": kind,
-				"resumable": kind == "stream", "timeout_ms": 6000, "slo_ms": 500, "attempts": attempts + 1, "service": "ledger",
-			})
-		}
-	}
+	routes := routesWithAttempts(maxAttempts)
 	h.applyDocument(document(7, routes...))
 	var calls sync.WaitGroup
 	for i := range requests {
 		for _, route := range routes {
-			method, header := "GET", ""
+			method, tokens := "GET", ""
 			if route["type"] == "stream" {
-				method, header = "POST", "50,20"
+				method, tokens = "POST", "50,20"
 			}
 			calls.Go(func() {
-				h.call("e1", method, route["path_prefix"].(string)+"1", fmt.Sprintf("%s-%d", route["name"], i), callerKey, "", "Waxwingcart-Token-Count", header)
+				h.call("e1", method, route["path_prefix"].(string)+"1", fmt.Sprintf("%s-%d", route["name"], i), callerKey, "", "Waxwingcart-Token-Count", tokens)
 			})
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -120,12 +139,8 @@
 	ranTwice := 0
 	for _, route := range routes {
 		for i := range requests {
-			id, ran := fmt.Sprintf("%s-%d", route["name"], i), 0
-			for _, engine := range engines {
-				if engine.header(id) != nil {
-					ran++
-				}
-			}
+			id := fmt.Sprintf("%s-%d", route["name"], i)
+			ran := serversThatRan(engines, id)
 			if limit := route["attempts"].(int); ran > limit {
 				t.Errorf("%s ran on %d servers, its route has %d attempts", id, ran, limit)
 			}
