Bound the receive buffers of accepted connections

Callers that send faster than their requests run, such as pipelined bodies behind a request under way, made the kernel hold up to 1.2 MB for each of their connections: the window grows while a body is read and stays. These bytes count against the VM's memory, so a few hundred callers could end an entry, and the same holds at the ports of operators, peers and control.

A listener's sockets now have a receive buffer of 4 KiB (8 KiB as the kernel counts). While a body longer than that is read, its connection gets up to 128 KiB from a thirty-second of the memory, and gives them back once nothing waits in it. Connections that were not accepted hold buffers too: the queue of a listener is bounded by memory, and so is the number of connections (96 KiB of memory each at the main port). TestBoundsFitTheVM adds the bounds up for the deployments' VMs.

--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -156,53 +156,6 @@
 	) < 0
 }
 
-const (
-	// memoryPart is the part of a process's memory that its callers may make it hold.
-	memoryPart = 4
-	// unlimitedBytes is the budget of a process whose settings state no memory.
-	unlimitedBytes = 256 << 20
-)
-
-// Size returns the budget in bytes: a quarter of the process's memory, unless it is
-// set. Beside it, answers of backend servers take 32 MiB, and the heap is limited to
-// 0.7 of the memory.
-func Size(memoryMB, setMB int) int64 {
-	switch {
-	case setMB > 0:
-		return int64(setMB) << 20
-	case memoryMB > 0:
-		return int64(memoryMB) << 20 / memoryPart
-	}
-	return unlimitedBytes
-}
-
-// Descriptor shares: the main port, which is that of callers or, without one, that of
-// peers, takes half of a process's descriptors, the peers of an entry an eighth, and each
-// other port a sixteenth. At least three sixteenths are left for own connections and files.
-const (
-	mainPart  = 2
-	peersPart = 8
-	otherPart = 16
-)
-
-// Port is a kind of port.
-type Port uint8
-
-// The kinds of ports.
-const (
-	PortMain Port = iota
-	PortPeers
-	PortOther
-)
-
-// Connections returns how many connections a port may have: its share of the
-// descriptors, and at most its own limit.
-func Connections(port Port, descriptors uint64, limit int) int {
-	part := map[Port]uint64{PortMain: mainPart, PortPeers: peersPart, PortOther: otherPart}[port]
-	share := max(descriptors/part, 1)
-	return int(min(share, uint64(max(limit, 1))))
-}
-
 // Connection is a connection without a request.
 type Connection struct {
 	ID      uint64
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -101,11 +101,12 @@
 // both roles, and a process with many descriptors keeps its own limits.
 func TestConnections(t *testing.T) {
 	const descriptors = 3075
-	sum := Connections(PortMain, descriptors, 4096) + Connections(PortPeers, descriptors, 4096) + 3*Connections(PortOther, descriptors, 4096)
+	process := Process{Descriptors: descriptors}
+	sum := process.Connections(PortMain, 4096) + process.Connections(PortPeers, 4096) + 3*process.Connections(PortOther, 4096)
 	if left := descriptors - sum; left < descriptors*3/16 {
 		t.Errorf("%d descriptors are left of %d", left, descriptors)
 	}
-	if got := Connections(PortMain, 1<<20, 4096); got != 4096 {
+	if got := (Process{Descriptors: 1 << 20}).Connections(PortMain, 4096); got != 4096 {
 		t.Errorf("got %d connections with many descriptors, want the limit of 4096", got)
 	}
 }
@@ -121,3 +122,26 @@
 		t.Errorf("got %d without idle connections", got)
 	}
 }
+
+// The bounds of the deployments' VMs leave memory for the heap and descriptors for files, whatever all callers do at
+// once.
+func TestBoundsFitTheVM(t *testing.T) {
+	const (
+		// heapPart and programMB are what the heap and the program's own pages take.
+		heapPart, programMB = 0.7, 15
+		reserved            = 200
+	)
+	for _, process := range []Process{
+		{144, 3075}, {160, 4100}, {184, 4100}, {256, 4096}, {280, 4096}, {284, 4100}, {424, 10250},
+	} {
+		main := process.Connections(PortMain, 4096)
+		unread := int64(main+process.Requests())*BaseBuffer*kernelFactor + process.RaisedSize() + int64(process.Backlog(PortMain))*BaseBuffer*kernelFactor
+		left := int64((1-heapPart)*float64(process.MemoryMB)) - programMB
+		if unread > left<<20 {
+			t.Errorf("%d MB: %d MB may lie unread, %d MB are left", process.MemoryMB, unread>>20, left)
+		}
+		if sockets := main + process.Requests(); sockets > int(process.Descriptors)-reserved {
+			t.Errorf("%d descriptors: %d callers and requests", process.Descriptors, sockets)
+		}
+	}
+}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -24,7 +24,7 @@
 		// The space keeps addresses apart from names.
 		group = "address " + host
 	}
-	return e.opts.Intake.Open(group, w)
+	return e.opts.Intake.Open(group, w, req)
 }
 
 // readBody reads a caller's body within a limit in bytes, into memory of the share.
--- a/internal/entry/intake_test.go
+++ b/internal/entry/intake_test.go
@@ -69,7 +69,7 @@
 	engine := &versionEngine{version: "v1"}
 	e := newTakeUpEntry(t, engine)
 	e.opts.Intake = intake.NewBudget(4<<10, e.logger, prometheus.NewRegistry())
-	holder := e.opts.Intake.Open("heirs", httptest.NewRecorder())
+	holder := e.opts.Intake.Open("heirs", httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil))
 	defer holder.Close()
 	if err := errors.Join(holder.Charge(64<<10), holder.Finish()); err != nil {
 		t.Fatal(err)
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -9,6 +9,8 @@
 	"os"
 	"strconv"
 	"time"
+
+	core "waxwingcart/internal/core/intake"
 )
 
 const (
@@ -55,6 +57,11 @@
 		return nil, err
 	}
 	data := make([]byte, 0, size)
+	lower := func() {}
+	defer func() { lower() }()
+	if declared > core.BaseBuffer {
+		lower = s.raise()
+	}
 	for {
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
@@ -68,6 +75,9 @@
 			return nil, s.readError(err)
 		}
 		if len(data) == cap(data) {
+			if len(data) == firstBytes && declared < 0 {
+				lower = s.raise()
+			}
 			if data, err = s.grow(data, most); err != nil {
 				return nil, err
 			}
@@ -75,6 +85,15 @@
 	}
 }
 
+// raise gives the request's connection a larger receive buffer until the function that it returns is
+// called.
+func (s *Share) raise() (lower func()) {
+	if s == nil {
+		return func() {}
+	}
+	return s.conn.raise()
+}
+
 // readError returns the error of a read, or why it was interrupted.
 func (s *Share) readError(err error) error {
 	if s != nil && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -115,7 +134,7 @@
 		controller := http.NewResponseController(w)
 		_ = controller.SetReadDeadline(time.Now().Add(timeout))
 		host, _, _ := net.SplitHostPort(req.RemoteAddr)
-		share := budget.Open(host, w)
+		share := budget.Open(host, w, req)
 		defer share.Close()
 		body, err := share.ReadAll(req.Body, req.ContentLength, limit)
 		if err == nil {
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -1,10 +1,12 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"waxwingcart/internal/core/intake"
+	"waxwingcart/internal/sockbuf"
 )
 
 // scarceCheck is the interval at which a listener without room looks for a connection
@@ -46,11 +49,7 @@
 // oldest connection without a request is closed.
 type Listener struct {
 	net.Listener
-	name    string
-	limit   int
-	budget  *Budget
-	logger  *log.Logger
-	metrics *Metrics
+	opts    ListenerOptions
 	started time.Time
 
 	mu     sync.Mutex
@@ -62,10 +61,21 @@
 	unlogged int
 }
 
+// ListenerOptions configures a Listener.
+type ListenerOptions struct {
+	Name string
+	// Limit is the highest number of connections.
+	Limit  int
+	Budget *Budget
+	// Buffers are the receive buffers of the process. They may be nil.
+	Buffers *sockbuf.Buffers
+	Logger  *log.Logger
+	Metrics *Metrics
+}
+
 // Listen wraps a listener.
-func Listen(listener net.Listener, name string, limit int, budget *Budget, logger *log.Logger, metrics *Metrics) *Listener {
-	return &Listener{Listener: listener, name: name, limit: limit, budget: budget, logger: logger, metrics: metrics,
-		started: time.Now(), conns: make(map[uint64]*Conn)}
+func Listen(listener net.Listener, opts ListenerOptions) *Listener {
+	return &Listener{Listener: listener, opts: opts, started: time.Now(), conns: make(map[uint64]*Conn)}
 }
 
 // Conn is a connection of a Listener.
@@ -78,6 +88,8 @@
 	// by the listener's lock.
 	idle  bool
 	since time.Duration
+	// raised is the larger receive buffer that the connection had, while bytes wait in it.
+	raised atomic.Pointer[sockbuf.Raised]
 }
 
 // Accept returns the next connection, once there is room for it.
@@ -90,7 +102,7 @@
 		if l.closeOldest() {
 			continue
 		}
-		l.budget.ShedIdle()
+		l.opts.Budget.ShedIdle()
 		time.Sleep(scarceCheck)
 	}
 	address, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
@@ -113,7 +125,7 @@
 func (l *Listener) hasRoom() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.done || len(l.conns) < l.limit
+	return l.done || len(l.conns) < l.opts.Limit
 }
 
 // closeOldest closes the oldest connection without a request and reports whether there
@@ -141,15 +153,42 @@
 	}
 	l.mu.Unlock()
 	_ = c.Close()
-	l.metrics.closed.WithLabelValues(l.name).Inc()
+	l.opts.Metrics.closed.WithLabelValues(l.opts.Name).Inc()
 	if report {
-		l.logger.Warn().Str("step", "intake").Str("listener", l.name).Int("limit", l.limit).Int("closed", closed).
+		l.opts.Logger.Warn().Str("step", "intake").Str("listener", l.opts.Name).Int("limit", l.opts.Limit).Int("closed", closed).
 			Str("peer", victim.Address).Int64("idle_ms", (time.Since(l.started) - victim.Since).Milliseconds()).
 			Msg("connections without a request were closed because connections are scarce")
 	}
 	return true
 }
 
+// Read reads bytes of requests.
+func (c *Conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n < len(data) {
+		c.drained()
+	}
+	return n, err
+}
+
+// drained notes that nothing waits in a larger receive buffer that the connection had.
+func (c *Conn) drained() { c.raised.Swap(nil).Drained() }
+
+// raise gives the connection a larger receive buffer while a long body is read. The function that it
+// returns ends that.
+func (c *Conn) raise() (lower func()) {
+	if c == nil {
+		return func() {}
+	}
+	c.drained()
+	raised := c.listener.opts.Buffers.Raise(c.Conn)
+	return func() {
+		if raised.Lower() {
+			c.raised.Store(raised)
+		}
+	}
+}
+
 // SetIdle notes whether the connection has no request.
 func (c *Conn) SetIdle(idle bool) {
 	c.listener.mu.Lock()
@@ -168,6 +207,7 @@
 // Close closes the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.drained()
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c.id)
 	c.listener.mu.Unlock()
@@ -184,15 +224,35 @@
 
 // SetIdle notes whether the connection within others has no request.
 func SetIdle(conn net.Conn, idle bool) {
+	if c := connWithin(conn); c != nil {
+		c.SetIdle(idle)
+	}
+}
+
+// connWithin returns the Conn within a connection, or nil.
+func connWithin(conn net.Conn) *Conn {
 	for conn != nil {
 		if c, ok := conn.(*Conn); ok {
-			c.SetIdle(idle)
-			return
+			return c
 		}
 		within, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
-			return
+			return nil
 		}
 		conn = within.NetConn()
 	}
+	return nil
+}
+
+type connKey struct{}
+
+// ConnContext lets the share of a request find its connection. It is a hook of http.Server.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, connWithin(conn))
+}
+
+// connOf returns the connection of a request, or nil.
+func connOf(req *http.Request) *Conn {
+	conn, _ := req.Context().Value(connKey{}).(*Conn)
+	return conn
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -109,8 +109,10 @@
 
 	mu    sync.Mutex
 	state state
-	// w is the request's, whose connection's deadlines end a read or write.
+	// w is the request's, whose connection's deadlines end a read or write, and conn the
+	// connection, or nil.
 	w      http.ResponseWriter
+	conn   *Conn
 	cause  intake.Cause
 	closed bool
 }
@@ -120,11 +122,11 @@
 // Open returns a share of a group, the customer or address, for a body that is about to
 // be read. If it gives way, it ends reads and writes of the request's connection by their
 // deadlines, and none after Close.
-func (b *Budget) Open(group string, w http.ResponseWriter) *Share {
+func (b *Budget) Open(group string, w http.ResponseWriter, req *http.Request) *Share {
 	if b == nil {
 		return nil
 	}
-	s := &Share{budget: b, group: group, since: b.now(), state: stateReading, w: w}
+	s := &Share{budget: b, group: group, since: b.now(), state: stateReading, w: w, conn: connOf(req)}
 	s.last.Store(int64(s.since))
 	b.mu.Lock()
 	b.nextID++
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -20,6 +20,8 @@
 	"waxwingcart/internal/observe"
 )
 
+var testRequest = httptest.NewRequest(http.MethodPost, "/", nil)
+
 func newTestBudget(size int64) *Budget {
 	return NewBudget(size, observe.NewLogger(io.Discard, "error", "e1", "kochi-a"), prometheus.NewRegistry())
 }
@@ -49,7 +51,7 @@
 	body := strings.Repeat("x", 4<<20)
 	for _, declared := range []int64{4 << 20, -1} {
 		b := newTestBudget(1 << 20)
-		share := b.Open("heirs", newDeadlines())
+		share := b.Open("heirs", newDeadlines(), testRequest)
 		data, err := share.ReadAll(iotest.HalfReader(strings.NewReader(body)), declared, 4<<20)
 		if err != nil || string(data) != body {
 			t.Errorf("declared %d: got %d bytes, %v, want the whole body", declared, len(data), err)
@@ -66,7 +68,7 @@
 func TestBodyOverLimit(t *testing.T) {
 	for _, declared := range []int64{101, -1} {
 		reader := strings.NewReader(strings.Repeat("x", 1000))
-		share := newTestBudget(1<<20).Open("heirs", newDeadlines())
+		share := newTestBudget(1<<20).Open("heirs", newDeadlines(), testRequest)
 		if _, err := share.ReadAll(reader, declared, 100); !errors.Is(err, ErrTooLong) {
 			t.Errorf("declared %d: got %v, want ErrTooLong", declared, err)
 		}
@@ -81,7 +83,7 @@
 func TestStalledBodyGivesWay(t *testing.T) {
 	b := newTestBudget(256 << 10)
 	w := newDeadlines()
-	stalled := b.Open("crowd", w)
+	stalled := b.Open("crowd", w, testRequest)
 	ended := make(chan error, 1)
 	go func() {
 		_, err := stalled.ReadAll(io.MultiReader(strings.NewReader(strings.Repeat("x", 200<<10)), w), -1, 1<<20)
@@ -91,7 +93,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	stalled.last.Add(-int64(2 * intake.StallTime))
-	other := b.Open("heirs", newDeadlines())
+	other := b.Open("heirs", newDeadlines(), testRequest)
 	if _, err := other.ReadAll(strings.NewReader(strings.Repeat("x", 100<<10)), 100<<10, 1<<20); err != nil {
 		t.Errorf("the other body: %v", err)
 	}
@@ -108,11 +110,11 @@
 // Bodies of requests that may run never give way; new ones are refused instead.
 func TestRunningRequestsStay(t *testing.T) {
 	b := newTestBudget(64 << 10)
-	running := b.Open("heirs", newDeadlines())
+	running := b.Open("heirs", newDeadlines(), testRequest)
 	if _, err := running.ReadAll(bytes.NewReader(make([]byte, 70<<10)), 70<<10, 1<<20); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := b.Open("clerks", newDeadlines()).ReadAll(bytes.NewReader(make([]byte, 20<<10)), 20<<10, 1<<20); !errors.Is(err, ErrFull) {
+	if _, err := b.Open("clerks", newDeadlines(), testRequest).ReadAll(bytes.NewReader(make([]byte, 20<<10)), 20<<10, 1<<20); !errors.Is(err, ErrFull) {
 		t.Errorf("another body: got %v, want ErrFull", err)
 	}
 	if err := running.err(); err != nil {
@@ -124,7 +126,7 @@
 func TestUnreadAnswerGivesWay(t *testing.T) {
 	b := newTestBudget(64 << 10)
 	w := newDeadlines()
-	reader := b.Open("crowd", w)
+	reader := b.Open("crowd", w, testRequest)
 	if err := reader.Finish(); err != nil {
 		t.Fatal(err)
 	}
@@ -138,7 +140,7 @@
 	}()
 	<-began
 	reader.last.Add(-int64(2 * intake.StallTime))
-	if err := b.Open("heirs", newDeadlines()).Charge(8 << 10); err != nil {
+	if err := b.Open("heirs", newDeadlines(), testRequest).Charge(8 << 10); err != nil {
 		t.Errorf("another request: %v", err)
 	}
 	<-ended
@@ -174,7 +176,7 @@
 		t.Fatal(err)
 	}
 	logger := observe.NewLogger(io.Discard, "error", "e1", "kochi-a")
-	listener := Listen(inner, "callers", 2, newTestBudget(1<<20), logger, NewMetrics(prometheus.NewRegistry()))
+	listener := Listen(inner, ListenerOptions{Name: "callers", Limit: 2, Budget: newTestBudget(1 << 20), Logger: logger, Metrics: NewMetrics(prometheus.NewRegistry())})
 	defer listener.Close()
 	open := func() (net.Conn, net.Conn) {
 		caller, err := net.Dial("tcp", inner.Addr().String())
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -29,6 +29,7 @@
 	"waxwingcart/internal/replica"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/settings"
+	"waxwingcart/internal/sockbuf"
 	"waxwingcart/internal/wire"
 )
 
@@ -71,6 +72,7 @@
 			newEndlessAnswers,
 			newBudget,
 			newIntakeMetrics,
+			newBuffers,
 			newClient,
 			newReplicas,
 			newReplica,
@@ -241,6 +243,7 @@
 	Operator  *operator.Service
 	Budget    *intake.Budget
 	Intake    *intake.Metrics
+	Buffers   *sockbuf.Buffers
 }
 
 // serve adds the servers for the process's addresses. The stop hooks run in
@@ -323,10 +326,13 @@
 		IdleTimeout:       milliseconds(p.Process.Timeouts.IdleMS),
 		MaxHeaderBytes:    p.Process.Limits.HeaderBytes,
 		ErrorLog:          standardLogger(p.Logger, name),
+		ConnContext:       intake.ConnContext,
 		ConnState:         intake.ConnState,
 	}
 	if name == callersListener && p.Process.Hosted != nil {
-		server.ConnContext = entry.ConnContext
+		server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			return entry.ConnContext(intake.ConnContext(ctx, conn), conn)
+		}
 		server.ConnState = func(conn net.Conn, state http.ConnState) {
 			entry.ConnState(conn, state)
 			intake.ConnState(conn, state)
@@ -342,11 +348,10 @@
 
 // startServer listens on the address and serves in the background.
 func startServer(p components, name, address string, server *http.Server) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(p, name, address)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", name, err)
 	}
-	listener = intake.Listen(listener, name, connectionLimit(p.Process, name), p.Budget, p.Logger, p.Intake)
 	if name == callersListener && p.Process.Hosted != nil {
 		listener = p.Entry.CallerListener(listener)
 	}
