Bound the receive buffers of connections to servers and peers

A backend server that sends faster than the caller reads filled the receive buffer of its connection, and answers of other processes filled theirs: 22 to 66 MB beside a crowd, on VMs of 96 and 256 MB.

Connections to backend servers, directly or through other entries, have the small buffer of accepted ones, and a larger one while a long body is read as a whole.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"waxwingcart/internal/answers"
+	"waxwingcart/internal/sockbuf"
 )
 
 // Options configures a Client. Zero values take the defaults.
@@ -67,6 +68,8 @@
 	// OnEndless is called in the same way with each call whose response exceeds a
 	// bound; the error is an *answers.Error.
 	OnEndless func(call Call, err error)
+	// Buffers are the receive buffers of the process. They may be nil.
+	Buffers *sockbuf.Buffers
 }
 
 // Detour connects to servers by another way than directly. It is told how direct connections
@@ -214,7 +217,7 @@
 // Listens reports whether a new connection to a server can be made within the timeout and
 // stays open, whether it was accepted, and whether it was accepted or refused at all.
 func (c *Client) Listens(ctx context.Context, address string, timeout time.Duration) (listens, accepted, answered bool) {
-	dialer := net.Dialer{Timeout: timeout}
+	dialer := net.Dialer{Timeout: timeout, Control: c.opts.Buffers.Control}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return false, false, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
@@ -229,7 +232,7 @@
 type dialTimeoutKey struct{}
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: c.opts.DialTimeout}
+	dialer := net.Dialer{Timeout: c.opts.DialTimeout, Control: c.opts.Buffers.Control}
 	if timeout, _ := ctx.Value(dialTimeoutKey{}).(time.Duration); timeout > 0 {
 		dialer.Timeout = timeout
 	}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"waxwingcart/internal/answers"
+	"waxwingcart/internal/sockbuf"
 )
 
 // maxFailed bounds the latest failed requests that a connection remembers.
@@ -168,6 +169,17 @@
 	t.conns = append(t.conns, trackedConn{counted, base})
 }
 
+// raise gives the attempt's connection a larger receive buffer. It returns nil if the buffer stays as it
+// is.
+func (t *writeTracker) raise(buffers *sockbuf.Buffers) *sockbuf.Raised {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.conns) == 0 {
+		return nil
+	}
+	return buffers.Raise(t.conns[len(t.conns)-1].conn.Conn)
+}
+
 // failedBefore reports whether no byte of the attempt was written because its request had failed
 // on the connection before.
 func (t *writeTracker) failedBefore() bool {
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"waxwingcart/internal/answers"
+	"waxwingcart/internal/sockbuf"
 )
 
 // watchdog watches a call that makes no progress. It cancels the call, or reports the
@@ -101,8 +102,13 @@
 	received, limit int64
 	// share is the memory that the body or event takes.
 	share *answers.Share
+	// raised is the larger receive buffer of the connection while a long body is read.
+	raised *sockbuf.Raised
 }
 
+// raiseAfter is the number of bytes of a body after which its connection gets a larger receive buffer.
+const raiseAfter = 4 << 10
+
 // Read reads from the body. Any error other than io.EOF is an *Error.
 func (r *pendingResponse) Read(data []byte) (int, error) {
 	if !r.byEvent {
@@ -111,6 +117,9 @@
 	}
 	n, err := r.response.Body.Read(data)
 	r.received += int64(n)
+	if !r.byEvent && r.raised == nil && r.received >= raiseAfter {
+		r.raised = r.tracker.raise(r.client.opts.Buffers)
+	}
 	if r.limit > 0 && r.received > r.limit {
 		return 0, r.fail(PhaseInvalid, answers.TooLong(answers.KindBody, r.limit))
 	}
@@ -139,6 +148,9 @@
 // and its connection is closed.
 func (r *pendingResponse) Close() error {
 	r.wd.stop()
+	// A connection on which more than the answer has arrived is not used again.
+	r.raised.Lower()
+	r.raised.Drained()
 	r.share.Close()
 	if !r.ended.Load() {
 		r.tracker.abandon()
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -24,6 +24,7 @@
 
 	"waxwingcart/internal/core/detour"
 	"waxwingcart/internal/periodic"
+	"waxwingcart/internal/sockbuf"
 )
 
 const (
@@ -52,7 +53,9 @@
 	// HealthPath returns the path of a server's health check.
 	HealthPath func(address string) string
 	// Changed is called when the entry begins or stops to go through other entries.
-	Changed  func()
+	Changed func()
+	// Buffers are the receive buffers of the process. They may be nil.
+	Buffers  *sockbuf.Buffers
 	Logger   *log.Logger
 	Registry *prometheus.Registry
 }
@@ -83,7 +86,7 @@
 
 // New returns a Detour that connects directly.
 func New(opts Options) *Detour {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: opts.Buffers.Control}
 	d := &Detour{opts: opts, decider: detour.New(opts.Seed), dialDirect: func(ctx context.Context, server string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", server)
 	}}
--- a/internal/detour/tunnel.go
+++ b/internal/detour/tunnel.go
@@ -41,7 +41,7 @@
 
 // dialThrough asks a peer for a tunnel to a server.
 func (d *Detour) dialThrough(ctx context.Context, peer, server string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: peerDialTimeout}
+	dialer := net.Dialer{Timeout: peerDialTimeout, Control: d.opts.Buffers.Control}
 	raw, err := dialer.DialContext(ctx, "tcp", peer)
 	if err != nil {
 		return nil, err
@@ -170,7 +170,7 @@
 		return "busy"
 	}
 	defer d.tunnels.remove(t)
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: d.opts.Buffers.Control}
 	conn, err := dialer.DialContext(r.Context(), "tcp", server)
 	if err != nil {
 		w.WriteHeader(http.StatusBadGateway)
--- a/internal/entry/detour.go
+++ b/internal/entry/detour.go
@@ -10,7 +10,7 @@
 func newDetour(e *Entry) *detour.Detour {
 	return detour.New(detour.Options{
 		Now: e.now, Seed: e.incarnation, Secret: e.opts.PeerSecret, Logger: e.logger, Registry: e.opts.Registry,
-		Peers: e.otherEntries, HealthPath: e.healthPath, Changed: func() { e.backends.CloseAllIdle() },
+		Buffers: e.opts.Buffers, Peers: e.otherEntries, HealthPath: e.healthPath, Changed: func() { e.backends.CloseAllIdle() },
 	})
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"waxwingcart/internal/rollout"
 	"waxwingcart/internal/room"
 	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/sockbuf"
 	"waxwingcart/internal/traces"
 	"waxwingcart/internal/wire"
 )
@@ -68,6 +69,8 @@
 	WriteTimeout time.Duration
 	// Intake is the memory for what callers make the process hold; nil sets no limit.
 	Intake *intake.Budget
+	// Buffers are the receive buffers of the process's connections; nil leaves them to the kernel.
+	Buffers *sockbuf.Buffers
 	// Routed is set if calls are served according to a numbered routing
 	// configuration.
 	Routed *RoutedOptions
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -73,12 +73,13 @@
 
 func (e *Entry) backendOptions() backend.Options {
 	if e.opts.Routed == nil {
-		return backend.Options{OnEndless: e.endlessAnswer}
+		return backend.Options{OnEndless: e.endlessAnswer, Buffers: e.opts.Buffers}
 	}
 	return backend.Options{
 		Protocol: e.opts.Routed.Backends, OnLeaving: e.serverLeaving, OnPause: e.serverPause, OnEndless: e.endlessAnswer,
 		OnLimit: e.serverLimit, Limited: func(instance string) bool { return e.policy.limited(instance) },
-		OnLoad: func(call backend.Call, load backend.Load) { e.policy.loads.Observe(call, load) },
+		Buffers: e.opts.Buffers,
+		OnLoad:  func(call backend.Call, load backend.Load) { e.policy.loads.Observe(call, load) },
 	}
 }
 
--- a/internal/process/hosted.go
+++ b/internal/process/hosted.go
@@ -14,6 +14,7 @@
 	"waxwingcart/internal/entry"
 	"waxwingcart/internal/replica"
 	"waxwingcart/internal/settings"
+	"waxwingcart/internal/sockbuf"
 	"waxwingcart/platform"
 )
 
@@ -98,8 +99,9 @@
 }
 
 // newPlatformAPI returns a client of the platform that logs list entries which can't be used.
-func newPlatformAPI(process *settings.Process, endless *endlessAnswers, logger *log.Logger) *platform.API {
+func newPlatformAPI(process *settings.Process, endless *endlessAnswers, buffers *sockbuf.Buffers, logger *log.Logger) *platform.API {
 	api := platform.NewAPI(process.Platform, endless.from(sourcePlatform))
+	api.SetBuffers(buffers)
 	api.OnInvalid(func(peer string, entries int) {
 		logger.Warn().Str("step", "discover").Str("peer", peer).Int("entries", entries).
 			Msg("the list of backend servers has entries that can't be used")
@@ -109,13 +111,13 @@
 
 // configureHostedReplica adds the interfaces to the hosting platform to a
 // replica's options.
-func configureHostedReplica(process *settings.Process, endless *endlessAnswers, opts *replica.Options) {
+func configureHostedReplica(process *settings.Process, endless *endlessAnswers, buffers *sockbuf.Buffers, opts *replica.Options) {
 	hosted := process.Hosted
 	if hosted == nil {
 		return
 	}
 	opts.Platform = ""
-	api := newPlatformAPI(process, endless, opts.Logger)
+	api := newPlatformAPI(process, endless, buffers, opts.Logger)
 	opts.Duties = &replica.DutyOptions{
 		UsageWindow:    time.Duration(hosted.UsageWindowS * float64(time.Second)),
 		LeaseWait:      milliseconds(hosted.DutyLeaseMS),
@@ -139,7 +141,7 @@
 	opts.Routed = &entry.RoutedOptions{
 		Decode:            platform.DecodeDocument,
 		DecodeChange:      platform.DecodeChange,
-		Discover:          newPlatformAPI(process, endless, opts.Logger).List,
+		Discover:          newPlatformAPI(process, endless, opts.Buffers, opts.Logger).List,
 		Callers:           platform.CallerProtocol{},
 		Backends:          platform.BackendProtocol{},
 		UsageWindow:       time.Duration(hosted.UsageWindowS * float64(time.Second)),
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -134,8 +134,9 @@
 	return key, nil
 }
 
-func newClient(keys Keys, endless *endlessAnswers) *rpc.Client {
+func newClient(keys Keys, endless *endlessAnswers, buffers *sockbuf.Buffers) *rpc.Client {
 	client := rpc.NewClient(keys.Peer)
+	client.SetBuffers(buffers)
 	client.OnEndless(endless.from(sourceProcess))
 	return client
 }
@@ -153,7 +154,7 @@
 }
 
 // newReplica returns nil if the process does not have the replica role.
-func newReplica(lc fx.Lifecycle, shutdown fx.Shutdowner, process *settings.Process, client *rpc.Client, endless *endlessAnswers, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) (*replica.Replica, error) {
+func newReplica(lc fx.Lifecycle, shutdown fx.Shutdowner, process *settings.Process, client *rpc.Client, endless *endlessAnswers, buffers *sockbuf.Buffers, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump) (*replica.Replica, error) {
 	if !process.HasRole(settings.RoleReplica) {
 		return nil, nil
 	}
@@ -170,7 +171,7 @@
 		Fail:      func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) },
 	}
 	opts.ReplaceAfter = milliseconds(process.ReplaceVoterMS)
-	configureHostedReplica(process, endless, &opts)
+	configureHostedReplica(process, endless, buffers, &opts)
 	r, err := replica.New(opts)
 	if err != nil {
 		return nil, err
@@ -184,7 +185,7 @@
 }
 
 // newEntry returns nil if the process does not have the entry role.
-func newEntry(lc fx.Lifecycle, process *settings.Process, keys Keys, client *rpc.Client, replicas *rpc.Replicas, endless *endlessAnswers, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump, budget *intake.Budget) *entry.Entry {
+func newEntry(lc fx.Lifecycle, process *settings.Process, keys Keys, client *rpc.Client, replicas *rpc.Replicas, endless *endlessAnswers, logger *log.Logger, registry *prometheus.Registry, dump *observe.Dump, budget *intake.Budget, buffers *sockbuf.Buffers) *entry.Entry {
 	if !process.HasRole(settings.RoleEntry) {
 		return nil
 	}
@@ -201,6 +202,7 @@
 		BodyTimeout:  milliseconds(process.Timeouts.ReadBodyMS),
 		WriteTimeout: milliseconds(process.Timeouts.WriteMS),
 		Intake:       budget,
+		Buffers:      buffers,
 		Client:       client,
 		Logger:       logger,
 		Registry:     registry,
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -16,6 +16,7 @@
 	"github.com/twitchtv/twirp"
 
 	"waxwingcart/internal/answers"
+	"waxwingcart/internal/sockbuf"
 )
 
 // Limits on calls between processes.
@@ -79,6 +80,8 @@
 	http   *http.Client
 	// memory is shared by the answers that are being read.
 	memory *answers.Memory
+	// buffers are the receive buffers of the process, or nil.
+	buffers *sockbuf.Buffers
 	// onEndless, if set, is called with each answer that exceeds a bound.
 	onEndless func(peer string, err error)
 }
@@ -87,6 +90,9 @@
 // error is an *answers.Error. It must be called before the first call.
 func (c *Client) OnEndless(report func(peer string, err error)) { c.onEndless = report }
 
+// SetBuffers sets the receive buffers of the process. It must be called before the first call.
+func (c *Client) SetBuffers(buffers *sockbuf.Buffers) { c.buffers = buffers }
+
 func (c *Client) reportEndless(peer string, err error) {
 	if c.onEndless != nil && answers.KindOf(err) != "" {
 		c.onEndless(peer, err)
@@ -95,27 +101,29 @@
 
 // NewClient returns a client that authenticates with the secret.
 func NewClient(secret string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		secret: secret,
-		memory: answers.NewMemory(answers.MaxMemory),
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConnsPerPeer,
-			IdleConnTimeout:     idleConnTimeout,
-
-			MaxResponseHeaderBytes: answers.MaxHeadBytes,
-			// A compressed answer could be longer than its bytes.
-			DisableCompression: true,
-		}},
-	}
+	c := &Client{secret: secret, memory: answers.NewMemory(answers.MaxMemory)}
+	c.http = &http.Client{Transport: &http.Transport{
+		DialContext:         c.dial,
+		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
+		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: answers.MaxHeadBytes,
+		// A compressed answer could be longer than its bytes.
+		DisableCompression: true,
+	}}
+	return c
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: c.buffers.ControlPeer}
+	return dialer.DialContext(ctx, network, address)
 }
 
 // Separate returns a client with the same secret and connections of its own, so that
 // closing them affects no other calls.
 func (c *Client) Separate() *Client {
 	separate := NewClient(c.secret)
-	separate.memory, separate.onEndless = c.memory, c.onEndless
+	separate.memory, separate.onEndless, separate.buffers = c.memory, c.onEndless, c.buffers
 	return separate
 }
 
