Bound the long answers and the requests of an entry together

Callers that read none of their answers of 4 MB made an entry hold all of them: 561 MB at 1,500 callers on a VM of 96 MB, and ordinary calls got 503. An answer was counted against 32 MiB only until it had been read from its server; while it was written it was held in any case, and cut off after a second without progress. As many as arrived within that second added up. Beside it, nothing bounded the requests that run, each of which takes some 44 KiB and two descriptors.

A long answer (beyond 16 KiB) is now held by its request from the first byte that is read to the last that is written, in memory of its own: half of the budget for callers. At its end answers that nobody reads give way; 16 others wait for that, and further ones fail at once, so that their requests do not pile up. A request runs only if there are descriptors (two fifths) and memory for it: bodies, answers and 44 KiB for each running request stay within 0.4 of the VM's memory. Otherwise it gets 503 with the reason too-many-requests-run; it has not run.

--- a/internal/answers/memory.go
+++ b/internal/answers/memory.go
@@ -29,6 +29,12 @@
 // NewMemory returns a memory with a size in bytes.
 func NewMemory(size int64) *Memory { return &Memory{size: size} }
 
+// Account is what one answer holds of a memory. Set changes the bytes held; it returns an *Error,
+// and changes nothing, if there is no room. Set(0) gives all back.
+type Account interface {
+	Set(bytes int64) error
+}
+
 // Share is what one answer holds of a Memory. It is not safe for concurrent use.
 type Share struct {
 	memory *Memory
@@ -55,9 +61,9 @@
 // Close gives back what the share holds.
 func (s *Share) Close() { _ = s.Set(0) }
 
-// ReadAll reads to the end, at most limit bytes, whose memory it takes from the share.
-// The caller closes the share.
-func (s *Share) ReadAll(r io.Reader, limit int64) ([]byte, error) {
+// ReadAll reads to the end, at most limit bytes, whose memory it takes from the account. The
+// bytes stay held.
+func ReadAll(account Account, r io.Reader, limit int64) ([]byte, error) {
 	data := make([]byte, 0, min(firstBytes, limit+1))
 	for {
 		n, err := r.Read(data[len(data):cap(data)])
@@ -71,7 +77,7 @@
 			return nil, err
 		}
 		if len(data) == cap(data) {
-			if data, err = s.grow(data, limit); err != nil {
+			if data, err = grow(account, data, limit); err != nil {
 				return nil, err
 			}
 		}
@@ -80,15 +86,15 @@
 
 // grow doubles the capacity, at most to the limit and the byte that exceeds it. Both
 // the old and the new bytes are held while they are copied.
-func (s *Share) grow(data []byte, limit int64) ([]byte, error) {
+func grow(account Account, data []byte, limit int64) ([]byte, error) {
 	size := 2 * int64(cap(data))
 	if size >= limit {
 		size = limit + 1
 	}
-	if err := s.Set(int64(cap(data)) + size); err != nil {
+	if err := account.Set(int64(cap(data)) + size); err != nil {
 		return nil, err
 	}
 	grown := make([]byte, len(data), size)
 	copy(grown, data)
-	return grown, s.Set(size)
+	return grown, account.Set(size)
 }
--- a/internal/answers/memory_test.go
+++ b/internal/answers/memory_test.go
@@ -50,7 +50,7 @@
 		for name, reader := range map[string]io.Reader{"whole": strings.NewReader(text), "bytes": iotest.OneByteReader(strings.NewReader(text))} {
 			m := NewMemory(MaxMemory)
 			share := m.Share()
-			got, err := share.ReadAll(reader, limit)
+			got, err := ReadAll(share, reader, limit)
 			if length > limit {
 				if KindOf(err) != KindBody {
 					t.Errorf("%d bytes, %s: got %v, want too many", length, name, err)
@@ -64,7 +64,7 @@
 		}
 	}
 	broken := errors.New("broken")
-	if _, err := NewMemory(1).Share().ReadAll(iotest.ErrReader(broken), limit); !errors.Is(err, broken) {
+	if _, err := ReadAll(NewMemory(1).Share(), iotest.ErrReader(broken), limit); !errors.Is(err, broken) {
 		t.Errorf("got %v, want the error of the reader", err)
 	}
 }
@@ -74,7 +74,7 @@
 	m := NewMemory(MaxMemory)
 	for length, want := range map[int]Kind{MaxBodyBytes: "", MaxBodyBytes + 1: KindBody} {
 		share := m.Share()
-		data, err := share.ReadAll(bytes.NewReader(make([]byte, length)), MaxBodyBytes)
+		data, err := ReadAll(share, bytes.NewReader(make([]byte, length)), MaxBodyBytes)
 		if KindOf(err) != want || err == nil && len(data) != length {
 			t.Errorf("%d bytes: got %d and %v, want kind %q", length, len(data), err, want)
 		}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -217,7 +217,7 @@
 // Listens reports whether a new connection to a server can be made within the timeout and
 // stays open, whether it was accepted, and whether it was accepted or refused at all.
 func (c *Client) Listens(ctx context.Context, address string, timeout time.Duration) (listens, accepted, answered bool) {
-	dialer := net.Dialer{Timeout: timeout, Control: c.opts.Buffers.Control}
+	dialer := net.Dialer{Timeout: timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return false, false, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
@@ -294,6 +294,9 @@
 	// progress timeout, and again after each further timeout. The call then stays open.
 	// Without it, the call is cancelled and fails with PhaseSilent. It must not block.
 	OnSilence func()
+	// Account is what the answer's body or event holds of a memory, and goes on holding once a body has been
+	// read as a whole. If it is nil, the client's own memory is used, until the body has been read.
+	Account answers.Account
 }
 
 // Response is a response whose header has been read.
@@ -360,7 +363,7 @@
 	wd.responded.Store(true)
 	wd.stop()
 	tracker.partRead()
-	pending := &pendingResponse{client: c, call: call, response: response, tracker: tracker, wd: wd, cancel: cancel, share: c.memory.Share()}
+	pending := &pendingResponse{client: c, call: call, response: response, tracker: tracker, wd: wd, cancel: cancel, account: c.account(call)}
 	// A connection is already idle if its response has no body.
 	pending.ended.Store(response.Body == http.NoBody)
 	if err := pending.check(time.Since(sent)); err != nil {
@@ -370,6 +373,14 @@
 	return pending, nil
 }
 
+// account returns the account of a call's answer.
+func (c *Client) account(call Call) answers.Account {
+	if call.Account != nil {
+		return call.Account
+	}
+	return c.memory.Share()
+}
+
 // reportDirect tells the detour how a new direct connection fared, after its head was read or it
 // failed. A failed dial was reported before.
 func (c *Client) reportDirect(ctx context.Context, call Call, tracker *writeTracker, err error) {
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -55,17 +55,18 @@
 	r.limit = answers.MaxStreamBytes
 	reader := NewEventReader(r, r.client.opts.MaxEventBytes)
 	reader.onEvent = r.tracker.partRead
-	reader.share = r.share
+	reader.account = r.account
 	return reader
 }
 
-// readAll reads the whole body, which must not exceed limit bytes.
+// readAll reads the whole body, which must not exceed limit bytes. The account of the call goes on holding
+// it.
 func (r *pendingResponse) readAll(limit int64) ([]byte, error) {
 	if r.response.ContentLength > limit {
 		return nil, r.fail(PhaseInvalid, answers.TooLong(answers.KindBody, limit))
 	}
-	defer r.share.Close()
-	body, err := r.share.ReadAll(r, limit)
+	body, err := answers.ReadAll(r.account, r, limit)
+	r.kept = err == nil && r.call.Account != nil
 	var callErr *Error
 	if err != nil && !errors.As(err, &callErr) {
 		return nil, r.fail(PhaseInvalid, err)
@@ -100,8 +101,9 @@
 	byEvent bool
 	// received counts the body's bytes of a stream, and limit bounds them.
 	received, limit int64
-	// share is the memory that the body or event takes.
-	share *answers.Share
+	// account is what the body or event holds, which stays held after Close if it is kept.
+	account answers.Account
+	kept    bool
 	// raised is the larger receive buffer of the connection while a long body is read.
 	raised *sockbuf.Raised
 }
@@ -151,7 +153,9 @@
 	// A connection on which more than the answer has arrived is not used again.
 	r.raised.Lower()
 	r.raised.Drained()
-	r.share.Close()
+	if !r.kept {
+		_ = r.account.Set(0)
+	}
 	if !r.ended.Load() {
 		r.tracker.abandon()
 	}
--- a/internal/backend/sse.go
+++ b/internal/backend/sse.go
@@ -13,8 +13,8 @@
 type EventReader struct {
 	source *bufio.Reader
 	limit  int
-	// share, if set, is the memory that an event takes.
-	share *answers.Share
+	// account, if set, is what an event holds.
+	account answers.Account
 	// onEvent, if set, is called after each complete event, also one without data.
 	onEvent func()
 }
@@ -79,13 +79,12 @@
 // hold sets the bytes that the current event takes. Its buffers may be twice as large.
 func (r *EventReader) hold(bytes int) error {
 	switch {
-	case r.share == nil:
+	case r.account == nil:
 		return nil
 	case bytes <= smallEvent:
-		r.share.Close()
-		return nil
+		return r.account.Set(0)
 	default:
-		return r.share.Set(2 * int64(bytes))
+		return r.account.Set(2 * int64(bytes))
 	}
 }
 
--- a/internal/core/intake/sizes.go
+++ b/internal/core/intake/sizes.go
@@ -5,9 +5,13 @@
 const (
 	// memoryPart is the part of a process's memory that its callers may make it hold.
 	memoryPart = 4
-	// answerPart is the part of that budget which long answers leave to requests: they take its
-	// rest.
-	answerPart = 4
+	// answerPart is the size of that budget over the memory for long answers of backend servers.
+	answerPart = 2
+	// totalNumerator and totalDenominator are the size of all that requests hold over that budget.
+	totalNumerator, totalDenominator = 8, 5
+	// RequestMemory is what a running request holds beside its body and a long answer: its goroutines and its
+	// connection to a backend server.
+	RequestMemory = 44 << 10
 	// connectionMemory is the memory of a process for each connection at its main port. A connection
 	// without a request takes up to 25 KiB, and its receive buffer 8 KiB.
 	connectionMemory = 96 << 10
@@ -30,9 +34,13 @@
 	return unlimitedBytes
 }
 
-// AnswerRoom returns the part of a budget beyond which long answers of backend servers take no more
-// of it, so that they leave room for requests.
-func AnswerRoom(size int64) int64 { return size - size/answerPart }
+// AnswerSize returns the memory in bytes for long answers of backend servers beside a budget. It is
+// separate, so that answers that nobody reads leave room for requests.
+func AnswerSize(budget int64) int64 { return budget / answerPart }
+
+// TotalSize returns the memory in bytes for all that requests hold: what the budget counts, long answers, and
+// RequestMemory for each request that runs.
+func TotalSize(budget int64) int64 { return budget / totalDenominator * totalNumerator }
 
 // Port is a kind of port.
 type Port uint8
--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -119,7 +119,7 @@
 		result.err = err
 		return result
 	}
-	result.answer = &answer{status: response.Status, header: response.Header, body: body}
+	result.answer = &answer{status: response.Status, header: response.Header, body: body, held: call.Account != nil}
 	return result
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -220,6 +220,9 @@
 		DialTimeout:     milliseconds(r.policy.DialTimeoutMS),
 		ProgressTimeout: a.progressTimeout,
 	}
+	if r.share != nil {
+		call.Account = r.share.Answer()
+	}
 	if r.routed != nil {
 		call.Host = r.routed.host
 		call.Instance = a.server.Name
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -27,9 +27,12 @@
 	return e.opts.Intake.Open(group, w, req)
 }
 
-// readBody reads a caller's body within a limit in bytes, into memory of the share.
+// readBody reads a caller's body within a limit in bytes, into memory of the share, whose request may run then.
 func (e *Entry) readBody(w http.ResponseWriter, req *http.Request, limit int64, share *intake.Share) ([]byte, error) {
 	body, err := share.ReadAll(http.MaxBytesReader(w, req.Body, limit), req.ContentLength, limit)
+	if err == nil {
+		err = share.Begin()
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -40,6 +43,8 @@
 		return nil, refusal(reasonSlowBody, "%v", err)
 	case errors.Is(err, intake.ErrFull):
 		return nil, &callError{reason: reasonMemory, message: err.Error(), retryAfter: addJitter(memoryRetryAfter)}
+	case errors.Is(err, intake.ErrBusy):
+		return nil, &callError{reason: reasonBusy, message: err.Error(), retryAfter: addJitter(memoryRetryAfter)}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, refusal(reasonSlowBody, "body took longer than %s", e.opts.BodyTimeout)
 	default:
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -60,6 +60,7 @@
 	reasonNotReady     request.Reason = "not-ready"
 	reasonSlowBody     request.Reason = "slow-body"
 	reasonMemory       request.Reason = "memory-used-up"
+	reasonBusy         request.Reason = "too-many-requests-run"
 )
 
 var reasonStatus = map[request.Reason]int{
--- a/internal/entry/passthrough.go
+++ b/internal/entry/passthrough.go
@@ -53,7 +53,7 @@
 		a.fail(ctx, err)
 		return
 	}
-	head.body = body
+	head.body, head.held = body, a.run.share != nil
 	if a.worthRetrying(head) {
 		a.failApp(ctx, appResult{answer: head, server: a.server})
 		return
--- a/internal/entry/routedsink.go
+++ b/internal/entry/routedsink.go
@@ -83,7 +83,7 @@
 	if s.run.message.method != http.MethodHead {
 		s.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	s.withWriteTimeout(len(a.body), func() {
+	s.withWriteTimeout(a.unheld(), func() {
 		s.w.WriteHeader(a.status)
 		s.share.WriteBody(s.w, a.body)
 		_ = http.NewResponseController(s.w).Flush()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -44,6 +44,16 @@
 	status int
 	header http.Header
 	body   []byte
+	// held is true if the request's share holds the body.
+	held bool
+}
+
+// unheld returns the length of the body if nothing holds it yet, or 0.
+func (a *answer) unheld() int {
+	if a.held {
+		return 0
+	}
+	return len(a.body)
 }
 
 // run drives the state machine of one request. Its loop runs in the goroutine
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -43,7 +43,7 @@
 	}
 	header.Set(headerRequestID, s.requestID)
 	header.Set("Content-Length", strconv.Itoa(len(a.body)))
-	writeWithTimeout(s.w, s.writeTimeout, s.share, len(a.body), func() {
+	writeWithTimeout(s.w, s.writeTimeout, s.share, a.unheld(), func() {
 		s.w.WriteHeader(a.status)
 		s.share.WriteBody(s.w, a.body)
 		_ = http.NewResponseController(s.w).Flush()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -29,6 +29,11 @@
 	// process waits for a processor.
 	maxRoomWait = 250 * time.Millisecond
 	roomCheck   = 2 * time.Millisecond
+	// maxAnswerWait is how long an answer of a backend server waits for memory: by then answers that nobody
+	// reads have given way.
+	maxAnswerWait = intake.StallTime + maxRoomWait
+	// maxWaitingAnswers is how many of them wait. Each of them keeps its request running.
+	maxWaitingAnswers = 16
 	// exportPart is the part of the budget from whose use on the gauges are exported.
 	exportPart = 8
 	// logInterval is the shortest time between two log lines about requests that gave way.
@@ -41,6 +46,8 @@
 	ErrStalled = errors.New("the caller is too slow while the memory for callers is used up")
 	// ErrFull means that others have the memory.
 	ErrFull = errors.New("the memory for callers is used up")
+	// ErrBusy means that as many requests run as the process has descriptors for.
+	ErrBusy = errors.New("too many requests run")
 )
 
 // causeHeader is the cause of headers without room.
@@ -49,11 +56,18 @@
 // Budget is the memory of a process for what its callers make it hold. It is safe for
 // concurrent use. A nil Budget has no limit.
 type Budget struct {
-	size    int64
-	used    atomic.Int64
-	started time.Time
-	logger  *log.Logger
-	shed    *prometheus.CounterVec
+	size int64
+	used atomic.Int64
+	// answers counts the bytes of long answers of backend servers, which have memory of their own.
+	answers atomic.Int64
+	// running counts requests of callers that run, at most maxRunning unless it is zero.
+	running    atomic.Int64
+	maxRunning int64
+	// waitingAnswers counts the long answers that wait for memory.
+	waitingAnswers atomic.Int64
+	started        time.Time
+	logger         *log.Logger
+	shed           *prometheus.CounterVec
 	// export registers the gauges, which appear once much of the budget is used.
 	export func()
 
@@ -83,8 +97,11 @@
 	return b
 }
 
+// LimitRequests limits how many requests of callers run at once. It must be called before the first of them.
+func (b *Budget) LimitRequests(limit int) { b.maxRunning = int64(limit) }
+
 // Used returns the bytes held.
-func (b *Budget) Used() int64 { return b.used.Load() }
+func (b *Budget) Used() int64 { return b.used.Load() + b.answers.Load() }
 
 // state is what a share's request does.
 type state uint8
@@ -104,6 +121,8 @@
 	group  string
 	since  time.Duration
 	bytes  atomic.Int64
+	// answers counts the bytes of long answers.
+	answers atomic.Int64
 	// arrived counts bytes read or written, and last is when the last one was.
 	arrived, last atomic.Int64
 
@@ -115,6 +134,8 @@
 	conn   *Conn
 	cause  intake.Cause
 	closed bool
+	// begun is true while the request is counted as running.
+	begun atomic.Bool
 }
 
 func (b *Budget) now() time.Duration { return time.Since(b.started) }
@@ -168,28 +189,88 @@
 // and it waits until they have given their memory back. It returns false, and holds
 // nothing, if that takes too long or the share itself has given way.
 func (b *Budget) take(bytes int64, s *Share) bool {
-	for waited := time.Duration(0); ; waited += roomCheck {
+	return await(maxRoomWait, s, func() bool {
 		used := b.used.Add(bytes)
 		if used > b.size/exportPart {
 			b.export()
 		}
-		if used <= b.size {
-			return true
-		}
+		over := max(used-b.size, b.total()-intake.TotalSize(b.size))
 		// A request that is alone is served.
-		if s != nil && used == s.bytes.Load()+bytes {
+		if over <= 0 || s != nil && used-bytes-s.bytes.Load() <= b.size/freedPart {
 			return true
 		}
-		b.makeRoom(used - b.size + b.size/freedPart)
-		if b.used.Load() <= b.size+b.size/overPart {
+		b.makeRoom(over + b.size/freedPart)
+		if b.used.Load() <= b.size+b.size/overPart && b.total() <= intake.TotalSize(b.size) {
 			return true
 		}
 		b.used.Add(-bytes)
-		if waited >= maxRoomWait || s != nil && s.err() != nil {
+		return false
+	})
+}
+
+// takeAnswer holds bytes of a long answer. If there is no room, answers that nobody reads give way, and it
+// waits until they have. Only few wait: others are refused at once.
+func (b *Budget) takeAnswer(bytes int64, s *Share) bool {
+	size := intake.AnswerSize(b.size)
+	ok := func() bool {
+		used := b.answers.Add(bytes)
+		over := max(used-size, b.total()-intake.TotalSize(b.size))
+		if over <= 0 || used-bytes-s.answers.Load() <= size/freedPart {
+			return true
+		}
+		b.answers.Add(-bytes)
+		b.makeAnswerRoom(over + size/freedPart)
+		return false
+	}
+	if ok() {
+		return true
+	}
+	defer b.waitingAnswers.Add(-1)
+	return b.waitingAnswers.Add(1) <= maxWaitingAnswers && await(maxAnswerWait, s, ok)
+}
+
+// begin counts a request that runs. It returns false if there are too many, and answers that nobody reads do
+// not give way in time.
+func (b *Budget) begin() bool {
+	return await(maxRoomWait, nil, func() bool {
+		running := b.running.Add(1)
+		over := b.total() - intake.TotalSize(b.size)
+		if (running <= b.maxRunning || b.maxRunning == 0) && (over <= 0 || running == 1) {
+			return true
+		}
+		b.running.Add(-1)
+		if over > 0 {
+			b.makeRoom(over + b.size/freedPart)
+		} else {
+			b.ShedIdle()
+		}
+		return false
+	})
+}
+
+// total returns the bytes that a request holds.
+func (s *Share) total() int64 {
+	bytes := s.bytes.Load() + s.answers.Load()
+	if s.begun.Load() {
+		bytes += intake.RequestMemory
+	}
+	return bytes
+}
+
+// total returns the bytes that all requests hold.
+func (b *Budget) total() int64 {
+	return b.used.Load() + b.answers.Load() + b.running.Load()*intake.RequestMemory
+}
+
+// await calls ok until it returns true. It returns false after a time, or once a share has given way.
+func await(maxWait time.Duration, s *Share, ok func() bool) bool {
+	for waited := time.Duration(0); !ok(); waited += roomCheck {
+		if waited >= maxWait || s != nil && s.err() != nil {
 			return false
 		}
 		time.Sleep(roomCheck)
 	}
+	return true
 }
 
 // Hold holds bytes that have no share of their own: those of headers. Bodies and answers
@@ -220,6 +301,21 @@
 	b.shedAll(intake.Victims(b.now(), holders, need-pending))
 }
 
+// makeAnswerRoom lets answers that nobody reads give way until at least need bytes of long answers become free.
+func (b *Budget) makeAnswerRoom(need int64) {
+	b.mu.Lock()
+	all, _ := b.holders()
+	answers := all[:0]
+	for _, h := range all {
+		if held := b.shares[h.ID].answers.Load(); h.Kind == intake.KindAnswer && held > 0 {
+			h.Bytes = held
+			answers = append(answers, h)
+		}
+	}
+	b.mu.Unlock()
+	b.shedAll(intake.Victims(b.now(), answers, need))
+}
+
 // holders returns the shares that can give way, and the bytes of those that have and
 // still hold them. The caller holds mu.
 func (b *Budget) holders() (holders []intake.Holder, pending int64) {
@@ -227,7 +323,7 @@
 		s.mu.Lock()
 		state, cause := s.state, s.cause
 		s.mu.Unlock()
-		bytes := s.bytes.Load()
+		bytes := s.total()
 		switch {
 		case cause != "":
 			pending += bytes
--- a/internal/intake/share.go
+++ b/internal/intake/share.go
@@ -1,10 +1,13 @@
 package intake
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"waxwingcart/internal/answers"
 	"waxwingcart/internal/core/intake"
 )
 
@@ -32,6 +35,57 @@
 	return nil
 }
 
+// answerBytes is the part of an answer that is held with its running request.
+const answerBytes = 16 << 10
+
+// Begin notes that a request whose body was read is about to run. It returns ErrBusy if it must not.
+func (s *Share) Begin() error {
+	if s == nil {
+		return nil
+	}
+	if !s.budget.begin() {
+		return ErrBusy
+	}
+	s.begun.Store(true)
+	return nil
+}
+
+// Answer is what an answer of a backend server holds of the memory for long answers, until it is set to 0 or the
+// share of its request is closed. It is not safe for concurrent use.
+type Answer struct {
+	share *Share
+	held  int64
+}
+
+// Answer returns an account that holds nothing.
+func (s *Share) Answer() *Answer { return &Answer{share: s} }
+
+// Set changes the bytes that are held. If there is no room, answers that nobody reads give way, and it waits until
+// they have. It returns an *answers.Error, and changes nothing, if that takes too long: answers that are read at
+// the same time could wait for each other.
+func (a *Answer) Set(bytes int64) error {
+	s := a.share
+	held := max(bytes-answerBytes, 0)
+	more := held - a.held
+	if more > 0 && !s.budget.takeAnswer(more, s) {
+		return &answers.Error{Kind: answers.KindMemory, Detail: fmt.Sprintf("all long answers hold %d bytes, and this one needs %d more", s.budget.answers.Load(), more)}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		// Close has given back what was held.
+		s.budget.answers.Add(-max(more, 0))
+		return errClosed
+	}
+	s.answers.Add(more)
+	s.budget.answers.Add(min(more, 0))
+	a.held = held
+	return nil
+}
+
+// errClosed is the error of an answer whose request has ended.
+var errClosed = errors.New("the request has ended")
+
 // Write runs a write of bytes to the caller. While it lasts, the bytes are held, and
 // it is ended if the caller reads none of them and the memory is used up.
 func (s *Share) Write(bytes int, write func()) {
@@ -110,11 +164,15 @@
 	}
 	s.mu.Lock()
 	s.state, s.closed = stateRunning, true
+	s.budget.answers.Add(-s.answers.Swap(0))
 	s.mu.Unlock()
 	s.budget.mu.Lock()
 	delete(s.budget.shares, s.id)
 	s.budget.mu.Unlock()
 	s.release()
+	if s.begun.Swap(false) {
+		s.budget.running.Add(-1)
+	}
 }
 
 // release gives back what the share holds and keeps it open.
--- a/internal/process/intake.go
+++ b/internal/process/intake.go
@@ -16,7 +16,9 @@
 
 // newBudget returns the memory for what callers make the process hold.
 func newBudget(process *settings.Process, logger *log.Logger, registry *prometheus.Registry) *intake.Budget {
-	return intake.NewBudget(core.Size(process.MemoryMB, process.Limits.IntakeMemoryMB), logger, registry)
+	budget := intake.NewBudget(core.Size(process.MemoryMB, process.Limits.IntakeMemoryMB), logger, registry)
+	budget.LimitRequests(processSize(process).Requests())
+	return budget
 }
 
 func newIntakeMetrics(registry *prometheus.Registry) *intake.Metrics {
