Bound the answers to other processes and operators

A process encoded an answer as soon as it was asked for it and held it until it had been written.

Long answers of these ports (from 64 KiB) now have the memory for long answers, as those of an entry's callers: they are written in pieces, one that is not read for a second gives way, and one for which there is no memory becomes 503. Calls of other processes hold it from before they are encoded, but not while they wait for a change; other handlers before they run, by the length of their latest answer.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -124,38 +125,58 @@
 }
 
 // Buffered returns a handler that reads the bodies of requests within the budget and a
-// limit in bytes before next is called. A body may take as long as timeout.
+// limit in bytes before next is called, and holds the answers while they are written. A body may take as long as
+// timeout.
 func Buffered(budget *Budget, limit int64, timeout time.Duration, next http.Handler) http.Handler {
+	lengths := &answerLengths{}
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if req.ContentLength == 0 {
-			next.ServeHTTP(w, req)
-			return
-		}
 		controller := http.NewResponseController(w)
-		_ = controller.SetReadDeadline(time.Now().Add(timeout))
 		host, _, _ := net.SplitHostPort(req.RemoteAddr)
 		share := budget.Open(host, w, req)
 		defer share.Close()
-		body, err := share.ReadAll(req.Body, req.ContentLength, limit)
+		err := share.bufferBody(controller, req, limit, timeout)
 		if err == nil {
-			// The handler copies the body.
-			err = share.chargeRunning(int64(len(body)))
+			err = share.chargeRunning(lengths.expected(req.URL.Path))
 		}
 		if err != nil {
 			status := refuse(w, controller, err)
 			if budget != nil {
 				budget.logger.Warn().Str("step", "intake").Str("call", fmt.Sprintf("%.100s", req.URL.Path)).Str("peer", req.RemoteAddr).
-					Int("status", status).Int64("declared", req.ContentLength).Err(err).Msg("a body was not read; nothing ran")
+					Int("status", status).Int64("declared", req.ContentLength).Err(err).Msg("a call was refused; nothing ran")
 			}
 			return
 		}
-		_ = controller.SetReadDeadline(time.Time{})
-		req.Body = &buffered{data: body}
-		req.ContentLength = int64(len(body))
-		next.ServeHTTP(w, req)
+		if share == nil {
+			next.ServeHTTP(w, req)
+			return
+		}
+		answer := &heldAnswer{ResponseWriter: w, share: share, account: share.Answer()}
+		next.ServeHTTP(answer, req.WithContext(context.WithValue(req.Context(), answerKey{}, answer)))
+		answer.send()
+		lengths.note(req.URL.Path, answer)
 	})
 }
 
+// bufferBody replaces the body of a request by one that was read.
+func (s *Share) bufferBody(controller *http.ResponseController, req *http.Request, limit int64, timeout time.Duration) error {
+	if req.ContentLength == 0 {
+		return s.Finish()
+	}
+	_ = controller.SetReadDeadline(time.Now().Add(timeout))
+	body, err := s.ReadAll(req.Body, req.ContentLength, limit)
+	if err == nil {
+		// The handler copies the body.
+		err = s.chargeRunning(int64(len(body)))
+	}
+	if err != nil {
+		return err
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	req.Body = &buffered{data: body}
+	req.ContentLength = int64(len(body))
+	return nil
+}
+
 // chargeRunning charges bytes to a share that no longer gives way.
 func (s *Share) chargeRunning(bytes int64) error {
 	if s == nil {
--- a/internal/intake/share.go
+++ b/internal/intake/share.go
@@ -113,15 +113,18 @@
 
 // WriteBody writes data in pieces within Write, so that a caller that reads slowly makes
 // progress.
-func (s *Share) WriteBody(w io.Writer, data []byte) {
-	for len(data) > 0 {
-		n := min(len(data), writeBytes)
-		if _, err := w.Write(data[:n]); err != nil {
-			return
-		}
+func (s *Share) WriteBody(w io.Writer, data []byte) { _, _ = s.writePieces(w, data) }
+
+func (s *Share) writePieces(w io.Writer, data []byte) (written int, err error) {
+	for written < len(data) {
+		n, err := w.Write(data[written:min(len(data), written+writeBytes)])
+		written += n
 		s.Progress(n)
-		data = data[n:]
+		if err != nil {
+			return written, err
+		}
 	}
+	return written, nil
 }
 
 // Queue holds bytes of an answer that waits to be written, until Unqueue. Another
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,6 +17,7 @@
 	"github.com/gorilla/mux"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -298,7 +299,7 @@
 	public := mux.NewRouter()
 	observe.Routes(public, p.Registry)
 	protected := mux.NewRouter()
-	protected.Handle("/dump", p.Dump).Methods(http.MethodGet)
+	protected.Handle("/dump", buffered(p, 0, p.Dump)).Methods(http.MethodGet)
 	service := wire.NewOperatorServer(p.Operator)
 	protected.PathPrefix(service.PathPrefix()).Handler(buffered(p, rpc.MaxBodyBytes, service))
 	public.PathPrefix("/").Handler(rpc.RequireKey(key, protected))
@@ -308,11 +309,11 @@
 func peersHandler(p components) http.Handler {
 	router := mux.NewRouter()
 	if p.Replica != nil {
-		service := wire.NewReplicaServer(p.Replica.Service())
+		service := wire.NewReplicaServer(p.Replica.Service(), twirp.WithServerInterceptors(intake.HoldAnswers))
 		router.PathPrefix(service.PathPrefix()).Handler(buffered(p, rpc.MaxBodyBytes, service))
 	}
 	if p.Entry != nil {
-		service := wire.NewPeerServer(p.Entry.PeerService())
+		service := wire.NewPeerServer(p.Entry.PeerService(), twirp.WithServerInterceptors(intake.HoldAnswers))
 		router.PathPrefix(service.PathPrefix()).Handler(buffered(p, rpc.MaxBodyBytes, service))
 		router.Handle(detour.Path, p.Entry.Detour())
 	}
