--- a/internal/core/request/types.go
+++ b/internal/core/request/types.go
@@ -79,6 +79,9 @@
 	StreamGone bool
 	// Permanent is true if another attempt would fail in the same way.
 	Permanent bool
+	// Local is true if the entry ended the attempt for a reason of its own, such as the memory that the
+	// answer takes. It says nothing about the server.
+	Local bool
 	// Silent is true if the attempt exceeded its progress timeout.
 	Silent bool
 	// Answered is true if the server sent an error answer of its own. The
--- a/internal/e2e/hosted_intakeunread_test.go
+++ b/internal/e2e/hosted_intakeunread_test.go
@@ -72,7 +72,9 @@
 		return map[string]any{"name": name, "host": "desk.example", "path_prefix": "/" + name + "/", "type": kind,
 			"timeout_ms": 8000, "attempts": 1, "service": "crowd"}
 	}
-	return []map[string]any{route("held", "unsafe"), route("large", "safe"), route("flood", "stream")}
+	large := route("large", "safe")
+	large["attempts"] = 2
+	return []map[string]any{route("held", "unsafe"), large, route("flood", "stream")}
 }
 
 // unreadCluster returns a deployment in which one process was started again on a small VM.
@@ -80,11 +82,13 @@
 	t.Helper()
 	h := newHostedCluster(t, 1)
 	h.platform.addEngine(t, "i-a1", "ledger")
-	crowdServer := newHostedEngine("i-c1", "crowd")
-	crowdServer.address = serveLoopback(t, "127.0.0.1:0", unreadServer{crowdServer.id})
-	h.platform.mu.Lock()
-	h.platform.engines = append(h.platform.engines, crowdServer)
-	h.platform.mu.Unlock()
+	for _, id := range []string{"i-c1", "i-c2"} {
+		e := newHostedEngine(id, "crowd")
+		e.address = serveLoopback(t, "127.0.0.1:0", unreadServer{id})
+		h.platform.mu.Lock()
+		h.platform.engines = append(h.platform.engines, e)
+		h.platform.mu.Unlock()
+	}
 	content := document(7, append(unreadRoutes(), extraRoutes...)...)
 	content["services"] = append(content["services"].([]map[string]any), map[string]any{"name": "crowd"})
 	content["limits"] = map[string]any{"max_body_bytes": largeBody}
@@ -318,6 +322,31 @@
 	}}.run(t)
 }
 
+// An entry that lacks the memory for a crowd's answers must not take their servers for faulty: ordinary requests to the
+// same servers are served, and none of the crowd's is sent to further servers.
+func TestHostedIntakeUnreadSameService(t *testing.T) {
+	const ordinary = 10
+	unreadCrowd{vm: "e1", size: tinyVM, callers: 300, port: callersPort, send: asking("/large/1"), beside: func(h *hostedCluster) {
+		for i := range ordinary {
+			time.Sleep(200 * time.Millisecond)
+			if answer := h.call("e1", "POST", "/held/1", fmt.Sprintf("ordinary-%d", i), callerKey, "call"); answer.status != http.StatusOK {
+				t.Errorf("an ordinary request to the crowd's servers got status %d", answer.status)
+			}
+		}
+		failed := h.linesWith("e1", `msg="attempt failed"`)
+		further := 0
+		for _, line := range failed {
+			if strings.Contains(line, " attempt=2 ") {
+				further++
+			}
+		}
+		t.Logf("%d attempts failed, %d of them at further servers", len(failed), further)
+		if further > 0 {
+			t.Error("requests whose answers the entry had no memory for were sent to further servers")
+		}
+	}}.run(t)
+}
+
 // A process that is stopped beside a crowd ends by itself, within its memory.
 func TestHostedIntakeUnreadStop(t *testing.T) {
 	h := unreadCluster(t, "e1", tinyVM)
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -68,10 +68,12 @@
 }
 
 func resultOf(failure request.Failure) routing.Result {
-	switch failure.Phase {
-	case request.PhaseDial:
+	switch {
+	case failure.Local:
+		return routing.ResultAbandoned
+	case failure.Phase == request.PhaseDial:
 		return routing.ResultUnreachable
-	case request.PhaseRefused:
+	case failure.Phase == request.PhaseRefused:
 		return routing.ResultRefused
 	default:
 		return routing.ResultFailed
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"waxwingcart/internal/answers"
 	"waxwingcart/internal/backend"
 	"waxwingcart/internal/chat"
 	"waxwingcart/internal/core/fleet"
@@ -379,6 +380,9 @@
 		failure.Silent = true
 	case backend.PhaseInvalid:
 		failure.StreamGone = true
+		if answers.KindOf(err) == answers.KindMemory {
+			failure.Local, failure.Permanent = true, true
+		}
 	case backend.PhaseAnswered:
 		failure.StreamGone = true
 		failure.Permanent = callErr.Status >= 400 && callErr.Status < 500 && callErr.Status != http.StatusNotFound
