Answer requests beyond the total of running ones

The header of a request found no memory once running requests had used up the total, so that its connection was closed without an answer. Headers now count against the budget alone, and their requests get 503 with Retry-After. Found in reading; not shown by a test.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -194,13 +194,17 @@
 		if used > b.size/exportPart {
 			b.export()
 		}
-		over := max(used-b.size, b.total()-intake.TotalSize(b.size))
+		over := used - b.size
+		if s != nil {
+			// Without a share it is a header, whose request gets an answer at least.
+			over = max(over, b.total()-intake.TotalSize(b.size))
+		}
 		// A request that is alone is served.
 		if over <= 0 || s != nil && used-bytes-s.bytes.Load() <= b.size/freedPart {
 			return true
 		}
 		b.makeRoom(over + b.size/freedPart)
-		if b.used.Load() <= b.size+b.size/overPart && b.total() <= intake.TotalSize(b.size) {
+		if b.used.Load() <= b.size+b.size/overPart && (s == nil || b.total() <= intake.TotalSize(b.size)) {
 			return true
 		}
 		b.used.Add(-bytes)
