Keep a raised receive buffer for a connection's next long body

A sender goes by the largest buffer that it has seen. With the buffer lowered after each long body, the next one on the same connection could exceed it while the process waits for a processor, and the kernel drops what exceeds it: the sender repeats it after 200 ms or more.

The buffer now stays while nothing waits in it, until another connection needs the memory; the oldest gives way.

--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -151,8 +151,7 @@
 func (r *pendingResponse) Close() error {
 	r.wd.stop()
 	// A connection on which more than the answer has arrived is not used again.
-	r.raised.Lower()
-	r.raised.Drained()
+	r.raised.Release()
 	if !r.kept {
 		_ = r.account.Set(0)
 	}
--- a/internal/core/intake/sizes.go
+++ b/internal/core/intake/sizes.go
@@ -17,7 +17,7 @@
 	connectionMemory = 96 << 10
 	// raisedPart is the part of the memory for bytes in raised receive buffers, and backlogPart that
 	// for connections that were not accepted yet.
-	raisedPart  = 32
+	raisedPart  = 64
 	backlogPart = 128
 	// unlimitedBytes is the budget of a process whose settings state no memory.
 	unlimitedBytes = 256 << 20
@@ -123,12 +123,12 @@
 }
 
 const (
-	minBacklog = 128
-	maxBacklog = 4096
+	minMainBacklog = 384
+	minBacklog     = 128
+	maxBacklog     = 4096
 )
 
-// Backlog returns how many connections may wait to be accepted at the main port. At other ports it is
-// the smallest number.
+// Backlog returns how many connections may wait to be accepted at a port.
 func (p Process) Backlog(port Port) int {
 	if p.MemoryMB == 0 {
 		return maxBacklog
@@ -136,5 +136,5 @@
 	if port != PortMain {
 		return minBacklog
 	}
-	return int(min(max(int64(p.MemoryMB)<<20/backlogPart/(BaseBuffer*kernelFactor), minBacklog), maxBacklog))
+	return int(min(max(int64(p.MemoryMB)<<20/backlogPart/(BaseBuffer*kernelFactor), minMainBacklog), maxBacklog))
 }
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -58,10 +58,10 @@
 		return nil, err
 	}
 	data := make([]byte, 0, size)
-	lower := func() {}
-	defer func() { lower() }()
+	end := func() {}
+	defer func() { end() }()
 	if declared > core.BaseBuffer {
-		lower = s.raise()
+		end = s.raise()
 	}
 	for {
 		n, err := body.Read(data[len(data):cap(data)])
@@ -77,7 +77,7 @@
 		}
 		if len(data) == cap(data) {
 			if len(data) == firstBytes && declared < 0 {
-				lower = s.raise()
+				end = s.raise()
 			}
 			if data, err = s.grow(data, most); err != nil {
 				return nil, err
@@ -86,9 +86,9 @@
 	}
 }
 
-// raise gives the request's connection a larger receive buffer until the function that it returns is
-// called.
-func (s *Share) raise() (lower func()) {
+// raise gives the request's connection a larger receive buffer for a long body. The function that it returns is called
+// once that has been read.
+func (s *Share) raise() (end func()) {
 	if s == nil {
 		return func() {}
 	}
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -88,7 +88,7 @@
 	// by the listener's lock.
 	idle  bool
 	since time.Duration
-	// raised is the larger receive buffer that the connection had, while bytes wait in it.
+	// raised is the latest larger receive buffer of the connection.
 	raised atomic.Pointer[sockbuf.Raised]
 }
 
@@ -166,27 +166,24 @@
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n < len(data) {
-		c.drained()
+		c.raised.Load().Drained()
 	}
 	return n, err
 }
 
-// drained notes that nothing waits in a larger receive buffer that the connection had.
-func (c *Conn) drained() { c.raised.Swap(nil).Drained() }
-
-// raise gives the connection a larger receive buffer while a long body is read. The function that it
-// returns ends that.
-func (c *Conn) raise() (lower func()) {
+// raise gives the connection a larger receive buffer for a long body. The function that it returns is called once the
+// body has been read.
+func (c *Conn) raise() (end func()) {
 	if c == nil {
 		return func() {}
 	}
-	c.drained()
-	raised := c.listener.opts.Buffers.Raise(c.Conn)
-	return func() {
-		if raised.Lower() {
-			c.raised.Store(raised)
-		}
+	raised := c.raised.Load()
+	if !raised.Reuse() {
+		raised.Release()
+		raised = c.listener.opts.Buffers.Raise(c.Conn)
+		c.raised.Store(raised)
 	}
+	return raised.Keep
 }
 
 // SetIdle notes whether the connection has no request.
@@ -207,7 +204,7 @@
 // Close closes the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.drained()
+	c.raised.Load().Release()
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c.id)
 	c.listener.mu.Unlock()
--- a/internal/sockbuf/sockbuf.go
+++ b/internal/sockbuf/sockbuf.go
@@ -2,13 +2,13 @@
 // not read count against the memory of a VM, and without a bound the kernel lets megabytes wait in each
 // socket.
 //
-// A connection has a small buffer, and a larger one while a long body is read from it. All larger ones
-// share a part of the memory.
+// A connection has a small buffer, and a larger one for long bodies. All larger ones share a part of the memory.
 package sockbuf
 
 import (
 	"net"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -18,8 +18,11 @@
 
 // Buffers sets the receive buffers of a process. A nil Buffers leaves them to the kernel.
 type Buffers struct {
+	mu sync.Mutex
 	// left is what raised buffers may still take, in bytes.
-	left atomic.Int64
+	left int64
+	// kept are raised buffers that nobody needs now, the oldest first.
+	kept []*Raised
 }
 
 // New returns the Buffers of a process, or nil if its memory is not limited.
@@ -27,9 +30,7 @@
 	if process.MemoryMB == 0 {
 		return nil
 	}
-	b := &Buffers{}
-	b.left.Store(process.RaisedSize())
-	return b
+	return &Buffers{left: process.RaisedSize()}
 }
 
 // Control sets the receive buffer of a socket that connects or listens. Connections inherit it from
@@ -51,17 +52,31 @@
 	return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) })
 }
 
-// Raised is the raised buffer of one connection. Its methods may be called on nil; they are called by
-// one goroutine at a time.
+// state is what a raised buffer is used for.
+type state uint8
+
+const (
+	// stateUsed lasts while a long body is read.
+	stateUsed state = iota
+	// stateKept lasts until the connection's next long body, or until another connection needs the memory:
+	// a sender goes by the buffer that it has seen, and what exceeds a smaller one would be sent again.
+	stateKept
+	// stateWaiting lasts while bytes wait in a buffer that was lowered.
+	stateWaiting
+	stateReleased
+)
+
+// Raised is the raised buffer of one connection. Its methods may be called on nil.
 type Raised struct {
 	buffers *Buffers
 	raw     syscall.RawConn
 	bytes   int64
-	lowered bool
+	// state is guarded by the lock of buffers.
+	state state
 }
 
-// Raise gives a connection a larger receive buffer until Lower. It returns nil if the buffer stays as it
-// is.
+// Raise gives a connection a larger receive buffer until Release, at the cost of kept ones. It returns nil if the
+// buffer stays as it is.
 func (b *Buffers) Raise(conn net.Conn) *Raised {
 	if b == nil {
 		return nil
@@ -70,46 +85,112 @@
 	if raw == nil {
 		return nil
 	}
-	for {
-		left := b.left.Load()
-		buffer, bytes := intake.Raised(left)
-		if buffer == 0 {
-			return nil
-		}
-		if b.left.CompareAndSwap(left, left-bytes) {
-			_ = b.set(raw, buffer)
-			return &Raised{buffers: b, raw: raw, bytes: bytes}
-		}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	buffer, bytes := intake.Raised(b.left)
+	for ; buffer == 0 && len(b.kept) > 0; buffer, bytes = intake.Raised(b.left) {
+		b.kept[0].lower()
 	}
+	if buffer == 0 {
+		return nil
+	}
+	b.left -= bytes
+	_ = b.set(raw, buffer)
+	return &Raised{buffers: b, raw: raw, bytes: bytes}
 }
 
-// Lower gives the connection its usual buffer back. It reports whether bytes still wait in the larger
-// one: then Drained has to be called once they have been read, or the connection is closed.
-func (r *Raised) Lower() (waiting bool) {
-	if r == nil || r.lowered {
+// Reuse takes a kept buffer for the next long body. It returns false if there is none any more.
+func (r *Raised) Reuse() bool {
+	if r == nil {
 		return false
 	}
-	r.lowered = true
-	_ = r.buffers.set(r.raw, intake.BaseBuffer)
-	unread := -1
-	_ = r.raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
-			unread = n
-		}
-	})
-	if unread != 0 && unread >= intake.BaseBuffer {
-		return true
+	r.buffers.mu.Lock()
+	defer r.buffers.mu.Unlock()
+	if r.state != stateKept {
+		return false
 	}
-	r.Drained()
-	return false
+	r.unkeep()
+	r.state = stateUsed
+	return true
 }
 
-// Drained gives back what the larger buffer takes.
+// Keep notes that the long body has been read. The buffer is kept for the next one, unless bytes that follow the
+// body wait in it.
+func (r *Raised) Keep() {
+	if r == nil {
+		return
+	}
+	r.buffers.mu.Lock()
+	defer r.buffers.mu.Unlock()
+	if r.state != stateUsed {
+		return
+	}
+	if r.unread() > 0 {
+		r.lower()
+		return
+	}
+	r.state = stateKept
+	r.buffers.kept = append(r.buffers.kept, r)
+}
+
+// Drained notes that nothing waits in the socket any more.
 func (r *Raised) Drained() {
-	if r != nil && r.bytes > 0 {
-		r.buffers.left.Add(r.bytes)
-		r.bytes = 0
+	if r == nil {
+		return
 	}
+	r.buffers.mu.Lock()
+	defer r.buffers.mu.Unlock()
+	if r.state == stateWaiting {
+		r.release()
+	}
+}
+
+// Release gives the connection, which may be closed, its usual buffer back. What follows a body on it is not read.
+func (r *Raised) Release() {
+	if r == nil {
+		return
+	}
+	r.buffers.mu.Lock()
+	defer r.buffers.mu.Unlock()
+	if r.state != stateReleased {
+		_ = r.buffers.set(r.raw, intake.BaseBuffer)
+		r.unkeep()
+		r.release()
+	}
+}
+
+// lower gives the connection its usual buffer back. What the larger one takes is given back once no more bytes
+// wait in it than in a usual one. The caller holds the lock.
+func (r *Raised) lower() {
+	_ = r.buffers.set(r.raw, intake.BaseBuffer)
+	r.unkeep()
+	if r.unread() > intake.BaseBuffer {
+		r.state = stateWaiting
+		return
+	}
+	r.release()
+}
+
+func (r *Raised) release() {
+	r.state = stateReleased
+	r.buffers.left += r.bytes
+}
+
+func (r *Raised) unkeep() {
+	if r.state == stateKept {
+		r.buffers.kept = slices.DeleteFunc(r.buffers.kept, func(other *Raised) bool { return other == r })
+	}
+}
+
+// unread returns how many bytes wait in the socket, or 0 if that is not known.
+func (r *Raised) unread() int {
+	bytes := 0
+	_ = r.raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			bytes = n
+		}
+	})
+	return bytes
 }
 
 // rawConn returns the socket of a connection that may be wrapped, or nil.
--- a/internal/sockbuf/sockbuf_test.go
+++ b/internal/sockbuf/sockbuf_test.go
@@ -13,7 +13,7 @@
 )
 
 // testProcess has room for one raised buffer of the largest size.
-var testProcess = intake.Process{MemoryMB: 32}
+var testProcess = intake.Process{MemoryMB: 64}
 
 // pair returns both ends of a connection whose server has bounded buffers.
 func pair(t *testing.T, b *Buffers) (client, server net.Conn) {
@@ -67,50 +67,67 @@
 	if _, err := io.ReadFull(server, make([]byte, 4<<20)); err != nil {
 		t.Fatal(err)
 	}
-	raised.Lower()
+	raised.Keep()
 	fill(client)
 	if got := unread(t, server); got > 2*intake.MaxRaised {
-		t.Errorf("%d bytes wait after the buffer was lowered, want at most %d", got, 2*intake.MaxRaised)
+		t.Errorf("%d bytes wait after a long body, want at most %d", got, 2*intake.MaxRaised)
 	}
 }
 
-// What raised buffers take is given back once their bytes have been read, so that later bodies get it.
+// What raised buffers take is given back once their bytes have been read, or other connections need it, so that later
+// bodies get it.
 func TestRaisedBuffersAreGivenBack(t *testing.T) {
 	b := New(testProcess)
-	all := b.left.Load()
+	all := b.left
+	check := func(what string, want int64) {
+		t.Helper()
+		if b.left != want {
+			t.Errorf("%s: %d bytes are left, want %d", what, b.left, want)
+		}
+	}
 	client, server := pair(t, b)
 	raised := b.Raise(server)
-	if raised == nil || b.left.Load() >= all {
+	held := all - b.left
+	if raised == nil || held <= 0 {
 		t.Fatal("the first buffer was not raised")
 	}
+	raised.Keep()
+	check("kept", all-held)
+	if !raised.Reuse() || raised.Reuse() {
+		t.Error("a kept buffer is not reused, or twice")
+	}
 	fill(client)
-	if !raised.Lower() || b.left.Load() >= all {
-		t.Error("bytes that still wait were given back")
+	raised.Keep()
+	check("bytes wait", all-held)
+	if raised.Reuse() {
+		t.Error("a buffer in which bytes wait is reused")
 	}
 	raised.Drained()
-	if got := b.left.Load(); got != all {
-		t.Errorf("%d bytes are left, want %d", got, all)
-	}
-	var held []*Raised
-	for raised := b.Raise(server); raised != nil; raised = b.Raise(server) {
-		held = append(held, raised)
+	check("drained", all)
+	_, quiet := pair(t, b)
+	kept := b.Raise(quiet)
+	kept.Keep()
+	var used []*Raised
+	for r := b.Raise(server); r != nil; r = b.Raise(server) {
+		used = append(used, r)
 	}
-	if b.left.Load() < 0 || len(held) == 0 {
-		t.Errorf("%d bytes are left after %d buffers", b.left.Load(), len(held))
+	if kept.Reuse() || b.left < 0 || len(used) < 2 {
+		t.Errorf("a kept buffer stays although others need it: %d bytes are left after %d more", b.left, len(used))
 	}
-	for _, raised := range held {
-		raised.Drained()
-	}
-	if got := b.left.Load(); got != all {
-		t.Errorf("%d bytes are left, want %d", got, all)
+	for _, r := range used {
+		r.Release()
+		r.Release()
 	}
+	check("all released", all)
 }
 
 // Without a limit of memory the kernel's own sizes stay.
 func TestNoLimit(t *testing.T) {
 	b := New(intake.Process{})
 	_, server := pair(t, b)
-	if raised := b.Raise(server); raised.Lower() {
+	raised := b.Raise(server)
+	raised.Keep()
+	if raised != nil || raised.Reuse() {
 		t.Error("a buffer was raised without a limit")
 	}
 }
