replica: show how long the event loop is held up, and by what

Cause: the hypotheses on the configuration that was not read back could not be told apart. Nothing said how long operators' reads and puts took, whether a replica's event loop got to its ticks, whether entries were sent again, or how often a replica had started from its disk.

--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -140,7 +140,9 @@
 		n.retrySnapshot(to, p)
 		return
 	}
-	p.probeAfterTimeout(n.now, appendRetryHeartbeats*n.opts.HeartbeatInterval)
+	if p.probeAfterTimeout(n.now, appendRetryHeartbeats*n.opts.HeartbeatInterval) {
+		n.appendTimeouts++
+	}
 	for p.canAppend(n.log.stable, n.opts.MaxInflight, n.opts.MaxInflightBytes) {
 		if p.next <= n.log.baseIndex || p.state == progressProbe && n.log.snapshotIsShorter(p.next) {
 			n.startSnapshot(to, p)
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -47,6 +47,8 @@
 
 	// leaderState is set only while the node is the leader.
 	leaderState *leadership
+	// appendTimeouts counts the waits for the acknowledgement of appends that ended without one.
+	appendTimeouts uint64
 
 	// heard holds the addresses that other nodes named, since the membership may lack them.
 	heard map[NodeID]heardAddress
--- a/internal/core/replication/progress.go
+++ b/internal/core/replication/progress.go
@@ -92,12 +92,15 @@
 	p.inflightBytes += sent.bytes
 }
 
-// probeAfterTimeout returns to probing if no acknowledgement arrived within wait.
-func (p *progress) probeAfterTimeout(now, wait time.Duration) {
+// probeAfterTimeout returns to probing if no acknowledgement arrived within wait. It reports
+// whether it did so.
+func (p *progress) probeAfterTimeout(now, wait time.Duration) bool {
 	waiting := p.probeSent || len(p.inflight) > 0
-	if waiting && now-p.sentAt >= wait {
-		p.startProbe(p.match + 1)
+	if !waiting || now-p.sentAt < wait {
+		return false
 	}
+	p.startProbe(p.match + 1)
+	return true
 }
 
 // startProbe starts to probe at next and forgets what is in flight.
--- a/internal/core/replication/status.go
+++ b/internal/core/replication/status.go
@@ -18,6 +18,9 @@
 	// LogBytes is the size of the entries that are kept in memory. It decreases
 	// when a snapshot compacts the log.
 	LogBytes int
+	// AppendTimeouts counts the waits for the acknowledgement of appends that ended without one.
+	// The appends are sent again.
+	AppendTimeouts uint64
 	// Peers is set only on the leader.
 	Peers []PeerStatus
 	Lease LeaseStatus
@@ -62,6 +65,7 @@
 		LastIndex:       n.log.lastIndex(),
 		StableIndex:     n.log.stable,
 		LogBytes:        n.log.bytes,
+		AppendTimeouts:  n.appendTimeouts,
 	}
 	if n.log.snapshot != nil {
 		s.SnapshotIndex = n.log.snapshot.Index
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -53,6 +53,7 @@
 func (r *Replica) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	r.loop.tickedAt = r.now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,8 +61,9 @@
 		case err := <-r.fatal:
 			return fmt.Errorf("run replica %s: %w", r.opts.Self.VM, err)
 		case <-ticker.C:
+			r.loop.tick(r.now())
 			r.step(replication.Tick{})
-			r.compact()
+			r.timed("compact", r.compact)
 			r.publish()
 		case sequence := <-r.persisted:
 			r.step(replication.Persisted{Sequence: sequence})
@@ -91,7 +93,7 @@
 
 func (r *Replica) handle(t task) {
 	if t.fn != nil {
-		t.fn()
+		r.timed("read state", t.fn)
 		return
 	}
 	if t.done == nil {
@@ -127,7 +129,16 @@
 	if r.skips(ev) {
 		return
 	}
-	r.executeEffects(r.node.Step(r.now(), ev))
+	began := r.now()
+	r.executeEffects(r.node.Step(began, ev))
+	r.loop.handled(ev, r.now()-began)
+}
+
+// timed runs a function of the loop and counts its time.
+func (r *Replica) timed(name string, fn func()) {
+	began := r.now()
+	fn()
+	r.loop.handled(name, r.now()-began)
 }
 
 // executeEffects carries out the effects of a step: disk writes, messages,
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -22,6 +22,9 @@
 	deliveryFailures *prometheus.CounterVec
 	// unaddressed counts the messages for nodes whose address is unknown.
 	unaddressed prometheus.Counter
+	loopDelay   prometheus.Histogram
+	// appendTimeouts is a gauge of a count that only rises, since the node counts.
+	appendTimeouts prometheus.Gauge
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -31,12 +34,13 @@
 		return g
 	}
 	m := &metrics{
-		revision: gauge("config_revision", "Configuration revision committed at this replica."),
-		term:     gauge("term", "Current term, which is the fencing number of orders."),
-		leader:   gauge("leader", "1 if this replica leads."),
-		applied:  gauge("applied_index", "Index of the last applied log entry."),
-		records:  gauge("idempotency_records", "Idempotency records held."),
-		behind:   gauge("entries_behind", "Live entries that have not acknowledged, within 2 s of its commit, a revision committed while this replica leads."),
+		revision:       gauge("config_revision", "Configuration revision committed at this replica."),
+		term:           gauge("term", "Current term, which is the fencing number of orders."),
+		leader:         gauge("leader", "1 if this replica leads."),
+		applied:        gauge("applied_index", "Index of the last applied log entry."),
+		records:        gauge("idempotency_records", "Idempotency records held."),
+		appendTimeouts: gauge("append_timeouts", "Appends to other replicas that were not acknowledged in time and sent again, since the start."),
+		behind:         gauge("entries_behind", "Live entries that have not acknowledged, within 2 s of its commit, a revision committed while this replica leads."),
 		reservations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "waxwingcart", Subsystem: "replica", Name: "reservations_total",
 			Help: "Reservations answered by this replica as leader, by result.",
@@ -62,13 +66,19 @@
 		Namespace: "waxwingcart", Subsystem: "replica", Name: "messages_unaddressed_total",
 		Help: "Messages for other replicas that were dropped because this replica knew no address for them.",
 	})
-	registry.MustRegister(m.diskFull, m.reservations, m.orders, m.duties, m.deliveryFailures, m.unaddressed)
+	m.loopDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "waxwingcart", Subsystem: "replica", Name: "loop_delay_seconds",
+		Help:    "Time from one tick of the event loop to the next, beyond the interval of ticks.",
+		Buckets: []float64{.01, .02, .05, .1, .2, .4, .6, 1, 2},
+	})
+	registry.MustRegister(m.loopDelay, m.diskFull, m.reservations, m.orders, m.duties, m.deliveryFailures, m.unaddressed)
 	return m
 }
 
 func (m *metrics) observe(v view) {
 	m.term.Set(float64(v.status.Term))
 	m.applied.Set(float64(v.applied))
+	m.appendTimeouts.Set(float64(v.status.AppendTimeouts))
 	m.records.Set(float64(v.records))
 	leads := 0.0
 	if v.status.Role == replication.RoleLeader {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -136,6 +136,8 @@
 	appended     map[uint64]pendingProposal
 	pendingReads []replication.ReadResult
 	senders      map[string]*sender
+	// loop measures how long the loop is held up.
+	loop *loopMonitor
 	// unaddressed holds the nodes for which messages were dropped, as no address is known.
 	unaddressed map[replication.NodeID]bool
 	applied     uint64
@@ -198,6 +200,7 @@
 		revisionUpdated: make(chan struct{}),
 		roleUpdated:     make(chan struct{}),
 	}
+	r.loop = newLoopMonitor(0, r.logger, r.metrics)
 	r.runCtx, r.stop = context.WithCancel(context.Background())
 	r.orders = newOrderRunner(r)
 	r.planning = newPlanning(r, opts.Platform)
@@ -235,6 +238,10 @@
 			r.machine.Restore(state)
 		}
 	}
+	// A process that ends again and again leaves one line for each start.
+	r.logger.Info().Str("step", "restore").Uint64("incarnation", self.ID.Incarnation).Bool("used", !r.log.Empty()).
+		Uint64("snapshot_index", r.applied).Int("snapshot_bytes", r.snapshotBytes).Int("entries", len(restored.Entries)).
+		Uint64("commit", restored.HardState.Commit).Uint64("revision", r.machine.Revision()).Msg("replica restored from its disk")
 	return nil
 }
 
