--- a/internal/core/replication/network_test.go
+++ b/internal/core/replication/network_test.go
@@ -67,6 +67,12 @@
 // expectedRead holds the smallest index at which a read may be answered.
 type expectedRead struct{ minIndex uint64 }
 
+// entrySend is an entry that was sent to a node.
+type entrySend struct {
+	to          NodeID
+	index, term uint64
+}
+
 // network simulates hosts, their disks and the messages between them, and checks
 // the invariants of replication.
 type network struct {
@@ -78,6 +84,10 @@
 	blockedLinks map[[2]string]bool
 	lossRate     float64
 	delayRate    float64
+	// transferRate is the rate in bytes per second at which entries arrive, or 0 for no limit.
+	transferRate int
+	// sends counts how often an entry was sent to a node.
+	sends map[entrySend]int
 	// maxSyncTime is the longest time that a write takes.
 	maxSyncTime time.Duration
 	// reuseIncarnation is a deliberate fault: a host that lost its disk keeps its
@@ -111,6 +121,7 @@
 		blockedLinks:     make(map[[2]string]bool),
 		committedDigests: []uint64{0},
 		entries:          make(map[[2]uint64]uint64),
+		sends:            make(map[entrySend]int),
 		leaderByTerm:     make(map[uint64]NodeID),
 		expectedReads:    make(map[uint64]expectedRead),
 	}
@@ -251,12 +262,19 @@
 // network currently has.
 func (net *network) enqueue(from *host, m Message) {
 	address := from.node.AddressOf(m.To)
+	for _, e := range m.Entries {
+		net.sends[entrySend{m.To, e.Index, e.Term}]++
+	}
+	var transfer time.Duration
+	if net.transferRate > 0 {
+		transfer = time.Duration(totalBytes(m.Entries)) * time.Second / time.Duration(net.transferRate)
+	}
 	copies := 1
 	if net.rand.Float64() < net.lossRate {
 		copies = net.rand.IntN(2) * 2
 	}
 	for range copies {
-		delay := time.Duration(net.rand.Int64N(int64(4 * timeStep)))
+		delay := transfer + time.Duration(net.rand.Int64N(int64(4*timeStep)))
 		if net.rand.Float64() < net.delayRate {
 			delay += time.Duration(net.rand.Int64N(int64(2 * net.opts.ElectionTimeout)))
 		}
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -8,6 +9,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -248,3 +251,40 @@
 		}
 	}
 }
+
+// A server that resets its connection while a request is being passed on to it has not ended its answer,
+// also if it was the request that met the reset.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	const answer = "half an answer"
+	server := startServer(t, func(conn *net.TCPConn) {
+		_, _ = conn.Read(make([]byte, 512))
+		_, _ = conn.Write([]byte(answer))
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	})
+	_, peer := startPeer(t, server)
+	d := newDetour([]string{server}, peer)
+	upload := bytes.Repeat([]byte("x"), 900<<10)
+	const callers, calls = 8, 400
+	var ended, begun atomic.Int64
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for begun.Add(1) <= calls {
+				conn, err := d.Dial(t.Context(), server)
+				if err != nil {
+					continue
+				}
+				go func() { _, _ = conn.Write(upload) }()
+				if _, err := io.ReadAll(conn); err == nil {
+					ended.Add(1)
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	wg.Wait()
+	if n := ended.Load(); n > 0 {
+		t.Errorf("%d of %d answers that were broken off seemed to have ended", n, calls)
+	}
+}
--- /dev/null
+++ b/internal/operator/longdocument_test.go
@@ -0,0 +1,160 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"waxwingcart/internal/core/fleet"
+	"waxwingcart/internal/observe"
+	"waxwingcart/internal/replica"
+	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/wire"
+)
+
+const (
+	// longCall is how long a replica in these tests takes for a call with a long document. It is more than
+	// an attempt of a short call may take, and less than operators wait.
+	longCall = 900 * time.Millisecond
+	// operatorTimeout is how long an operator's read may take.
+	operatorTimeout = 2 * time.Second
+	longDocument    = 256 << 10
+)
+
+// slowLongCalls delays calls whose request or response is long.
+type slowLongCalls struct{ next http.Handler }
+
+func (s slowLongCalls) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	if strings.HasSuffix(req.URL.Path, "/Deliver") {
+		s.next.ServeHTTP(w, req)
+		return
+	}
+	slow := &slowWriter{ResponseWriter: w, ctx: req.Context()}
+	if len(body) >= longDocument {
+		slow.wait()
+	}
+	s.next.ServeHTTP(slow, req)
+}
+
+// slowWriter delays a long response.
+type slowWriter struct {
+	http.ResponseWriter
+	ctx context.Context
+}
+
+func (w *slowWriter) Write(data []byte) (int, error) {
+	if len(data) >= longDocument {
+		w.wait()
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+func (w *slowWriter) wait() {
+	select {
+	case <-time.After(longCall):
+	case <-w.ctx.Done():
+	}
+}
+
+// startReplicas starts replicas whose calls with long documents are slow, and waits until one leads.
+func startReplicas(t *testing.T, count int) (replicas []*replica.Replica, addresses []string) {
+	t.Helper()
+	listeners := make([]net.Listener, count)
+	peers := make([]replica.Peer, count)
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[i] = listener
+		peers[i] = replica.Peer{VM: fmt.Sprintf("r%d", i), Zone: fmt.Sprintf("z%d", i), Address: listener.Addr().String()}
+		addresses = append(addresses, peers[i].Address)
+	}
+	for i := range count {
+		r, err := replica.New(replica.Options{
+			Self: peers[i], Peers: append(append([]replica.Peer(nil), peers[:i]...), peers[i+1:]...),
+			DataDir: t.TempDir(), Bootstrap: i == 0, Client: rpc.NewClient("secret"),
+			Logger: observe.NewLogger(io.Discard, "error", peers[i].VM, peers[i].Zone), Registry: prometheus.NewRegistry(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: slowLongCalls{rpc.RequireKey(rpc.NewKey("secret"), wire.NewReplicaServer(r.Service()))}}
+		go func() { _ = server.Serve(listeners[i]) }()
+		r.Start()
+		t.Cleanup(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = r.Stop(ctx)
+			_ = server.Close()
+		})
+		replicas = append(replicas, r)
+	}
+	return replicas, addresses
+}
+
+func document(number uint64) fleet.NumberedDocument {
+	return fleet.NumberedDocument{Number: number, Content: fmt.Appendf(nil, `{"version":%d,"more":%q}`, number, strings.Repeat("x", longDocument))}
+}
+
+// startServices starts replicas with slow long calls and returns an operator's service of each. The first
+// document is in force.
+func startServices(t *testing.T, count int) ([]*Service, *replica.Replica) {
+	t.Helper()
+	replicas, addresses := startReplicas(t, count)
+	services := make([]*Service, count)
+	for i, r := range replicas {
+		services[i] = &Service{Replica: r, Replicas: rpc.NewReplicas(rpc.NewClient("secret"), addresses)}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := services[0].PutDocument(ctx, fleet.NumberedDocument{Number: 1, Content: []byte(`{"version":1}`)}); err != nil {
+		t.Fatal(err)
+	}
+	return services, replicas[0]
+}
+
+// A document that takes the leader longer than an attempt of a short call is put in the time that operators
+// wait. Attempts that were cut off and repeated never succeeded, and took up the leader's processor.
+func TestLongDocumentIsPutAtSlowLeader(t *testing.T) {
+	services, _ := startServices(t, 3)
+	for i, s := range services {
+		ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+		err := s.PutDocument(ctx, document(uint64(2+i)))
+		cancel()
+		if err != nil {
+			t.Errorf("replica %d: %v", i, err)
+		}
+	}
+}
+
+// A document that the leader takes long to send is read in the time that operators wait, at each replica.
+func TestLongDocumentIsReadAtSlowLeader(t *testing.T) {
+	services, leader := startServices(t, 3)
+	const number = 2
+	want := document(number).Content
+	if _, err := leader.Service().PutDocument(context.Background(), &wire.PutDocumentRequest{Number: number, Content: want}); err != nil {
+		t.Fatal(err)
+	}
+	for i, s := range services {
+		ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+		got, err := s.Document(ctx)
+		cancel()
+		if err != nil || !bytes.Equal(got.Content, want) {
+			t.Errorf("replica %d: got document %d, %v, expected document %d", i, got.Number, err, number)
+		}
+	}
+}
