replication: long entries are not sent again while they are on their way

What callers saw: the configuration could not be read or changed, without a disruption: the leader lost its term again and again, and changes that were in progress with it.

Cause: an append that was not acknowledged within 200 ms counted as lost, however long its entries. With 2 MB and the part of a processor that core VMs have, receiving, syncing and acknowledging take longer. The copies took up the processors and links that the first one needed, and heartbeats waited for up to 200 ms behind each copy. A retry that comes sooner than what it repeats can be done adds to the load that delays it.

Change: an append counts as lost after 200 ms and the time that its entries take at 1 MB/s, or after 200 ms if its delivery is known to have failed (Undelivered). Heartbeats, votes and answers have a sender of their own. A delivery may take the time of its bytes in addition to 4 s.

--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -140,7 +140,7 @@
 		n.retrySnapshot(to, p)
 		return
 	}
-	if p.probeAfterTimeout(n.now, appendRetryHeartbeats*n.opts.HeartbeatInterval) {
+	if p.probeAfterTimeout(n.now, appendRetryHeartbeats*n.opts.HeartbeatInterval, n.opts.MinAppendRate) {
 		n.appendTimeouts++
 	}
 	for p.canAppend(n.log.stable, n.opts.MaxInflight, n.opts.MaxInflightBytes) {
@@ -167,6 +167,16 @@
 	p.recordAppend(sentAppend{last: prev + uint64(len(entries)), bytes: totalBytes(entries)}, n.now)
 }
 
+// undelivered records that an append did not arrive.
+func (n *Node) undelivered(to NodeID) {
+	if n.leaderState == nil {
+		return
+	}
+	if p := n.leaderState.peers[to]; p != nil && p.waiting() {
+		p.undelivered = true
+	}
+}
+
 func (n *Node) receiveAppendReply(m *Message) {
 	p := n.recordPeerContact(m.From)
 	if p == nil {
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -76,6 +76,7 @@
 	DefaultMaxBatchBytes     = 1 << 20
 	DefaultMaxInflight       = 64
 	DefaultMaxInflightBytes  = 4 << 20
+	DefaultMinAppendRate     = 1 << 20
 	DefaultMaxPendingBytes   = 64 << 20
 	DefaultRetainEntries     = 4096
 	DefaultRetainBytes       = 8 << 20
@@ -89,6 +90,7 @@
 	setDefault(&o.MaxBatchBytes, DefaultMaxBatchBytes)
 	setDefault(&o.MaxInflight, DefaultMaxInflight)
 	setDefault(&o.MaxInflightBytes, DefaultMaxInflightBytes)
+	setDefault(&o.MinAppendRate, DefaultMinAppendRate)
 	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&o.RetainEntries, DefaultRetainEntries)
 	setDefault(&o.RetainBytes, DefaultRetainBytes)
@@ -183,6 +185,8 @@
 	case Receive:
 		n.hear(ev.Message.From, ev.Address)
 		n.receive(&ev.Message)
+	case Undelivered:
+		n.undelivered(ev.To)
 	case Persisted:
 		n.persisted(ev.Sequence)
 	case Propose:
--- a/internal/core/replication/progress.go
+++ b/internal/core/replication/progress.go
@@ -33,8 +33,11 @@
 	// inflight holds the unacknowledged appends, and inflightBytes the size of their entries.
 	inflight      []sentAppend
 	inflightBytes int
-	// probeSent is true while a probe is unanswered.
-	probeSent bool
+	// probeSent is true while a probe is unanswered, and probeBytes the size of its entries.
+	probeSent  bool
+	probeBytes int
+	// undelivered is true if an append that is waited for is known not to have arrived.
+	undelivered bool
 	// sentAt is the start of the wait for an acknowledgement.
 	sentAt time.Duration
 	// contactAt is when the last message from the peer arrived.
@@ -84,7 +87,7 @@
 		p.sentAt = now
 	}
 	if p.state == progressProbe {
-		p.probeSent = true
+		p.probeSent, p.probeBytes = true, sent.bytes
 		return
 	}
 	p.next = sent.last + 1
@@ -92,11 +95,18 @@
 	p.inflightBytes += sent.bytes
 }
 
-// probeAfterTimeout returns to probing if no acknowledgement arrived within wait. It reports
-// whether it did so.
-func (p *progress) probeAfterTimeout(now, wait time.Duration) bool {
-	waiting := p.probeSent || len(p.inflight) > 0
-	if !waiting || now-p.sentAt < wait {
+// waiting reports whether an acknowledgement is waited for.
+func (p *progress) waiting() bool { return p.probeSent || len(p.inflight) > 0 }
+
+// probeAfterTimeout returns to probing if no acknowledgement arrived within wait, and within the
+// time that the entries sent take at rate, in bytes per second, unless they are known not to have arrived.
+// To send long entries again while they are on their way would delay them further. It reports
+// whether it returned to probing.
+func (p *progress) probeAfterTimeout(now, wait time.Duration, rate int) bool {
+	if !p.undelivered {
+		wait += time.Duration(p.probeBytes+p.inflightBytes) * time.Second / time.Duration(rate)
+	}
+	if !p.waiting() || now-p.sentAt < wait {
 		return false
 	}
 	p.startProbe(p.match + 1)
@@ -109,7 +119,8 @@
 	p.next = next
 	p.inflight = nil
 	p.inflightBytes = 0
-	p.probeSent = false
+	p.probeSent, p.probeBytes = false, 0
+	p.undelivered = false
 	p.snapshot = nil
 }
 
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -97,6 +97,9 @@
 	// one peer and the size of their entries. One message may exceed the size.
 	MaxInflight      int
 	MaxInflightBytes int
+	// MinAppendRate is the slowest rate, in bytes per second, at which a peer receives, syncs and
+	// acknowledges entries. An append is not sent again before its entries had that time.
+	MinAppendRate int
 	// MaxPendingBytes limits the data of proposals that are appended but not
 	// yet committed. Beyond it, commands are rejected with RejectBusy.
 	MaxPendingBytes int
@@ -140,6 +143,9 @@
 	Address string
 }
 
+// Undelivered reports that an append to a node did not arrive.
+type Undelivered struct{ To NodeID }
+
 // Persisted reports that the Persist effect with this sequence number and all
 // earlier ones are synced.
 type Persisted struct{ Sequence uint64 }
@@ -202,6 +208,7 @@
 
 func (Tick) isEvent()              {}
 func (Receive) isEvent()           {}
+func (Undelivered) isEvent()       {}
 func (Persisted) isEvent()         {}
 func (Propose) isEvent()           {}
 func (ProposeMembership) isEvent() {}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -204,7 +204,21 @@
 		r.logger.Error().Str("step", "encode message").Err(err).Msg("encoding a message for another replica failed")
 		return
 	}
-	r.senderTo(address).send(data)
+	r.senderTo(address, carriesState(message.Kind)).send(data)
+}
+
+// carriesState reports whether messages of a kind carry entries or a snapshot.
+func carriesState(kind replication.MessageKind) bool {
+	return kind == replication.MessageAppend || kind == replication.MessageSnapshot
+}
+
+// undelivered tells the node that a delivery of entries to an address failed.
+func (r *Replica) undelivered(address string) {
+	for _, peer := range r.node.Status().Peers {
+		if r.addressOf(peer.Member.ID) == address {
+			r.step(replication.Undelivered{To: peer.Member.ID})
+		}
+	}
 }
 
 // maxUnaddressed bounds the nodes without an address for which a line was written.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,8 +45,10 @@
 	// lost. Beyond that, the leader would send long entries again and again.
 	maxInflightBytes = 1 << 20
 	maxPendingBytes  = 64 << 20
-	retainEntries    = 20000
-	maxVoters        = 5
+	// minAppendRate is that of a replica with a small part of a processor, in bytes per second.
+	minAppendRate = 1 << 20
+	retainEntries = 20000
+	maxVoters     = 5
 )
 
 // Peer is a replica that is named in the settings.
@@ -135,7 +137,7 @@
 	waiting      map[uint64]waiter
 	appended     map[uint64]pendingProposal
 	pendingReads []replication.ReadResult
-	senders      map[string]*sender
+	senders      map[senderKey]*sender
 	// loop measures how long the loop is held up.
 	loop *loopMonitor
 	// unaddressed holds the nodes for which messages were dropped, as no address is known.
@@ -195,7 +197,7 @@
 		machine:         state.New(state.Options{}),
 		waiting:         make(map[uint64]waiter),
 		appended:        make(map[uint64]pendingProposal),
-		senders:         make(map[string]*sender),
+		senders:         make(map[senderKey]*sender),
 		unaddressed:     make(map[replication.NodeID]bool),
 		revisionUpdated: make(chan struct{}),
 		roleUpdated:     make(chan struct{}),
@@ -276,6 +278,7 @@
 		MaxBatchBytes:     maxBatchBytes,
 		MaxInflight:       maxInflight,
 		MaxInflightBytes:  maxInflightBytes,
+		MinAppendRate:     minAppendRate,
 		MaxPendingBytes:   maxPendingBytes,
 		RetainEntries:     retainEntries,
 		ReplaceAfter:      replaceAfter,
@@ -431,13 +434,33 @@
 	return slices.Compact(addresses)
 }
 
+// senderKey names a sender: one for messages that carry entries or snapshots to an address, and one
+// for all others. Heartbeats and votes don't wait for long entries.
+type senderKey struct {
+	address string
+	state   bool
+}
+
 // senderTo returns the sender for an address and starts it on first use.
-func (r *Replica) senderTo(address string) *sender {
-	s, ok := r.senders[address]
+func (r *Replica) senderTo(address string, state bool) *sender {
+	key := senderKey{address, state}
+	s, ok := r.senders[key]
 	if !ok {
 		s = newSender(address, r.opts.Self.Address, r.opts.Client, r.logger, r.metrics)
-		r.senders[address] = s
+		if state {
+			s.undelivered = func() { r.reportUndelivered(address) }
+		}
+		r.senders[key] = s
 		r.spawn(func() { s.run(r.runCtx) })
 	}
 	return s
 }
+
+// reportUndelivered passes on that a delivery of entries failed. The report is dropped if the loop
+// is busy; the append then counts as lost later.
+func (r *Replica) reportUndelivered(address string) {
+	select {
+	case r.inbox <- task{fn: func() { r.undelivered(address) }}:
+	default:
+	}
+}
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -20,8 +20,8 @@
 	// is far below the election timeout and the lease, so that a silent connection
 	// costs no leader its quorum.
 	overdueAfter = 200 * time.Millisecond
-	// deliveryTimeout bounds one delivery. Large ones over a slow link may need all
-	// of it.
+	// deliveryTimeout bounds one delivery, in addition to the time that its bytes take at
+	// minAppendRate.
 	deliveryTimeout = 4 * time.Second
 	// smallDeliveryBytes is the size up to which a delivery is always made. Larger
 	// ones are limited to maxLargeDeliveries at a time, so that copies of a message
@@ -48,6 +48,8 @@
 	large chan struct{}
 	// pending counts the deliveries whose calls have not returned.
 	pending sync.WaitGroup
+	// undelivered, if set, is called after each delivery that failed.
+	undelivered func()
 	// failing is true while deliveries fail or are overdue. It limits the log to one
 	// warning per outage.
 	failing bool
@@ -143,15 +145,23 @@
 }
 
 func (s *sender) call(ctx context.Context, messages [][]byte) error {
-	callCtx, cancel := context.WithTimeout(ctx, s.timeout)
+	callCtx, cancel := context.WithTimeout(ctx, s.timeout+transferTime(totalBytes(messages)))
 	defer cancel()
 	_, err := s.stub.Deliver(callCtx, &wire.DeliverRequest{Messages: messages, Address: s.self})
 	if err != nil && ctx.Err() == nil {
 		s.metrics.deliveryFailures.WithLabelValues(s.peer, "failed").Inc()
+		if s.undelivered != nil {
+			s.undelivered()
+		}
 	}
 	return err
 }
 
+// transferTime returns the time that bytes take at minAppendRate.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / minAppendRate
+}
+
 // logChange logs the start and the end of an outage, given the result of a delivery.
 func (s *sender) logChange(err error) {
 	if err != nil && !s.failing {
