operator: long documents are sent once, and read from the VM's own replica

What callers saw: an acknowledged configuration could not be read back, and changes got 503, for as long as the configuration was long and the leader short of a processor; nothing was disturbed.

Cause: both calls were made for short messages: each attempt was cut off after 600 ms and repeated, and after 200 ms the call went to all other replicas too. A document that took longer was never put and never read, and each attempt cost the leader as much as one that succeeds. Replicas that don't lead answered a read with the whole configuration, too.

Change: a read asks the leader for the confirmed revision alone, and takes the document from the VM's own replica once that has applied the revision, or from the leader if it doesn't within 0.5 s. A long document is sent to the leader alone, without a limit of its own for an attempt, and again only after a failure or at the next leader.

Result: TestLongDocumentIsPutAtSlowLeader and TestLongDocumentIsReadAtSlowLeader failed before at each replica and pass. TestLongPutGoesOnAtNextLeader passes.

--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"time"
 
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/core/fleet"
@@ -11,6 +13,16 @@
 	"waxwingcart/internal/wire"
 )
 
+const (
+	// smallDocumentBytes is the length up to which a document may be sent to all replicas at once.
+	smallDocumentBytes = 16 << 10
+	// catchUpTimeout bounds the wait until the process's own replica has applied the revision
+	// that the leader confirmed.
+	catchUpTimeout = 500 * time.Millisecond
+	// leaderCheckInterval is how often a call that takes long checks whether its replica still leads.
+	leaderCheckInterval = 50 * time.Millisecond
+)
+
 // ErrNoDocument is returned if no numbered document was committed yet.
 var ErrNoDocument = errors.New("no document was committed yet")
 
@@ -19,15 +31,58 @@
 func (s *Service) PutDocument(ctx context.Context, document fleet.NumberedDocument) error {
 	s.learnFromReplica()
 	request := &wire.PutDocumentRequest{Number: document.Number, Content: document.Content}
-	_, err := rpc.Call(ctx, s.Replicas, "put document", func(ctx context.Context, stub wire.Replica) (*wire.PutDocumentResponse, error) {
+	put := func(ctx context.Context, stub wire.Replica) (*wire.PutDocumentResponse, error) {
 		return stub.PutDocument(ctx, request)
-	})
+	}
+	if len(document.Content) <= smallDocumentBytes {
+		_, err := rpc.Call(ctx, s.Replicas, "put document", put)
+		return err
+	}
+	_, err := callLeader(ctx, s, "put document", put)
 	return err
 }
 
-// Document returns the latest numbered document, as confirmed by a quorum.
+// Document returns the latest numbered document, as confirmed by a quorum. Only its revision is
+// asked of the leader, if the process's own replica has the document or gets it soon.
 func (s *Service) Document(ctx context.Context) (fleet.NumberedDocument, error) {
-	response, err := s.fetchConfirmed(ctx)
+	confirmed, err := s.confirm(ctx)
+	if err != nil {
+		return fleet.NumberedDocument{}, err
+	}
+	document, err := s.ownDocument(ctx, confirmed.Revision)
+	if err != nil {
+		document, err = s.leaderDocument(ctx)
+	}
+	if err == nil && document.Number == 0 {
+		err = ErrNoDocument
+	}
+	return document, err
+}
+
+// confirm returns the leader's answer with the newest revision, after a quorum has confirmed that it
+// is the newest. The answer has no configuration, as the request claims to have all revisions.
+func (s *Service) confirm(ctx context.Context) (*wire.FetchConfigResponse, error) {
+	s.learnFromReplica()
+	return rpc.Call(ctx, s.Replicas, "confirm revision", func(ctx context.Context, stub wire.Replica) (*wire.FetchConfigResponse, error) {
+		return s.fetchConfirmed(ctx, stub, math.MaxUint64)
+	})
+}
+
+// ownDocument returns the document of the process's own replica once it has applied a revision.
+func (s *Service) ownDocument(ctx context.Context, revision uint64) (fleet.NumberedDocument, error) {
+	if s.Replica == nil {
+		return fleet.NumberedDocument{}, errors.New("the process runs no replica")
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return s.Replica.NumberedDocument(ctx, revision)
+}
+
+// leaderDocument fetches the document from the leader.
+func (s *Service) leaderDocument(ctx context.Context) (fleet.NumberedDocument, error) {
+	response, err := callLeader(ctx, s, "get config", func(ctx context.Context, stub wire.Replica) (*wire.FetchConfigResponse, error) {
+		return s.fetchConfirmed(ctx, stub, 0)
+	})
 	if err != nil {
 		return fleet.NumberedDocument{}, err
 	}
@@ -36,11 +91,68 @@
 	if effects.Err != nil {
 		return fleet.NumberedDocument{}, effects.Err
 	}
-	document, err := view.NumberedDocument()
-	if err == nil && document.Number == 0 {
-		err = ErrNoDocument
+	return view.NumberedDocument()
+}
+
+// fetchConfirmed fetches what follows a revision from a replica. It fails if no quorum confirms the answer.
+func (s *Service) fetchConfirmed(ctx context.Context, stub wire.Replica, have uint64) (*wire.FetchConfigResponse, error) {
+	answer, err := stub.FetchConfig(ctx, &wire.FetchConfigRequest{HaveRevision: have})
+	if err != nil {
+		return nil, err
+	}
+	s.Replicas.SetAddresses(answer.Replicas)
+	if !answer.Confirmed {
+		return nil, rpc.NotLeader(answer.Leader)
+	}
+	return answer, nil
+}
+
+// callLeader makes a call whose request or answer may be long. It is made to the leader alone, and
+// may take all the time that the context leaves: to repeat it would take up the processors and
+// links that the first one needs. It is repeated at the next leader.
+func callLeader[Response any](ctx context.Context, s *Service, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
+	s.learnFromReplica()
+	for {
+		if s.Replicas.Leader() == "" {
+			if _, err := s.confirm(ctx); err != nil {
+				var none Response
+				return none, err
+			}
+		}
+		leader := s.Replicas.Leader()
+		callCtx, cancel := context.WithCancel(ctx)
+		go s.cancelOnNewLeader(callCtx, cancel, leader)
+		response, err := rpc.CallOne(callCtx, s.Replicas, leader, call)
+		cancel()
+		if err == nil || ctx.Err() != nil || rpc.IsPermanent(err) {
+			return response, rpc.Wrap(step, leader, err)
+		}
+		if rpc.Pause(ctx) != nil {
+			return response, rpc.Wrap(step, leader, err)
+		}
+	}
+}
+
+// cancelOnNewLeader ends a call to a leader once the process's own replica learns of another one.
+func (s *Service) cancelOnNewLeader(ctx context.Context, cancel context.CancelFunc, called string) {
+	if s.Replica == nil {
+		return
+	}
+	_, before := s.Replica.KnownReplicas()
+	ticker := time.NewTicker(leaderCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if _, known := s.Replica.KnownReplicas(); known != "" && known != before && known != called {
+				s.Replicas.SetLeader(known)
+				cancel()
+				return
+			}
+		}
 	}
-	return document, err
 }
 
 // learnFromReplica copies the addresses and the leader that the process's own
@@ -55,19 +167,3 @@
 		s.Replicas.SetLeader(leader)
 	}
 }
-
-// fetchConfirmed fetches the whole configuration from the leader, after a quorum
-// has confirmed that it is up to date.
-func (s *Service) fetchConfirmed(ctx context.Context) (*wire.FetchConfigResponse, error) {
-	s.learnFromReplica()
-	return rpc.Call(ctx, s.Replicas, "get config", func(ctx context.Context, stub wire.Replica) (*wire.FetchConfigResponse, error) {
-		answer, err := stub.FetchConfig(ctx, &wire.FetchConfigRequest{})
-		if err == nil {
-			s.Replicas.SetAddresses(answer.Replicas)
-		}
-		if err == nil && !answer.Confirmed {
-			err = rpc.NotLeader(answer.Leader)
-		}
-		return answer, err
-	})
-}
--- a/internal/operator/longdocument_test.go
+++ b/internal/operator/longdocument_test.go
@@ -30,7 +30,10 @@
 )
 
 // slowLongCalls delays calls whose request or response is long.
-type slowLongCalls struct{ next http.Handler }
+type slowLongCalls struct {
+	next  http.Handler
+	delay time.Duration
+}
 
 func (s slowLongCalls) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(req.Body)
@@ -42,7 +45,7 @@
 		s.next.ServeHTTP(w, req)
 		return
 	}
-	slow := &slowWriter{ResponseWriter: w, ctx: req.Context()}
+	slow := &slowWriter{ResponseWriter: w, ctx: req.Context(), delay: s.delay}
 	if len(body) >= longDocument {
 		slow.wait()
 	}
@@ -52,7 +55,8 @@
 // slowWriter delays a long response.
 type slowWriter struct {
 	http.ResponseWriter
-	ctx context.Context
+	ctx   context.Context
+	delay time.Duration
 }
 
 func (w *slowWriter) Write(data []byte) (int, error) {
@@ -64,14 +68,15 @@
 
 func (w *slowWriter) wait() {
 	select {
-	case <-time.After(longCall):
+	case <-time.After(w.delay):
 	case <-w.ctx.Done():
 	}
 }
 
-// startReplicas starts replicas whose calls with long documents are slow, and waits until one leads.
-func startReplicas(t *testing.T, count int) (replicas []*replica.Replica, addresses []string) {
+// startReplicas starts replicas, each of which delays calls with long documents by a time.
+func startReplicas(t *testing.T, delays ...time.Duration) (replicas []*replica.Replica, addresses []string) {
 	t.Helper()
+	count := len(delays)
 	listeners := make([]net.Listener, count)
 	peers := make([]replica.Peer, count)
 	for i := range count {
@@ -92,7 +97,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := &http.Server{Handler: slowLongCalls{rpc.RequireKey(rpc.NewKey("secret"), wire.NewReplicaServer(r.Service()))}}
+		server := &http.Server{Handler: slowLongCalls{rpc.RequireKey(rpc.NewKey("secret"), wire.NewReplicaServer(r.Service())), delays[i]}}
 		go func() { _ = server.Serve(listeners[i]) }()
 		r.Start()
 		t.Cleanup(func() {
@@ -110,12 +115,12 @@
 	return fleet.NumberedDocument{Number: number, Content: fmt.Appendf(nil, `{"version":%d,"more":%q}`, number, strings.Repeat("x", longDocument))}
 }
 
-// startServices starts replicas with slow long calls and returns an operator's service of each. The first
-// document is in force.
-func startServices(t *testing.T, count int) ([]*Service, *replica.Replica) {
+// startServices is startReplicas, and returns an operator's service of each replica and the leader, which is the first
+// one. The first document is in force.
+func startServices(t *testing.T, delays ...time.Duration) ([]*Service, *replica.Replica) {
 	t.Helper()
-	replicas, addresses := startReplicas(t, count)
-	services := make([]*Service, count)
+	replicas, addresses := startReplicas(t, delays...)
+	services := make([]*Service, len(replicas))
 	for i, r := range replicas {
 		services[i] = &Service{Replica: r, Replicas: rpc.NewReplicas(rpc.NewClient("secret"), addresses)}
 	}
@@ -130,7 +135,7 @@
 // A document that takes the leader longer than an attempt of a short call is put in the time that operators
 // wait. Attempts that were cut off and repeated never succeeded, and took up the leader's processor.
 func TestLongDocumentIsPutAtSlowLeader(t *testing.T) {
-	services, _ := startServices(t, 3)
+	services, _ := startServices(t, longCall, longCall, longCall)
 	for i, s := range services {
 		ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 		err := s.PutDocument(ctx, document(uint64(2+i)))
@@ -143,7 +148,7 @@
 
 // A document that the leader takes long to send is read in the time that operators wait, at each replica.
 func TestLongDocumentIsReadAtSlowLeader(t *testing.T) {
-	services, leader := startServices(t, 3)
+	services, leader := startServices(t, longCall, longCall, longCall)
 	const number = 2
 	want := document(number).Content
 	if _, err := leader.Service().PutDocument(context.Background(), &wire.PutDocumentRequest{Number: number, Content: want}); err != nil {
@@ -158,3 +163,22 @@
 		}
 	}
 }
+
+// A long put at a leader that no longer answers goes on at the next leader.
+func TestLongPutGoesOnAtNextLeader(t *testing.T) {
+	const never = time.Hour
+	services, leader := startServices(t, never, 0, 0)
+	put := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		put <- services[1].PutDocument(ctx, document(2))
+	}()
+	time.Sleep(2 * leaderCheckInterval)
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = leader.Stop(stopped)
+	if err := <-put; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/replica/numbered.go
+++ b/internal/replica/numbered.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// NumberedDocument returns the document in force here once this replica has applied a revision.
+func (r *Replica) NumberedDocument(ctx context.Context, revision uint64) (fleet.NumberedDocument, error) {
+	for {
+		updated := r.signals().revisionUpdated
+		var item []byte
+		var applied uint64
+		err := r.runInLoop(ctx, func() { applied, item = r.machine.Revision(), r.machine.Item(fleet.PathNumbered) })
+		if err != nil {
+			return fleet.NumberedDocument{}, err
+		}
+		if applied >= revision {
+			return fleet.ParseNumberedDocument(item)
+		}
+		select {
+		case <-updated:
+		case <-ctx.Done():
+			return fleet.NumberedDocument{}, ctx.Err()
+		}
+	}
+}
+
 // changeFor returns the change that puts a document's item in force at a revision. Its
 // ID names the content too: the result of a change is that of the first one with its ID,
 // and two operators may send other contents under one number.
--- a/internal/rpc/leader.go
+++ b/internal/rpc/leader.go
@@ -199,7 +199,7 @@
 			}
 			lastErr = Wrap(step, a.address, a.err)
 			r.forgetLeader(a.address)
-			if isPermanent(a.err) {
+			if IsPermanent(a.err) {
 				return a.response, lastErr
 			}
 			s.widen(ctx, a.hint)
@@ -290,7 +290,7 @@
 			}
 			lastErr = Wrap(step, address, err)
 			r.forgetLeader(address)
-			if isPermanent(err) {
+			if IsPermanent(err) {
 				return response, lastErr
 			}
 			if hint != "" && hint != address {
@@ -305,8 +305,25 @@
 	}
 }
 
-// isPermanent reports whether a repeated call would return the same error.
-func isPermanent(err error) bool {
+// CallOne makes a call to the replica at an address, which is believed to lead, without a limit of
+// its own on the time. If the replica does not lead, the leader that it names is called next.
+func CallOne[Response any](ctx context.Context, r *Replicas, address string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
+	response, err := call(ctx, r.Stub(address))
+	if err == nil {
+		return response, nil
+	}
+	r.forgetLeader(address)
+	if leader, ok := LeaderOf(err); ok && leader != address {
+		r.SetLeader(leader)
+	}
+	return response, err
+}
+
+// Pause waits before a replica is called again, or returns an error if the context ends first.
+func Pause(ctx context.Context) error { return pause(ctx, leaderRetryDelay) }
+
+// IsPermanent reports whether a repeated call would return the same error.
+func IsPermanent(err error) bool {
 	var twerr twirp.Error
 	if !errors.As(err, &twerr) {
 		return false
--- a/internal/rpc/leader_test.go
+++ b/internal/rpc/leader_test.go
@@ -137,7 +137,7 @@
 		return nil, twirp.InvalidArgumentError("content", "must be JSON")
 	}}
 	_, err := put(context.Background(), NewReplicas(NewClient(""), []string{serve(t, replica)}))
-	if !isPermanent(err) || replica.calls.Load() != 1 {
+	if !IsPermanent(err) || replica.calls.Load() != 1 {
 		t.Errorf("got error %v after %d calls, want the replica's error after 1", err, replica.calls.Load())
 	}
 }
