entry: no final denial by a configuration that nobody has confirmed lately

What callers saw: a request was refused with a status of no return, by an older version than one that a core VM had acknowledged. That the entry had no contact to the core VMs then is suspected, not shown: the record tells neither.

Cause: an entry without contact to a leader goes on with the configuration that it has, and refused unknown routes with 404 and unknown keys with 401. Callers don't send such requests again, though a newer configuration may have the route or the key, and another entry that configuration.

Change: once no quorum has confirmed the configuration for 2 s, such calls get 503 with a Retry-After and the reason configuration-unconfirmed. In touch, entries are confirmed each second or so. Deployments without a routing document are as before.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -102,8 +102,24 @@
 const (
 	reasonNoRoute request.Reason = "no-such-route"
 	reasonQuota   request.Reason = "customer-limit"
+	// reasonUnconfirmed stands for a denial by a configuration that may be outdated.
+	reasonUnconfirmed request.Reason = "configuration-unconfirmed"
 )
 
+// maxDenialAge is how old the confirmation of a configuration may be that denies a call what another
+// one may allow. It is the time within which a change is in force at every entry.
+const maxDenialAge = 2 * time.Second
+
+// denial returns the outcome of a call that the configuration in force does not allow. Without a
+// recent confirmation the call may be allowed by a newer configuration, and another entry may have that.
+func (e *Entry) denial(reason request.Reason, step string) request.Outcome {
+	if age := e.config.unconfirmed(); age > maxDenialAge {
+		step = fmt.Sprintf("%s by a configuration that was last confirmed %.1f s ago", step, age.Seconds())
+		return notRunOutcome(reasonUnconfirmed, step, addJitter(minUnreadyRetryAfter))
+	}
+	return notRunOutcome(reason, step, 0)
+}
+
 // ServeRouted serves a call according to the routing configuration in force.
 func (e *Entry) ServeRouted(w http.ResponseWriter, req *http.Request) {
 	call, err := e.opts.Routed.Callers.Parse(req)
@@ -194,12 +210,12 @@
 	}
 	route := config.routes.Route(req.Host, path)
 	if route == nil {
-		sink.refuse(notRunOutcome(reasonNoRoute, "no route has this host and path", 0), nil)
+		sink.refuse(e.denial(reasonNoRoute, "no route has this host and path"), nil)
 		return nil
 	}
 	customer := config.routes.Customer(call.Key)
 	if customer == nil && !route.Public {
-		sink.refuse(notRunOutcome(reasonUnauthorized, "the key belongs to no customer", 0), nil)
+		sink.refuse(e.denial(reasonUnauthorized, "the key belongs to no customer"), nil)
 		return nil
 	}
 	sink.share = e.openShare(w, req, customerName(customer))
--- a/internal/entry/routed_test.go
+++ b/internal/entry/routed_test.go
@@ -32,7 +32,7 @@
 func TestRoutedStatuses(t *testing.T) {
 	saysNotRun := map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true}
 	reasons := []request.Reason{
-		reasonQuota, reasonNotReady, request.ReasonOverload, request.ReasonDraining, request.ReasonNoServer, request.ReasonLeaving, request.ReasonPaused,
+		reasonQuota, reasonNotReady, reasonUnconfirmed, request.ReasonOverload, request.ReasonDraining, request.ReasonNoServer, request.ReasonLeaving, request.ReasonPaused,
 		request.ReasonAttempt, request.ReasonDeadline, request.ReasonDiverged, request.ReasonCallerGone,
 	}
 	for _, reason := range reasons {
