backend, detour: an answer that is cut off by a reset during the upload is not complete

What callers saw: the first part of an answer without a length, as if it were all of it (MIXED).

Cause: the kernel reports a reset to one call only. If the upload's write gets it, the read after it sees an orderly end, which is the end of an answer without a length. An entry that passes a connection on to a server for another entry (tunnel) took that end for the server's, too.

Change: connreset.Tracker remembers a write's error that says that the connection was broken off, and returns it in place of the end; a write in progress is ended first, so that its error counts. After the orderly end of the server's side writes fail with EPIPE, which does not count. Tunnels mark the end in their bytes, so that their callers need no such check.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -252,7 +252,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw}, nil
+	return &conn{Conn: raw, marksEnds: true}, nil
 }
 
 // Call is one attempt of a request.
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"waxwingcart/internal/answers"
+	"waxwingcart/internal/connreset"
 	"waxwingcart/internal/sockbuf"
 )
 
@@ -36,11 +37,19 @@
 	readErr error
 	// pace is that of the part of an answer that is being read.
 	pace answers.Pace
+
+	// resets tells an answer that was broken off from one that ends with its connection. It is not used
+	// if the connection says itself where the server's bytes end.
+	resets    connreset.Tracker
+	marksEnds bool
 }
 
 // Read fails with an *answers.Error once the answer arrives too slowly.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if !c.marksEnds {
+		err = c.resets.ReadError(c.Conn, err)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -66,7 +75,7 @@
 	c.written += int64(len(data))
 	c.mu.Unlock()
 
-	n, err := c.Conn.Write(data)
+	n, err := c.resets.Write(c.Conn, data)
 	if n < len(data) {
 		c.mu.Lock()
 		c.written -= int64(len(data) - n)
--- a/internal/detour/tunnel.go
+++ b/internal/detour/tunnel.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"waxwingcart/internal/connreset"
 	"waxwingcart/internal/core/detour"
 )
 
@@ -146,6 +147,8 @@
 type tunnel struct {
 	peer, server net.Conn
 	buffered     *bufio.ReadWriter
+	// resets tells whether the server ended its connection orderly.
+	resets connreset.Tracker
 	// lastPassed is when a byte was last passed on, in Unix nanoseconds.
 	lastPassed atomic.Int64
 }
@@ -198,10 +201,10 @@
 	t.lastPassed.Store(time.Now().UnixNano())
 	var passing sync.WaitGroup
 	passing.Go(func() {
-		_ = t.pass(t.peer, t.buffered.Reader, t.server.Write)
+		_ = t.pass(t.peer, t.buffered.Reader, func(data []byte) (int, error) { return t.resets.Write(t.server, data) })
 		reset(t.server)
 	})
-	err := t.pass(t.server, t.server, t.writeChunk)
+	err := t.resets.ReadError(t.server, t.pass(t.server, t.server, t.writeChunk))
 	if errors.Is(err, io.EOF) {
 		_, err = t.peer.Write(make([]byte, chunkHeaderBytes))
 	}
