replica: a put reads the number in force without splitting the document

Cause: before each proposal the leader split the document in force into its elements, 17 ms of a processor for 1.8 MB, to learn its number, and waited for the split that serves entries. The number is now read without decoding the content.

Change: it is read from the item. A wait for an acknowledgement that follows a failed delivery is again bounded by the size of its entries once a later append was acknowledged.

--- a/internal/core/replication/progress.go
+++ b/internal/core/replication/progress.go
@@ -144,7 +144,7 @@
 		done++
 	}
 	p.inflight = p.inflight[done:]
-	p.sentAt = now
+	p.sentAt, p.undelivered = now, false
 	return advanced
 }
 
--- a/internal/core/state/view.go
+++ b/internal/core/state/view.go
@@ -16,14 +16,6 @@
 	Content *docdiff.Document
 }
 
-// GetNumber returns the number, 0 if there is no document.
-func (n *Numbered) GetNumber() uint64 {
-	if n == nil {
-		return 0
-	}
-	return n.Number
-}
-
 // View holds the configuration that is in force in a process. Its revision never
 // decreases. A View is not safe for concurrent use; the Config it returns is.
 type View struct {
--- a/internal/replica/numbered.go
+++ b/internal/replica/numbered.go
@@ -95,8 +95,7 @@
 }
 
 // numbered returns the number of the document in force and the current revision after a quorum
-// has confirmed that this replica leads. It parses the document outside of the event loop, which
-// a long one would hold up.
+// has confirmed that this replica leads.
 func (s *Service) numbered(ctx context.Context) (number, revision uint64, err error) {
 	if _, err := s.replica.await(ctx, replication.Read{}); err != nil {
 		return 0, 0, err
@@ -106,11 +105,8 @@
 		item = s.replica.machine.Item(fleet.PathNumbered)
 		revision = s.replica.machine.Revision()
 	})
-	if err != nil || len(item) == 0 {
-		return 0, revision, err
-	}
-	if document, err := s.replica.documents.Document(revision, item); err != nil || document != nil {
-		return document.GetNumber(), revision, err
+	if err != nil {
+		return 0, 0, err
 	}
 	current, err := fleet.ParseNumberedDocument(item)
 	return current.Number, revision, err
