entry: a response that arrives late confirms nothing

Cause: a confirmation counted from the moment at which its response was applied. After a transfer of up to 10 s, or a suspension with the response on its way, an entry denied calls for another 2 s by a configuration that was confirmed long before.

Change: a response that took 2 s longer than the replica may hold the call counts as unconfirmed, unless the entry has no configuration yet. The next call confirms.

Result: TestLateResponseDoesNotConfirm failed before and passes.

--- a/internal/entry/denial_test.go
+++ b/internal/entry/denial_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"waxwingcart/internal/bootclock"
+	"waxwingcart/internal/rpc"
+	"waxwingcart/internal/wire"
 )
 
 // An entry whose configuration no quorum has confirmed lately does not know whether a newer one has the
@@ -31,3 +34,27 @@
 		t.Errorf("after the next confirmation: got %d, expected 404", noRoute.StatusCode)
 	}
 }
+
+// lateReplica confirms a configuration, and its response arrives after a time.
+type lateReplica struct {
+	fakeReplica
+	late func()
+}
+
+func (r *lateReplica) FetchConfig(context.Context, *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	r.late()
+	return documentResponse(2), nil
+}
+
+// A response that arrives late confirms nothing of the time since it was made.
+func TestLateResponseDoesNotConfirm(t *testing.T) {
+	for late, confirmed := range map[time.Duration]bool{time.Second: true, 5 * time.Second: false} {
+		e := newTakeUpEntry(t, &versionEngine{version: "v1"})
+		replica := &lateReplica{late: func() { e.clock = func() time.Duration { return bootclock.Now() + late } }}
+		e.replicas = rpc.NewReplicas(rpc.NewClient(""), nil)
+		response, err := e.config.fetchFromReplica(t.Context(), serveReplica(t, replica), e.config.request(0), rpc.NewProgress())
+		if err != nil || response.Confirmed != confirmed {
+			t.Errorf("after %v: got confirmed %t, %v, expected %t", late, response.GetConfirmed(), err, confirmed)
+		}
+	}
+}
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -336,7 +336,7 @@
 // result.
 func (h *configHolder) fetchFromReplica(ctx context.Context, address string, request *wire.FetchConfigRequest, progress *rpc.Progress) (*wire.FetchConfigResponse, error) {
 	timeout := h.replicaTimeout + extraWait(h.entry.quota.entries())
-	started := time.Now()
+	started, began := time.Now(), h.entry.now()
 	call := func(ctx context.Context, request *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
 		call, cancel := progress.Bound(ctx, timeout, max(fetchLongest, timeout))
 		defer cancel()
@@ -349,6 +349,10 @@
 	response, err := call(ctx, request)
 	if err == nil {
 		err = h.documents.Complete(ctx, call, request, response)
+		if held := time.Duration(request.WaitMs) * time.Millisecond; h.entry.now()-began > held+maxDenialAge && !h.empty() {
+			// The quorum confirmed it before the transfer, or before the VM was suspended.
+			response.Confirmed = false
+		}
 	}
 	if ctx.Err() != nil {
 		if err != nil && time.Since(started) >= h.overdueAfter {
