replica: measure writes to the log

Cause: with a stalled disk the replicas have no leader for seconds, and neither a line nor a metric said so: the event loop is not held up, as the writer is another goroutine.

Change: a histogram of the time of a write, and a line for each one as long as the lease.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -244,7 +244,9 @@
 		case <-ctx.Done():
 			return
 		case persist := <-r.writes:
+			began := r.now()
 			err := r.untilRoom(ctx, "log", func() error { return r.log.Write(persist) })
+			r.noteWrite(r.now() - began)
 			if ctx.Err() != nil {
 				return
 			}
@@ -257,6 +259,15 @@
 	}
 }
 
+// noteWrite counts a write to the log, and logs one that is as long as the lease, during which the replica neither
+// votes nor acknowledges.
+func (r *Replica) noteWrite(took time.Duration) {
+	r.metrics.writes.Observe(took.Seconds())
+	if took >= leaseDuration {
+		r.logger.Warn().Str("step", "write").Int64("took_ms", took.Milliseconds()).Msg("a write to the log took long")
+	}
+}
+
 // reportFatal makes the loop return with an error. It never blocks, because the
 // loop may have returned already.
 func (r *Replica) reportFatal(step string, err error) {
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -23,6 +23,7 @@
 	// unaddressed counts the messages for nodes whose address is unknown.
 	unaddressed prometheus.Counter
 	loopDelay   prometheus.Histogram
+	writes      prometheus.Histogram
 	// appendTimeouts is a gauge of a count that only rises, since the node counts.
 	appendTimeouts prometheus.Gauge
 }
@@ -71,7 +72,12 @@
 		Help:    "Time from one tick of the event loop to the next, beyond the interval of ticks.",
 		Buckets: []float64{.01, .02, .05, .1, .2, .4, .6, 1, 2},
 	})
-	registry.MustRegister(m.loopDelay, m.diskFull, m.reservations, m.orders, m.duties, m.deliveryFailures, m.unaddressed)
+	m.writes = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "waxwingcart", Subsystem: "replica", Name: "write_seconds",
+		Help:    "Time of a write to the log, with its sync.",
+		Buckets: []float64{.001, .002, .005, .01, .02, .05, .1, .2, .4, 1, 2, 5},
+	})
+	registry.MustRegister(m.loopDelay, m.writes, m.diskFull, m.reservations, m.orders, m.duties, m.deliveryFailures, m.unaddressed)
 	return m
 }
 
