replica: reads of the document don't wait for the event loop; puts follow each other

Two puts at once were proposed for the same revision, and the one that lost was appended again, whole. A dropped long append was not reported, so that the leader waited for its acknowledgement. After a configuration that can't be decoded, the planner stopped in place of going on with the last one.

Change: the item of the document is published with its revision. Dropped messages are reported once there is room. The planner keeps the last configuration.

--- a/internal/replica/numbered.go
+++ b/internal/replica/numbered.go
@@ -33,6 +33,12 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("content", err.Error())
 	}
+	select {
+	case s.replica.putting <- struct{}{}:
+		defer func() { <-s.replica.putting }()
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.DeadlineExceeded, "other documents are being put")
+	}
 	for {
 		current, revision, err := s.numbered(ctx)
 		if err != nil {
@@ -60,16 +66,13 @@
 	}
 }
 
-// NumberedDocument returns the document in force here once this replica has applied a revision.
+// NumberedDocument returns the document in force here once this replica has applied a revision. It does not
+// wait for the event loop, which a stalled disk may hold up.
 func (r *Replica) NumberedDocument(ctx context.Context, revision uint64) (fleet.NumberedDocument, error) {
 	for {
-		updated := r.signals().revisionUpdated
-		var item []byte
-		var applied uint64
-		err := r.runInLoop(ctx, func() { applied, item = r.machine.Revision(), r.machine.Item(fleet.PathNumbered) })
-		if err != nil {
-			return fleet.NumberedDocument{}, err
-		}
+		r.mu.Lock()
+		item, applied, updated := r.numbered, r.numberedAt, r.revisionUpdated
+		r.mu.Unlock()
 		if applied >= revision {
 			return fleet.ParseNumberedDocument(item)
 		}
@@ -77,6 +80,8 @@
 		case <-updated:
 		case <-ctx.Done():
 			return fleet.NumberedDocument{}, ctx.Err()
+		case <-r.runCtx.Done():
+			return fleet.NumberedDocument{}, r.runCtx.Err()
 		}
 	}
 }
--- a/internal/replica/orders.go
+++ b/internal/replica/orders.go
@@ -82,8 +82,12 @@
 		o.revision = 0
 		return
 	}
-	config, revision, err := o.replica.configSince(ctx, o.revision)
-	if err != nil || config == nil {
+	items, revision, err := o.replica.itemsSince(ctx, o.revision)
+	if err != nil || items == nil {
+		return
+	}
+	config, err := fleet.Assemble(items)
+	if err != nil {
 		return
 	}
 	o.revision = revision
--- a/internal/replica/planning.go
+++ b/internal/replica/planning.go
@@ -135,13 +135,18 @@
 }
 
 // readConfig reads the configuration if its revision is new. It reports whether
-// there is one.
+// there is one: the last one that could be decoded.
 func (p *planning) readConfig(ctx context.Context) bool {
-	config, revision, err := p.replica.configSince(ctx, p.revision)
-	if config != nil {
-		p.config, p.revision = config, revision
+	items, revision, err := p.replica.itemsSince(ctx, p.revision)
+	if err != nil {
+		return false
+	}
+	if items != nil {
+		if config, err := fleet.Assemble(items); err == nil {
+			p.config, p.revision = config, revision
+		}
 	}
-	return err == nil && p.config != nil
+	return p.config != nil
 }
 
 // observed returns the state of the configured backend servers' VMs. The caller
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,6 +19,7 @@
 	"waxwingcart/internal/bootclock"
 	"waxwingcart/internal/codec"
 	"waxwingcart/internal/configdelta"
+	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/core/replication"
 	"waxwingcart/internal/core/state"
 	"waxwingcart/internal/crashguard"
@@ -117,6 +118,9 @@
 	// bars keeps what entries tell of barred prompt parts, for those that start.
 	bars   *crashguard.Guard
 	duties *duties
+	// putting holds a value while a document is put. Of two at once, one would be proposed for a revision that the
+	// other replaces, and be appended again.
+	putting chan struct{}
 	// documents keeps the latest configuration documents as bases of deltas.
 	documents *configdelta.Store
 	// rollouts runs roll-outs while this replica leads; rolloutStore keeps them in the log.
@@ -156,6 +160,9 @@
 	// mu guards the fields below; view is the state that other goroutines read.
 	mu   sync.Mutex
 	view view
+	// numbered is the item of the numbered document in force, and numberedAt its revision.
+	numbered   []byte
+	numberedAt uint64
 	// revisionUpdated is closed and replaced when the revision changes,
 	// roleUpdated when the role or the leader changes.
 	revisionUpdated chan struct{}
@@ -194,6 +201,7 @@
 		stopping:        make(chan struct{}),
 		acks:            newAcks(),
 		documents:       configdelta.NewStore(opts.Registry),
+		putting:         make(chan struct{}, 1),
 		machine:         state.New(state.Options{}),
 		waiting:         make(map[uint64]waiter),
 		appended:        make(map[uint64]pendingProposal),
@@ -238,6 +246,7 @@
 				return fmt.Errorf("restore snapshot at index %d: %w", snapshot.Index, err)
 			}
 			r.machine.Restore(state)
+			r.revisionChanged()
 		}
 	}
 	// A process that ends again and again leaves one line for each start.
@@ -381,6 +390,7 @@
 	defer r.mu.Unlock()
 	close(r.revisionUpdated)
 	r.revisionUpdated = make(chan struct{})
+	r.numbered, r.numberedAt = r.machine.Item(fleet.PathNumbered), r.machine.Revision()
 	r.metrics.revision.Set(float64(r.machine.Revision()))
 }
 
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -48,8 +49,11 @@
 	large chan struct{}
 	// pending counts the deliveries whose calls have not returned.
 	pending sync.WaitGroup
-	// undelivered, if set, is called after each delivery that failed.
+	// undelivered, if set, is called after each delivery that failed, and when there is room again after
+	// messages were dropped.
 	undelivered func()
+	// dropped is true if messages were dropped for want of room.
+	dropped atomic.Bool
 	// failing is true while deliveries fail or are overdue. It limits the log to one
 	// warning per outage.
 	failing bool
@@ -115,9 +119,10 @@
 	if totalBytes(messages) > smallDeliveryBytes {
 		select {
 		case s.large <- struct{}{}:
-			release = func() { <-s.large }
+			release = s.releaseLarge
 		default:
 			messages = smallMessages(messages)
+			s.dropped.Store(true)
 		}
 	}
 	if len(messages) == 0 {
@@ -128,7 +133,7 @@
 		defer release()
 		answered <- s.call(ctx, messages)
 	})
-	overdue := time.NewTimer(s.overdueAfter)
+	overdue := time.NewTimer(s.overdueAfter + transferTime(totalBytes(messages)))
 	defer overdue.Stop()
 	select {
 	case err := <-answered:
@@ -144,6 +149,14 @@
 	}
 }
 
+// releaseLarge makes room for a large delivery.
+func (s *sender) releaseLarge() {
+	<-s.large
+	if s.dropped.Swap(false) && s.undelivered != nil {
+		s.undelivered()
+	}
+}
+
 func (s *sender) call(ctx context.Context, messages [][]byte) error {
 	callCtx, cancel := context.WithTimeout(ctx, s.timeout+transferTime(totalBytes(messages)))
 	defer cancel()
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -269,17 +269,17 @@
 
 // Config returns the committed configuration and its revision.
 func (r *Replica) Config(ctx context.Context) (*fleet.Config, uint64, error) {
-	config, revision, err := r.configSince(ctx, 0)
-	if err == nil && config == nil {
-		config, err = fleet.Assemble(nil)
+	items, revision, err := r.itemsSince(ctx, 0)
+	if err != nil {
+		return nil, 0, err
 	}
+	config, err := fleet.Assemble(items)
 	return config, revision, err
 }
 
-// configSince returns the committed configuration and its revision, or a nil configuration if the
-// revision is the given one. The configuration is decoded outside of the event loop, which a long
-// one would hold up.
-func (r *Replica) configSince(ctx context.Context, have uint64) (*fleet.Config, uint64, error) {
+// itemsSince returns the items of the committed configuration and its revision, or no items if that is the given
+// revision. Callers decode them outside of the event loop, which long ones would hold up.
+func (r *Replica) itemsSince(ctx context.Context, have uint64) (map[string][]byte, uint64, error) {
 	var items map[string][]byte
 	var revision uint64
 	err := r.runInLoop(ctx, func() {
@@ -287,9 +287,8 @@
 			items = r.machine.Items()
 		}
 	})
-	if err != nil || revision == have {
-		return nil, revision, err
+	if err != nil {
+		return nil, 0, err
 	}
-	config, err := fleet.Assemble(items)
-	return config, revision, err
+	return items, revision, nil
 }
