operator: a long put outlives its caller

What callers saw: operators leave a VM after a second and try the next one. Each attempt with a document that takes the leader longer was cut off with its caller, so that it was never put.

Cause: the context of the caller's request and a bound of 3 s for documents of any length.

A new leader that is learned while a call begins is noticed.

--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -38,6 +38,10 @@
 		_, err := rpc.Call(ctx, s.Replicas, "put document", put)
 		return err
 	}
+	// Operators send a document again, also at other VMs, while it is on its way to the leader.
+	if own, err := s.ownDocument(ctx, 0); err == nil && own.Number >= document.Number {
+		return nil
+	}
 	_, err := callLeader(ctx, s, "put document", put)
 	return err
 }
@@ -113,6 +117,7 @@
 func callLeader[Response any](ctx context.Context, s *Service, step string, call func(context.Context, wire.Replica) (Response, error)) (Response, error) {
 	s.learnFromReplica()
 	for {
+		known := s.knownLeader()
 		if s.Replicas.Leader() == "" {
 			if _, err := s.confirm(ctx); err != nil {
 				var none Response
@@ -121,7 +126,7 @@
 		}
 		leader := s.Replicas.Leader()
 		callCtx, cancel := context.WithCancel(ctx)
-		go s.cancelOnNewLeader(callCtx, cancel, leader)
+		go s.cancelOnNewLeader(callCtx, cancel, known, leader)
 		response, err := rpc.CallOne(callCtx, s.Replicas, leader, call)
 		cancel()
 		if err == nil || ctx.Err() != nil || rpc.IsPermanent(err) {
@@ -133,12 +138,12 @@
 	}
 }
 
-// cancelOnNewLeader ends a call to a leader once the process's own replica learns of another one.
-func (s *Service) cancelOnNewLeader(ctx context.Context, cancel context.CancelFunc, called string) {
+// cancelOnNewLeader ends a call once the process's own replica learns of another leader than the one that it knew
+// before and the one that is called. In a process without a replica the call ends with its context.
+func (s *Service) cancelOnNewLeader(ctx context.Context, cancel context.CancelFunc, before, called string) {
 	if s.Replica == nil {
 		return
 	}
-	_, before := s.Replica.KnownReplicas()
 	ticker := time.NewTicker(leaderCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -146,7 +151,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if _, known := s.Replica.KnownReplicas(); known != "" && known != before && known != called {
+			if known := s.knownLeader(); known != "" && known != before && known != called {
 				s.Replicas.SetLeader(known)
 				cancel()
 				return
@@ -155,6 +160,15 @@
 	}
 }
 
+// knownLeader returns the leader that the process's own replica knows, or "".
+func (s *Service) knownLeader() string {
+	if s.Replica == nil {
+		return ""
+	}
+	_, leader := s.Replica.KnownReplicas()
+	return leader
+}
+
 // learnFromReplica copies the addresses and the leader that the process's own
 // replica knows. The replica learns of a new leader before any caller does.
 func (s *Service) learnFromReplica() {
--- a/internal/operator/longdocument_test.go
+++ b/internal/operator/longdocument_test.go
@@ -1,4 +1,4 @@
-package operator
+package operator_test
 
 import (
 	"bytes"
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,9 +16,11 @@
 
 	"waxwingcart/internal/core/fleet"
 	"waxwingcart/internal/observe"
+	"waxwingcart/internal/operator"
 	"waxwingcart/internal/replica"
 	"waxwingcart/internal/rpc"
 	"waxwingcart/internal/wire"
+	"waxwingcart/platform"
 )
 
 const (
@@ -117,12 +120,12 @@
 
 // startServices is startReplicas, and returns an operator's service of each replica and the leader, which is the first
 // one. The first document is in force.
-func startServices(t *testing.T, delays ...time.Duration) ([]*Service, *replica.Replica) {
+func startServices(t *testing.T, delays ...time.Duration) ([]*operator.Service, *replica.Replica) {
 	t.Helper()
 	replicas, addresses := startReplicas(t, delays...)
-	services := make([]*Service, len(replicas))
+	services := make([]*operator.Service, len(replicas))
 	for i, r := range replicas {
-		services[i] = &Service{Replica: r, Replicas: rpc.NewReplicas(rpc.NewClient("secret"), addresses)}
+		services[i] = &operator.Service{Replica: r, Replicas: rpc.NewReplicas(rpc.NewClient("secret"), addresses)}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -174,7 +177,7 @@
 		defer cancel()
 		put <- services[1].PutDocument(ctx, document(2))
 	}()
-	time.Sleep(2 * leaderCheckInterval)
+	time.Sleep(100 * time.Millisecond)
 	stopped, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = leader.Stop(stopped)
@@ -182,3 +185,30 @@
 		t.Error(err)
 	}
 }
+
+// An operator that leaves each VM after a second gets a document put that the leader takes longer for. Each attempt was
+// cut off with its caller.
+func TestLongPutOutlivesItsCaller(t *testing.T) {
+	const patience, attempts = time.Second, 9
+	services, _ := startServices(t, 1500*time.Millisecond, 0, 0)
+	var servers []*httptest.Server
+	for _, s := range services {
+		api := &platform.Operator{Service: s, Logger: observe.NewLogger(io.Discard, "error", "r", "z")}
+		server := httptest.NewServer(api.Handler())
+		t.Cleanup(server.Close)
+		servers = append(servers, server)
+	}
+	content := fmt.Sprintf(`{"version":2,"routes":[],"services":[{"name":"a"}],"more":%q}`, strings.Repeat("x", longDocument))
+	client := &http.Client{Timeout: patience}
+	for i := range attempts {
+		response, err := client.Post(servers[i%len(servers)].URL+"/v1/config/put", "application/json", strings.NewReader(content))
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Errorf("the document was not put in %d attempts", attempts)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,8 @@
 const (
 	changeTimeout = 5 * time.Second
 	readTimeout   = 3 * time.Second
+	// confirmedTimeout is the part of readTimeout in which a quorum may confirm the configuration.
+	confirmedTimeout = 2 * time.Second
 	// changeWaitPart is the longest wait for zones within one call to the leader.
 	changeWaitPart = 500 * time.Millisecond
 )
@@ -82,6 +84,9 @@
 	defer cancel()
 	var mu sync.Mutex
 	var unconfirmed *wire.FetchConfigResponse
+	if response, err := s.confirmedConfig(ctx); err == nil {
+		return configResponse(response)
+	}
 	response, err := rpc.Call(ctx, s.Replicas, "get config", func(ctx context.Context, stub wire.Replica) (*wire.FetchConfigResponse, error) {
 		answer, err := stub.FetchConfig(ctx, &wire.FetchConfigRequest{})
 		if err == nil && !answer.Confirmed {
@@ -103,6 +108,15 @@
 	return configResponse(response)
 }
 
+// confirmedConfig fetches the configuration from the leader, within confirmedTimeout.
+func (s *Service) confirmedConfig(ctx context.Context) (*wire.FetchConfigResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmedTimeout)
+	defer cancel()
+	return callLeader(ctx, s, "get config", func(ctx context.Context, stub wire.Replica) (*wire.FetchConfigResponse, error) {
+		return s.fetchConfirmed(ctx, stub, 0)
+	})
+}
+
 func configResponse(response *wire.FetchConfigResponse) (*wire.GetConfigResponse, error) {
 	view := state.NewView()
 	effects := view.Step(0, state.DeltasReceived{
