storage: sync the directory and the last segment when the log is opened

Cause: Open took records and renames for durable that a killed process had written and not synced. The replica could acknowledge such a record to its leader without another write, and lose it with the power. When the next write began a new segment, the segment before it was never synced: after a loss of power it ended in a torn record, which Open refuses as damage, at each start.

Change: Open syncs the directory before it reads it, and the last segment before it appends to it. All other segments were synced before the one that follows them was made.

TestPowerLossAfterKilledProcess passes; with only one of the two syncs it fails. A start makes two syncs more.

--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -33,8 +33,12 @@
 	}
 }
 
-// recover restores the state from the data directory, or initializes a new one.
+// recover restores the state from the data directory, or initializes a new one. The process before this one may have
+// ended before it synced what is read here. It is synced first, as later writes and acknowledgements rest on it.
 func (l *Log) recover() error {
+	if err := l.syncDir(); err != nil {
+		return err
+	}
 	names, err := l.files.ReadDir(l.dir)
 	if err != nil {
 		return fmt.Errorf("storage: list data directory: %w", err)
--- a/internal/storage/segments.go
+++ b/internal/storage/segments.go
@@ -41,12 +41,16 @@
 	return full.Close()
 }
 
-// openLastSegment opens the last segment for appending.
+// openLastSegment opens the last segment for appending, and syncs the records in it.
 func (l *Log) openLastSegment() error {
 	f, err := l.files.OpenAppend(l.lastSegment().path)
 	if err != nil {
 		return fmt.Errorf("storage: open log: %w", err)
 	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return fmt.Errorf("storage: sync log: %w", err)
+	}
 	l.active = f
 	return nil
 }
