--- a/internal/replica/numbered.go
+++ b/internal/replica/numbered.go
@@ -14,6 +14,10 @@
 	"waxwingcart/internal/wire"
 )
 
+// maxItemBytes bounds the content of one item of the configuration: twice what operators may send, and half of what is
+// read as one part of a snapshot or as one answer.
+const maxItemBytes = 8 << 20
+
 // changeDigestBytes is the length of the digest in a change ID.
 const changeDigestBytes = 8
 
@@ -28,6 +32,9 @@
 	if req.Number == 0 {
 		return nil, twirp.InvalidArgumentError("number", "must be above 0")
 	}
+	if len(req.Content) > maxItemBytes {
+		return nil, twirp.InvalidArgumentError("content", fmt.Sprintf("got %d bytes, expected at most %d", len(req.Content), maxItemBytes))
+	}
 	document := fleet.NumberedDocument{Number: req.Number, Content: req.Content}
 	item, err := document.Item()
 	if err != nil {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -94,6 +95,11 @@
 	if err := s.replica.runInLoop(ctx, func() { prepared = s.replica.machine.PrepareParsed(parsed) }); err != nil {
 		return nil, err
 	}
+	for _, item := range prepared.Items {
+		if len(item.JSON) > maxItemBytes {
+			return nil, twirp.InvalidArgumentError("config_json", fmt.Sprintf("%s: got %d bytes, expected at most %d", item.Path, len(item.JSON), maxItemBytes))
+		}
+	}
 	applied, err := s.replica.propose(ctx, prepared)
 	if err != nil {
 		return nil, err
