--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -46,7 +46,8 @@
 	// lost. Beyond that, the leader would send long entries again and again.
 	maxInflightBytes = 1 << 20
 	maxPendingBytes  = 64 << 20
-	// minAppendRate is that of a replica with a small part of a processor, in bytes per second.
+	// minAppendRate, in bytes per second, is below the rate at which a replica with a small part of a
+	// processor takes long entries.
 	minAppendRate = 1 << 20
 	retainEntries = 20000
 	maxVoters     = 5
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -17,9 +17,9 @@
 const (
 	senderQueueLength = 4096
 	maxSenderBatch    = 256
-	// overdueAfter is how long later messages wait for the answer to a delivery. It
-	// is far below the election timeout and the lease, so that a silent connection
-	// costs no leader its quorum.
+	// overdueAfter is how long later messages wait for the answer to a delivery, in addition
+	// to the time that its bytes take at minAppendRate. It is far below the election timeout
+	// and the lease, so that a silent connection costs no leader its quorum.
 	overdueAfter = 200 * time.Millisecond
 	// deliveryTimeout bounds one delivery, in addition to the time that its bytes take at
 	// minAppendRate.
