--- a/internal/operator/longdocument_test.go
+++ b/internal/operator/longdocument_test.go
@@ -28,8 +28,8 @@
 	// an attempt of a short call may take, and less than operators wait.
 	longCall = 900 * time.Millisecond
 	// callTimeout is far above longCall. A call that is cut off and repeated does not end within any time.
-	callTimeout = 20 * time.Second
-	longDocument    = 256 << 10
+	callTimeout  = 20 * time.Second
+	longDocument = 256 << 10
 )
 
 // slowLongCalls delays calls whose request or response is long.
