replica: tell why no leader is known

Cause: in an outage without a leader no line of any replica said who votes by its log, what the voters answered to its last request for votes, or since when it knows no leader, so that voters that no longer exist could not be told from refused votes or lost messages.

Change: votes that are refused carry the reason (lease, longer log, later term, precedence, another candidate). A replica that knows no leader for 1.2 s logs step="election" with its voters and learners by incarnation and each answer, and again every 5 s. The dump shows the same, and waxwingcart_replica_leaderless_seconds the time.

--- a/internal/codec/replication.go
+++ b/internal/codec/replication.go
@@ -45,6 +45,7 @@
 		Commit:    m.Commit,
 		Granted:   m.Granted,
 		Rejected:  m.Rejected,
+		Refusal:   uint32(m.Refusal),
 		Index:     m.Index,
 		Round:     m.Round,
 		Snapshot:  snapshotToWire(m.Snapshot),
@@ -64,6 +65,7 @@
 		Commit:    w.GetCommit(),
 		Granted:   w.GetGranted(),
 		Rejected:  w.GetRejected(),
+		Refusal:   refusalFromWire(w.GetRefusal()),
 		Index:     w.GetIndex(),
 		Round:     w.GetRound(),
 		Snapshot:  snapshotFromWire(w.GetSnapshot()),
@@ -90,6 +92,14 @@
 	return m, nil
 }
 
+// refusalFromWire returns the reason of a refusal, or none if it is unknown to this version.
+func refusalFromWire(refusal uint32) replication.VoteAnswer {
+	if refusal > uint32(replication.VoteRefusedOther) {
+		return replication.VoteUnanswered
+	}
+	return replication.VoteAnswer(refusal)
+}
+
 func nodeIDToWire(id replication.NodeID) *wire.NodeID {
 	if id.IsZero() {
 		return nil
--- a/internal/codec/replication_test.go
+++ b/internal/codec/replication_test.go
@@ -23,6 +23,7 @@
 		{Kind: replication.MessageAppendReply, From: id("vm-2"), To: id("vm-1"), Term: 3, Rejected: true, PrevIndex: 4, Index: 2},
 		{Kind: replication.MessageHeartbeat, From: id("vm-1"), To: id("vm-2"), Term: 3, Round: 9},
 		{Kind: replication.MessageVoteReply, From: id("vm-2"), To: id("vm-1"), Term: 3, Granted: true},
+		{Kind: replication.MessagePreVoteReply, From: id("vm-2"), To: id("vm-1"), Term: 3, Refusal: replication.VoteRefusedLog},
 		{Kind: replication.MessageSnapshot, From: id("vm-1"), To: id("vm-2"), Term: 3, Offset: 4, Size: 11, Snapshot: &replication.Snapshot{
 			Index: 9, Term: 2, Membership: membership, Data: []byte("state"),
 		}},
--- a/internal/core/replication/election.go
+++ b/internal/core/replication/election.go
@@ -102,6 +102,7 @@
 	}
 	n.role = RolePreCandidate
 	n.leader = NodeID{}
+	n.startBallot()
 	n.votes = map[NodeID]bool{n.self(): true}
 	if n.hasVoteQuorum() {
 		n.campaign()
@@ -121,6 +122,7 @@
 	n.role = RoleCandidate
 	n.vote = n.self()
 	n.votes = make(map[NodeID]bool)
+	n.startBallot()
 	n.sendSynced(Message{Kind: MessageVoteReply, To: n.self(), Granted: true})
 	for _, voter := range n.log.membership().Voters {
 		if voter.ID != n.self() {
@@ -152,18 +154,31 @@
 
 func (n *Node) receivePreVote(m *Message) {
 	n.endLeaseOnVoteRequest(m)
-	granted := m.Term > n.term && !n.refusesVotes() && n.log.isUpToDate(m.PrevIndex, m.PrevTerm) && !n.hasPrecedence(m)
+	answer := n.preVoteAnswer(m)
+	granted := answer == VoteGranted
 	if granted && n.role == RolePreCandidate {
 		n.role = RoleFollower
 		n.votes = nil
 	}
-	reply := Message{Kind: MessagePreVoteReply, To: m.From, Granted: granted}
 	if granted {
-		reply.Term = m.Term
-		n.send(reply)
+		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Granted: true, Term: m.Term})
 		return
 	}
-	n.sendInTerm(reply)
+	n.sendInTerm(Message{Kind: MessagePreVoteReply, To: m.From, Refusal: answer})
+}
+
+func (n *Node) preVoteAnswer(m *Message) VoteAnswer {
+	switch {
+	case m.Term <= n.term:
+		return VoteRefusedTerm
+	case n.refusesVotes():
+		return VoteRefusedLease
+	case !n.log.isUpToDate(m.PrevIndex, m.PrevTerm):
+		return VoteRefusedLog
+	case n.hasPrecedence(m):
+		return VoteRefusedPrecedence
+	}
+	return VoteGranted
 }
 
 // hasPrecedence reports whether this node runs a pre-vote itself and precedes
@@ -183,6 +198,7 @@
 }
 
 func (n *Node) receivePreVoteReply(m *Message) {
+	n.recordAnswer(m)
 	if n.role != RolePreCandidate || !m.Granted || m.Term != n.term+1 {
 		return
 	}
@@ -194,17 +210,34 @@
 
 // receiveVote handles a vote request of the current term.
 func (n *Node) receiveVote(m *Message) {
-	free := n.vote.IsZero() && n.leader.IsZero()
-	granted := (free || n.vote == m.From) && !n.refusesVotes() && n.log.isUpToDate(m.PrevIndex, m.PrevTerm)
-	if granted && n.vote != m.From {
+	answer := n.voteAnswer(m)
+	if answer != VoteGranted {
+		n.sendSynced(Message{Kind: MessageVoteReply, To: m.From, Refusal: answer})
+		return
+	}
+	if n.vote != m.From {
 		n.vote = m.From
 		n.writes.hardStateDirty = true
 		n.resetElectionTimer()
 	}
-	n.sendSynced(Message{Kind: MessageVoteReply, To: m.From, Granted: granted})
+	n.sendSynced(Message{Kind: MessageVoteReply, To: m.From, Granted: true})
+}
+
+func (n *Node) voteAnswer(m *Message) VoteAnswer {
+	free := n.vote.IsZero() && n.leader.IsZero()
+	switch {
+	case !free && n.vote != m.From:
+		return VoteRefusedOther
+	case n.refusesVotes():
+		return VoteRefusedLease
+	case !n.log.isUpToDate(m.PrevIndex, m.PrevTerm):
+		return VoteRefusedLog
+	}
+	return VoteGranted
 }
 
 func (n *Node) receiveVoteReply(m *Message) {
+	n.recordAnswer(m)
 	if n.role != RoleCandidate || !m.Granted {
 		return
 	}
--- a/internal/core/replication/follower.go
+++ b/internal/core/replication/follower.go
@@ -51,9 +51,9 @@
 	case MessageAppend, MessageSnapshot, MessageHeartbeat:
 		n.sendInTerm(Message{Kind: MessageHeartbeatReply, To: m.From, Rejected: true})
 	case MessagePreVote:
-		n.sendInTerm(Message{Kind: MessagePreVoteReply, To: m.From})
+		n.sendInTerm(Message{Kind: MessagePreVoteReply, To: m.From, Refusal: VoteRefusedTerm})
 	case MessageVote:
-		n.sendInTerm(Message{Kind: MessageVoteReply, To: m.From})
+		n.sendInTerm(Message{Kind: MessageVoteReply, To: m.From, Refusal: VoteRefusedTerm})
 	}
 }
 
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -38,6 +38,11 @@
 	electionAt time.Duration
 	// votes holds the nodes that granted their vote in the current election.
 	votes map[NodeID]bool
+	// answers holds the answers to the last request for votes, and nil before the first one since a leader was known.
+	answers map[NodeID]VoteAnswer
+	// leaderless is true while no leader is known, since leaderlessAt.
+	leaderless   bool
+	leaderlessAt time.Duration
 	// leaving is true once the node received its own Leave or a Resign that says
 	// so, and stopping once it received a Resign that says so.
 	leaving  bool
@@ -265,6 +270,7 @@
 	}
 	n.emitCommitted()
 	n.persist()
+	n.noteLeader()
 	n.reportRole()
 }
 
--- a/internal/core/replication/status.go
+++ b/internal/core/replication/status.go
@@ -24,6 +24,8 @@
 	// Peers is set only on the leader.
 	Peers []PeerStatus
 	Lease LeaseStatus
+	// Election tells why no leader is known.
+	Election ElectionStatus
 }
 
 // LeaseStatus is the state of the leader's lease.
@@ -66,6 +68,7 @@
 		StableIndex:     n.log.stable,
 		LogBytes:        n.log.bytes,
 		AppendTimeouts:  n.appendTimeouts,
+		Election:        n.electionStatus(),
 	}
 	if n.log.snapshot != nil {
 		s.SnapshotIndex = n.log.snapshot.Index
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -359,6 +359,8 @@
 	// of an older term about the newer term.
 	Granted  bool
 	Rejected bool
+	// Refusal tells why a vote is not granted, for diagnostics.
+	Refusal VoteAnswer
 	// Index is the last matching index in an append reply, or a hint for it if
 	// Rejected; the last index of the log in a heartbeat reply; and the
 	// snapshot's index in a snapshot reply.
--- a/internal/replica/dump.go
+++ b/internal/replica/dump.go
@@ -28,6 +28,10 @@
 	Acks        map[string]AckState `json:"acknowledged_revisions"`
 	Peers       []PeerState         `json:"peers,omitempty"`
 	Orders      orders.State        `json:"orders"`
+	// LeaderlessS is how long no leader has been known, in seconds, and Votes what the other voters answered to
+	// the last request for their votes in that time.
+	LeaderlessS float64 `json:"leaderless_s"`
+	Votes       string  `json:"votes,omitempty"`
 	// Plan is set on the leader only.
 	Plan *planner.View `json:"plan,omitempty"`
 }
@@ -70,6 +74,9 @@
 		Acks:        r.acks.state(time.Now()),
 		Orders:      r.orders.state(),
 		Plan:        r.planning.state(),
+
+		LeaderlessS: v.status.Election.Leaderless.Seconds(),
+		Votes:       describeAnswers(v.status.Election.Answers),
 	}
 	if v.status.Leader != nil {
 		s.Leader = v.status.Leader.ID.String()
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -65,6 +65,7 @@
 			r.step(replication.Tick{})
 			r.timed("compact", r.compact)
 			r.publish()
+			r.logLeaderless(r.status(), r.now())
 		case sequence := <-r.persisted:
 			r.step(replication.Persisted{Sequence: sequence})
 		case snapshot := <-r.savedSnapshots:
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -12,7 +12,9 @@
 	leader   prometheus.Gauge
 	applied  prometheus.Gauge
 	records  prometheus.Gauge
-	behind   prometheus.Gauge
+	// leaderless is in seconds.
+	leaderless prometheus.Gauge
+	behind     prometheus.Gauge
 	// diskFull has no labels; it appears with its first value.
 	diskFull     *prometheus.GaugeVec
 	reservations *prometheus.CounterVec
@@ -39,6 +41,7 @@
 		term:           gauge("term", "Current term, which is the fencing number of orders."),
 		leader:         gauge("leader", "1 if this replica leads."),
 		applied:        gauge("applied_index", "Index of the last applied log entry."),
+		leaderless:     gauge("leaderless_seconds", "Time for which this replica has known no leader, 0 while it knows one."),
 		records:        gauge("idempotency_records", "Idempotency records held."),
 		appendTimeouts: gauge("append_timeouts", "Appends to other replicas that were not acknowledged in time and sent again, since the start."),
 		behind:         gauge("entries_behind", "Live entries that have not acknowledged, within 2 s of its commit, a revision committed while this replica leads."),
@@ -86,6 +89,7 @@
 	m.applied.Set(float64(v.applied))
 	m.appendTimeouts.Set(float64(v.status.AppendTimeouts))
 	m.records.Set(float64(v.records))
+	m.leaderless.Set(v.status.Election.Leaderless.Seconds())
 	leads := 0.0
 	if v.status.Role == replication.RoleLeader {
 		leads = 1
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -144,7 +144,8 @@
 	pendingReads []replication.ReadResult
 	senders      map[senderKey]*sender
 	// loop measures how long the loop is held up.
-	loop *loopMonitor
+	loop       *loopMonitor
+	leaderless leaderlessLog
 	// unaddressed holds the nodes for which messages were dropped, as no address is known.
 	unaddressed map[replication.NodeID]bool
 	applied     uint64
