replication: replace a voter under the majorities of before and after

What callers saw: after lost disks no configuration could be read or changed any more, although all replicas ran and nothing was disturbed: no leader was elected, for good.

Cause: a voter was replaced by adding the new one and then removing the old one, so that the log had six voters for a moment, of which four must agree. Two lost VMs could hold three of the six: the lost voter, the other lost voter, and the new voter on the first VM, if that VM was lost again. The three that were left could neither commit the removal nor elect a leader.

Change: the first change names both voters (Membership.Replacement). Until the second one, a quorum is a majority of the voters before and one of the voters after. Two losses of VMs leave both. If the new voter is lost in turn, the replacement may also end with its removal. Any quorum of all voters of an earlier version is a quorum by this rule too. An earlier version may remove another voter next, however, so that a replacement begins only if all live voters say in their heartbeat replies that they know it; else the leader does as before.

TestQuorumsOfSuccessiveMembershipsIntersect tries all sets of voters.

--- a/internal/codec/replication.go
+++ b/internal/codec/replication.go
@@ -51,6 +51,7 @@
 		Snapshot:  snapshotToWire(m.Snapshot),
 		Offset:    m.Offset,
 		Size:      m.Size,
+		Replaces:  m.Replaces,
 	}
 }
 
@@ -71,6 +72,7 @@
 		Snapshot:  snapshotFromWire(w.GetSnapshot()),
 		Offset:    w.GetOffset(),
 		Size:      w.GetSize(),
+		Replaces:  w.GetReplaces(),
 	}
 	if w.GetKind() < uint32(replication.MessagePreVote) || w.GetKind() > uint32(replication.MessageSnapshotReply) {
 		return m, fmt.Errorf("unknown kind %d", w.GetKind())
@@ -163,7 +165,12 @@
 }
 
 func membershipToWire(m *replication.Membership) *wire.LogMembership {
-	return &wire.LogMembership{Voters: membersToWire(m.Voters), Learners: membersToWire(m.Learners)}
+	return &wire.LogMembership{
+		Voters:   membersToWire(m.Voters),
+		Learners: membersToWire(m.Learners),
+		Outgoing: nodeIDToWire(m.Replacement.Outgoing),
+		Incoming: nodeIDToWire(m.Replacement.Incoming),
+	}
 }
 
 func membersToWire(members []replication.Member) []*wire.LogMember {
@@ -181,6 +188,10 @@
 	return &replication.Membership{
 		Voters:   membersFromWire(w.GetVoters()),
 		Learners: membersFromWire(w.GetLearners()),
+		Replacement: replication.Replacement{
+			Outgoing: nodeIDFromWire(w.GetOutgoing()),
+			Incoming: nodeIDFromWire(w.GetIncoming()),
+		},
 	}
 }
 
--- a/internal/codec/replication_test.go
+++ b/internal/codec/replication_test.go
@@ -13,15 +13,21 @@
 		Voters:   []replication.Member{{ID: id("vm-1"), Zone: "tvm", Address: "127.0.0.1:7000"}},
 		Learners: []replication.Member{{ID: id("vm-2")}},
 	}
+	replacement := replication.Membership{
+		Voters:      []replication.Member{{ID: id("vm-1")}, {ID: id("vm-2")}},
+		Replacement: replication.Replacement{Outgoing: id("vm-1"), Incoming: id("vm-2")},
+	}
 	entries := []replication.Entry{
 		{Index: 5, Term: 2, Kind: replication.EntryNoop},
 		{Index: 6, Term: 2, Kind: replication.EntryCommand, Data: []byte("x")},
 		{Index: 7, Term: 3, Kind: replication.EntryMembership, Membership: &membership},
+		{Index: 8, Term: 3, Kind: replication.EntryMembership, Membership: &replacement},
 	}
 	return []replication.Message{
 		{Kind: replication.MessageAppend, From: id("vm-1"), To: id("vm-2"), Term: 3, PrevIndex: 4, PrevTerm: 2, Entries: entries, Commit: 5},
 		{Kind: replication.MessageAppendReply, From: id("vm-2"), To: id("vm-1"), Term: 3, Rejected: true, PrevIndex: 4, Index: 2},
 		{Kind: replication.MessageHeartbeat, From: id("vm-1"), To: id("vm-2"), Term: 3, Round: 9},
+		{Kind: replication.MessageHeartbeatReply, From: id("vm-2"), To: id("vm-1"), Term: 3, Round: 9, Replaces: true},
 		{Kind: replication.MessageVoteReply, From: id("vm-2"), To: id("vm-1"), Term: 3, Granted: true},
 		{Kind: replication.MessagePreVoteReply, From: id("vm-2"), To: id("vm-1"), Term: 3, Refusal: replication.VoteRefusedLog},
 		{Kind: replication.MessageSnapshot, From: id("vm-1"), To: id("vm-2"), Term: 3, Offset: 4, Size: 11, Snapshot: &replication.Snapshot{
--- a/internal/core/replication/election.go
+++ b/internal/core/replication/election.go
@@ -142,14 +142,7 @@
 }
 
 func (n *Node) hasVoteQuorum() bool {
-	membership := n.log.membership()
-	granted := 0
-	for _, voter := range membership.Voters {
-		if n.votes[voter.ID] {
-			granted++
-		}
-	}
-	return len(membership.Voters) > 0 && granted >= membership.Quorum()
+	return n.log.membership().HasQuorum(func(voter NodeID) bool { return n.votes[voter] })
 }
 
 func (n *Node) receivePreVote(m *Message) {
--- a/internal/core/replication/follower.go
+++ b/internal/core/replication/follower.go
@@ -144,6 +144,8 @@
 		To:    m.From,
 		Round: m.Round,
 		Index: n.log.lastIndex(),
+
+		Replaces: true,
 	}
 	if n.writes.stableLeaseHolderTerm != n.term {
 		n.sendSynced(reply)
--- a/internal/core/replication/lease.go
+++ b/internal/core/replication/lease.go
@@ -47,6 +47,7 @@
 	if p == nil || m.Rejected {
 		return
 	}
+	p.replaces = m.Replaces
 	if m.Round > p.matchRound && m.Index < p.match {
 		p.recordLostEntries(m.Index)
 	}
--- a/internal/core/replication/lostquorum_test.go
+++ b/internal/core/replication/lostquorum_test.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// An earlier version counts a majority of all voters during a replacement, which is no quorum of the versions that know it.
+func TestNoReplacementBesideEarlierVersion(t *testing.T) {
+	net, leader, others := settledFiveVoters(t, 1)
+	net.earlier = others[1]
+	net.run(time.Second)
+	net.wipe(others[0])
+	net.start(others[0])
+	for range 200 {
+		net.run(timeStep)
+		if m := leader.node.log.membership(); !m.Replacement.IsZero() {
+			t.Fatalf("the leader began a replacement beside an earlier version: %v", m.Replacement)
+		}
+	}
+	if m := leader.node.log.membership(); len(m.Voters) != 5 || !m.IsVoter(others[0].self.ID) {
+		t.Errorf("the voter with a lost disk was not replaced: %s", net.describeVoters())
+	}
+	net.expectLeader(t)
+}
+
 // A replica that was only silent lost its vote to one that replaced a lost disk, whose vote stayed in the log.
 func TestSilentVoterIsNotReplacedBeforeLostOne(t *testing.T) {
 	for seed := range uint64(10) {
--- a/internal/core/replication/membership.go
+++ b/internal/core/replication/membership.go
@@ -47,19 +47,43 @@
 	return nil
 }
 
-// Quorum returns the number of voters in the smallest majority. Any two
-// majorities share a voter.
-func (m *Membership) Quorum() int {
-	return len(m.Voters)/2 + 1
+// HasQuorum reports whether the voters that agree are a quorum. Any two quorums share a voter, also if one is of
+// the membership before or after a change that checkChange allows.
+func (m *Membership) HasQuorum(agrees func(NodeID) bool) bool {
+	if m.Replacement.IsZero() {
+		return m.hasMajorityWithout(NodeID{}, agrees)
+	}
+	return m.hasMajorityWithout(m.Replacement.Incoming, agrees) && m.hasMajorityWithout(m.Replacement.Outgoing, agrees)
+}
+
+// hasMajorityWithout reports whether a majority of the voters other than excluded agrees.
+func (m *Membership) hasMajorityWithout(excluded NodeID, agrees func(NodeID) bool) bool {
+	agreeing, voters := 0, 0
+	for _, voter := range m.Voters {
+		if voter.ID == excluded {
+			continue
+		}
+		voters++
+		if agrees(voter.ID) {
+			agreeing++
+		}
+	}
+	return agreeing > voters/2
 }
 
+// IsZero reports whether no voter is being replaced.
+func (r Replacement) IsZero() bool { return r == Replacement{} }
+
+// includes reports whether the node is one of the two.
+func (r Replacement) includes(id NodeID) bool { return id == r.Outgoing || id == r.Incoming }
+
 func indexOf(members []Member, id NodeID) int {
 	return slices.IndexFunc(members, func(m Member) bool { return m.ID == id })
 }
 
 // clone returns a copy that shares no slice with m.
 func (m *Membership) clone() Membership {
-	return Membership{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
+	return Membership{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners), Replacement: m.Replacement}
 }
 
 // withLearner returns a copy with the member added as a learner.
@@ -76,6 +100,14 @@
 	return next
 }
 
+// withReplacement returns a copy in which the member is a voter instead of a learner and begins to replace another
+// voter.
+func (m *Membership) withReplacement(incoming Member, outgoing NodeID) Membership {
+	next := m.withVoter(incoming)
+	next.Replacement = Replacement{Outgoing: outgoing, Incoming: incoming.ID}
+	return next
+}
+
 // withUpdated returns a copy with the address and zone of the member updated.
 func (m *Membership) withUpdated(member Member) Membership {
 	next := m.clone()
@@ -83,18 +115,22 @@
 	return next
 }
 
-// without returns a copy from which the node is removed.
+// without returns a copy from which the node is removed. That ends a replacement that includes it.
 func (m *Membership) without(id NodeID) Membership {
 	same := func(member Member) bool { return member.ID == id }
 	next := m.clone()
+	if next.Replacement.includes(id) {
+		next.Replacement = Replacement{}
+	}
 	next.Voters = slices.DeleteFunc(next.Voters, same)
 	next.Learners = slices.DeleteFunc(next.Learners, same)
 	return next
 }
 
 // checkChange returns an error unless next is well formed and differs from m in
-// at most one voter, so that any majority of next shares a voter with any
-// majority of m.
+// at most one voter, so that any quorum of next shares a voter with any
+// quorum of m. A replacement begins with the addition of a voter and ends with the removal of
+// one of the two; other voters don't change meanwhile.
 func (m *Membership) checkChange(next *Membership) error {
 	if len(next.Voters) == 0 {
 		return errors.New("membership has no voter")
@@ -123,5 +159,19 @@
 	if changed > 1 {
 		return fmt.Errorf("membership change adds or removes %d voters, only one is allowed", changed)
 	}
-	return nil
+	return m.checkReplacement(next, changed)
+}
+
+// checkReplacement checks the replacements of m and next, which differ in changed voters.
+func (m *Membership) checkReplacement(next *Membership, changed int) error {
+	before, after := m.Replacement, next.Replacement
+	switch {
+	case before == after && (before.IsZero() || changed == 0):
+		return nil
+	case before.IsZero() && m.IsVoter(after.Outgoing) && next.IsVoter(after.Outgoing) && !m.IsVoter(after.Incoming) && next.IsVoter(after.Incoming):
+		return nil
+	case after.IsZero() && next.IsVoter(before.Outgoing) != next.IsVoter(before.Incoming):
+		return nil
+	}
+	return fmt.Errorf("membership change from replacement %v to %v is not allowed", before, after)
 }
--- a/internal/core/replication/network_scenarios_test.go
+++ b/internal/core/replication/network_scenarios_test.go
@@ -116,13 +116,7 @@
 		memberships := h.node.log.memberships
 		for i, m := range memberships {
 			replaced := i+1 < len(memberships) && memberships[i+1].index <= h.node.log.commit
-			alive := 0
-			for _, voter := range m.membership.Voters {
-				if net.exists(voter.ID) {
-					alive++
-				}
-			}
-			if !replaced && alive < m.membership.Quorum() {
+			if !replaced && !m.membership.HasQuorum(net.exists) {
 				return false
 			}
 		}
--- a/internal/core/replication/network_test.go
+++ b/internal/core/replication/network_test.go
@@ -101,6 +101,9 @@
 	// synced.
 	ackBeforeSync bool
 
+	// earlier, if set, is a host whose version does not know Membership.Replacement.
+	earlier *host
+
 	// committedDigests holds a digest of the committed log up to each index.
 	committedDigests []uint64
 	// entries holds a digest of each entry by index and term.
@@ -262,6 +265,7 @@
 // network currently has.
 func (net *network) enqueue(from *host, m Message) {
 	address := from.node.AddressOf(m.To)
+	m.Replaces = m.Replaces && from != net.earlier
 	for _, e := range m.Entries {
 		net.sends[entrySend{m.To, e.Index, e.Term}]++
 	}
--- a/internal/core/replication/node_test.go
+++ b/internal/core/replication/node_test.go
@@ -90,6 +90,57 @@
 	}
 }
 
+// Any two quorums share a voter if the memberships follow each other, also in the middle of a replacement.
+func TestQuorumsOfSuccessiveMembershipsIntersect(t *testing.T) {
+	voters := func(vms string, outgoing, incoming string) Membership {
+		m := Membership{}
+		for _, vm := range vms {
+			m.Voters = append(m.Voters, member(string(vm)))
+		}
+		if outgoing != "" {
+			m.Replacement = Replacement{Outgoing: member(outgoing).ID, Incoming: member(incoming).ID}
+		}
+		return m
+	}
+	for _, c := range []struct {
+		name         string
+		before, next Membership
+		ok           bool
+	}{
+		{"begin", voters("abcde", "", ""), voters("abcdef", "a", "f"), true},
+		{"end", voters("abcdef", "a", "f"), voters("bcdef", "", ""), true},
+		{"give up", voters("abcdef", "a", "f"), voters("abcde", "", ""), true},
+		{"begin with four", voters("abcd", "", ""), voters("abcde", "a", "e"), true},
+		{"remove another voter", voters("abcdef", "a", "f"), voters("acdef", "a", "f"), false},
+		{"remove another voter at the end", voters("abcdef", "a", "f"), voters("acdef", "", ""), false},
+		{"add another voter", voters("abcdef", "a", "f"), voters("abcdefg", "a", "f"), false},
+		{"replace another voter", voters("abcdef", "a", "f"), voters("abcdef", "b", "f"), false},
+		{"forget the replacement", voters("abcdef", "a", "f"), voters("abcdef", "", ""), false},
+		{"replace by an earlier voter", voters("abcde", "", ""), voters("abcdef", "a", "b"), false},
+		{"replace an unknown voter", voters("abcde", "", ""), voters("abcdef", "g", "f"), false},
+	} {
+		if err := c.before.checkChange(&c.next); (err == nil) != c.ok {
+			t.Errorf("%s: unexpected result %v", c.name, err)
+		}
+		if c.ok && !quorumsIntersect(&c.before, &c.next) {
+			t.Errorf("%s: there are quorums that share no voter", c.name)
+		}
+	}
+}
+
+// quorumsIntersect tries all sets of the voters a to g.
+func quorumsIntersect(a, b *Membership) bool {
+	agreeing := func(set int) func(NodeID) bool {
+		return func(id NodeID) bool { return set>>(id.VM[0]-'a')&1 == 1 }
+	}
+	for set := range 1 << 7 {
+		if a.HasQuorum(agreeing(set)) && b.HasQuorum(agreeing(^set)) {
+			return false
+		}
+	}
+	return true
+}
+
 // TestNewRejectsInvalidInput checks that New rejects options and restored states
 // that are inconsistent.
 func TestNewRejectsInvalidInput(t *testing.T) {
--- a/internal/core/replication/progress.go
+++ b/internal/core/replication/progress.go
@@ -49,6 +49,8 @@
 	ackedRound uint64
 	ackedAt    time.Duration
 	acked      bool
+	// replaces is true once the peer told that it knows Membership.Replacement.
+	replaces bool
 	// snapshot is the snapshot being sent, and offset the start of the chunk
 	// that was sent last.
 	snapshot *Snapshot
@@ -173,10 +175,21 @@
 // leader, if it is a voter, counts with own and a peer with valueOf. Peers that
 // lost acknowledged entries count with the zero value.
 func quorumValue[T cmp.Ordered](n *Node, own T, valueOf func(*progress) T) T {
-	voters := n.log.membership().Voters
+	r := n.log.membership().Replacement
+	if r.IsZero() {
+		return majorityValue(n, NodeID{}, own, valueOf)
+	}
+	return min(majorityValue(n, r.Incoming, own, valueOf), majorityValue(n, r.Outgoing, own, valueOf))
+}
+
+// majorityValue returns the largest value that a majority of the voters other than excluded has reached.
+func majorityValue[T cmp.Ordered](n *Node, excluded NodeID, own T, valueOf func(*progress) T) T {
 	var buffer [typicalVoters]T
 	values := buffer[:0]
-	for _, voter := range voters {
+	for _, voter := range n.log.membership().Voters {
+		if voter.ID == excluded {
+			continue
+		}
 		var value T
 		p := n.leaderState.peers[voter.ID]
 		switch {
@@ -188,5 +201,5 @@
 		values = append(values, value)
 	}
 	slices.Sort(values)
-	return values[len(values)-n.log.membership().Quorum()]
+	return values[(len(values)-1)/2]
 }
--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -50,8 +50,8 @@
 
 // repair makes the next membership change towards the target number of live
 // voters, spread over zones. Only one change is in progress at a time. A voter is
-// added before the one that it replaces is removed, so that a node that was only
-// temporarily silent can still vote if another one fails in the meantime.
+// replaced in two changes, between which both the voters before and those after it have to agree. With a simple
+// majority of all of them, the loss of the new voter would count in addition to that of the old one.
 func (n *Node) repair() {
 	if n.opts.TargetVoters == 0 || !n.canChangeMembership() {
 		return
@@ -77,55 +77,95 @@
 			return membership.without(learner.ID), true
 		}
 	}
+	next, ok := n.nextVoters()
+	return next, ok && next.HasQuorum(n.isLive)
+}
+
+// nextVoters returns the membership with the next change of voters, if any.
+func (n *Node) nextVoters() (Membership, bool) {
+	membership := n.log.membership()
+	if !membership.Replacement.IsZero() {
+		return membership.without(n.replacementEnd()), true
+	}
 	if len(membership.Voters) > n.opts.TargetVoters {
 		if voter := n.excessVoter(); voter != nil {
-			next := membership.without(voter.ID)
-			return next, n.countLiveVoters(&next) >= next.Quorum()
+			return membership.without(voter.ID), true
 		}
 		return Membership{}, false
 	}
 	learner := n.bestLearner()
-	if learner == nil || !n.shouldPromote(learner) {
+	if learner == nil {
 		return Membership{}, false
 	}
-	next := membership.withVoter(*learner)
-	return next, n.countLiveVoters(&next) >= next.Quorum()
+	outgoing := n.replaceableVoter(learner)
+	switch {
+	case outgoing != nil && n.knowReplacement(outgoing.ID, learner.ID):
+		return membership.withReplacement(*learner, outgoing.ID), true
+	case outgoing != nil || len(membership.Voters) < n.opts.TargetVoters:
+		return membership.withVoter(*learner), true
+	}
+	return Membership{}, false
 }
 
-// shouldPromote reports whether the learner should become a voter: there are too
-// few voters, one needs replacement, or the learner would replace one of several
-// voters in a zone and its own zone has none.
-func (n *Node) shouldPromote(learner *Member) bool {
+// replacementEnd returns the voter whose removal ends the replacement in progress. That is the outgoing one, unless
+// the incoming one is lost in turn. The leader never removes itself.
+func (n *Node) replacementEnd() NodeID {
 	membership := n.log.membership()
-	if len(membership.Voters) < n.opts.TargetVoters {
-		return true
+	r := membership.Replacement
+	incoming, outgoing := membership.Find(r.Incoming), membership.Find(r.Outgoing)
+	if r.Outgoing == n.self() || n.needsReplacement(*incoming) && !n.needsReplacement(*outgoing) {
+		return r.Incoming
 	}
-	for _, voter := range membership.Voters {
-		if n.needsReplacement(voter) {
-			return true
+	return r.Outgoing
+}
+
+// knowReplacement reports whether all live members, except the outgoing one, know Membership.Replacement.
+func (n *Node) knowReplacement(outgoing, incoming NodeID) bool {
+	for _, member := range n.leaderState.others {
+		counts := n.log.membership().IsVoter(member.ID) || member.ID == incoming
+		if counts && member.ID != outgoing && n.isLive(member.ID) && !n.leaderState.peers[member.ID].replaces {
+			return false
 		}
 	}
+	return true
+}
+
+// replaceableVoter returns the voter that the learner should replace, or nil: one that needs replacement, or one of
+// several voters in a zone if no voter is missing and the learner's zone has none.
+func (n *Node) replaceableVoter(learner *Member) *Member {
+	membership := n.log.membership()
+	voter := n.lostVoter()
 	zones := n.keptVotersByZone()
-	if zones[learner.Zone] > 0 {
-		return false
+	if voter != nil || len(membership.Voters) < n.opts.TargetVoters || zones[learner.Zone] > 0 {
+		return voter
 	}
-	for zone, count := range zones {
-		if count > 1 && n.removableVoter(zone) != nil {
-			return true
+	for i := range membership.Voters {
+		voter := &membership.Voters[i]
+		if zones[voter.Zone] > 1 && voter.ID != n.self() {
+			return voter
 		}
 	}
-	return false
+	return nil
 }
 
-// excessVoter returns the voter to remove: one that needs replacement, or else
-// one in the zone with the most voters. The leader never removes itself.
-func (n *Node) excessVoter() *Member {
+// lostVoter returns the first voter that needs replacement, or nil.
+func (n *Node) lostVoter() *Member {
 	membership := n.log.membership()
 	for i := range membership.Voters {
 		if n.needsReplacement(membership.Voters[i]) {
 			return &membership.Voters[i]
 		}
 	}
+	return nil
+}
+
+// excessVoter returns the voter to remove: one that needs replacement, or else
+// one in the zone with the most voters. The leader never removes itself.
+func (n *Node) excessVoter() *Member {
+	if voter := n.lostVoter(); voter != nil {
+		return voter
+	}
+	membership := n.log.membership()
 	zones := n.keptVotersByZone()
 	var found *Member
 	for i := range membership.Voters {
@@ -140,17 +180,6 @@
 	return found
 }
 
-// removableVoter returns a voter in the zone other than the leader, or nil.
-func (n *Node) removableVoter(zone string) *Member {
-	membership := n.log.membership()
-	for i := range membership.Voters {
-		if membership.Voters[i].Zone == zone && membership.Voters[i].ID != n.self() {
-			return &membership.Voters[i]
-		}
-	}
-	return nil
-}
-
 // bestLearner returns a live, caught-up learner in the zone with the fewest
 // voters that need no replacement, or nil.
 func (n *Node) bestLearner() *Member {
@@ -188,16 +217,6 @@
 	return zones
 }
 
-func (n *Node) countLiveVoters(membership *Membership) int {
-	live := 0
-	for _, voter := range membership.Voters {
-		if n.isLive(voter.ID) {
-			live++
-		}
-	}
-	return live
-}
-
 // isLive reports whether the leader heard from the member within an election
 // timeout.
 func (n *Node) isLive(id NodeID) bool {
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -30,6 +30,15 @@
 type Membership struct {
 	Voters   []Member
 	Learners []Member
+	// Replacement names two of the voters while one replaces the other. It is zero otherwise.
+	Replacement Replacement
+}
+
+// Replacement is the exchange of a voter for another one. Until it ends, a quorum consists of a majority of the
+// voters without Incoming and a majority of those without Outgoing.
+type Replacement struct {
+	Outgoing NodeID
+	Incoming NodeID
 }
 
 // EntryKind is the kind of a log entry.
@@ -367,6 +376,9 @@
 	Index uint64
 	// Round is the number of a heartbeat round, used for leases and reads.
 	Round uint64
+	// Replaces is set in a heartbeat reply of a node that knows Membership.Replacement. Earlier versions
+	// would count a quorum of all voters.
+	Replaces bool
 	// Snapshot holds the chunk of the snapshot's data that starts at Offset.
 	// Size is the size of the complete data, in bytes.
 	Snapshot *Snapshot
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -58,9 +58,13 @@
 	if entry.Membership == nil {
 		return
 	}
-	r.logger.Info().Str("step", "members").Uint64("term", entry.Term).Uint64("index", entry.Index).
+	event := r.logger.Info().Str("step", "members").Uint64("term", entry.Term).Uint64("index", entry.Index).
 		Str("voters", strings.Join(memberNames(entry.Membership.Voters), ",")).
-		Str("learners", strings.Join(memberNames(entry.Membership.Learners), ",")).Msg("the replicas that keep the log changed")
+		Str("learners", strings.Join(memberNames(entry.Membership.Learners), ","))
+	if replacement := entry.Membership.Replacement; !replacement.IsZero() {
+		event = event.Str("outgoing", replacement.Outgoing.String()).Str("incoming", replacement.Incoming.String())
+	}
+	event.Msg("the replicas that keep the log changed")
 }
 
 // takeAppended removes and returns the proposal that an entry came from. If the
