replication: replace voters with lost disks before silent ones

In the record two voters at most campaign, and three replicas that run do not vote.

Cause: a learner replaced the first voter of the list that needed replacement, whatever the reason. A voter that was silent for two seconds (frozen, cut off) could lose its vote to a replica whose own earlier incarnation, which no longer exists, kept its vote. Until the silent one had joined again and the rest of the repair was over, one more voter was missing than VMs were lost; two more lost disks left no quorum.

Change: a learner replaces its predecessor on the same VM, as soon as that is no longer live, and no other voter in its place. Among other voters, those whose disk is lost go first.

--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -94,7 +94,8 @@
 		return Membership{}, false
 	}
 	learner := n.bestLearner()
-	if learner == nil {
+	// The predecessor counts as live for a moment after its end. Another voter, which may return, is not replaced in its place.
+	if learner == nil || n.hasLivePredecessor(learner) {
 		return Membership{}, false
 	}
 	outgoing := n.replaceableVoter(learner)
@@ -130,11 +131,30 @@
 	return true
 }
 
-// replaceableVoter returns the voter that the learner should replace, or nil: one that needs replacement, or one of
-// several voters in a zone if no voter is missing and the learner's zone has none.
+// predecessor returns the voter that is an earlier incarnation on the learner's VM, or nil.
+func (n *Node) predecessor(learner *Member) *Member {
+	membership := n.log.membership()
+	for i := range membership.Voters {
+		if membership.Voters[i].ID.VM == learner.ID.VM {
+			return &membership.Voters[i]
+		}
+	}
+	return nil
+}
+
+func (n *Node) hasLivePredecessor(learner *Member) bool {
+	predecessor := n.predecessor(learner)
+	return predecessor != nil && n.isLive(predecessor.ID)
+}
+
+// replaceableVoter returns the voter that the learner should replace, or nil: its predecessor, one that needs
+// replacement, or one of several voters in a zone if no voter is missing and the learner's zone has none.
 func (n *Node) replaceableVoter(learner *Member) *Member {
 	membership := n.log.membership()
-	voter := n.lostVoter()
+	voter := n.predecessor(learner)
+	if voter == nil {
+		voter = n.lostVoter()
+	}
 	zones := n.keptVotersByZone()
 	if voter != nil || len(membership.Voters) < n.opts.TargetVoters || zones[learner.Zone] > 0 {
 		return voter
@@ -148,15 +168,21 @@
 	return nil
 }
 
-// lostVoter returns the first voter that needs replacement, or nil.
+// lostVoter returns a voter that needs replacement, or nil. One that lost its disk goes first, as the others may
+// return with theirs.
 func (n *Node) lostVoter() *Member {
 	membership := n.log.membership()
+	var lost *Member
 	for i := range membership.Voters {
-		if n.needsReplacement(membership.Voters[i]) {
-			return &membership.Voters[i]
+		voter := &membership.Voters[i]
+		switch {
+		case n.lostDisk(voter.ID):
+			return voter
+		case lost == nil && n.needsReplacement(*voter):
+			lost = voter
 		}
 	}
-	return nil
+	return lost
 }
 
 // excessVoter returns the voter to remove: one that needs replacement, or else
@@ -234,14 +260,20 @@
 // shutdown, was silent for ReplaceAfter, lost entries that it had acknowledged, or
 // is not live while its VM runs another incarnation.
 func (n *Node) needsReplacement(member Member) bool {
-	p := n.leaderState.peers[member.ID]
-	if p == nil {
+	if n.leaderState.peers[member.ID] == nil {
 		return false
 	}
-	if p.lostEntries || n.leaderState.leaving[member.ID] || n.timeSinceContact(member.ID) >= n.opts.ReplaceAfter {
+	if n.lostDisk(member.ID) || n.leaderState.leaving[member.ID] {
 		return true
 	}
-	return !n.isLive(member.ID) && n.hasSuccessor(member.ID)
+	return n.timeSinceContact(member.ID) >= n.opts.ReplaceAfter
+}
+
+// lostDisk reports whether the member lost entries that it had acknowledged, or is not live while its VM runs another
+// incarnation. It never votes for what it acknowledged again.
+func (n *Node) lostDisk(id NodeID) bool {
+	p := n.leaderState.peers[id]
+	return p != nil && (p.lostEntries || !n.isLive(id) && n.hasSuccessor(id))
 }
 
 // hasSuccessor reports whether another incarnation on the node's VM is live and
