replication: don't begin a replacement by the earlier rule before all have answered a heartbeat

Cause: a learner that has the log before it answers its first heartbeat, as a short log takes less time than a heartbeat interval, counted as a node of an earlier version, and so did a live voter that had not answered a new leader yet. The leader then fell back to six voters and a simple majority, and one VM lost twice was enough again.

Change: the leader waits until the learner and all live voters have acknowledged a heartbeat. Those that have and don't know Membership.Replacement are of an earlier version.

The simulation now has a heartbeat interval that is longer than it takes to catch up, reports a leader of more voters than the target without a replacement, and lets any number of hosts be silent or without power while the disks of at most two are lost.

--- a/internal/core/replication/lostquorum_test.go
+++ b/internal/core/replication/lostquorum_test.go
@@ -17,6 +17,8 @@
 	opts := testOptions()
 	opts.TargetVoters, opts.MinVoters = 5, 5
 	opts.ReplaceAfter = testReplaceAfter
+	// A learner often has the log before it answers a heartbeat.
+	opts.HeartbeatInterval = opts.LeaseDuration / 2
 	return opts
 }
 
@@ -62,11 +64,15 @@
 
 // Two of five VMs lose their disks, and one of them again as soon as its new replica votes: no leader was elected any more.
 func TestVoterLostAgainWhileItIsReplaced(t *testing.T) {
-	for seed := range uint64(10) {
+	for seed := range uint64(20) {
 		net, leader, others := settledFiveVoters(t, seed)
 		returning := others[0]
 		net.wipe(others[1])
 		net.wipe(returning)
+		if seed%2 == 1 {
+			// The lost voter no longer counts as live when its VM returns.
+			net.run(time.Second)
+		}
 		net.start(returning)
 		net.runUntil(t, 10*time.Second, func() bool { return leader.node.log.membership().IsVoter(returning.self.ID) })
 		net.wipe(returning)
@@ -120,12 +126,14 @@
 	}
 }
 
-// losses counts the hosts that are lost: those that are down, paused or cut off, and those that were within testCatchUp.
+// losses plays faults of hosts, and tells whose disks count as lost.
 type losses struct {
-	net   *network
-	until map[*host]time.Duration
-	// diskUntil is until for lost disks alone.
-	diskUntil map[*host]time.Duration
+	net *network
+	// lost holds the hosts whose disks count as lost, with the time that they have run since, beside a majority of all hosts
+	// that have kept theirs. After testCatchUp they don't count any more.
+	lost map[*host]time.Duration
+	// cutOff holds the hosts that no other reaches.
+	cutOff map[*host]bool
 	// returns holds what ends the faults, by the time at which it is due.
 	returns []scheduledReturn
 }
@@ -135,25 +143,24 @@
 	apply func()
 }
 
-// tolerates reports whether the host may be lost now: fewer than limit are, or it is lost already and its disk need not be lost anew.
-func (l *losses) tolerates(h *host, limit int, disk bool) bool {
-	count := 0
-	for _, until := range l.until {
-		if l.net.now < until {
-			count++
-		}
-	}
-	already := l.until[h]
-	if disk {
-		already = l.diskUntil[h]
+func (l *losses) after(d time.Duration, apply func()) {
+	l.returns = append(l.returns, scheduledReturn{l.net.now + d, apply})
+}
+
+// wipe erases the disk of a host, which starts again later, unless the disks of limit other hosts count as lost.
+func (l *losses) wipe(h *host, limit int, lasts time.Duration) {
+	if _, lost := l.lost[h]; !lost && len(l.lost) >= limit {
+		return
 	}
-	return l.net.now < already || count < limit
+	l.lost[h] = 0
+	l.net.wipe(h)
+	l.after(lasts, func() { l.start(h) })
 }
 
-func (l *losses) lose(h *host, lasts time.Duration, back func()) {
-	end := l.net.now + lasts
-	l.until[h] = max(l.until[h], end+testCatchUp)
-	l.returns = append(l.returns, scheduledReturn{end, back})
+func (l *losses) start(h *host) {
+	if h.node == nil {
+		l.net.start(h)
+	}
 }
 
 func (l *losses) run(d time.Duration) {
@@ -168,51 +175,81 @@
 			r.apply()
 		}
 		l.returns = later
+		l.countCatchUp()
+		l.checkVoters()
+	}
+}
+
+// checkVoters checks that no leader has more voters than the target without a replacement in progress.
+func (l *losses) checkVoters() {
+	for _, h := range l.net.hosts {
+		if h.node == nil || h.node.leaderState == nil {
+			continue
+		}
+		if m := h.node.log.membership(); len(m.Voters) > l.net.opts.TargetVoters && m.Replacement.IsZero() {
+			l.net.reportViolation("%v leads with %d voters and no replacement", h.self.ID, len(m.Voters))
+		}
 	}
 }
 
-// loseDrawn plays a drawn fault unless more than limit hosts would be lost by it. All hosts may lose power at any time.
-func (l *losses) loseDrawn(t *rapid.T, limit int) {
+func (l *losses) countCatchUp() {
+	runs := func(h *host) bool { return h.node != nil && l.net.now >= h.pausedUntil && !l.cutOff[h] }
+	kept := 0
+	for _, h := range l.net.hosts {
+		if _, lost := l.lost[h]; !lost && runs(h) {
+			kept++
+		}
+	}
+	if kept <= len(l.net.hosts)/2 {
+		return
+	}
+	for h := range l.lost {
+		if runs(h) {
+			l.lost[h] += timeStep
+		}
+		if l.lost[h] >= testCatchUp {
+			delete(l.lost, h)
+		}
+	}
+}
+
+// playDrawn plays a drawn fault. Any host may be silent at any time, and the disks of limit of them lost.
+func (l *losses) playDrawn(t *rapid.T, limit int) {
 	net := l.net
 	h := net.hosts[rapid.IntRange(0, len(net.hosts)-1).Draw(t, "host")]
 	lasts := time.Duration(rapid.IntRange(0, 300).Draw(t, "lasts")) * timeStep
-	start := func() {
-		if h.node == nil {
-			net.start(h)
-		}
-	}
-	kind := rapid.SampledFrom([]string{"wipe", "wipe", "wipe", "wipe new voter", "stop", "pause", "isolate", "power off", "propose"}).Draw(t, "kind")
-	switch {
-	case kind == "propose":
+	kinds := []string{"wipe", "wipe", "wipe", "wipe new voter", "stop", "pause", "cut off", "power off", "propose"}
+	switch rapid.SampledFrom(kinds).Draw(t, "kind") {
+	case "propose":
 		if leader := net.leader(); leader != nil {
 			net.propose(leader)
 		}
-	case kind == "wipe new voter":
-		l.wipeNewVoter(lasts)
-	case kind == "power off":
+	case "wipe":
+		l.wipe(h, limit, lasts)
+	case "wipe new voter":
+		l.wipeNewVoter(limit, lasts)
+	case "power off":
 		net.powerOff(nil)
-		for _, h := range net.hosts {
-			l.lose(h, 0, func() {})
-		}
-	case !l.tolerates(h, limit, kind == "wipe"):
-	case kind == "wipe":
-		l.diskUntil[h] = net.now + lasts + testCatchUp
-		net.wipe(h)
-		l.lose(h, lasts, start)
-	case kind == "stop":
+	case "stop":
 		net.stop(h)
-		l.lose(h, lasts, start)
-	case kind == "pause" && h.node != nil:
+		l.after(lasts, func() { l.start(h) })
+	case "pause":
 		h.pausedUntil = net.now + lasts
-		l.lose(h, lasts, func() {})
-	case kind == "isolate" && h.node != nil:
+	case "cut off":
+		l.cutOff[h] = true
 		net.isolate(h, true, true)
-		l.lose(h, lasts, func() { net.isolate(h, false, false) })
+		l.after(lasts, func() {
+			delete(l.cutOff, h)
+			net.isolate(h, false, false)
+			for other := range l.cutOff {
+				net.isolate(other, true, true)
+			}
+		})
 	}
 }
 
 // wipeNewVoter waits up to a second for a host with a lost disk to become a voter and erases its disk again at that moment.
-func (l *losses) wipeNewVoter(lasts time.Duration) {
+func (l *losses) wipeNewVoter(limit int, lasts time.Duration) {
 	net := l.net
 	for end := net.now + time.Second; net.now < end; l.run(timeStep) {
 		leader := net.leader()
@@ -221,28 +258,22 @@
 		}
 		voters := leader.node.log.membership().Voters
 		newest := net.host(voters[len(voters)-1].ID.VM)
-		if len(voters) > 5 && newest != leader && net.now < l.diskUntil[newest] {
-			net.wipe(newest)
-			l.diskUntil[newest] = net.now + lasts + testCatchUp
-			l.lose(newest, lasts, func() {
-				if newest.node == nil {
-					net.start(newest)
-				}
-			})
+		if _, lost := l.lost[newest]; lost && len(voters) > 5 && newest != leader {
+			l.wipe(newest, limit, lasts)
 			return
 		}
 	}
 }
 
-// No leader could be elected although never more hosts were lost at a time than a majority of five bears.
+// No leader could be elected although never more disks were lost at a time than a majority of five bears.
 func TestQuorumIsLeftAfterToleratedLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		net := newNetwork(rapid.Uint64().Draw(t, "seed"), 5, fiveVoterOptions())
 		net.run(5 * time.Second)
 		net.expectProgress(t)
-		l := &losses{net: net, until: make(map[*host]time.Duration), diskUntil: make(map[*host]time.Duration)}
+		l := &losses{net: net, lost: make(map[*host]time.Duration), cutOff: make(map[*host]bool)}
 		for range rapid.IntRange(3, 25).Draw(t, "faults") {
-			l.loseDrawn(t, 2)
+			l.playDrawn(t, 2)
 			l.run(time.Duration(rapid.IntRange(0, 200).Draw(t, "after")) * timeStep)
 		}
 		net.expectLeader(t)
--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -1,6 +1,9 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxCatchUpLag is the number of entries by which a caught-up learner may lag
 // behind the leader's commit index.
@@ -99,13 +102,17 @@
 		return Membership{}, false
 	}
 	outgoing := n.replaceableVoter(learner)
-	switch {
-	case outgoing != nil && n.knowReplacement(outgoing.ID, learner.ID):
-		return membership.withReplacement(*learner, outgoing.ID), true
-	case outgoing != nil || len(membership.Voters) < n.opts.TargetVoters:
+	if outgoing == nil {
+		return membership.withVoter(*learner), len(membership.Voters) < n.opts.TargetVoters
+	}
+	concerned := n.liveVotersBeside(outgoing.ID, learner.ID)
+	if slices.ContainsFunc(concerned, func(p *progress) bool { return !p.acked }) {
+		return Membership{}, false
+	}
+	if slices.ContainsFunc(concerned, func(p *progress) bool { return !p.replaces }) {
 		return membership.withVoter(*learner), true
 	}
-	return Membership{}, false
+	return membership.withReplacement(*learner, outgoing.ID), true
 }
 
 // replacementEnd returns the voter whose removal ends the replacement in progress. That is the outgoing one, unless
@@ -120,15 +127,16 @@
 	return r.Outgoing
 }
 
-// knowReplacement reports whether all live members, except the outgoing one, know Membership.Replacement.
-func (n *Node) knowReplacement(outgoing, incoming NodeID) bool {
+// liveVotersBeside returns the progress of the incoming node and of all live voters other than the outgoing one and the
+// leader. One that has not acknowledged a heartbeat of this leader may be silent, or of an earlier version.
+func (n *Node) liveVotersBeside(outgoing, incoming NodeID) (live []*progress) {
 	for _, member := range n.leaderState.others {
-		counts := n.log.membership().IsVoter(member.ID) || member.ID == incoming
-		if counts && member.ID != outgoing && n.isLive(member.ID) && !n.leaderState.peers[member.ID].replaces {
-			return false
+		counts := member.ID == incoming || n.log.membership().IsVoter(member.ID) && member.ID != outgoing
+		if counts && n.isLive(member.ID) {
+			live = append(live, n.leaderState.peers[member.ID])
 		}
 	}
-	return true
+	return live
 }
 
 // predecessor returns the voter that is an earlier incarnation on the learner's VM, or nil.
