--- a/internal/core/replication/lostquorum_test.go
+++ b/internal/core/replication/lostquorum_test.go
@@ -200,7 +200,7 @@
 			kept++
 		}
 	}
-	if kept <= len(l.net.hosts)/2 {
+	if kept <= l.net.opts.TargetVoters/2 {
 		return
 	}
 	for h := range l.lost {
@@ -258,22 +258,27 @@
 		}
 		voters := leader.node.log.membership().Voters
 		newest := net.host(voters[len(voters)-1].ID.VM)
-		if _, lost := l.lost[newest]; lost && len(voters) > 5 && newest != leader {
+		if _, lost := l.lost[newest]; lost && len(voters) > net.opts.TargetVoters && newest != leader {
 			l.wipe(newest, limit, lasts)
 			return
 		}
 	}
 }
 
-// No leader could be elected although never more disks were lost at a time than a majority of five bears.
+// No leader could be elected although never more disks were lost at a time than a majority of the voters bears.
 func TestQuorumIsLeftAfterToleratedLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		net := newNetwork(rapid.Uint64().Draw(t, "seed"), 5, fiveVoterOptions())
+		opts := fiveVoterOptions()
+		if rapid.Bool().Draw(t, "three voters") {
+			opts.TargetVoters, opts.MinVoters = 3, 3
+		}
+		size := opts.TargetVoters + rapid.IntRange(0, 1).Draw(t, "spare hosts")
+		net := newNetwork(rapid.Uint64().Draw(t, "seed"), size, opts)
 		net.run(5 * time.Second)
 		net.expectProgress(t)
 		l := &losses{net: net, lost: make(map[*host]time.Duration), cutOff: make(map[*host]bool)}
 		for range rapid.IntRange(3, 25).Draw(t, "faults") {
-			l.playDrawn(t, 2)
+			l.playDrawn(t, (opts.TargetVoters-1)/2)
 			l.run(time.Duration(rapid.IntRange(0, 200).Draw(t, "after")) * timeStep)
 		}
 		net.expectLeader(t)
