replication: test of a disk that is lost while a new log grows, failing

Cause: a new log starts with one voter and grows by one at a time. With two voters both have to agree, so that the loss of the second one's disk leaves no quorum, although the deployment bears it.

No change of the program: the voters at the start are chosen by the bootstrap, which has to learn the incarnations of the others first.

--- a/internal/core/replication/lostquorum_test.go
+++ b/internal/core/replication/lostquorum_test.go
@@ -284,3 +284,16 @@
 		net.expectLeader(t)
 	})
 }
+
+// A new log grows from one voter to the target. Its second voter loses its disk while there are two: nothing is ever committed again.
+func TestSecondVoterLostWhileTheLogGrows(t *testing.T) {
+	net := newNetwork(1, 5, fiveVoterOptions())
+	net.runUntil(t, 10*time.Second, func() bool {
+		leader := net.leader()
+		return leader != nil && len(leader.node.log.membership().Voters) == 2
+	})
+	second := net.host(net.leader().node.log.membership().Voters[1].ID.VM)
+	net.wipe(second)
+	net.start(second)
+	net.expectLeader(t)
+}
