--- a/internal/core/replication/lostquorum_test.go
+++ b/internal/core/replication/lostquorum_test.go
@@ -126,6 +126,32 @@
 	}
 }
 
+// A new leader took voters that had not answered its heartbeats yet for an earlier version, and added a sixth voter.
+func TestNewLeaderDoesNotTakeVotersForEarlierVersion(t *testing.T) {
+	for seed := range uint64(20) {
+		net, leader, others := newSettledNetworkWith(t, seed, 6, fiveVoterOptions())
+		net.runUntil(t, 10*time.Second, func() bool { return len(leader.node.log.membership().Learners) == 1 })
+		net.run(time.Second)
+		leaving := others[0]
+		net.lossRate = 0.3
+		net.step(leader, Resign{})
+		net.runUntil(t, 10*time.Second, func() bool {
+			for _, h := range net.hosts {
+				net.step(h, Leave{ID: leaving.self.ID})
+			}
+			current := net.leader()
+			if current == nil {
+				return false
+			}
+			m := current.node.log.membership()
+			if len(m.Voters) > 5 && m.Replacement.IsZero() {
+				t.Fatalf("seed %d: %d voters without a replacement", seed, len(m.Voters))
+			}
+			return !m.IsVoter(leaving.self.ID)
+		})
+	}
+}
+
 // losses plays faults of hosts, and tells whose disks count as lost.
 type losses struct {
 	net *network
