replication: let a non-voter with the longest log campaign

Cause: a node whose own log does not make it a voter yet never campaigned. Another node's longer membership may count it, however, and then it refuses that candidate for want of entries, which a leader lost since sent to it alone. If the other voters lack that membership, nobody can win: no leader for good with three of five disks left.

Change: a node that refuses a candidate for the candidate's shorter log, and is no voter itself, campaigns in turn. Its quorum is one of its membership, which doesn't count itself.

--- a/internal/core/replication/election.go
+++ b/internal/core/replication/election.go
@@ -17,6 +17,7 @@
 func (n *Node) recordLeaderContact() {
 	n.leaderContact = true
 	n.leaderContactAt = n.now
+	n.campaignsAsNonVoter = false
 	n.resetElectionTimer()
 }
 
@@ -103,6 +104,7 @@
 	n.role = RolePreCandidate
 	n.leader = NodeID{}
 	n.startBallot()
+	// HasQuorum counts voters alone.
 	n.votes = map[NodeID]bool{n.self(): true}
 	if n.hasVoteQuorum() {
 		n.campaign()
@@ -157,6 +159,7 @@
 		n.send(Message{Kind: MessagePreVoteReply, To: m.From, Granted: true, Term: m.Term})
 		return
 	}
+	n.campaignsAsNonVoter = n.campaignsAsNonVoter || answer == VoteRefusedLog && !n.isVoter()
 	n.sendInTerm(Message{Kind: MessagePreVoteReply, To: m.From, Refusal: answer})
 }
 
--- a/internal/core/replication/lostquorum_test.go
+++ b/internal/core/replication/lostquorum_test.go
@@ -152,6 +152,44 @@
 	}
 }
 
+// A node that votes by the logs of others, but not by its own, had the longest log: it refused its vote and never campaigned.
+func TestLongestLogOfNonVoterDoesNotPreventElection(t *testing.T) {
+	net := newNetwork(1, 6, fiveVoterOptions())
+	net.packets = nil
+	outgoing, begins, common, incoming := net.hosts[0], net.hosts[1], net.hosts[2], net.hosts[3]
+	before := Membership{Learners: []Member{incoming.self}}
+	for _, h := range net.hosts {
+		if h != incoming {
+			before.Voters = append(before.Voters, h.self)
+		}
+	}
+	next := before.withReplacement(incoming.self, outgoing.self.ID)
+	if err := before.checkChange(&next); err != nil {
+		t.Fatal(err)
+	}
+	// The leader of term 1 appends a replacement of a live voter on its own disk alone. That of term 2, elected by the
+	// other four, appends its first entry on its own disk and the learner's. Then it and a voter lose their disks.
+	first := Entry{Index: 1, Term: 1, Kind: EntryNoop}
+	restore := func(h *host, hard HardState, entries ...Entry) {
+		h.disk = disk{hardState: hard, snapshot: &Snapshot{Membership: before}, entries: append([]Entry{first}, entries...)}
+		net.start(h)
+	}
+	elected := HardState{Term: 2, Vote: net.hosts[4].self.ID, Commit: 1}
+	restore(outgoing, elected)
+	restore(common, elected)
+	restore(begins, HardState{Term: 1, Vote: begins.self.ID, Commit: 1}, Entry{Index: 2, Term: 1, Kind: EntryMembership, Membership: &next})
+	restore(incoming, HardState{Term: 2, Commit: 1}, Entry{Index: 2, Term: 2, Kind: EntryNoop})
+	for _, lost := range net.hosts[4:] {
+		net.wipe(lost)
+		net.start(lost)
+	}
+	net.run(30 * time.Second)
+	if net.leader() == nil {
+		t.Fatalf("no leader: %s", net.describeVoters())
+	}
+	net.expectNoViolations(t)
+}
+
 // losses plays faults of hosts, and tells whose disks count as lost.
 type losses struct {
 	net *network
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -36,6 +36,9 @@
 	restartRetryUntil time.Duration
 	// electionAt is when the node campaigns unless a leader contacts it before.
 	electionAt time.Duration
+	// campaignsAsNonVoter is true once the node refused a candidate whose membership it votes by, but its own does not, for
+	// want of entries that this node has. No other may be able to win, as long as no leader is elected.
+	campaignsAsNonVoter bool
 	// votes holds the nodes that granted their vote in the current election.
 	votes map[NodeID]bool
 	// answers holds the answers to the last request for votes, and nil before the first one since a leader was known.
@@ -253,7 +256,7 @@
 	if n.now < n.electionAt {
 		return
 	}
-	if !n.isVoter() {
+	if !n.isVoter() && !n.campaignsAsNonVoter {
 		n.forgetLeader()
 		return
 	}
