e2e: lose a voter again while it is replaced, over processes

What was missing: the outage without a leader was tested in simulation only.

Change: TestHostedVoterLostAgainWhileItIsReplaced runs five replicas. Two lose their disks, one of them again while the leader lists both its voters.

--- a/internal/e2e/calls_test.go
+++ b/internal/e2e/calls_test.go
@@ -22,6 +22,7 @@
 		Role        string   `json:"role"`
 		Term        uint64   `json:"term"`
 		Voters      []string `json:"voters"`
+		Learners    []string `json:"learners"`
 		Applied     uint64   `json:"applied_index"`
 	} `json:"replica"`
 	Entry struct {
--- a/internal/e2e/hosted_capacity_test.go
+++ b/internal/e2e/hosted_capacity_test.go
@@ -16,7 +16,7 @@
 		entries, engines, perSecond = 3, 2, 20
 		lasting                     = 8 * time.Second
 	)
-	h := startHostedCluster(t, entries, true)
+	h := startHostedCluster(t, 3, entries, true)
 	var list []*hostedEngine
 	for i := range engines {
 		e := h.platform.addEngine(t, fmt.Sprintf("i-m%d", i), "models")
--- a/internal/e2e/hosted_diskloss_test.go
+++ b/internal/e2e/hosted_diskloss_test.go
@@ -12,6 +12,13 @@
 
 // loseDisk kills a replica, erases its disk and starts it again.
 func (h *hostedCluster) loseDisk(name string) {
+	h.t.Helper()
+	h.endWithDisk(name)
+	h.start(name)
+}
+
+// endWithDisk kills a replica and erases its disk.
+func (h *hostedCluster) endWithDisk(name string) {
 	h.t.Helper()
 	v := h.vms[name]
 	h.signal(name, syscall.SIGKILL)
@@ -21,7 +28,6 @@
 		h.t.Fatal(err)
 	}
 	h.writeHostedSettings(v, false)
-	h.start(name)
 }
 
 // complete reports whether three replicas vote, and each replica holds all that the
--- a/internal/e2e/hosted_test.go
+++ b/internal/e2e/hosted_test.go
@@ -27,6 +27,8 @@
 	contended bool
 	// network is the second octet of the loopback addresses.
 	network int
+	// replicas is the number of seeds and of voters.
+	replicas int
 }
 
 // freeNetwork returns the second octet of a range of loopback addresses that no
@@ -51,10 +53,10 @@
 // entries.
 func newHostedCluster(t testing.TB, entries int) *hostedCluster {
 	t.Helper()
-	return startHostedCluster(t, entries, false)
+	return startHostedCluster(t, 3, entries, false)
 }
 
-func startHostedCluster(t testing.TB, entries int, contended bool) *hostedCluster {
+func startHostedCluster(t testing.TB, replicas, entries int, contended bool) *hostedCluster {
 	t.Helper()
 	h := &hostedCluster{
 		contended: contended,
@@ -62,9 +64,10 @@
 		platform:  newHostedPlatform(t),
 		client:    &http.Client{Timeout: 20 * time.Second},
 		network:   freeNetwork(t),
+		replicas:  replicas,
 	}
 	t.Cleanup(h.stopAll)
-	for i := range 3 {
+	for i := range replicas {
 		h.addHostedVM(fmt.Sprintf("r%d", i+1), i)
 	}
 	for i := range entries {
@@ -101,8 +104,8 @@
 	process.Platform = h.platform.address
 	process.Listen = settings.Listen{Peers: v.peerAddress, Admin: v.adminAddress}
 	process.Hosted = &settings.Hosted{GraceS: 5, UsageWindowS: 1, DutyLeaseMS: 500, ContendedCapacity: h.contended}
-	process.LostReplicas, process.ReplaceVoterMS = 1, 1_000
-	for i := range 3 {
+	process.LostReplicas, process.ReplaceVoterMS = (h.replicas-1)/2, 1_000
+	for i := range h.replicas {
 		process.Seeds = append(process.Seeds, fmt.Sprintf("127.%d.0.%d:%d", h.network, i+1, hostedControlPort))
 	}
 	ip, _, _ := strings.Cut(v.peerAddress, ":")
