spec: check the replacement of a voter under two majorities

Cause: the model of elections knew only the earlier rule (add a voter, then remove one, majority of all voters). Its bounds of 2 log entries also never reached the second change.

BEGUN starts between the two changes, ONE_ENTRY reaches both in one search of 3 log entries, ADD_FIRST is the earlier rule, ONE_VM also checks that two VMs that never lost a disk are a quorum. Searches without lost disks use the symmetry of the initial voters.

REMOVE_OTHER is not found with 2 3 0 ONE_ENTRY (2076032 states), probably because it takes a third term there; it is run with BEGUN only.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -73,11 +73,25 @@
 
 holds election -DTERMS=2 -DSLOTS=2 -DLOSSES=2
 holds election -DTERMS=3 -DSLOTS=1 -DLOSSES=1
+holds election -DTERMS=2 -DSLOTS=2 -DLOSSES=2 -DBEGUN
+holds election -DTERMS=3 -DSLOTS=1 -DLOSSES=0 -DBEGUN
+holds election -DTERMS=2 -DSLOTS=3 -DLOSSES=0 -DONE_ENTRY
+holds election -DTERMS=2 -DSLOTS=2 -DLOSSES=2 -DONE_VM
+holds election -DTERMS=2 -DSLOTS=2 -DLOSSES=2 -DONE_VM -DBEGUN
+holds election -DTERMS=2 -DSLOTS=2 -DLOSSES=2 -DADD_FIRST
+holds election -DTERMS=2 -DSLOTS=2 -DLOSSES=2 -DADD_FIRST -DBEGUN
 found election -DTERMS=2 -DEMPTY_DISK_VOTES
 found election -DTERMS=2 -DVOTE_FORGOTTEN
 found election -DTERMS=2 -DOLDER_LOG_WINS
 found election -DTERMS=2 -DSWAP_VOTER
+found election -DTERMS=2 -DNEW_MAJORITY_ONLY
+found election -DTERMS=2 -DBEGUN -DOLD_MAJORITY_ONLY
+found election -DTERMS=2 -DBEGUN -DREMOVE_OTHER
+found election -DTERMS=2 -DSLOTS=3 -DLOSSES=0 -DONE_ENTRY -DOLD_MAJORITY_ONLY
 found election -DTERMS=2 -DSLOTS=3 -DLOSSES=0 -DTWO_CHANGES
+found election -DTERMS=2 -DSLOTS=3 -DLOSSES=0 -DADD_FIRST -DTWO_CHANGES
+found election -DTERMS=2 -DLOSSES=2 -DONE_VM -DADD_FIRST
+found election -DTERMS=2 -DLOSSES=2 -DONE_VM -DOTHER_VM
 
 holds reservation
 found reservation -DDISPATCH_EARLY
--- a/spec/election.pml
+++ b/spec/election.pml
@@ -3,28 +3,50 @@
  *
  * A node is one incarnation of a replica: a VM that loses its disk returns as
  * a new node. Nodes 0 to 2 are the initial voters, node 3 is the learner that
- * replaces a lost one.
+ * replaces one of them, whether it is lost or not.
+ *
+ * A replacement takes two changes. The first adds node 3 and names the outgoing
+ * voter; until the second, a quorum is a majority of the voters without node 3
+ * and a majority of the voters without the outgoing one. The second removes
+ * the outgoing voter, or node 3 to give up.
  *
  * The log that the leader of each term has sent is never discarded, so any
  * prefix of it may reach a follower at any later time, repeatedly and out of
  * order. A vote or an acknowledgement takes effect when it is synced to disk.
  *
  * The initial voters are interchangeable, so it is enough to let node 0 be the
- * first to lose its disk and node 1 the second.
+ * first to lose its disk and node 1 the second. If none is lost, it is enough to
+ * let node 1 be the first leader of term 1, and node 0 the voter it replaces.
  *
  * Checked: at most one leader per term; a committed entry is in the log of
  * every later leader and is never replaced by another one.
  *
+ * Variants:
+ *   BEGUN             the initial configuration is that between the two changes.
+ *                     A change follows an entry of the leader's own term, so that
+ *                     two of them fit into a log of 3 entries only.
+ *   ADD_FIRST         the rule beside earlier versions: node 3 is added, then any
+ *                     voter removed, with a majority of all voters
+ *   ONE_ENTRY         a leader appends at most one entry that changes nothing, its first
+ *   ONE_VM            node 3 is the next incarnation of node 0 on the same VM, and
+ *                     may lose its disk too. Also checked: nodes 1 and 2, whose VMs
+ *                     never lose a disk, are a quorum by the log of either
+ *
  * Mutations, each of which must be found:
  *   EMPTY_DISK_VOTES  a node that lost its disk continues as the same voter
  *   VOTE_FORGOTTEN    a node loses its vote in a restart
  *   SWAP_VOTER        one change replaces a voter, so that the quorums before and
  *                     after it need not intersect
+ *   NEW_MAJORITY_ONLY during a replacement only the voters after it count
+ *   OLD_MAJORITY_ONLY during a replacement only the voters before it count
+ *   REMOVE_OTHER      a replacement ends with the removal of a third voter
  *   TWO_CHANGES       a second change starts before the first is committed
  *   OLDER_LOG_WINS    votes do not compare the logs
+ *   OTHER_VM          with ONE_VM, node 3 replaces a voter on another VM while
+ *                     node 0 is a voter
+ *   ADD_FIRST         with ONE_VM
  */
 #define NODES 4
-#define FIRST_CONFIG 7
 #ifndef TERMS
 #define TERMS 3
 #endif
@@ -35,6 +57,10 @@
 #define LOSSES 1
 #endif
 
+#if LOSSES == 0 && !defined(BEGUN)
+#define SYMMETRIC
+#endif
+
 #define FOLLOWER 0
 #define CANDIDATE 1
 #define LEADER 2
@@ -42,10 +68,26 @@
 
 #define NOBODY 7
 #define BIT(n) (1 << (n))
+
+/* A configuration: one bit for each voter, and the outgoing voter while node 3
+   replaces it. */
+#define VOTERS(c) ((c) & 15)
+#define REPLACING 16
+#define OUTGOING(c) ((c) >> 5)
+#define REPLACEMENT_OF(n) (REPLACING | ((n) << 5))
+#ifndef BEGUN
+#define FIRST_CONFIG 7
+#elif defined(ADD_FIRST)
+#define FIRST_CONFIG 15
+#else
+#define FIRST_CONFIG (15 | REPLACEMENT_OF(0))
+#endif
+
 #define COUNT(m) (((m) & 1) + (((m) >> 1) & 1) + (((m) >> 2) & 1) + (((m) >> 3) & 1))
+#define MAJORITY(agreeing, set) (2 * COUNT((agreeing) & (set)) > COUNT(set))
 
-/* State and log of each node. A log entry consists of its term and the new set
-   of voters, which is zero if the entry does not change it. */
+/* State and log of each node. A log entry consists of its term and the new
+   configuration, which is zero if the entry does not change it. */
 byte role[NODES];
 byte term[NODES];
 byte vote[NODES];
@@ -92,6 +134,40 @@
   i = 0
 }
 
+/* quorum reports whether the nodes that agree are a quorum. */
+inline quorum(config, agreeing, result) {
+  result = true;
+  if
+  :: config & REPLACING ->
+#ifndef NEW_MAJORITY_ONLY
+     result = result && MAJORITY(agreeing, VOTERS(config) & ~BIT(3));
+#endif
+#ifndef OLD_MAJORITY_ONLY
+     result = result && MAJORITY(agreeing, VOTERS(config) & ~BIT(OUTGOING(config)));
+#endif
+     skip
+  :: else -> result = MAJORITY(agreeing, VOTERS(config))
+  fi
+}
+
+/* check_progress asserts that the nodes whose VMs never lost a disk can elect a
+   leader by the log of each of them. */
+inline check_progress(node) {
+#ifdef ONE_VM
+  if
+  :: node == 1 || node == 2 ->
+     config_of(node, c);
+     quorum(c, BIT(1) | BIT(2), ok);
+     assert(ok);
+     c = 0;
+     ok = false
+  :: else
+  fi
+#else
+  skip
+#endif
+}
+
 inline last_term(node, result) {
   if
   :: length[node] == 0 -> result = 0
@@ -207,6 +283,7 @@
   logTerm[node * SLOTS + length[node]] = term[node];
   logConfig[node * SLOTS + length[node]] = config;
   length[node]++;
+  check_progress(node);
   publish(node)
 }
 
@@ -242,7 +319,8 @@
   :: else
   fi;
   i = 0;
-  ok = false
+  ok = false;
+  check_progress(node)
 }
 
 inline truncate(node, size) {
@@ -257,15 +335,15 @@
   od
 }
 
-/* acknowledged counts the voters of a set that have acknowledged k entries of
-   the leader of term t. */
-inline acknowledged(set, result) {
+/* acknowledged sets result to the nodes that have acknowledged k entries of the
+   leader of term t. */
+inline acknowledged(result) {
   result = 0;
   i = 0;
   do
   :: i < NODES ->
      if
-     :: (set & BIT(i)) && match[t * NODES + i] >= k -> result++
+     :: match[t * NODES + i] >= k -> result = result | BIT(i)
      :: else
      fi;
      i++
@@ -301,6 +379,18 @@
   i = 0
 }
 
+#ifdef ONE_VM
+#define MAY_LOSE(n) (n == 3 * losses)
+#else
+#define MAY_LOSE(n) (n == losses)
+#endif
+
+#ifdef ONE_ENTRY
+#define MAY_APPEND(n) (length[n] == 0 || logTerm[n * SLOTS + length[n] - 1] != term[n])
+#else
+#define MAY_APPEND(n) true
+#endif
+
 inline lose_disk(node) {
   losses++;
   truncate(node, 0);
@@ -317,8 +407,19 @@
   i = 0
 }
 
-/* next_config sets c to the set of voters that the leader n proposes: first it
-   adds the learner, then it removes another voter; 0 means no change. */
+/* MAY_REPLACE tells whether the leader n may begin to replace this voter. */
+#if defined(ONE_VM) && defined(OTHER_VM)
+#define MAY_REPLACE(outgoing) (role[0] == LOST)
+#elif defined(ONE_VM)
+#define MAY_REPLACE(outgoing) (role[0] == LOST && outgoing == 0)
+#elif defined(SYMMETRIC)
+#define MAY_REPLACE(outgoing) (term[n] > 1 || outgoing == 0)
+#else
+#define MAY_REPLACE(outgoing) true
+#endif
+
+/* next_config sets c to the configuration that the leader n proposes; 0 means no
+   change. The leader does not remove itself. */
 inline next_config() {
   config_of(n, c);
 #ifdef SWAP_VOTER
@@ -328,14 +429,28 @@
   :: !(c & BIT(3)) && role[2] == LOST -> c = (c | BIT(3)) & ~BIT(2)
   :: else -> c = 0
   fi
-#else
+#elif defined(ADD_FIRST)
   if
-  :: !(c & BIT(3)) -> c = c | BIT(3)
+  :: !(c & BIT(3)) && MAY_REPLACE(0) -> c = c | BIT(3)
   :: (c & BIT(3)) && (c & BIT(0)) && n != 0 -> c = c & ~BIT(0)
   :: (c & BIT(3)) && (c & BIT(1)) && n != 1 -> c = c & ~BIT(1)
   :: (c & BIT(3)) && (c & BIT(2)) && n != 2 -> c = c & ~BIT(2)
   :: else -> c = 0
   fi
+#else
+  if
+  :: !(c & BIT(3)) && n != 0 && MAY_REPLACE(0) -> c = c | BIT(3) | REPLACEMENT_OF(0)
+  :: !(c & BIT(3)) && n != 1 && MAY_REPLACE(1) -> c = c | BIT(3) | REPLACEMENT_OF(1)
+  :: !(c & BIT(3)) && n != 2 && MAY_REPLACE(2) -> c = c | BIT(3) | REPLACEMENT_OF(2)
+  :: (c & REPLACING) && n != OUTGOING(c) -> c = VOTERS(c) & ~BIT(OUTGOING(c))
+  :: (c & REPLACING) && n != 3 -> c = VOTERS(c) & ~BIT(3)
+#ifdef REMOVE_OTHER
+  :: (c & REPLACING) && n != 0 && OUTGOING(c) != 0 -> c = VOTERS(c) & ~BIT(0)
+  :: (c & REPLACING) && n != 1 && OUTGOING(c) != 1 -> c = VOTERS(c) & ~BIT(1)
+  :: (c & REPLACING) && n != 2 && OUTGOING(c) != 2 -> c = VOTERS(c) & ~BIT(2)
+#endif
+  :: else -> c = 0
+  fi
 #endif
 }
 
@@ -400,7 +515,10 @@
        :: role[n] == CANDIDATE ->
           d_step {
             config_of(n, c);
-            ok = (2 * COUNT(votes[n] & c) > COUNT(c));
+            quorum(c, votes[n], ok);
+#ifdef SYMMETRIC
+            ok = ok && (term[n] > 1 || n == 1 || leaderOf[1] != NOBODY);
+#endif
             c = 0;
             if
             :: ok -> win(n)
@@ -408,7 +526,7 @@
             fi;
             ok = false; n = 0
           }
-       :: role[n] == LEADER && length[n] < SLOTS ->
+       :: role[n] == LEADER && length[n] < SLOTS && MAY_APPEND(n) ->
           d_step { append(n, 0); n = 0 }
        :: role[n] == LEADER && length[n] < SLOTS ->
           change_allowed(ok);
@@ -445,8 +563,8 @@
                if
                :: sentTerm[t * SLOTS + k - 1] == t ->
                   config_of(n, c);
-                  acknowledged(c, m);
-                  ok = (2 * m > COUNT(c))
+                  acknowledged(m);
+                  quorum(c, m, ok)
                :: else
                fi;
                if
@@ -461,7 +579,7 @@
             fi;
             ok = false; k = 0; t = 0; m = 0; c = 0; n = 0
           }
-       :: role[n] != LOST && losses < LOSSES && n == losses ->
+       :: role[n] != LOST && losses < LOSSES && MAY_LOSE(n) ->
           d_step { lose_disk(n); n = 0 }
        :: role[n] == LEADER || role[n] == CANDIDATE ->
           d_step { restart(n); n = 0 }
