--- a/internal/core/replication/losses_test.go
+++ b/internal/core/replication/losses_test.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// TestSecondVoterLostDuringRepair checks the loss of a second voter while the
-// membership has four voters: nothing is committed and no entry is lost, and
+// TestSecondVoterLostDuringRepair checks the loss of a second of three voters while the
+// first one is being replaced: nothing is committed and no entry is lost, and
 // progress returns with the disk of the second voter.
 func TestSecondVoterLostDuringRepair(t *testing.T) {
 	for seed := range uint64(10) {
--- a/internal/core/replication/lostquorum_test.go
+++ b/internal/core/replication/lostquorum_test.go
@@ -87,11 +87,17 @@
 	net.run(time.Second)
 	net.wipe(others[0])
 	net.start(others[0])
+	added := false
 	for range 200 {
 		net.run(timeStep)
-		if m := leader.node.log.membership(); !m.Replacement.IsZero() {
+		m := leader.node.log.membership()
+		if !m.Replacement.IsZero() {
 			t.Fatalf("the leader began a replacement beside an earlier version: %v", m.Replacement)
 		}
+		added = added || len(m.Voters) == 6
+	}
+	if !added {
+		t.Error("the leader did not add a voter by the earlier rule")
 	}
 	if m := leader.node.log.membership(); len(m.Voters) != 5 || !m.IsVoter(others[0].self.ID) {
 		t.Errorf("the voter with a lost disk was not replaced: %s", net.describeVoters())
