replica: warn lines keep their facts in the first 200 characters

Cause: a record of an outage cut each line at 200 characters, before it told who votes and what the voters answered. Change: step=election begins with voter, kept and need; step=votes gives one word for each voter; step=restore is a warn line with what the disk held; step=learner gives the leader's reason why a learner doesn't vote, recorded by repair itself; step=write tells of a write that has not returned for 1.8 s.

--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -14,6 +14,8 @@
 	peers  map[NodeID]*progress
 	// leaving holds the members that announced their shutdown with Leave.
 	leaving map[NodeID]bool
+	// decision is why the learners don't vote.
+	decision decision
 
 	// round is the number of the last heartbeat round, and rounds holds the
 	// start times of the recent ones.
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -60,6 +60,8 @@
 
 	// heard holds the addresses that other nodes named, since the membership may lack them.
 	heard map[NodeID]heardAddress
+	// gone holds former voters on whose VMs another incarnation asked to join.
+	gone map[NodeID]bool
 
 	incomingSnapshot *incomingSnapshot
 	writes           writes
@@ -164,6 +166,7 @@
 		log:  newEntryLog(restored),
 
 		heard: make(map[NodeID]heardAddress),
+		gone:  make(map[NodeID]bool),
 
 		leaseHolder:     restored.HardState.LeaseHolder,
 		leaseHolderTerm: restored.HardState.LeaseHolderTerm,
@@ -203,6 +206,7 @@
 		n.proposeMembership(ev.Token, ev.Membership)
 	case Join:
 		n.hear(ev.Member.ID, ev.Member.Address)
+		n.noteJoiner(ev.Member.ID)
 		n.join(ev)
 	case Leave:
 		n.leave(ev)
--- a/internal/core/replication/progress.go
+++ b/internal/core/replication/progress.go
@@ -42,6 +42,10 @@
 	sentAt time.Duration
 	// contactAt is when the last message from the peer arrived.
 	contactAt time.Duration
+	// addedAt is when this leader began to replicate to the peer.
+	addedAt time.Duration
+	// wait is why a learner could not vote when the leader last looked for one that can.
+	wait LearnerWait
 	// matchRound is the heartbeat round that was current when match last rose.
 	matchRound uint64
 	// ackedRound is the last acknowledged heartbeat round, and ackedAt the time
@@ -68,7 +72,7 @@
 }
 
 func newProgress(next uint64, now time.Duration) *progress {
-	return &progress{next: next, contactAt: now}
+	return &progress{next: next, contactAt: now, addedAt: now}
 }
 
 // canAppend reports whether another append may be sent now, given the last synced index and the limits on
--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -56,13 +56,18 @@
 // replaced in two changes, between which both the voters before and those after it have to agree. With a simple
 // majority of all of them, the loss of the new voter would count in addition to that of the old one.
 func (n *Node) repair() {
-	if n.opts.TargetVoters == 0 || !n.canChangeMembership() {
+	if n.opts.TargetVoters == 0 {
+		return
+	}
+	n.hold(NodeID{}, WaitChange)
+	if !n.canChangeMembership() {
 		return
 	}
 	next, ok := n.nextRepair()
 	if !ok {
 		return
 	}
+	n.hold(NodeID{}, WaitChange)
 	for _, member := range n.leaderState.others {
 		if !next.Contains(member.ID) {
 			n.effects.Removing = append(n.effects.Removing, n.peerStatus(member))
@@ -87,6 +92,8 @@
 // nextVoters returns the membership with the next change of voters, if any.
 func (n *Node) nextVoters() (Membership, bool) {
 	membership := n.log.membership()
+	// nextRepair takes a change only if a quorum of its voters is live.
+	n.hold(NodeID{}, WaitQuorum)
 	if !membership.Replacement.IsZero() {
 		return membership.without(n.replacementEnd()), true
 	}
@@ -94,19 +101,31 @@
 		if voter := n.excessVoter(); voter != nil {
 			return membership.without(voter.ID), true
 		}
+		n.hold(NodeID{}, WaitNoPlace)
 		return Membership{}, false
 	}
 	learner := n.bestLearner()
+	if learner == nil {
+		n.hold(NodeID{}, WaitNone)
+		return Membership{}, false
+	}
+	n.hold(learner.ID, WaitQuorum)
 	// The predecessor counts as live for a moment after its end. Another voter, which may return, is not replaced in its place.
-	if learner == nil || n.hasLivePredecessor(learner) {
+	if n.hasLivePredecessor(learner) {
+		n.hold(learner.ID, WaitPredecessor)
 		return Membership{}, false
 	}
 	outgoing := n.replaceableVoter(learner)
 	if outgoing == nil {
-		return membership.withVoter(*learner), len(membership.Voters) < n.opts.TargetVoters
+		if len(membership.Voters) < n.opts.TargetVoters {
+			return membership.withVoter(*learner), true
+		}
+		n.hold(learner.ID, WaitNoPlace)
+		return Membership{}, false
 	}
 	concerned := n.liveVotersBeside(outgoing.ID, learner.ID)
-	if slices.ContainsFunc(concerned, func(p *progress) bool { return !p.acked }) {
+	if reason := n.unacked(learner.ID, concerned); reason != WaitNone {
+		n.hold(learner.ID, reason)
 		return Membership{}, false
 	}
 	if slices.ContainsFunc(concerned, func(p *progress) bool { return !p.replaces }) {
@@ -222,7 +241,12 @@
 	var best *Member
 	for i := range membership.Learners {
 		learner := &membership.Learners[i]
-		if !n.isCaughtUp(learner.ID) || n.needsReplacement(*learner) {
+		p := n.leaderState.peers[learner.ID]
+		p.wait = n.catchUpWait(learner.ID)
+		if p.wait == WaitNone && n.needsReplacement(*learner) {
+			p.wait = WaitLeaving
+		}
+		if p.wait != WaitNone {
 			continue
 		}
 		if best == nil || zones[learner.Zone] < zones[best.Zone] {
@@ -232,13 +256,6 @@
 	return best
 }
 
-// isCaughtUp reports whether the member is live and lags at most maxCatchUpLag
-// entries behind the commit index.
-func (n *Node) isCaughtUp(id NodeID) bool {
-	p := n.leaderState.peers[id]
-	return p != nil && !p.lostEntries && p.match+maxCatchUpLag >= n.log.commit && p.match > 0 && n.isLive(id)
-}
-
 // keptVotersByZone returns the number of voters that need no replacement in each
 // zone.
 func (n *Node) keptVotersByZone() map[string]int {
--- a/internal/core/replication/status.go
+++ b/internal/core/replication/status.go
@@ -24,6 +24,9 @@
 	// Peers is set only on the leader.
 	Peers []PeerStatus
 	Lease LeaseStatus
+	// WriteStalled is the age of the outstanding write once it counts as stalled, and 0 before. The node then neither
+	// campaigns nor acknowledges.
+	WriteStalled time.Duration
 	// Election tells why no leader is known.
 	Election ElectionStatus
 }
@@ -51,6 +54,8 @@
 	Lost bool
 	// NeedsSnapshot is true while a snapshot is being sent to the peer.
 	NeedsSnapshot bool
+	// Learner tells why the peer does not vote.
+	Learner LearnerStatus
 }
 
 // Status returns the state after the last step.
@@ -73,6 +78,9 @@
 	if n.log.snapshot != nil {
 		s.SnapshotIndex = n.log.snapshot.Index
 	}
+	if n.diskStalled() {
+		s.WriteStalled = n.now - n.writes.issuedAt
+	}
 	s.Lease.Until, s.Lease.Leads = n.SoleLeaderUntil()
 	_, s.Lease.Valid = n.LeaseUntil()
 	if n.leaderState == nil {
@@ -95,5 +103,6 @@
 		Silent:        n.now - p.contactAt,
 		Lost:          p.lostEntries,
 		NeedsSnapshot: p.state == progressSnapshot,
+		Learner:       n.learnerStatus(member.ID),
 	}
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -65,7 +65,10 @@
 			r.step(replication.Tick{})
 			r.timed("compact", r.compact)
 			r.publish()
-			r.logLeaderless(r.status(), r.now())
+			status, now := r.status(), r.now()
+			r.logLeaderless(status, now)
+			r.logLearners(status, now)
+			r.logStalledWrite(status, now)
 		case sequence := <-r.persisted:
 			r.step(replication.Persisted{Sequence: sequence})
 		case snapshot := <-r.savedSnapshots:
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -145,7 +145,8 @@
 	senders      map[senderKey]*sender
 	// loop measures how long the loop is held up.
 	loop       *loopMonitor
-	leaderless leaderlessLog
+	leaderless repeated
+	waits      waitLog
 	// unaddressed holds the nodes for which messages were dropped, as no address is known.
 	unaddressed map[replication.NodeID]bool
 	applied     uint64
@@ -251,10 +252,7 @@
 			r.revisionChanged()
 		}
 	}
-	// A process that ends again and again leaves one line for each start.
-	r.logger.Info().Str("step", "restore").Uint64("incarnation", self.ID.Incarnation).Bool("used", !r.log.Empty()).
-		Uint64("snapshot_index", r.applied).Int("snapshot_bytes", r.snapshotBytes).Int("entries", len(restored.Entries)).
-		Uint64("commit", restored.HardState.Commit).Uint64("revision", r.machine.Revision()).Msg("replica restored from its disk")
+	r.logRestored(restored)
 	return nil
 }
 
