replication: acknowledge changes only while as many disks may be lost as promised

Cause: once a VM has lost its disk, the lost one still votes by the log until its replacement. If the VM returned while there was no quorum, the changes that waited were committed and acknowledged as soon as there was one, before the new replica voted: a new leader counted its predecessor as live for an election timeout. Two further disks that were lost right after such an acknowledgement left two of five voters.

Change: configuration changes and orders of roll-outs are acknowledged only if a quorum is left after Options.LostDisks further losses, for at most ten election timeouts after the VM's return, so that a replica that never catches up does not stop them. Replicas remember join requests and pass them on to a leader; a replica answers heartbeats that are meant for its predecessor, so that a leader knows of the lost disk within a round trip, also after a restart of all. A predecessor that has not answered the leader is replaced at once if its VM runs another incarnation.

--- a/internal/core/fleet/numbered.go
+++ b/internal/core/fleet/numbered.go
@@ -19,6 +19,9 @@
 	Content json.RawMessage `json:"content"`
 }
 
+// NullContent stands for the content of a document that is committed already, and is no content of a document itself.
+const NullContent = "null"
+
 // Item returns the item that holds the document. It fails if the content isn't JSON or
 // can't be read back from the item.
 func (n NumberedDocument) Item() (Item, error) {
--- a/internal/core/replication/follower.go
+++ b/internal/core/replication/follower.go
@@ -1,10 +1,12 @@
 package replication
 
-// receive handles a message. Messages to another incarnation are dropped.
+// receive handles a message. Messages to another incarnation are dropped, but for the answer that tells a leader of this one.
 func (n *Node) receive(m *Message) {
 	if m.To != n.self() {
+		n.answerForPredecessor(m)
 		return
 	}
+	n.recordSuccessor(m.From)
 	if m.Term < n.term {
 		n.receiveStale(m)
 		return
--- a/internal/core/replication/leader.go
+++ b/internal/core/replication/leader.go
@@ -16,6 +16,8 @@
 	leaving map[NodeID]bool
 	// decision is why the learners don't vote.
 	decision decision
+	// returnedAt holds when this leader heard first that a voter's VM runs another incarnation.
+	returnedAt map[NodeID]time.Duration
 
 	// round is the number of the last heartbeat round, and rounds holds the
 	// start times of the recent ones.
@@ -40,6 +42,7 @@
 		electedAt:      n.now,
 		termStartIndex: n.log.lastIndex() + 1,
 		leaving:        make(map[NodeID]bool),
+		returnedAt:     make(map[NodeID]time.Duration),
 	}
 	n.append(Entry{Kind: EntryNoop})
 	n.updatePeers()
@@ -77,7 +80,7 @@
 	switch {
 	case n.leaderState == nil:
 		n.reject(p.Token, RejectNotLeader)
-	case len(n.log.membership().Voters) < n.opts.MinVoters:
+	case len(n.log.membership().Voters) < n.opts.MinVoters, p.Durable && !n.bearsLostDisks():
 		n.reject(p.Token, RejectFewVoters)
 	case n.now-n.quorumContactAt() >= n.leaderLeaseDuration():
 		n.reject(p.Token, RejectNoQuorum)
@@ -126,6 +129,7 @@
 	if n.now >= n.leaderState.nextHeartbeat {
 		n.startRound()
 	}
+	n.recordReturns()
 	n.repair()
 }
 
--- a/internal/core/replication/lease.go
+++ b/internal/core/replication/lease.go
@@ -128,12 +128,15 @@
 	return ok && max(now, n.now)+margin < until
 }
 
-func (n *Node) read(token uint64) {
-	if n.leaderState == nil {
-		n.reject(token, RejectNotLeader)
-		return
+func (n *Node) read(r Read) {
+	switch {
+	case n.leaderState == nil:
+		n.reject(r.Token, RejectNotLeader)
+	case r.Durable && !n.bearsLostDisks():
+		n.reject(r.Token, RejectFewVoters)
+	default:
+		n.leaderState.reads = append(n.leaderState.reads, pendingRead{token: r.Token})
 	}
-	n.leaderState.reads = append(n.leaderState.reads, pendingRead{token: token})
 }
 
 // serveReads answers reads at once while the lease is valid, and otherwise when a
--- a/internal/core/replication/lostquorum_test.go
+++ b/internal/core/replication/lostquorum_test.go
@@ -15,7 +15,7 @@
 
 func fiveVoterOptions() Options {
 	opts := testOptions()
-	opts.TargetVoters, opts.MinVoters = 5, 5
+	opts.TargetVoters, opts.MinVoters, opts.LostDisks = 5, 5, 2
 	opts.ReplaceAfter = testReplaceAfter
 	// A learner often has the log before it answers a heartbeat.
 	opts.HeartbeatInterval = opts.LeaseDuration / 2
@@ -340,7 +340,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		opts := fiveVoterOptions()
 		if rapid.Bool().Draw(t, "three voters") {
-			opts.TargetVoters, opts.MinVoters = 3, 3
+			opts.TargetVoters, opts.MinVoters, opts.LostDisks = 3, 3, 1
 		}
 		size := opts.TargetVoters + rapid.IntRange(0, 1).Draw(t, "spare hosts")
 		net := newNetwork(rapid.Uint64().Draw(t, "seed"), size, opts)
--- a/internal/core/replication/network_test.go
+++ b/internal/core/replication/network_test.go
@@ -48,6 +48,9 @@
 	clockOffset time.Duration
 	pausedUntil time.Duration
 	electedAt   time.Duration
+	nextJoin    time.Duration
+	// forwardedTo is the leader to which join requests were passed on last.
+	forwardedTo NodeID
 	// effectsUntilCrash is the number of effects until a crash, or 0 for no
 	// crash.
 	effectsUntilCrash int
@@ -101,6 +104,12 @@
 	// synced.
 	ackBeforeSync bool
 
+	// joinInterval is the time between two join requests of a host, the first of which follows it after the start. With
+	// zero, hosts ask at random times.
+	joinInterval time.Duration
+	// keepAddresses lets a host that lost its disk return at its former address.
+	keepAddresses bool
+
 	// earlier, if set, is a host whose version does not know Membership.Replacement.
 	earlier *host
 
@@ -167,6 +176,7 @@
 	}
 	h.node, h.pendingWrite, h.effectsUntilCrash = node, nil, 0
 	h.applied, h.digest = 0, 0
+	h.nextJoin = net.now + net.joinInterval
 	if h.disk.snapshot != nil {
 		net.installSnapshot(h, h.disk.snapshot)
 	}
@@ -190,8 +200,10 @@
 	h.disk = disk{}
 	if !net.reuseIncarnation {
 		h.self.ID.Incarnation = net.rand.Uint64() | 1
-		net.lastAddress++
-		h.self.Address = fmt.Sprint("later-address-", net.lastAddress)
+		if !net.keepAddresses {
+			net.lastAddress++
+			h.self.Address = fmt.Sprint("later-address-", net.lastAddress)
+		}
 	}
 }
 
@@ -348,24 +360,45 @@
 		net.step(h, Persisted{Sequence: p.Sequence})
 	}
 	net.step(h, Tick{})
-	if net.rand.IntN(20) == 0 {
+	switch {
+	case net.joinInterval == 0 && net.rand.IntN(20) == 0, net.joinInterval > 0 && net.now >= h.nextJoin:
+		h.nextJoin = net.now + net.joinInterval
 		net.join(h)
 	}
+	net.forwardJoinRequests(h)
 }
 
-// join sends a join request to the reachable leaders unless the host is a member by
+// join sends a join request to all reachable nodes unless the host is a member by
 // its own log and knows a leader, as the program does.
 func (net *network) join(h *host) {
 	if h.node == nil || (h.node.log.membership().Contains(h.self.ID) && !h.node.leader.IsZero()) {
 		return
 	}
 	for _, other := range net.hosts {
-		if other != h && other.node != nil && other.node.leaderState != nil && !net.blocked(h, other) {
+		if other != h && other.node != nil && !net.blocked(h, other) {
 			net.step(other, Join{Member: h.self})
 		}
 	}
 }
 
+// forwardJoinRequests passes on the join requests that a host heard to a leader that is new to it, as the program does.
+func (net *network) forwardJoinRequests(h *host) {
+	if h.node == nil || h.node.leader == h.forwardedTo {
+		return
+	}
+	h.forwardedTo = h.node.leader
+	if h.forwardedTo.IsZero() || h.forwardedTo == h.self.ID {
+		return
+	}
+	leader := net.host(h.forwardedTo.VM)
+	if leader.self.ID != h.forwardedTo || net.blocked(h, leader) {
+		return
+	}
+	for _, member := range h.node.JoinRequests() {
+		net.step(leader, Join{Member: member})
+	}
+}
+
 // blocked reports whether messages from a to b are dropped.
 func (net *network) blocked(a, b *host) bool {
 	return net.blockedLinks[[2]string{a.self.ID.VM, b.self.ID.VM}]
@@ -419,7 +452,7 @@
 
 func (net *network) propose(h *host) {
 	net.lastToken++
-	net.step(h, Propose{Token: net.lastToken, Data: fmt.Append(nil, "command ", net.lastToken)})
+	net.step(h, Propose{Token: net.lastToken, Data: fmt.Append(nil, "command ", net.lastToken), Durable: true})
 }
 
 func (net *network) read(h *host) {
--- a/internal/core/replication/node.go
+++ b/internal/core/replication/node.go
@@ -58,6 +58,8 @@
 	// appendTimeouts counts the waits for the acknowledgement of appends that ended without one.
 	appendTimeouts uint64
 
+	// joinRequests holds the latest join request of each VM.
+	joinRequests []joinRequest
 	// heard holds the addresses that other nodes named, since the membership may lack them.
 	heard map[NodeID]heardAddress
 	// gone holds former voters on whose VMs another incarnation asked to join.
@@ -213,7 +215,7 @@
 	case Resign:
 		n.handleResign(ev)
 	case Read:
-		n.read(ev.Token)
+		n.read(ev)
 	case Applied:
 		n.applied = max(n.applied, ev.Index)
 	case Compacted:
--- a/internal/core/replication/repair.go
+++ b/internal/core/replication/repair.go
@@ -12,6 +12,7 @@
 // join adds a node as a learner, or updates the address and zone of a member.
 func (n *Node) join(j Join) {
 	n.noteSuccessor(j.Member.ID)
+	n.recordJoinRequest(j.Member)
 	if n.leaderState == nil {
 		n.reject(j.Token, RejectNotLeader)
 		return
@@ -85,8 +86,11 @@
 			return membership.without(learner.ID), true
 		}
 	}
+	if requests := n.JoinRequests(); len(requests) > 0 {
+		return membership.withLearner(requests[0]), true
+	}
 	next, ok := n.nextVoters()
-	return next, ok && next.HasQuorum(n.isLive)
+	return next, ok && next.HasQuorum(n.agrees)
 }
 
 // nextVoters returns the membership with the next change of voters, if any.
@@ -171,7 +175,7 @@
 
 func (n *Node) hasLivePredecessor(learner *Member) bool {
 	predecessor := n.predecessor(learner)
-	return predecessor != nil && n.isLive(predecessor.ID)
+	return predecessor != nil && n.agrees(predecessor.ID)
 }
 
 // replaceableVoter returns the voter that the learner should replace, or nil: its predecessor, one that needs
@@ -274,6 +278,9 @@
 	return id == n.self() || n.timeSinceContact(id) < n.opts.ElectionTimeout
 }
 
+// agrees reports whether the member is live and has its disk.
+func (n *Node) agrees(id NodeID) bool { return n.isLive(id) && !n.lostDisk(id) }
+
 func (n *Node) timeSinceContact(id NodeID) time.Duration {
 	if p := n.leaderState.peers[id]; p != nil {
 		return n.now - p.contactAt
@@ -294,11 +301,12 @@
 	return n.timeSinceContact(member.ID) >= n.opts.ReplaceAfter
 }
 
-// lostDisk reports whether the member lost entries that it had acknowledged, or is not live while its VM runs another
-// incarnation. It never votes for what it acknowledged again.
+// lostDisk reports whether the member lost entries that it had acknowledged, or its VM runs another incarnation. It never
+// votes for what it acknowledged again. Messages of a member that has answered this leader may still be on their way when
+// its VM has returned.
 func (n *Node) lostDisk(id NodeID) bool {
 	p := n.leaderState.peers[id]
-	return p != nil && (p.lostEntries || !n.isLive(id) && n.hasSuccessor(id))
+	return p != nil && (p.lostEntries || (!n.isLive(id) || !p.acked) && n.hasSuccessor(id))
 }
 
 // hasSuccessor reports whether another incarnation on the node's VM is live and
--- a/internal/core/replication/types.go
+++ b/internal/core/replication/types.go
@@ -123,6 +123,9 @@
 	// MinVoters is the number of voters below which commands are rejected
 	// with RejectFewVoters, so that no command is stored on too few disks.
 	MinVoters int
+	// LostDisks is the number of voters whose disks may be lost right after a durable command was committed. With zero, such
+	// a command only needs a quorum.
+	LostDisks int
 	// ReplaceAfter is the time without contact after which the leader replaces
 	// a voter with a caught-up learner and removes a learner.
 	ReplaceAfter time.Duration
@@ -164,6 +167,8 @@
 	// Token is returned with the result.
 	Token uint64
 	Data  []byte
+	// Durable rejects the command with RejectFewVoters while Options.LostDisks further lost disks would leave no quorum.
+	Durable bool
 }
 
 // ProposeMembership asks the leader to change to a membership that differs in
@@ -205,7 +210,12 @@
 }
 
 // Read requests an index at which a read of the state machine is linearizable.
-type Read struct{ Token uint64 }
+type Read struct {
+	Token uint64
+	// Durable rejects the read where a durable command would be. It is for reads whose result acknowledges an earlier
+	// command.
+	Durable bool
+}
 
 // Applied reports the last index that the state machine has applied.
 type Applied struct{ Index uint64 }
@@ -289,7 +299,8 @@
 	RejectLost
 	// RejectBusy: too many bytes are pending.
 	RejectBusy
-	// RejectFewVoters: there are fewer voters than Options.MinVoters.
+	// RejectFewVoters: there are fewer voters than Options.MinVoters, or too many of them lost their disks for a durable
+	// command.
 	RejectFewVoters
 	// RejectNoQuorum: no quorum has acknowledged the leader within its lease
 	// duration.
--- a/internal/replica/numbered.go
+++ b/internal/replica/numbered.go
@@ -54,6 +54,9 @@
 		if current >= req.Number {
 			return &wire.PutDocumentResponse{Number: current}, nil
 		}
+		if string(req.Content) == fleet.NullContent {
+			return nil, twirp.NewError(twirp.Aborted, "the document is not committed")
+		}
 		applied, err := s.replica.propose(ctx, changeFor(req.Number, revision, item))
 		if err != nil {
 			return nil, err
@@ -107,9 +110,9 @@
 }
 
 // numbered returns the number of the document in force and the current revision after a quorum
-// has confirmed that this replica leads.
+// has confirmed that this replica leads. The number acknowledges a document that was committed before.
 func (s *Service) numbered(ctx context.Context) (number, revision uint64, err error) {
-	if _, err := s.replica.await(ctx, replication.Read{}); err != nil {
+	if _, err := s.replica.await(ctx, replication.Read{Durable: true}); err != nil {
 		return 0, 0, err
 	}
 	var item []byte
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -33,7 +33,9 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("command", err.Error())
 	}
-	outcome, err := r.awaitTask(ctx, task{event: replication.Propose{Data: data}, command: &command})
+	// Operators are promised that what they are told is committed outlives the loss of disks.
+	_, durable := body.(state.ChangeConfig)
+	outcome, err := r.awaitTask(ctx, task{event: replication.Propose{Data: data, Durable: durable}, command: &command})
 	if err != nil {
 		return nil, err
 	}
@@ -136,11 +138,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	request := &wire.JoinRequest{
-		Id:      &wire.NodeID{Vm: self.ID.VM, Incarnation: self.ID.Incarnation},
-		Zone:    self.Zone,
-		Address: self.Address,
-	}
+	request := joinRequestOf(self)
 	_, err := rpc.CallInTurn(callCtx, replicas, "join", func(ctx context.Context, stub wire.Replica) (*wire.JoinResponse, error) {
 		return stub.Join(ctx, request)
 	})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -269,7 +269,7 @@
 	// tolerate, so nothing is committed before that many replicas vote. A number
 	// derived from the peers makes no such promise: a majority of it is enough.
 	voters := r.opts.Voters
-	minVoters := voters
+	minVoters, lostDisks := voters, (voters-1)/2
 	if voters == 0 {
 		voters = targetVoters(len(r.opts.Peers) + 1)
 		minVoters = voters/2 + 1
@@ -293,6 +293,7 @@
 		ReplaceAfter:      replaceAfter,
 		TargetVoters:      voters,
 		MinVoters:         minVoters,
+		LostDisks:         max(lostDisks, 0),
 		Seed:              self.ID.Incarnation,
 	}
 }
@@ -401,6 +402,7 @@
 	}
 	event.Msg("this replica's role or leader changed")
 	r.publish()
+	r.forwardJoinRequests(change.Leader)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	close(r.roleUpdated)
--- a/internal/replica/rollout.go
+++ b/internal/replica/rollout.go
@@ -68,6 +68,9 @@
 	if err != nil {
 		return nil, rolloutError(err)
 	}
+	if _, err := s.replica.await(ctx, replication.Read{Durable: true}); err != nil {
+		return nil, err
+	}
 	return &wire.StartRolloutResponse{Conflict: answer == core.AnswerConflict, Number: placed.Number}, nil
 }
 
