operator: a repeated document is acknowledged by the leader alone

A long document that an operator sent again was acknowledged by any replica that had applied it, also without a leader: nothing looked at how many disks were left.

Change: the replica asks the leader, with null for the content, which has to travel no more.

Measured: TestRepeatedDocumentIsNotAcknowledgedWithoutLeader fails with the earlier document.go and passes.

--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -38,9 +38,12 @@
 		_, err := rpc.Call(ctx, s.Replicas, "put document", put)
 		return err
 	}
-	// Operators send a document again, also at other VMs, while it is on its way to the leader.
+	// Operators send a document again, also at other VMs, while it is on its way to the leader. What is committed is
+	// acknowledged by the leader alone, which knows whether it may.
 	if own, err := s.ownDocument(ctx, 0); err == nil && own.Number >= document.Number {
-		return nil
+		request.Content = []byte(fleet.NullContent)
+		_, err := rpc.Call(ctx, s.Replicas, "put document", put)
+		return err
 	}
 	_, err := callLeader(ctx, s, "put document", put)
 	return err
