--- a/internal/core/replication/checks_test.go
+++ b/internal/core/replication/checks_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"time"
 )
 
 // digest returns a digest of the entry and the previous digest or term.
@@ -58,7 +57,7 @@
 			continue
 		}
 		holders++
-		waited := time.Duration(float64(net.now-h.electedAt) * h.clockRate)
+		waited := h.clock(net.now) - h.clock(h.electedAt)
 		if waited < net.opts.LeaseDuration && !net.ignoreOldLease {
 			net.reportViolation("%v has a lease only %v after its election", h.self.ID, waited)
 		}
